--- /dev/null
+++ b/packages/bench/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Benches and the capacity script.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,1 @@
+console.log("not built yet");
--- /dev/null
+++ b/packages/cli/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The operators' command line; it only parses, calls and prints.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/codes/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Numbered result codes and typed errors.
+ *
+ * @module
+ */
+export * from "./table.ts";
+export * from "./failure.ts";
--- /dev/null
+++ b/packages/configuration/src/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Which configuration is in force.
+ *
+ * @module
+ */
+export * from "./record.ts";
--- /dev/null
+++ b/packages/endpoint_http/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Adapter of model engines, pools and plain services over HTTP.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/entry/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The daemon on the callers' side: filter chain and hot path.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/log_http/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Adapter of the append-only log service over HTTP.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/logger/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Log lines for changes of state, text or JSON, by consola.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/membership/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Which entries and endpoints live, leave or are silent, and who may warm a cold endpoint.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/prove/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Proofs of what must always hold, with real processes and with mechanisms taken out.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/results/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Stage results and answers kept in memory at two entries in different failure domains.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/rpc/src/methods.ts
@@ -0,0 +1,238 @@
+/**
+ * Methods between the system's own processes, and between the command line and
+ * the control processes.
+ *
+ * @module
+ */
+import type {
+  ClaimId,
+  ClaimRecord,
+  KeyId,
+  KeyStatus,
+} from "@sardinestep/claims";
+import type {
+  ConfigurationRecord,
+  VersionedConfiguration,
+} from "@sardinestep/configuration";
+import type { TimelineEvent, TimelineFilter } from "@sardinestep/timeline";
+import type {
+  Address,
+  CustomerId,
+  EndpointFacts,
+  EndpointId,
+  InstanceId,
+  LoadReport,
+  MemberFacts,
+  SiteId,
+  StageResult,
+  VmId,
+  ZoneId,
+} from "@sardinestep/types";
+
+/** Who speaks, sent with the first call on a connection. */
+export interface Identity {
+  readonly process: "entry" | "control";
+  readonly vmId: VmId;
+  readonly zone: ZoneId;
+  readonly site: SiteId;
+  readonly instance: InstanceId;
+  readonly rpc: Address;
+}
+
+/** Everything a control process tells an entry. */
+export interface ControlState {
+  readonly configuration?: VersionedConfiguration;
+  readonly members: readonly MemberFacts[];
+  readonly endpoints: readonly EndpointFacts[];
+  readonly loads: readonly LoadReport[];
+  readonly logReachable: boolean;
+}
+
+/** What became of a claim that an entry asked control to append. */
+export type ClaimVerdict =
+  /** The claim is the first of its key: this entry alone may dispatch. */
+  | { readonly kind: "won" }
+  /** Another claim is first. */
+  | { readonly kind: "lost"; readonly status: KeyStatus }
+  /** The key is older than the window that the log covers. */
+  | { readonly kind: "expired" }
+  /** The log did not settle it in time; the claim must be abandoned. */
+  | { readonly kind: "unsettled"; readonly retryAfterMs: number };
+
+/** What an entry knows of a key from its own memory. */
+export type AnswerStatus =
+  | { readonly kind: "none" }
+  | { readonly kind: "running" }
+  | { readonly kind: "completed"; readonly body: unknown }
+  | { readonly kind: "unknown" }
+  /** Never ran here and never will. */
+  | { readonly kind: "closed" };
+
+/** How a publish ended. */
+export type PublishVerdict =
+  | { readonly kind: "accepted"; readonly version: number }
+  | { readonly kind: "lost"; readonly inForce: number; readonly author: string }
+  | { readonly kind: "invalid"; readonly faults: readonly string[] }
+  | { readonly kind: "log_unavailable" }
+  | { readonly kind: "unknown" };
+
+/** One record of the configuration stream as judged at its offset. */
+export interface HistoryRow {
+  readonly offset: number;
+  readonly time: number;
+  readonly recordId: string;
+  readonly author: string;
+  readonly note: string;
+  readonly base: number;
+  /** The version it became; undefined when it was not accepted. */
+  readonly version?: number;
+}
+
+/** Status of one process, for operators. */
+export interface ProcessStatus extends Identity {
+  readonly pid: number;
+  readonly startedAt: number;
+  readonly state: "starting" | "ready" | "leaving";
+  readonly configVersion: number;
+  /** Control only: whether the log answers, and the offsets read. */
+  readonly log?: {
+    readonly reachable: boolean;
+    readonly claimsReadThrough: number;
+    readonly configurationReadThrough: number;
+  };
+  readonly counters: Readonly<Record<string, number>>;
+}
+
+/** An endpoint with its newest report, for operators. */
+export interface EndpointStatus {
+  readonly facts: EndpointFacts;
+  readonly load?: LoadReport;
+}
+
+/** What control processes tell each other, every gossip interval. */
+export interface GossipMessage {
+  readonly identity: Identity;
+  readonly members: readonly MemberFacts[];
+  readonly configVersion: number;
+  /** Endpoints with news that not every reader may have. */
+  readonly endpoints: readonly EndpointFacts[];
+}
+
+/** What a control process answers to gossip. */
+export interface GossipReply {
+  /** Set when the answering side has a higher version than the asking one. */
+  readonly configuration?: VersionedConfiguration;
+  readonly configVersion: number;
+  readonly members: readonly MemberFacts[];
+  readonly endpoints: readonly EndpointFacts[];
+}
+
+/** Parameters and results of every method, by its name. */
+export interface Methods {
+  /** Both: proves that the other side is alive and says who it is. */
+  ping: { params: Record<never, never>; result: Identity };
+  /** Both: status for operators. */
+  status: { params: Record<never, never>; result: ProcessStatus };
+  /** Both: events that this process keeps. */
+  timeline: { params: TimelineFilter; result: readonly TimelineEvent[] };
+
+  /** Control, from entries: registers and gives the state; news follow. */
+  subscribe: { params: Identity; result: ControlState };
+  /** Control, from entries: settles a claim through the log. */
+  claim: {
+    params: { readonly record: ClaimRecord; readonly boundMs: number };
+    result: ClaimVerdict;
+  };
+  /** Control, from entries: appends releases and outcomes when the log allows. */
+  recordLater: {
+    params: { readonly records: readonly ClaimRecord[] };
+    result: { readonly queued: number };
+  };
+  /** Control, from entries: negative news about endpoints. */
+  reportEndpoint: {
+    params: {
+      readonly endpointId: EndpointId;
+      readonly instance: InstanceId;
+      readonly news: "silent" | "cold" | "warm" | "leaving" | "answered";
+    };
+    result: Record<never, never>;
+  };
+  /** Control, from control: gossip. */
+  gossip: { params: GossipMessage; result: GossipReply };
+
+  /** Control, from operators. */
+  configuration: {
+    params: Record<never, never>;
+    result: VersionedConfiguration | null;
+  };
+  history: { params: Record<never, never>; result: readonly HistoryRow[] };
+  publish: {
+    params: Extract<ConfigurationRecord, { kind: "publish" }>;
+    result: PublishVerdict;
+  };
+  endpoints: {
+    params: Record<never, never>;
+    result: readonly EndpointStatus[];
+  };
+  members: { params: Record<never, never>; result: readonly MemberFacts[] };
+  lookUpKey: {
+    params: { readonly key: string; readonly customer?: CustomerId };
+    result: readonly {
+      readonly keyId: KeyId;
+      readonly status: KeyStatus;
+      readonly readThrough: number;
+    }[];
+  };
+
+  /** Entry, from entries: keeps a finished stage or an answer. */
+  keepResult: {
+    params: {
+      readonly result: StageResult;
+      readonly keepMs: number;
+    };
+    result: Record<never, never>;
+  };
+  /** Entry, from entries: stage results kept under a key. */
+  findResults: { params: KeyId; result: readonly StageResult[] };
+  /** Entry, from entries: what this entry did under a key that it holds. */
+  findAnswer: {
+    params: {
+      readonly keyId: KeyId;
+      readonly waitMs: number;
+      /** Set where the asker knows the claim; empty for minted keys. */
+      readonly id?: ClaimId;
+    };
+    result: AnswerStatus;
+  };
+  /** Entry, from entries: runs a request under a key that this entry minted. */
+  runMinted: {
+    params: {
+      readonly customer: CustomerId;
+      readonly key: string;
+      readonly pipeline: string;
+      readonly body: unknown;
+      readonly deadlineInMs: number;
+    };
+    result: { readonly httpStatus: number; readonly body: unknown };
+  };
+  /** Entry, from a leaving entry: its minted keys, for answers only. */
+  handOver: {
+    params: {
+      readonly instance: InstanceId;
+      readonly answers: readonly {
+        readonly keyId: KeyId;
+        readonly status: AnswerStatus;
+      }[];
+    };
+    result: { readonly kept: number };
+  };
+}
+
+/** Notifications, which have no answer. */
+export interface Notifications {
+  /** Control to its entries: what has changed since the last one. */
+  news: Partial<ControlState>;
+}
+
+/** The name of a method. */
+export type MethodName = keyof Methods;
--- /dev/null
+++ b/packages/settings/src/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Checked settings and configuration.
+ *
+ * Settings belong to one process and come from its file; configuration belongs
+ * to all sites and comes through the log.
+ *
+ * @module
+ */
+export * from "./configuration_schema.ts";
+export * from "./settings_schema.ts";
--- /dev/null
+++ b/packages/spec/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Specification of the core protocol, explored exhaustively, with mutants that must be caught.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/store_http/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Adapter of the weight store over HTTP.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/testing/src/program.ts
@@ -0,0 +1,151 @@
+/**
+ * Child processes of tests, demo and benches. The daemons themselves start no
+ * process.
+ *
+ * @module
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { waitFor, type WaitOptions } from "./wait.ts";
+
+/** A program started by {@link Bench.start}. */
+export interface Program {
+  readonly name: string;
+  readonly process: ChildProcess;
+  /** What it has printed on both outputs so far. */
+  output(): string;
+}
+
+/**
+ * Starts programs from `dist/` and ends all of them, by their own ids.
+ *
+ * @example
+ * ```ts
+ * const bench = new Bench();
+ * const entry = bench.start("sardinestep-entry", { settings });
+ * await bench.stopAll();
+ * ```
+ */
+export class Bench {
+  readonly #programs: Program[] = [];
+  readonly #folder = mkdtempSync(join(tmpdir(), "sardinestep-"));
+  #fileCount = 0;
+
+  /** Programs that were started and still run. */
+  get running(): readonly Program[] {
+    return this.#programs.filter((program) => isRunning(program));
+  }
+
+  /** Writes a JSON file into the bench's own folder and returns its path. */
+  writeJson(name: string, value: unknown): string {
+    this.#fileCount += 1;
+    const path = join(this.#folder, `${this.#fileCount}-${name}.json`);
+    writeFileSync(path, JSON.stringify(value, null, 2));
+    return path;
+  }
+
+  /** Starts `dist/<binary>.mjs` with a settings file made from a value. */
+  start(binary: string, options: StartOptions): Program {
+    const name = options.name ?? binary;
+    const args = [`dist/${binary}.mjs`];
+    if (options.settings !== undefined) {
+      args.push("--settings", this.writeJson(name, options.settings));
+    }
+    args.push(...(options.args ?? []));
+    const child = spawn(process.execPath, args, {
+      stdio: ["ignore", "pipe", "pipe"],
+      env: { ...process.env, ...options.env },
+    });
+    const chunks: string[] = [];
+    child.stdout?.on("data", (chunk) => chunks.push(String(chunk)));
+    child.stderr?.on("data", (chunk) => chunks.push(String(chunk)));
+    const program = { name, process: child, output: () => chunks.join("") };
+    this.#programs.push(program);
+    return program;
+  }
+
+  /** Ends every program, first politely if asked, and removes the folder. */
+  async stopAll(signal: NodeJS.Signals = "SIGKILL"): Promise<void> {
+    await Promise.all(
+      this.#programs.map((program) => stopProgram(program, signal)),
+    );
+    rmSync(this.#folder, { recursive: true, force: true });
+  }
+}
+
+/** How {@link Bench.start} starts a program. */
+export interface StartOptions {
+  readonly name?: string;
+  readonly settings?: unknown;
+  readonly args?: readonly string[];
+  readonly env?: Readonly<Record<string, string>>;
+}
+
+function isRunning(program: Program): boolean {
+  return program.process.exitCode === null &&
+    program.process.signalCode === null;
+}
+
+/**
+ * Sends a signal to a program and waits until it has ended.
+ *
+ * @param program The program to end.
+ * @param signal The signal; a frozen program is woken first.
+ * @returns Its exit code, null when a signal ended it.
+ */
+export async function stopProgram(
+  program: Program,
+  signal: NodeJS.Signals = "SIGTERM",
+): Promise<number | null> {
+  if (!isRunning(program)) return program.process.exitCode;
+  const exited = once(program.process, "exit");
+  program.process.kill(signal);
+  program.process.kill("SIGCONT");
+  await exited;
+  return program.process.exitCode;
+}
+
+/**
+ * Waits until a program has printed a text.
+ *
+ * @param program The program to watch.
+ * @param text What it must have printed.
+ * @param options Bound of the wait.
+ */
+export async function waitForOutput(
+  program: Program,
+  text: string,
+  options: Partial<WaitOptions> = {},
+): Promise<void> {
+  await waitFor(() => program.output().includes(text), {
+    what:
+      `"${text}" from "${program.name}", which printed: ${program.output()}`,
+    ...options,
+  });
+}
+
+/**
+ * Finds TCP ports on loopback that nothing listens on.
+ *
+ * @param count How many ports to find.
+ * @returns Distinct port numbers.
+ */
+export async function findFreePorts(count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const ports: number[] = [];
+  for (const server of servers) {
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const address = server.address();
+    if (address && typeof address === "object") ports.push(address.port);
+  }
+  for (const server of servers) {
+    server.close();
+    await once(server, "close");
+  }
+  return ports;
+}
--- /dev/null
+++ b/packages/timeline/src/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Time line of events over all processes.
+ *
+ * @module
+ */
+export * from "./event.ts";
--- /dev/null
+++ b/packages/vmlist_http/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Adapter of the lagging VM list over HTTP.
+ *
+ * @module
+ */
+
+export {};
