Check settings and configuration, naming every fault at once

Cause: an operator who is told one fault at a time mends a file in many goes, and a reference to a service that does not exist shows only under load. Ruled out: refinements inside the schemas; the library does not run them when another field is wrong, so faults would come in two rounds.

--- /dev/null
+++ b/packages/settings/src/load.ts
@@ -0,0 +1,87 @@
+/**
+ * Reading settings files.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import { Err, Ok, type Result } from "ts-results-es";
+import type * as z from "zod";
+import { buildFaults, type Fault } from "./fault.ts";
+
+/**
+ * Checks a value against a schema.
+ *
+ * @param schema The schema of the settings.
+ * @param value Plain data as read from JSON.
+ * @returns The settings with their defaults, or every fault at once.
+ * @example
+ * ```ts
+ * parseSettings(CLI_SETTINGS_SCHEMA, { controls: ["127.0.0.1:7001"] });
+ * ```
+ */
+export function parseSettings<T>(
+  schema: z.ZodType<T>,
+  value: unknown,
+): Result<T, readonly Fault[]> {
+  const parsed = schema.safeParse(value);
+  return parsed.success
+    ? Ok(parsed.data)
+    : Err(buildFaults(parsed.error, value));
+}
+
+/**
+ * Reads and checks a settings file. It reads synchronously: a program does
+ * this once, before it has anything else to do.
+ *
+ * @param schema The schema of the settings.
+ * @param file Path of the JSON file.
+ * @returns The settings, or every fault with the file's name.
+ * @example
+ * ```ts
+ * const settings = loadSettings(ENTRY_SETTINGS_SCHEMA, "entry.json");
+ * ```
+ */
+export function loadSettings<T>(
+  schema: z.ZodType<T>,
+  file: string,
+): Result<T, readonly Fault[]> {
+  return readJson(file).andThen((value) =>
+    parseSettings(schema, value).mapErr((faults) =>
+      faults.map((fault) => ({ ...fault, file }))
+    )
+  );
+}
+
+/**
+ * Reads a JSON file synchronously.
+ *
+ * @param file Path of the file.
+ * @returns Its value, or one fault with the file's name.
+ * @example
+ * ```ts
+ * readJson("base.json").map((base) => composeConfiguration(base, {}));
+ * ```
+ */
+export function readJson(file: string): Result<unknown, readonly Fault[]> {
+  const text = readText(file);
+  if (text.isErr()) return text;
+  try {
+    return Ok(JSON.parse(text.value));
+  } catch (error) {
+    const expected = `JSON (${getMessage(error)})`;
+    return Err([{ path: "$", value: text.value, expected, file }]);
+  }
+}
+
+function readText(file: string): Result<string, readonly Fault[]> {
+  try {
+    return Ok(readFileSync(file, "utf8"));
+  } catch (error) {
+    const expected = `a readable file (${getMessage(error)})`;
+    return Err([{ path: "$", value: undefined, expected, file }]);
+  }
+}
+
+function getMessage(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
--- /dev/null
+++ b/packages/settings/src/load_test.ts
@@ -0,0 +1,72 @@
+import { expect } from "chai";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { expectSnapshot } from "@sardinestep/testing";
+import { formatFault } from "./fault.ts";
+import { loadSettings, parseSettings } from "./load.ts";
+import {
+  CLI_SETTINGS_SCHEMA,
+  CONTROL_SETTINGS_SCHEMA,
+  ENTRY_SETTINGS_SCHEMA,
+} from "./settings_schema.ts";
+
+describe("settings", () => {
+  let folder = "";
+  beforeEach(() => {
+    folder = mkdtempSync(join(tmpdir(), "sardinestep-settings-"));
+  });
+  afterEach(() => rmSync(folder, { recursive: true }));
+
+  function writeSettings(text: string): string {
+    const file = join(folder, "settings.json");
+    writeFileSync(file, text);
+    return file;
+  }
+
+  it("fills in defaults", function () {
+    const file = writeSettings('{"controls": ["127.0.0.1:7001"]}');
+    expectSnapshot(this, loadSettings(CLI_SETTINGS_SCHEMA, file).unwrap());
+  });
+
+  it("names every fault at once with path, value and expectation", function () {
+    const faults = parseSettings(ENTRY_SETTINGS_SCHEMA, {
+      vmId: "",
+      site: "yard",
+      zone: 3,
+      listenHttp: "localhost:8080",
+      listenRpc: "127.0.0.1:7000",
+      controls: [],
+      maxBodyBytes: 1.5,
+      logs: { format: "xml" },
+      listenHTTP: "127.0.0.1:8080",
+    }).unwrapErr();
+    expectSnapshot(this, faults.map(formatFault));
+  });
+
+  it("names a wrong URL and a negative bound", function () {
+    const faults = parseSettings(CONTROL_SETTINGS_SCHEMA, {
+      vmId: "vm-1",
+      site: "yard",
+      zone: "yard-a",
+      listenRpc: "127.0.0.1:7000",
+      logUrl: "log",
+      vmListUrl: "http://127.0.0.1:9001",
+      shutdownBoundMs: -1,
+    }).unwrapErr();
+    expectSnapshot(this, faults.map(formatFault));
+  });
+
+  it("names the file in every fault", () => {
+    const file = writeSettings('{"controls": [1], "timeoutMs": 0}');
+    const faults = loadSettings(CLI_SETTINGS_SCHEMA, file).unwrapErr();
+    expect(faults.map((fault) => fault.file)).to.deep.equal([file, file]);
+  });
+
+  it("tells a file that is not JSON from one that is not there", () => {
+    const broken = loadSettings(CLI_SETTINGS_SCHEMA, writeSettings("{"));
+    const missing = loadSettings(CLI_SETTINGS_SCHEMA, join(folder, "none"));
+    expect(broken.unwrapErr()[0].expected).to.match(/^JSON/);
+    expect(missing.unwrapErr()[0].expected).to.match(/^a readable file/);
+  });
+});
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -6,5 +6,9 @@
  *
  * @module
  */
+export * from "./configuration.ts";
 export * from "./configuration_schema.ts";
+export * from "./diff.ts";
+export * from "./fault.ts";
+export * from "./load.ts";
 export * from "./settings_schema.ts";
--- a/packages/settings/src/settings_schema.ts
+++ b/packages/settings/src/settings_schema.ts
@@ -10,7 +10,10 @@
   "expected an IP number and a port, such as 127.0.0.1:7000",
 );
 const NAME = z.string().min(1).max(63);
-const URL_OF_SERVICE = z.url();
+const URL_OF_SERVICE = z.url({
+  protocol: /^https?$/,
+  error: "expected an http URL, such as http://127.0.0.1:9001",
+});
 
 const LOGS = z.strictObject({
   format: z.enum(["text", "json"]).default("text"),
