JSON-RPC over TCP between own processes

Cause: entries and controls need calls both ways on one connection, and connections can go silent for good. Change: json-rpc-2.0 over lines, pings on quiet connections, errors told apart by what the other side may have done.

--- a/packages/rpc/src/mod.ts
+++ b/packages/rpc/src/mod.ts
@@ -3,4 +3,9 @@
  *
  * @module
  */
+export * from "./address.ts";
+export * from "./client.ts";
+export * from "./connection.ts";
+export * from "./error.ts";
 export * from "./methods.ts";
+export * from "./server.ts";
