--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -7,3 +7,4 @@
  */
 export * from "./event.ts";
 export * from "./action.ts";
+export * from "./decider.ts";
