Operators' command line: config, zone, endpoints, status, claims, timeline, codes

Cause: operators drive the system through one program, and programs of theirs read it too. Change: packages/cli.

--- /dev/null
+++ b/packages/cli/src/config_commands.ts
@@ -0,0 +1,211 @@
+/**
+ * `sardinestep config check|diff|publish|show|history`.
+ *
+ * @module
+ */
+import * as codes from "@sardinestep/codes";
+import type * as configuration from "@sardinestep/configuration";
+import type * as rpc from "@sardinestep/rpc";
+import * as settings from "@sardinestep/settings";
+import { match } from "ts-pattern";
+import {
+  createInvalid,
+  mergeZonesOut,
+  readConfiguration,
+} from "./configuration_file.ts";
+import type { Context } from "./context.ts";
+import { callAnyControl } from "./controls.ts";
+import { createLost, runPublication } from "./publish.ts";
+import { createRefusal, formatTable, type Report } from "./report.ts";
+
+type InForce = configuration.VersionedConfiguration | null;
+
+/**
+ * Checks a configuration without asking any process.
+ *
+ * @param path A file or folder.
+ * @returns What it holds, or every fault.
+ */
+export function checkConfiguration(path: string): Report {
+  const parsed = readConfiguration(path).andThen(settings.parseConfiguration);
+  if (parsed.isErr()) return createInvalid(path, parsed.error);
+  const { base, sites, zonesOut } = parsed.value;
+  const counts = {
+    pipelines: Object.keys(base.pipelines).length,
+    services: Object.keys(base.services).length,
+    customers: Object.keys(base.customers).length,
+    sites: Object.keys(sites).length,
+    zonesOut: zonesOut.length,
+  };
+  const listed = Object.entries(counts).map(([name, count]) =>
+    `${name} ${count}`
+  );
+  return {
+    kind: "done",
+    lines: [`Configuration "${path}" is valid: ${listed.join(", ")}`],
+    data: { path, counts },
+  };
+}
+
+/**
+ * Shows how a file differs from the configuration in force.
+ *
+ * @param context Caller and settings.
+ * @param path A file or folder.
+ * @returns Every difference.
+ */
+export async function compareWithInForce(
+  context: Context,
+  path: string,
+): Promise<Report> {
+  const inForce = await callAnyControl(context, "configuration", {});
+  if (inForce.isErr()) return inForce.error;
+  const planned = readAgainst(path, inForce.value);
+  if (planned.isErr()) return createInvalid(path, planned.error);
+  const changes = buildChanges(inForce.value, planned.value);
+  const version = inForce.value?.version ?? 0;
+  const head = changes.length === 0
+    ? `No difference from version ${version}`
+    : `${changes.length} difference(s) from version ${version}`;
+  return {
+    kind: "done",
+    lines: [head, ...changes.map(settings.formatChange)],
+    data: { version, changes },
+  };
+}
+
+/** What `config publish` takes from the command line. */
+export interface PublishOptions {
+  readonly note: string;
+  readonly author: string;
+  /** The version that was edited; the one in force when undefined. */
+  readonly base?: number;
+}
+
+/**
+ * Publishes a configuration.
+ *
+ * @param context Caller and settings.
+ * @param path A file or folder.
+ * @param options Note, author and base.
+ * @returns The version it became, or why it did not.
+ */
+export async function sendConfiguration(
+  context: Context,
+  path: string,
+  options: PublishOptions,
+): Promise<Report> {
+  const inForce = await callAnyControl(context, "configuration", {});
+  if (inForce.isErr()) return inForce.error;
+  const planned = readAgainst(path, inForce.value);
+  if (planned.isErr()) return createInvalid(path, planned.error);
+  const base = options.base ?? inForce.value?.version ?? 0;
+  const end = await runPublication(context, {
+    base,
+    author: options.author,
+    note: options.note,
+    configuration: planned.value,
+  });
+  const changes = buildChanges(inForce.value, planned.value);
+  return match(end)
+    .returnType<Report>()
+    .with({ kind: "accepted" }, ({ version }) => ({
+      kind: "done",
+      lines: [
+        `Accepted as version ${version}: ${changes.length} change(s) from version ${base}`,
+      ],
+      data: { version, base, changes },
+    }))
+    .with({ kind: "lost" }, (lost) => createLost(lost, base))
+    .with({ kind: "ended" }, ({ report }) => report)
+    .exhaustive();
+}
+
+function readAgainst(path: string, inForce: InForce) {
+  return readConfiguration(path)
+    .map((value) => mergeZonesOut(value, getZonesOut(inForce)))
+    .andThen(settings.parseConfiguration);
+}
+
+/** Read without the schema: a newer configuration has zones out as well. */
+function getZonesOut(inForce: InForce): readonly string[] {
+  const zonesOut = settings.findAt(inForce?.configuration, ["zonesOut"]);
+  if (!Array.isArray(zonesOut)) return [];
+  return zonesOut.filter((zone) => typeof zone === "string");
+}
+
+function buildChanges(
+  inForce: InForce,
+  planned: settings.Configuration,
+): readonly settings.Change[] {
+  if (inForce === null) return settings.diffConfigurations(undefined, planned);
+  const parsed = settings.parseConfiguration(inForce.configuration);
+  const before = parsed.unwrapOr(inForce.configuration);
+  return settings.diffConfigurations(before, planned);
+}
+
+/**
+ * Shows the configuration in force.
+ *
+ * @param context Caller and settings.
+ * @param version The version that is wanted; the one in force when undefined.
+ * @returns The configuration as JSON with version, author and note.
+ */
+export async function readInForce(
+  context: Context,
+  version: number | undefined,
+): Promise<Report> {
+  const inForce = await callAnyControl(context, "configuration", {});
+  if (inForce.isErr()) return inForce.error;
+  const found = inForce.value;
+  if (found === null) return createNotFound("No configuration is in force yet");
+  if (version !== undefined && version !== found.version) {
+    return createNotFound(
+      `Cannot show version ${version}: version ${found.version} is in force, and control processes keep no other`,
+    );
+  }
+  return {
+    kind: "done",
+    lines: [
+      `Version ${found.version} by ${found.author}: ${found.note}`,
+      ...JSON.stringify(found.configuration, null, 2).split("\n"),
+    ],
+    data: { ...found },
+  };
+}
+
+function createNotFound(message: string): Report {
+  return createRefusal(codes.createFailure("NOT_FOUND", message));
+}
+
+/**
+ * Lists every record of the configuration stream with its fate.
+ *
+ * @param context Caller and settings.
+ * @returns The records, the newest last.
+ */
+export async function readHistory(context: Context): Promise<Report> {
+  const history = await callAnyControl(context, "history", {});
+  if (history.isErr()) return history.error;
+  const rows = history.value.map(formatHistoryRow);
+  return {
+    kind: "done",
+    lines: formatTable(
+      ["OFFSET", "TIME", "VERDICT", "BASE", "AUTHOR", "RECORD", "NOTE"],
+      rows,
+    ),
+    data: { history: history.value },
+  };
+}
+
+function formatHistoryRow(row: rpc.HistoryRow): string[] {
+  return [
+    String(row.offset),
+    new Date(row.time).toISOString(),
+    row.version === undefined ? "not accepted" : `version ${row.version}`,
+    String(row.base),
+    row.author,
+    row.recordId,
+    row.note,
+  ];
+}
--- /dev/null
+++ b/packages/cli/src/configuration_file.ts
@@ -0,0 +1,97 @@
+/**
+ * Configuration from a file or from a folder of `base.json` and `sites/*.json`.
+ *
+ * @module
+ */
+import * as codes from "@sardinestep/codes";
+import * as settings from "@sardinestep/settings";
+import { readdirSync, statSync } from "node:fs";
+import { basename, join } from "node:path";
+import { Err, Ok, Result } from "ts-results-es";
+import { createRefusal, type Report } from "./report.ts";
+
+const JSON_SUFFIX = ".json";
+
+/**
+ * Reads a configuration, unchecked.
+ *
+ * @param path A whole configuration, or a folder of `base.json` and
+ * `sites/<site>.json`.
+ * @returns The whole value, or every file that can't be read.
+ * @example
+ * ```ts
+ * readConfiguration("examples/allgaeu");
+ * ```
+ */
+export function readConfiguration(
+  path: string,
+): Result<unknown, readonly settings.Fault[]> {
+  return isFolder(path) ? readFolder(path) : settings.readJson(path);
+}
+
+function isFolder(path: string): boolean {
+  return statSync(path, { throwIfNoEntry: false })?.isDirectory() ?? false;
+}
+
+function readFolder(
+  folder: string,
+): Result<unknown, readonly settings.Fault[]> {
+  const sitesFolder = join(folder, "sites");
+  const siteFiles = isFolder(sitesFolder)
+    ? readdirSync(sitesFolder).filter((name) => name.endsWith(JSON_SUFFIX))
+    : [];
+  const base = settings.readJson(join(folder, "base.json"));
+  const overlays = siteFiles.sort().map((name) => ({
+    site: basename(name, JSON_SUFFIX),
+    value: settings.readJson(join(sitesFolder, name)),
+  }));
+  const parts = [base, ...overlays.map((overlay) => overlay.value)];
+  const faults = parts.flatMap((part) => part.isErr() ? [...part.error] : []);
+  if (faults.length > 0) return Err(faults);
+  const sites = overlays.map((
+    overlay,
+  ) => [overlay.site, overlay.value.unwrap()]);
+  return Ok(
+    settings.composeConfiguration(base.unwrap(), Object.fromEntries(sites)),
+  );
+}
+
+/**
+ * Sets the zones that are out where a file says nothing of them.
+ *
+ * Guards the case that an operator publishes a changed base while another one
+ * has a zone out: a file without `zonesOut` would bring the zone back in.
+ *
+ * @param value The configuration as read.
+ * @param zonesOut The zones that are out now.
+ * @returns The value with `zonesOut`.
+ */
+export function mergeZonesOut(
+  value: unknown,
+  zonesOut: readonly string[],
+): unknown {
+  if (typeof value !== "object" || value === null) return value;
+  if (Object.hasOwn(value, "zonesOut")) return value;
+  return { ...value, zonesOut: [...zonesOut] };
+}
+
+/**
+ * Makes the report of a configuration with faults.
+ *
+ * @param path What was read.
+ * @param faults Every fault.
+ * @returns The report.
+ */
+export function createInvalid(
+  path: string,
+  faults: readonly settings.Fault[],
+): Report {
+  const failure = codes.createFailure(
+    "CONFIG_INVALID",
+    `Cannot use configuration "${path}": ${faults.length} fault(s)`,
+  );
+  return createRefusal(failure, {
+    lines: faults.map(settings.formatFault),
+    data: { faults },
+  });
+}
--- /dev/null
+++ b/packages/cli/src/context.ts
@@ -0,0 +1,45 @@
+/**
+ * What commands use from outside, so that tests need no sockets.
+ *
+ * @module
+ */
+import type * as rpc from "@sardinestep/rpc";
+import type { CliSettings } from "@sardinestep/settings";
+import type { TimelineEvent } from "@sardinestep/timeline";
+import type { Address } from "@sardinestep/types";
+import type { Result } from "ts-results-es";
+
+/** Makes one call to a process of the system. */
+export interface Caller {
+  call<M extends rpc.MethodName>(
+    address: Address,
+    method: M,
+    params: rpc.Methods[M]["params"],
+    options: { readonly timeoutMs: number },
+  ): Promise<Result<rpc.Methods[M]["result"], rpc.RpcError>>;
+}
+
+/** Puts the events of many processes into one order and shows them. */
+export interface EventTools {
+  mergeEvents(
+    lists: readonly (readonly TimelineEvent[])[],
+  ): readonly TimelineEvent[];
+  formatEvent(event: TimelineEvent): string;
+}
+
+/** What every command gets from outside. */
+export interface Environment {
+  readonly caller: Caller;
+  readonly events: EventTools;
+  /** Who publishes, unless the command line names someone else. */
+  readonly author: string;
+  /** Makes a UUIDv7. */
+  readonly createRecordId: () => string;
+  /** Tells a person what is going on while a command runs. */
+  readonly printProgress: (line: string) => void;
+}
+
+/** The environment with the checked settings. */
+export interface Context extends Environment {
+  readonly settings: CliSettings;
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,1 +1,38 @@
-console.log("not built yet");
+/**
+ * Entry point of the `sardinestep` program.
+ *
+ * @module
+ */
+import * as rpc from "@sardinestep/rpc";
+import { hostname, userInfo } from "node:os";
+import * as uuid from "uuid";
+import { EXIT } from "./exit_codes.ts";
+import { EVENT_TOOLS } from "./event_tools.ts";
+import { runProgram } from "./program.ts";
+
+/** Ends quietly when a pager or `head` has closed the pipe. */
+process.stdout.on("error", () => process.exit());
+
+function getAuthor(): string {
+  try {
+    return `${userInfo().username}@${hostname()}`;
+  } catch {
+    return `unnamed@${hostname()}`;
+  }
+}
+
+try {
+  const printout = await runProgram(process.argv.slice(2), {
+    caller: { call: rpc.callOnce },
+    events: EVENT_TOOLS,
+    author: getAuthor(),
+    createRecordId: () => uuid.v7(),
+    printProgress: (line) => process.stderr.write(`${line}\n`),
+  });
+  process.stdout.write(printout.stdout);
+  process.stderr.write(printout.stderr);
+  process.exitCode = printout.exitCode;
+} catch (error) {
+  process.stderr.write(`Fault of the program: ${error}\n`);
+  process.exitCode = EXIT.internal;
+}
--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -3,5 +3,8 @@
  *
  * @module
  */
-
-export {};
+export * from "./configuration_file.ts";
+export * from "./context.ts";
+export * from "./exit_codes.ts";
+export * from "./program.ts";
+export * from "./report.ts";
--- /dev/null
+++ b/packages/cli/src/syntax.ts
@@ -0,0 +1,159 @@
+/**
+ * The syntax of the whole program.
+ *
+ * @module
+ */
+import * as cmd from "cmd-ts";
+import * as args from "./arguments.ts";
+import * as code from "./code_commands.ts";
+import { buildConfigCommands } from "./config_syntax.ts";
+import type { Environment } from "./context.ts";
+import * as key from "./key_commands.ts";
+import { type Answer, runWithContext } from "./run_command.ts";
+import * as watch from "./watch_commands.ts";
+import * as zone from "./zone_commands.ts";
+
+/** Version of the program; a test holds it to the package's own. */
+export const VERSION = "0.1.0";
+
+function buildZoneCommand(
+  environment: Environment,
+  direction: zone.ZoneDirection,
+  description: string,
+) {
+  return cmd.command({
+    name: direction,
+    description,
+    args: {
+      ...args.CALL_OPTIONS,
+      zone: args.createArgument("ZONE", "the failure domain"),
+      author: args.createOption("author", "who changes it"),
+    },
+    handler: (it) =>
+      runWithContext(
+        environment,
+        it,
+        (context) =>
+          zone.setZone(context, it.zone, {
+            direction,
+            author: it.author ?? environment.author,
+          }),
+      ),
+  });
+}
+
+function buildZoneCommands(environment: Environment) {
+  return cmd.subcommands({
+    name: "zone",
+    description: "take a failure domain out of service, or bring it back in",
+    cmds: {
+      out: buildZoneCommand(environment, "out", "no new work goes there"),
+      in: buildZoneCommand(environment, "in", "work comes back step by step"),
+    },
+  });
+}
+
+function buildClaimCommands(environment: Environment) {
+  return cmd.subcommands({
+    name: "claims",
+    description: "calls that may not be repeated",
+    cmds: {
+      show: cmd.command({
+        name: "show",
+        description: "what is known of a caller's key",
+        args: {
+          ...args.CALL_OPTIONS,
+          key: args.createArgument("KEY", "the Idempotency-Key"),
+          customer: args.createOption("customer", "whose key it is"),
+        },
+        handler: (it) =>
+          runWithContext(
+            environment,
+            it,
+            (context) => key.readClaims(context, it.key, it.customer),
+          ),
+      }),
+    },
+  });
+}
+
+function buildEndpointsCommand(environment: Environment) {
+  return cmd.command({
+    name: "endpoints",
+    description: "list endpoints, their state and load",
+    args: {
+      ...args.CALL_OPTIONS,
+      zone: args.createOption("zone", "of this failure domain only"),
+      service: args.createOption("service", "of this service only"),
+    },
+    handler: (it) =>
+      runWithContext(
+        environment,
+        it,
+        (context) => watch.readEndpoints(context, it),
+      ),
+  });
+}
+
+function buildTimelineCommand(environment: Environment) {
+  return cmd.command({
+    name: "timeline",
+    description: "merge the events of all processes that answer",
+    args: {
+      ...args.CALL_OPTIONS,
+      key: args.createOption("key", "of this Idempotency-Key only"),
+      request: args.createOption("request", "of this request id only"),
+      endpoint: args.createOption("endpoint", "of this endpoint only"),
+      zone: args.createOption("zone", "of this failure domain only"),
+      from: args.createMoment("from", "not before this time"),
+      until: args.createMoment("until", "not after this time"),
+    },
+    handler: (it) =>
+      runWithContext(environment, it, (context) =>
+        watch.readTimeline(context, {
+          key: it.key,
+          requestId: it.request,
+          endpointId: it.endpoint,
+          zone: it.zone,
+          fromMs: it.from,
+          untilMs: it.until,
+        })),
+  });
+}
+
+/** Builds every command of the program. */
+export function buildProgram(environment: Environment) {
+  return cmd.subcommands({
+    name: "sardinestep",
+    version: VERSION,
+    description:
+      "operates a sardinestep system; docs/OPERATORS.md has a page a task",
+    cmds: {
+      config: buildConfigCommands(environment),
+      zone: buildZoneCommands(environment),
+      endpoints: buildEndpointsCommand(environment),
+      status: cmd.command({
+        name: "status",
+        description: "ask every process for its state",
+        args: args.CALL_OPTIONS,
+        handler: (it) =>
+          runWithContext(
+            environment,
+            it,
+            (context) => watch.readStatus(context),
+          ),
+      }),
+      claims: buildClaimCommands(environment),
+      timeline: buildTimelineCommand(environment),
+      codes: cmd.command({
+        name: "codes",
+        description: "list result codes and exit codes",
+        args: args.OUTPUT_OPTIONS,
+        handler: (it): Answer => ({
+          report: code.buildCodes(),
+          json: it.json,
+        }),
+      }),
+    },
+  });
+}
--- /dev/null
+++ b/packages/cli/src/watch_commands.ts
@@ -0,0 +1,176 @@
+/**
+ * `sardinestep endpoints|status|timeline`: what the processes say of
+ * themselves.
+ *
+ * @module
+ */
+import type * as rpc from "@sardinestep/rpc";
+import type { TimelineFilter } from "@sardinestep/timeline";
+import type { Context } from "./context.ts";
+import {
+  callAnyControl,
+  callEveryProcess,
+  formatSilences,
+} from "./controls.ts";
+import { formatTable, type Report } from "./report.ts";
+
+/** Which endpoints to list; undefined means all. */
+export interface EndpointFilter {
+  readonly zone?: string;
+  readonly service?: string;
+}
+
+/**
+ * Lists endpoints with their newest load reports.
+ *
+ * @param context Caller and settings.
+ * @param filter Which endpoints.
+ * @returns The endpoints by service, zone and id.
+ */
+export async function readEndpoints(
+  context: Context,
+  filter: EndpointFilter,
+): Promise<Report> {
+  const answer = await callAnyControl(context, "endpoints", {});
+  if (answer.isErr()) return answer.error;
+  const endpoints = answer.value
+    .filter(({ facts }) => !filter.zone || facts.zone === filter.zone)
+    .filter(({ facts }) => !filter.service || facts.service === filter.service)
+    .sort(compareEndpoints);
+  return {
+    kind: "done",
+    lines: formatTable(
+      [
+        "ENDPOINT",
+        "SERVICE",
+        "ROLE",
+        "ZONE",
+        "STATE",
+        "RUNNING",
+        "WAITING",
+        "COLD/WARM",
+        "ADDRESS",
+      ],
+      endpoints.map(formatEndpoint),
+    ),
+    data: { endpoints },
+  };
+}
+
+function compareEndpoints(
+  left: rpc.EndpointStatus,
+  right: rpc.EndpointStatus,
+): number {
+  return compareText(buildSortKey(left), buildSortKey(right));
+}
+
+function buildSortKey({ facts }: rpc.EndpointStatus): string {
+  return [facts.service, facts.zone, facts.endpointId].join("\n");
+}
+
+function compareText(left: string, right: string): number {
+  if (left === right) return 0;
+  return left < right ? -1 : 1;
+}
+
+function formatEndpoint({ facts, load }: rpc.EndpointStatus): string[] {
+  return [
+    facts.endpointId,
+    facts.service,
+    facts.role,
+    facts.zone,
+    facts.state,
+    load ? String(load.running) : "-",
+    load ? String(load.waiting) : "-",
+    `${facts.coldConcurrency}/${facts.warmConcurrency}`,
+    facts.address,
+  ];
+}
+
+/**
+ * Asks every process for its status.
+ *
+ * @param context Caller and settings.
+ * @returns One row for each process, then what needs attention.
+ */
+export async function readStatus(context: Context): Promise<Report> {
+  const survey = await callEveryProcess(context, "status", {});
+  if (survey.isErr()) return survey.error;
+  const { silences } = survey.value;
+  const processes = [...survey.value.answers].sort((left, right) =>
+    compareText(
+      `${left.vmId}\n${left.process}`,
+      `${right.vmId}\n${right.process}`,
+    )
+  );
+  return {
+    kind: "done",
+    lines: [
+      ...formatTable(
+        ["VM", "ZONE", "SITE", "PROCESS", "STATE", "CONFIG", "LOG", "SINCE"],
+        processes.map(formatProcess),
+      ),
+      ...formatVersions(processes),
+      ...formatSilences(silences),
+    ],
+    data: { processes, noAnswer: silences },
+  };
+}
+
+function formatProcess(status: rpc.ProcessStatus): string[] {
+  return [
+    status.vmId,
+    status.zone,
+    status.site,
+    status.process,
+    status.state,
+    String(status.configVersion),
+    formatLog(status.log),
+    new Date(status.startedAt).toISOString(),
+  ];
+}
+
+function formatLog(log: rpc.ProcessStatus["log"]): string {
+  if (log === undefined) return "-";
+  return log.reachable ? "reachable" : "out of reach";
+}
+
+/** After a publish, processes of different versions are what to look for. */
+function formatVersions(processes: readonly rpc.ProcessStatus[]): string[] {
+  const versions = [...new Set(processes.map((it) => it.configVersion))].sort(
+    (left, right) => left - right,
+  );
+  if (versions.length < 2) return [];
+  const counts = versions.map((version) => {
+    const count = processes.filter((it) => it.configVersion === version).length;
+    return `version ${version} at ${count}`;
+  });
+  return [`The processes differ in configuration: ${counts.join(", ")}`];
+}
+
+/**
+ * Merges the time lines of every process that answers.
+ *
+ * @param context Caller and settings.
+ * @param filter Which events.
+ * @returns The events in hybrid logical order, and who did not answer.
+ */
+export async function readTimeline(
+  context: Context,
+  filter: TimelineFilter,
+): Promise<Report> {
+  const survey = await callEveryProcess(context, "timeline", filter);
+  if (survey.isErr()) return survey.error;
+  const { answers, silences } = survey.value;
+  const events = context.events.mergeEvents(answers);
+  const lines = events.map((event) => context.events.formatEvent(event));
+  const none = `No event fits; ${answers.length} process(es) were asked`;
+  return {
+    kind: "done",
+    lines: [
+      ...(lines.length > 0 ? lines : [none]),
+      ...formatSilences(silences),
+    ],
+    data: { events, noAnswer: silences },
+  };
+}
