Both deployments as example data

Cause: demo, tests and operators need the deployments at their sizes of today. Ruled out: a site for each failure domain (a domain that is out would leave its site without endpoints, though the others are a millisecond away).

--- a/packages/cli/src/config_commands.ts
+++ b/packages/cli/src/config_commands.ts
@@ -1,5 +1,5 @@
 /**
- * `sardinestep config check|diff|publish|show|history`.
+ * `sardinestep config check|compose|diff|publish|show|history`.
  *
  * @module
  */
@@ -47,6 +47,23 @@
   };
 }
 
+/**
+ * Composes a whole configuration from a folder, without asking any process.
+ *
+ * @param path A file or folder.
+ * @returns The configuration as JSON, or every fault.
+ */
+export function buildWhole(path: string): Report {
+  const whole = readConfiguration(path);
+  const checked = whole.andThen(settings.parseConfiguration);
+  if (checked.isErr()) return createInvalid(path, checked.error);
+  return {
+    kind: "done",
+    lines: JSON.stringify(whole.unwrap(), null, 2).split("\n"),
+    data: { configuration: whole.unwrap() },
+  };
+}
+
 /**
  * Shows how a file differs from the configuration in force.
  *
--- a/packages/cli/src/config_syntax.ts
+++ b/packages/cli/src/config_syntax.ts
@@ -17,7 +17,7 @@
   );
   return cmd.subcommands({
     name: "config",
-    description: "check, compare, publish and show the configuration",
+    description: "check, compose, compare, publish and show the configuration",
     cmds: {
       check: cmd.command({
         name: "check",
@@ -28,6 +28,15 @@
           json: it.json,
         }),
       }),
+      compose: cmd.command({
+        name: "compose",
+        description: "print a folder as one whole configuration",
+        args: { ...args.OUTPUT_OPTIONS, file },
+        handler: (it): Answer => ({
+          report: config.buildWhole(it.file),
+          json: it.json,
+        }),
+      }),
       diff: cmd.command({
         name: "diff",
         description: "compare a configuration with the one in force",
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -9,6 +9,7 @@
 export * from "./configuration.ts";
 export * from "./configuration_schema.ts";
 export * from "./diff.ts";
+export * from "./example_schema.ts";
 export * from "./fault.ts";
 export * from "./load.ts";
 export * from "./settings_schema.ts";
