--- /dev/null
+++ b/packages/control/src/control.ts
@@ -0,0 +1,291 @@
+/**
+ * Puts the controllers of one control process together.
+ *
+ * @module
+ */
+import * as endpointHttp from "@sardinestep/endpoint_http";
+import * as logHttp from "@sardinestep/log_http";
+import * as logger from "@sardinestep/logger";
+import * as metrics from "@sardinestep/metrics";
+import * as rpc from "@sardinestep/rpc";
+import type * as settings from "@sardinestep/settings";
+import * as timeline from "@sardinestep/timeline";
+import * as vmListHttp from "@sardinestep/vmlist_http";
+import { randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import { ClaimController } from "./claim_controller.ts";
+import { ConfigurationController } from "./configuration_controller.ts";
+import { EndpointController } from "./endpoint_controller.ts";
+import { EntryFeed } from "./entry_feed.ts";
+import { MembershipController } from "./membership_controller.ts";
+
+const DRAIN_POLL_MS = 20;
+
+/** Settings with the address of the entry of the same VM. */
+export type ControlOptions = settings.ControlSettings;
+
+/** A running control process. */
+export class Control {
+  readonly #settings: settings.ControlSettings;
+  readonly #identity: rpc.Identity;
+  readonly #startedAt = Date.now();
+  readonly #logger: logger.Logger;
+  readonly #metrics = new metrics.Metrics({ prefix: "sardinestep" });
+  readonly #timeline: timeline.Timeline;
+  readonly #log;
+  readonly #vmList;
+  readonly #endpointPort;
+  readonly #peers = new rpc.Peers();
+  readonly #feed = new EntryFeed();
+  readonly #claims: ClaimController;
+  readonly #configuration: ConfigurationController;
+  readonly #membership: MembershipController;
+  readonly #endpoints: EndpointController;
+  #server: rpc.RpcServer | undefined;
+  #isLeaving = false;
+
+  constructor(options: settings.ControlSettings) {
+    this.#settings = options;
+    const { vmId, zone, site } = options;
+    this.#identity = {
+      process: "control",
+      vmId,
+      zone,
+      site,
+      instance: randomUUID(),
+      rpc: options.listenRpc,
+    };
+    this.#logger = logger.createLogger({
+      ...options.logs,
+      process: "control",
+      vmId,
+    });
+    this.#timeline = new timeline.Timeline({
+      clock: new timeline.HybridClock(Date.now),
+      process: "control",
+      vmId,
+      instance: this.#identity.instance,
+      capacity: options.timelineEvents,
+    });
+    this.#log = logHttp.openHttpLog({ baseUrl: options.logUrl });
+    this.#vmList = vmListHttp.openHttpVmList({ url: options.vmListUrl });
+    this.#endpointPort = endpointHttp.openHttpEndpoints({});
+    this.#claims = this.#createClaims();
+    this.#configuration = this.#createConfiguration();
+    this.#endpoints = this.#createEndpoints();
+    this.#membership = this.#createMembership();
+  }
+
+  /** Listens and starts every controller. */
+  async start(): Promise<void> {
+    this.#server = await rpc.openServer(this.#settings.listenRpc, {
+      handlers: this.#buildHandlers(),
+    });
+    this.#claims.start();
+    this.#configuration.start();
+    this.#endpoints.start();
+    this.#membership.start();
+    this.#logger.change("started", `Listening on "${this.#server.address}"`);
+  }
+
+  /**
+   * Stops without cutting anything off: records that wait are appended first,
+   * within the bound; entries move to a neighbour's control.
+   */
+  async stop(): Promise<void> {
+    if (this.#isLeaving) return;
+    this.#isLeaving = true;
+    const { shutdownBoundMs } = this.#settings;
+    this.#logger.change("leaving", `Stopping within ${shutdownBoundMs} ms`);
+    this.#membership.markSelfLeaving();
+    this.#membership.spreadNow();
+    const endAt = performance.now() + shutdownBoundMs;
+    while (this.#claims.waitingRecords > 0 && performance.now() < endAt) {
+      await sleep(DRAIN_POLL_MS);
+    }
+    await this.close();
+    this.#logger.change("stopped", "Stopped");
+  }
+
+  /** Ends at once. */
+  async close(): Promise<void> {
+    this.#membership.close();
+    this.#endpoints.close();
+    this.#configuration.close();
+    this.#claims.close();
+    this.#feed.close();
+    this.#peers.close();
+    await this.#server?.close();
+    await this.#log.close();
+    await this.#vmList.close();
+    await this.#endpointPort.close();
+  }
+
+  #createClaims(): ClaimController {
+    const { claimLingerMs, appendsPerSecond, keyWindowMs } = this.#settings;
+    return new ClaimController({
+      log: this.#log,
+      lingerMs: claimLingerMs,
+      appendsPerSecond,
+      keyWindowMs,
+      timeline: this.#timeline,
+      count: (name, by) => this.#metrics.count(name, {}, by),
+      onReachable: (isReachable) => this.#handleLogReachable(isReachable),
+    });
+  }
+
+  #createConfiguration(): ConfigurationController {
+    return new ConfigurationController({
+      log: this.#log,
+      logRetentionMs: this.#settings.logRetentionMs,
+      drawRandom: Math.random,
+      onChange: (configuration) => {
+        const { version, author } = configuration;
+        const message = `Configuration ${version} is in force`;
+        this.#logger.change("config_applied", message, { version, author });
+        const subject = { configVersion: version };
+        this.#timeline.record("config_applied", subject, { author });
+        this.#feed.send({ configuration });
+        this.#membership.spreadNow();
+      },
+    });
+  }
+
+  #createEndpoints(): EndpointController {
+    return new EndpointController({
+      endpoints: this.#endpointPort,
+      loadIntervalMs: this.#settings.loadIntervalMs,
+      timeline: this.#timeline,
+      onChange: (endpoints) => this.#feed.send({ endpoints }),
+      onReport: (report) => this.#feed.addLoad(report),
+    });
+  }
+
+  #createMembership(): MembershipController {
+    const { vmId, zone, site, listenRpc } = this.#settings;
+    return new MembershipController({
+      self: { vmId, zone, site, entryRpc: "", controlRpc: listenRpc },
+      identity: this.#identity,
+      vmList: this.#vmList,
+      vmListIntervalMs: this.#settings.vmListIntervalMs,
+      gossipIntervalMs: this.#settings.gossipIntervalMs,
+      neighbours: this.#settings.neighbours,
+      peers: this.#peers,
+      drawRandom: Math.random,
+      logger: this.#logger,
+      buildNews: () => ({
+        configVersion: this.#configuration.current?.version ?? 0,
+        endpoints: this.#endpoints.getNews(),
+      }),
+      onReply: (reply) => {
+        if (reply.configuration) this.#configuration.adopt(reply.configuration);
+        this.#endpoints.applyGossip(reply.endpoints);
+      },
+      onList: (list, askedAt) => this.#endpoints.applyList(list, askedAt),
+      onMembers: () => this.#sendMembers(),
+    });
+  }
+
+  /**
+   * Entries take each message with members as proof that the view is fresh, so
+   * a control whose own view is not fresh keeps silent about members.
+   */
+  #sendMembers(): void {
+    const own = this.#feed.identities.find((identity) =>
+      identity.vmId === this.#identity.vmId
+    );
+    this.#membership.setOwnEntry(own?.instance);
+    if (!this.#membership.isViewFresh()) return;
+    this.#feed.send({ members: this.#membership.getMembers() });
+  }
+
+  #handleLogReachable(logReachable: boolean): void {
+    const state = logReachable ? "answers" : "does not answer";
+    this.#logger.change("log", `The log service ${state}`);
+    this.#timeline.record("log_reachable", {}, { logReachable });
+    this.#feed.send({ logReachable });
+  }
+
+  #buildHandlers(): rpc.Handlers {
+    return {
+      ping: () => this.#identity,
+      status: () => this.#buildStatus(),
+      timeline: (filter) => this.#timeline.find(filter),
+      subscribe: (identity, connection) => this.#subscribe(identity, connection),
+      claim: ({ record, boundMs }) => this.#settleClaim(record, boundMs),
+      recordLater: ({ records }) => ({
+        queued: this.#claims.recordLater(records),
+      }),
+      reportEndpoint: (news) => {
+        this.#endpoints.applyNews(news);
+        return {};
+      },
+      gossip: (message) => this.#answerGossip(message),
+      configuration: () => this.#configuration.current ?? null,
+      history: () => this.#configuration.getHistory(),
+      publish: (record) => this.#configuration.publish(record),
+      endpoints: () => this.#endpoints.getStatus(),
+      members: () => this.#membership.getMembers(),
+      lookUpKey: ({ key, customer }) => this.#claims.lookUpKey(key, customer),
+    };
+  }
+
+  #settleClaim(
+    record: rpc.Methods["claim"]["params"]["record"],
+    boundMs: number,
+  ): Promise<rpc.ClaimVerdict> {
+    if (record.kind === "claim") return this.#claims.claim(record, boundMs);
+    throw new Error(`Cannot settle a record of kind "${record.kind}"`);
+  }
+
+  #subscribe(
+    identity: rpc.Identity,
+    connection: rpc.Connection,
+  ): rpc.ControlState {
+    this.#feed.add(connection, identity);
+    const isOwn = identity.vmId === this.#identity.vmId;
+    if (isOwn) this.#membership.setOwnEntry(identity.instance);
+    else this.#membership.applyEntry(identity);
+    this.#membership.spreadNow();
+    return {
+      configuration: this.#configuration.current,
+      members: this.#membership.getMembers(),
+      endpoints: this.#endpoints.getEndpoints(),
+      loads: this.#endpoints.getLoads(),
+      logReachable: this.#claims.isReachable,
+    };
+  }
+
+  #answerGossip(message: rpc.GossipMessage): rpc.GossipReply {
+    this.#membership.applyGossip(message);
+    this.#endpoints.applyGossip(message.endpoints);
+    const current = this.#configuration.current;
+    const isNewer = (current?.version ?? 0) > message.configVersion;
+    return {
+      identity: this.#identity,
+      configuration: isNewer ? current : undefined,
+      configVersion: current?.version ?? 0,
+      members: this.#membership.getGossip(),
+      endpoints: this.#endpoints.getNews(),
+    };
+  }
+
+  #buildStatus(): rpc.ProcessStatus {
+    return {
+      ...this.#identity,
+      pid: process.pid,
+      startedAt: this.#startedAt,
+      state: this.#isLeaving ? "leaving" : "ready",
+      configVersion: this.#configuration.current?.version ?? 0,
+      log: {
+        reachable: this.#claims.isReachable,
+        claimsReadThrough: this.#claims.readThrough,
+        configurationReadThrough: this.#configuration.readThrough,
+      },
+      counters: {
+        ...this.#metrics.getCounters(),
+        ...this.#claims.getSizes(),
+      },
+    };
+  }
+}
--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -1,1 +1,15 @@
-console.log("not built yet");
+/**
+ * The program `sardinestep-control`.
+ *
+ * @module
+ */
+import * as settings from "@sardinestep/settings";
+import { runDaemon } from "@sardinestep/daemon";
+import { Control } from "./control.ts";
+
+await runDaemon({
+  name: "sardinestep-control",
+  description: "Feeds the entries of its VM with state of the platform",
+  schema: settings.CONTROL_SETTINGS_SCHEMA,
+  open: (checked) => new Control(checked),
+});
--- a/packages/control/src/mod.ts
+++ b/packages/control/src/mod.ts
@@ -1,7 +1,7 @@
 /**
- * The daemon on the platform's side: controllers that reconcile state and feed the entries.
+ * The daemon on the platform's side: controllers that reconcile state and feed
+ * the entries.
  *
  * @module
  */
-
-export {};
+export * from "./control.ts";
--- /dev/null
+++ b/packages/entry/src/dispatcher.ts
@@ -0,0 +1,392 @@
+/**
+ * Carries out what the decisions ask for: starts and cancels calls, answers
+ * requests. It decides nothing itself.
+ *
+ * @module
+ */
+import type * as decisions from "@sardinestep/decisions";
+import type * as ports from "@sardinestep/ports";
+import type * as timeline from "@sardinestep/timeline";
+import {
+  type EndpointFacts,
+  type EndpointId,
+  REQUEST_CLASS,
+  type RequestClass,
+  type RequestFacts,
+  type RequestId,
+  type StageResult,
+} from "@sardinestep/types";
+import murmurhash from "murmurhash";
+import { match } from "ts-pattern";
+import type { Result } from "ts-results-es";
+import {
+  createCompletion,
+  createRefusal,
+  type RequestAnswer,
+  type RequestCost,
+} from "./answer.ts";
+import { getResultKey, type RequestContext } from "./context.ts";
+import type { EntryMetrics } from "./entry_metrics.ts";
+import { StreamRelay } from "./stream_relay.ts";
+
+/** Engines that honour priorities run a lower number first. */
+const PRIORITY: Readonly<Record<RequestClass, number>> = {
+  [REQUEST_CLASS.single]: 0,
+  [REQUEST_CLASS.lookup]: 1,
+  [REQUEST_CLASS.draft]: 2,
+};
+
+/** What the dispatcher works with. */
+export interface DispatcherOptions {
+  readonly decider: decisions.Decider;
+  readonly endpoints: ports.EndpointPort;
+  readonly findEndpoint: (endpointId: EndpointId) => EndpointFacts | undefined;
+  readonly timeline: timeline.Timeline;
+  readonly metrics: EntryMetrics;
+  /** Monotonic milliseconds. */
+  readonly readNow: () => number;
+  /** Uniform in [0, 1). */
+  readonly drawRandom: () => number;
+  /** Told of every finished stage whose request carries a key. */
+  readonly onStageResult: (result: StageResult) => void;
+  /** Told of every answer of an endpoint, with the run that gave it. */
+  readonly onEndpointAnswer: (endpointId: EndpointId, instance: string) => void;
+  /** Told when an endpoint gave no answer in time or broke the connection. */
+  readonly onEndpointTrouble: (endpointId: EndpointId, instance: string) => void;
+}
+
+type StartCall = Extract<decisions.DecisionAction, { kind: "start_call" }>;
+type Refuse = Extract<decisions.DecisionAction, { kind: "refuse" }>;
+
+interface RunningRequest {
+  readonly context: RequestContext;
+  readonly facts: RequestFacts;
+  readonly outputs: unknown[];
+  readonly cost: RequestCost;
+  readonly relay?: StreamRelay;
+  readonly resolve: (answer: RequestAnswer) => void;
+}
+
+interface RunningCall {
+  readonly request: RunningRequest;
+  readonly stage: number;
+  readonly endpoint: EndpointFacts;
+  readonly abort: AbortController;
+  readonly startedAt: number;
+  /** Set once the decisions have given the call up. */
+  isCancelled: boolean;
+}
+
+/** Runs requests through their stages as the decisions say. */
+export class Dispatcher {
+  readonly #options: DispatcherOptions;
+  readonly #requests = new Map<RequestId, RunningRequest>();
+  readonly #calls = new Map<string, RunningCall>();
+
+  constructor(options: DispatcherOptions) {
+    this.#options = options;
+  }
+
+  /** Requests that have no answer yet. */
+  get runningRequests(): number {
+    return this.#requests.size;
+  }
+
+  /** Calls that have no answer yet, given-up single calls included. */
+  get runningCalls(): number {
+    return this.#calls.size;
+  }
+
+  /** Looks whether a request would be admitted now; changes nothing. */
+  checkAdmission(
+    context: RequestContext,
+  ): Result<void, decisions.AdmissionRefusal> {
+    return this.#options.decider.checkAdmission({
+      now: this.#options.readNow(),
+      random: this.#options.drawRandom(),
+      request: buildFacts(context),
+    });
+  }
+
+  /** Runs a request from its first stage that is not held, to its answer. */
+  run(context: RequestContext): Promise<RequestAnswer> {
+    return new Promise((resolve) => {
+      const facts = buildFacts(context);
+      const request: RunningRequest = {
+        context,
+        facts,
+        outputs: context.priorResults.map((result) => result.output),
+        cost: { calls: 0, tokens: 0, workerMs: 0 },
+        relay: context.sink && new StreamRelay(context.sink),
+        resolve,
+      };
+      this.#requests.set(facts.requestId, request);
+      this.#watchCaller(request);
+      this.apply({ kind: "request_arrived", ...this.#readMoment(), request: facts });
+    });
+  }
+
+  /** Tells the decisions of an event and carries out what they ask for. */
+  apply(event: decisions.DecisionEvent): void {
+    for (const action of this.#options.decider.decide(event)) {
+      this.#carryOut(action);
+    }
+  }
+
+  /** Lets time pass for the decisions. */
+  tick(): void {
+    this.apply({ kind: "ticked", ...this.#readMoment() });
+  }
+
+  #readMoment(): { now: number; random: number } {
+    const { readNow, drawRandom } = this.#options;
+    return { now: readNow(), random: drawRandom() };
+  }
+
+  #watchCaller(request: RunningRequest): void {
+    const { callerGone } = request.context;
+    // A call that may not be repeated goes on for the answer of a later repeat.
+    if (request.context.isSingle) return;
+    callerGone.addEventListener("abort", () => {
+      const { requestId } = request.facts;
+      if (!this.#requests.has(requestId)) return;
+      this.apply({ kind: "caller_gone", ...this.#readMoment(), requestId });
+      this.#answer(
+        requestId,
+        createRefusal("PORT_CANCELLED", "The caller has gone"),
+      );
+    }, { once: true });
+  }
+
+  #carryOut(action: decisions.DecisionAction): void {
+    // One `match` an action is cheap next to the call that it starts.
+    match(action)
+      .with({ kind: "start_call" }, (start) => void this.#startCall(start))
+      .with({ kind: "cancel_call" }, ({ callId }) => this.#cancelCall(callId))
+      .with({ kind: "complete" }, ({ requestId }) => this.#complete(requestId))
+      .with({ kind: "refuse" }, (refuse) => this.#refuse(refuse))
+      .exhaustive();
+  }
+
+  async #startCall(start: StartCall): Promise<void> {
+    const request = this.#requests.get(start.requestId);
+    const endpoint = this.#options.findEndpoint(start.endpointId);
+    if (!request || !endpoint) {
+      return this.#failCall(start.callId, "not_sent");
+    }
+    const stage = request.facts.stages[start.stage];
+    if (!stage) return this.#failCall(start.callId, "not_sent");
+    const { claimant } = request.context;
+    if (!stage.repeatable) {
+      // Guard against a dispatch after the deadline or after giving up, as by
+      // an entry that was frozen between claim and dispatch.
+      const mayDispatch = claimant?.mayDispatch(this.#options.readNow());
+      if (!mayDispatch) return this.#failCall(start.callId, "refused");
+    }
+    const call: RunningCall = {
+      request,
+      stage: start.stage,
+      endpoint,
+      abort: new AbortController(),
+      startedAt: this.#options.readNow(),
+      isCancelled: false,
+    };
+    this.#calls.set(start.callId, call);
+    const result = await this.#options.endpoints.call(
+      buildStageCall(start, call),
+      {
+        signal: call.abort.signal,
+        ...this.#buildPartHandler(start, call),
+      },
+    );
+    this.#calls.delete(start.callId);
+    if (result.isOk()) this.#handleAnswer(start.callId, call, result.value);
+    else this.#handleError(start.callId, call, result.error);
+  }
+
+  #buildPartHandler(
+    start: StartCall,
+    call: RunningCall,
+  ): Pick<ports.CallOptions, "onPart"> {
+    const isLast = start.stage === call.request.facts.stages.length - 1;
+    if (call.endpoint.role !== "generator") return {};
+    let hasProgressed = false;
+    const onPart = (part: ports.OutputPart) => {
+      if (!hasProgressed) {
+        hasProgressed = true;
+        const now = this.#options.readNow();
+        this.#options.metrics.recordFirstPart(call.request.facts, now);
+        this.apply({ kind: "call_progressed", now, callId: start.callId });
+      }
+      if (isLast && !call.isCancelled) {
+        call.request.relay?.handlePart(start.callId, part);
+      }
+    };
+    return { onPart };
+  }
+
+  #handleAnswer(
+    callId: string,
+    call: RunningCall,
+    answer: ports.StageAnswer,
+  ): void {
+    const { request, endpoint, stage } = call;
+    this.#options.onEndpointAnswer(endpoint.endpointId, answer.instance);
+    this.#options.metrics.recordCall(request.facts, stage, {
+      tokens: answer.outputTokens,
+      workerMs: answer.workerMs,
+      isWasted: call.isCancelled,
+      tookMs: this.#options.readNow() - call.startedAt,
+    });
+    const spec = request.facts.stages[stage];
+    if (spec && !spec.repeatable) request.context.claimant?.finish(answer.output);
+    if (call.isCancelled) return;
+    request.cost.calls += 1;
+    request.cost.tokens += answer.outputTokens;
+    request.cost.workerMs += answer.workerMs;
+    request.outputs[stage] = answer.output;
+    if (stage === request.facts.stages.length - 1) {
+      request.relay?.handleFinished(callId, answer.output);
+    }
+    this.#keepResult(callId, call, answer);
+    this.apply({
+      kind: "call_finished",
+      ...this.#readMoment(),
+      callId,
+      workerMs: answer.workerMs,
+      outputTokens: answer.outputTokens,
+    });
+  }
+
+  #keepResult(
+    callId: string,
+    call: RunningCall,
+    answer: ports.StageAnswer,
+  ): void {
+    const { request, stage, endpoint } = call;
+    const resultKey = getResultKey(request.context);
+    const spec = request.facts.stages[stage];
+    if (!resultKey || !spec) return;
+    this.#options.onStageResult({
+      ...resultKey,
+      stage,
+      stageName: spec.name,
+      attempt: callId,
+      endpointId: endpoint.endpointId,
+      output: answer.output,
+      outputTokens: answer.outputTokens,
+      workerMs: answer.workerMs,
+    });
+  }
+
+  #handleError(
+    callId: string,
+    call: RunningCall,
+    error: ports.PortError,
+  ): void {
+    const { request, stage, endpoint } = call;
+    const reason = classifyError(error);
+    if (reason === "timeout" || reason === "broken" || reason === "not_sent") {
+      this.#options.onEndpointTrouble(endpoint.endpointId, endpoint.instance);
+    }
+    request.relay?.handleFailed(callId);
+    const spec = request.facts.stages[stage];
+    if (spec && !spec.repeatable) request.context.claimant?.fail(reason);
+    this.#options.metrics.countCallError(request.facts, stage, error.kind);
+    this.#options.timeline.record("call_failed", {
+      requestId: request.facts.requestId,
+      endpointId: endpoint.endpointId,
+      ...(request.context.keyId && { key: request.context.keyId.key }),
+    }, { stage, reason, message: error.message });
+    if (!call.isCancelled) this.#failCall(callId, reason);
+  }
+
+  #failCall(callId: string, reason: decisions.CallFailureKind): void {
+    this.apply({ kind: "call_failed", ...this.#readMoment(), callId, reason });
+  }
+
+  #cancelCall(callId: string): void {
+    const call = this.#calls.get(callId);
+    if (!call) return;
+    call.isCancelled = true;
+    const spec = call.request.facts.stages[call.stage];
+    // A call that may not be repeated runs on: its outcome is still wanted.
+    if (spec?.repeatable) call.abort.abort();
+  }
+
+  #complete(requestId: RequestId): void {
+    const request = this.#requests.get(requestId);
+    if (!request) return;
+    const output = request.outputs[request.facts.stages.length - 1];
+    this.#answer(requestId, createCompletion(output, request.cost));
+  }
+
+  #refuse(refuse: Refuse): void {
+    const { requestId, code, retryAfterMs, anySent } = refuse;
+    const message = anySent
+      ? "Gave the request up after a stage was sent"
+      : "Refused the request before any stage was sent";
+    this.#answer(requestId, createRefusal(code, message, { retryAfterMs }));
+  }
+
+  #answer(requestId: RequestId, answer: RequestAnswer): void {
+    const request = this.#requests.get(requestId);
+    if (!request) return;
+    this.#requests.delete(requestId);
+    request.resolve(answer);
+  }
+}
+
+function buildFacts(context: RequestContext): RequestFacts {
+  const { pipeline, body, incoming } = context;
+  return {
+    requestId: incoming.requestId,
+    customer: context.customer,
+    pipeline: pipeline.pipelineId,
+    requestClass: pipeline.requestClass,
+    stages: pipeline.stages,
+    arrivedAt: incoming.arrivedAt,
+    deadlineAt: context.deadlineAt,
+    stageSizes: pipeline.stages.map(() => body.size),
+    ...(body.prefix === undefined ? {} : { prefixHash: hashPrefix(body.prefix) }),
+    firstStage: context.priorResults.length,
+  };
+}
+
+function buildStageCall(start: StartCall, call: RunningCall): ports.StageCall {
+  const { request, endpoint } = call;
+  const { context, facts } = request;
+  const stage = facts.stages[start.stage];
+  return {
+    endpointId: endpoint.endpointId,
+    role: endpoint.role,
+    address: endpoint.address,
+    callId: start.callId,
+    operation: stage?.operation ?? "",
+    ...(context.keyId && { key: context.keyId.key }),
+    input: {
+      stage: stage?.name ?? "",
+      size: context.body.size,
+      request: context.body.input,
+      previous: request.outputs[start.stage - 1] ?? null,
+      ...(context.body.prefix !== undefined && { prefix: context.body.prefix }),
+    },
+    priority: PRIORITY[facts.requestClass],
+    progressTimeoutMs: start.progressTimeoutMs,
+    freshConnection: stage ? !stage.repeatable : false,
+  };
+}
+
+function classifyError(error: ports.PortError): decisions.CallFailureKind {
+  return match(error.kind)
+    .with("not_sent", () => "not_sent" as const)
+    .with("refused", "rate_limited", () => "refused" as const)
+    .with("answer_lost", "cancelled", () => "broken" as const)
+    .with("timeout", () => "timeout" as const)
+    .with("bad_answer", () => "bad_answer" as const)
+    .exhaustive();
+}
+
+function hashPrefix(prefix: string): number {
+  return murmurhash.v3(prefix);
+}
--- /dev/null
+++ b/packages/entry/src/filters/claim_key.ts
@@ -0,0 +1,96 @@
+/**
+ * Filter: only one attempt under a key may dispatch what may not be repeated.
+ *
+ * @module
+ */
+import * as claims from "@sardinestep/claims";
+import type * as rpc from "@sardinestep/rpc";
+import { match } from "ts-pattern";
+import { createRefusal, type RequestAnswer } from "../answer.ts";
+import type { Claimant } from "../claimant.ts";
+import type { Filter, RequestContext } from "../context.ts";
+import { type HolderLookup, refuseExpired } from "../holder_lookup.ts";
+
+/** What the filter works with. */
+export interface ClaimKeyOptions {
+  /** Creates the attempt of a request that carries a UUIDv7 key. */
+  readonly openClaimant: (context: RequestContext) => Claimant;
+  /** Settles a claim through the log. */
+  readonly claim: (
+    record: claims.ClaimRecord,
+    boundMs: number,
+  ) => Promise<rpc.ClaimVerdict>;
+  /** Runs a request under a minted key, here or at the entry that minted it. */
+  readonly runMinted: (
+    context: RequestContext,
+    key: Extract<claims.ParsedKey, { kind: "minted" }>,
+    next: () => Promise<RequestAnswer>,
+  ) => Promise<RequestAnswer>;
+  readonly lookup: HolderLookup;
+  readonly readNow: () => number;
+}
+
+/**
+ * Creates the filter. Requests whose stages may all be repeated pass.
+ *
+ * @param options Claims, minted keys and the lookup of holders.
+ * @returns The filter.
+ */
+export function createClaimKey(options: ClaimKeyOptions): Filter {
+  return async (context, next) => {
+    if (!context.isSingle) return await next();
+    const parsed = claims.parseKey(context.keyId?.key ?? "");
+    if (parsed.isErr()) return createRefusal("KEY_INVALID", parsed.error);
+    if (parsed.value.kind === "minted") {
+      return await options.runMinted(context, parsed.value, next);
+    }
+    return await runClaimed(options, context, next);
+  };
+}
+
+async function runClaimed(
+  options: ClaimKeyOptions,
+  context: RequestContext,
+  next: () => Promise<RequestAnswer>,
+): Promise<RequestAnswer> {
+  const claimant = options.openClaimant(context);
+  const boundMs = context.deadlineAt - options.readNow();
+  const verdict = await options.claim(claimant.claimRecord, boundMs);
+  claimant.applyVerdict(verdict);
+  return await match(verdict)
+    .with({ kind: "won" }, () => runAsHolder(context, claimant, next))
+    .with(
+      { kind: "lost" },
+      ({ status }) => options.lookup.answerLoser(context, status),
+    )
+    .with({ kind: "expired" }, () => refuseExpired(context))
+    .with({ kind: "unsettled" }, ({ retryAfterMs }) => {
+      const message = "Cannot settle the claim: the log is out of reach";
+      const details = { attempt: "not run", retryAfterMs } as const;
+      return createRefusal("CLAIM_UNAVAILABLE", message, details);
+    })
+    .exhaustive();
+}
+
+/**
+ * Runs a request whose key this entry holds, and closes the attempt.
+ *
+ * @param context The request.
+ * @param claimant Its attempt, which may dispatch.
+ * @param next The rest of the chain.
+ * @returns An answer that never says "not run" of what may have run.
+ */
+export async function runAsHolder(
+  context: RequestContext,
+  claimant: Claimant,
+  next: () => Promise<RequestAnswer>,
+): Promise<RequestAnswer> {
+  context.claimant = claimant;
+  const answer = await next();
+  claimant.giveUp("deadline");
+  if (answer.kind === "completed" || !claimant.mayHaveRun) return answer;
+  if (answer.failure.outcome !== "not run") return answer;
+  // Guard against a refusal that is untrue: whatever the reason was, the one
+  // dispatch has been made and nobody has proved that it did not run.
+  return createRefusal("OUTCOME_UNKNOWN", answer.failure.message);
+}
--- /dev/null
+++ b/packages/entry/src/filters/join_duplicate.ts
@@ -0,0 +1,83 @@
+/**
+ * Filter: a repeat of a request that this entry knows.
+ *
+ * @module
+ */
+import { match } from "ts-pattern";
+import { createRefusal, type RequestAnswer } from "../answer.ts";
+import type { Filter, RequestContext } from "../context.ts";
+import { type KeyRegistry, type KeyRelation, waitAtMost } from "../key_registry.ts";
+
+/** A repeat may come back soon: what it waits for is under way. */
+const RETRY_AFTER_MS = 1_000;
+
+/**
+ * Creates the filter.
+ *
+ * @param registry What this entry did under callers' keys.
+ * @param readNow Monotonic milliseconds.
+ * @returns A filter that answers a repeat with the answer of the first.
+ */
+export function createJoinDuplicate(
+  registry: KeyRegistry,
+  readNow: () => number,
+): Filter {
+  return async (context, next) => {
+    const { keyId, fingerprint } = context;
+    if (!keyId) return await next();
+    const relation = registry.getRelation(keyId, fingerprint);
+    if (relation.kind !== "new") {
+      return await answerRepeat(relation, context, readNow());
+    }
+    const answer = next();
+    registry.track(keyId, fingerprint, answer);
+    return await answer;
+  };
+}
+
+function answerRepeat(
+  relation: Exclude<KeyRelation, { kind: "new" }>,
+  context: RequestContext,
+  now: number,
+): Promise<RequestAnswer> | RequestAnswer {
+  return match(relation)
+    .with({ kind: "reused" }, () => refuseReuse(context))
+    .with({ kind: "completed" }, ({ answer }) => ({ ...answer, isReplayed: true }))
+    .with({ kind: "unknown" }, () => refuseUnknown(context))
+    .with(
+      { kind: "running" },
+      ({ answer }) => joinRunning(answer, context.deadlineAt - now),
+    )
+    .exhaustive();
+}
+
+async function joinRunning(
+  running: Promise<RequestAnswer>,
+  waitMs: number,
+): Promise<RequestAnswer> {
+  const answer = await waitAtMost(running, waitMs);
+  if (!answer) {
+    return createRefusal(
+      "HELD_ELSEWHERE",
+      "Another attempt under this key is running",
+      { retryAfterMs: RETRY_AFTER_MS },
+    );
+  }
+  return answer.kind === "completed" ? { ...answer, isReplayed: true } : answer;
+}
+
+/**
+ * Refuses a key that came with another body.
+ *
+ * @param context The request.
+ * @returns The refusal: this body was not run.
+ */
+export function refuseReuse(context: RequestContext): RequestAnswer {
+  const message = `Cannot use key "${context.keyId?.key}" for another body`;
+  return createRefusal("KEY_REUSED", message);
+}
+
+function refuseUnknown(context: RequestContext): RequestAnswer {
+  const message = `The outcome under key "${context.keyId?.key}" is not known`;
+  return createRefusal("OUTCOME_UNKNOWN", message, { attempt: "not run" });
+}
--- /dev/null
+++ b/packages/entry/src/holder_lookup.ts
@@ -0,0 +1,142 @@
+/**
+ * Answers a request whose key another attempt holds.
+ *
+ * @module
+ */
+import type * as claims from "@sardinestep/claims";
+import type * as rpc from "@sardinestep/rpc";
+import type { InstanceId, MemberFacts, StageResult } from "@sardinestep/types";
+import { match } from "ts-pattern";
+import { createCompletion, createRefusal, type RequestAnswer } from "./answer.ts";
+import type { RequestContext } from "./context.ts";
+import { refuseReuse } from "./filters/join_duplicate.ts";
+
+const RETRY_AFTER_MS = 1_000;
+/** A lookup that waits for the holder's answer keeps this much of the deadline. */
+const RESERVE_MS = 50;
+const NO_COST = { calls: 0, tokens: 0, workerMs: 0 } as const;
+
+/** Whom a lookup asks. */
+export interface HolderLookupOptions {
+  readonly peers: rpc.Peers;
+  readonly findMember: (instance: InstanceId) => MemberFacts | undefined;
+  readonly findResults: (
+    context: RequestContext,
+  ) => Promise<readonly StageResult[]>;
+  readonly readNow: () => number;
+}
+
+type HeldStatus = Exclude<claims.KeyStatus, { kind: "free" | "expired" }>;
+
+/** Finds the answer of the attempt that holds a key. */
+export class HolderLookup {
+  readonly #options: HolderLookupOptions;
+
+  constructor(options: HolderLookupOptions) {
+    this.#options = options;
+  }
+
+  /** Answers a request that lost its key to an earlier claim. */
+  async answerLoser(
+    context: RequestContext,
+    status: claims.KeyStatus,
+  ): Promise<RequestAnswer> {
+    if (status.kind === "expired") return refuseExpired(context);
+    // The claim that was first has been released since: the caller may repeat.
+    if (status.kind === "free") return refuseHeld("The key was just released");
+    if (status.fingerprint !== context.fingerprint) return refuseReuse(context);
+    if (status.kind === "completed" && status.answer !== undefined) {
+      return createCompletion(status.answer, { ...NO_COST }, true);
+    }
+    return await this.#askHolder(context, status);
+  }
+
+  async #askHolder(
+    context: RequestContext,
+    status: HeldStatus,
+  ): Promise<RequestAnswer> {
+    const kept = await this.#findKeptAnswer(context);
+    if (kept) return kept;
+    const member = this.#options.findMember(status.holder.instance);
+    const answer = member && await this.#callHolder(context, status, member);
+    // The holder may have answered and died between the two questions.
+    return answer ?? await this.#findKeptAnswer(context) ??
+      refuseWithoutHolder(context, status);
+  }
+
+  async #findKeptAnswer(
+    context: RequestContext,
+  ): Promise<RequestAnswer | undefined> {
+    const results = await this.#options.findResults(context);
+    const lastStage = context.pipeline.stages.length - 1;
+    const last = results.find((result) => result.stage === lastStage);
+    return last && createCompletion(last.output, { ...NO_COST }, true);
+  }
+
+  async #callHolder(
+    context: RequestContext,
+    status: HeldStatus,
+    member: MemberFacts,
+  ): Promise<RequestAnswer | undefined> {
+    if (!context.keyId) return undefined;
+    const leftMs = context.deadlineAt - this.#options.readNow();
+    const waitMs = Math.max(0, leftMs - RESERVE_MS);
+    const params = { keyId: context.keyId, waitMs, id: status.holder };
+    const asked = await this.#options.peers.call(
+      member.entryRpc,
+      "findAnswer",
+      params,
+      { timeoutMs: Math.max(1, leftMs) },
+    );
+    if (asked.isErr()) return undefined;
+    return match(asked.value)
+      .with(
+        { kind: "completed" },
+        ({ body }) => createCompletion(body, { ...NO_COST }, true),
+      )
+      .with(
+        { kind: "running" },
+        () => refuseHeld("Another attempt under this key is running"),
+      )
+      .with({ kind: "unknown" }, () => refuseUnknown(context))
+      // A holder that knows nothing of the key may not have begun, or has
+      // forgotten it; the log's word stands.
+      .with({ kind: "none" }, { kind: "closed" }, () => undefined)
+      .exhaustive();
+  }
+}
+
+function refuseHeld(message: string): RequestAnswer {
+  const options = { attempt: "not run", retryAfterMs: RETRY_AFTER_MS } as const;
+  return createRefusal("HELD_ELSEWHERE", message, options);
+}
+
+function refuseUnknown(context: RequestContext): RequestAnswer {
+  const message = `The outcome under key "${context.keyId?.key}" is not known`;
+  return createRefusal("OUTCOME_UNKNOWN", message, { attempt: "not run" });
+}
+
+function refuseWithoutHolder(
+  context: RequestContext,
+  status: HeldStatus,
+): RequestAnswer {
+  if (status.kind === "unknown") return refuseUnknown(context);
+  const key = context.keyId?.key;
+  if (status.kind === "completed") {
+    const message = `Completed earlier under key "${key}"; the answer is gone`;
+    return createRefusal("ANSWER_NOT_KEPT", message, { attempt: "not run" });
+  }
+  const message = `The holder of key "${key}" is gone without an outcome`;
+  return createRefusal("HOLDER_GONE", message, { attempt: "not run" });
+}
+
+/**
+ * Refuses a key that is older than what the log is sure to cover.
+ *
+ * @param context The request.
+ * @returns The refusal: this attempt was not run.
+ */
+export function refuseExpired(context: RequestContext): RequestAnswer {
+  const message = `Key "${context.keyId?.key}" is older than the kept window`;
+  return createRefusal("KEY_EXPIRED", message, { attempt: "not run" });
+}
--- /dev/null
+++ b/packages/entry/src/http_routes.ts
@@ -0,0 +1,218 @@
+/**
+ * The callers' HTTP interface.
+ *
+ * @module
+ */
+import type { HttpBindings } from "@hono/node-server";
+import { type Context, Hono } from "hono";
+import { streamSSE } from "hono/streaming";
+import type { ContentfulStatusCode } from "hono/utils/http-status";
+import { match } from "ts-pattern";
+import {
+  buildHttpAnswer,
+  createRefusal,
+  type HttpAnswer,
+  type RequestAnswer,
+} from "./answer.ts";
+import { type BodyFault, type BodyLimits, readBody } from "./body_reader.ts";
+import type { IncomingRequest, PartSink } from "./context.ts";
+import { SseSink } from "./sse_sink.ts";
+
+type Bindings = { Bindings: HttpBindings };
+type HttpContext = Context<Bindings>;
+
+/** What the routes call. */
+export interface HttpRoutesOptions {
+  readonly limits: BodyLimits;
+  readonly createRequestId: () => string;
+  readonly readNow: () => number;
+  /** Runs a request to its one final answer. */
+  readonly serve: (
+    incoming: IncomingRequest,
+    callerGone: AbortSignal,
+    sink?: PartSink,
+  ) => Promise<RequestAnswer>;
+  /** Mints keys for the customer of a request. */
+  readonly mintKeys: (incoming: IncomingRequest) => MintedBatch | RequestAnswer;
+  /** Tells what is known of a key. */
+  readonly lookUpKey: (incoming: IncomingRequest) => Promise<unknown>;
+  readonly countRefusal: (name: string) => void;
+  readonly formatMetrics: () => string;
+  readonly isReady: () => boolean;
+}
+
+/** Keys taken beforehand. */
+export interface MintedBatch {
+  readonly kind: "minted";
+  readonly keys: readonly string[];
+  readonly expiresInMs: number;
+}
+
+/**
+ * Creates the HTTP application.
+ *
+ * @param options What the routes call.
+ * @returns A hono application.
+ */
+export function createHttpRoutes(options: HttpRoutesOptions): Hono<Bindings> {
+  const app = new Hono<Bindings>();
+  app.post("/v1/pipelines/:pipeline", (http) => handlePipeline(http, options));
+  app.post("/v1/keys", (http) => handleMint(http, options));
+  app.get("/v1/keys/:key", (http) => handleLookUp(http, options));
+  app.get("/metrics", (http) => http.text(options.formatMetrics()));
+  app.get("/healthz", (http) => http.text("ok"));
+  app.get("/readyz", (http) => answerReadiness(http, options));
+  app.notFound((http) => {
+    const message = `Cannot find ${http.req.method} ${http.req.path}`;
+    const refusal = createRefusal("NO_SUCH_ROUTE", message);
+    return sendAnswer(http, buildHttpAnswer("", refusal));
+  });
+  return app;
+}
+
+async function handlePipeline(
+  http: HttpContext,
+  options: HttpRoutesOptions,
+): Promise<Response> {
+  const requestId = options.createRequestId();
+  const arrivedAt = options.readNow();
+  const body = await readBody(http.env.incoming, options.limits);
+  if (body.isErr()) {
+    const refusal = refuseBody(body.error, options.limits);
+    return sendAnswer(http, buildHttpAnswer(requestId, refusal), options);
+  }
+  const incoming = buildIncoming(http, {
+    requestId,
+    arrivedAt,
+    bodyText: body.value,
+  });
+  const wantsStream = http.req.header("accept")?.includes("text/event-stream");
+  if (wantsStream) return streamAnswer(http, incoming, options);
+  const callerGone = watchCaller(http);
+  const answer = await options.serve(incoming, callerGone);
+  return sendAnswer(http, buildHttpAnswer(requestId, answer));
+}
+
+function buildIncoming(
+  http: HttpContext,
+  facts: Pick<IncomingRequest, "requestId" | "arrivedAt" | "bodyText">,
+): IncomingRequest {
+  const { req } = http;
+  return {
+    ...facts,
+    pipeline: req.param("pipeline") ?? "",
+    customer: req.header("x-customer"),
+    authorization: req.header("authorization"),
+    deadlineMs: req.header("x-deadline-ms"),
+    key: req.header("idempotency-key"),
+    isForwarded: false,
+  };
+}
+
+/** Aborts when the caller closes its connection before the answer is written. */
+function watchCaller(http: HttpContext): AbortSignal {
+  const abort = new AbortController();
+  const { outgoing } = http.env;
+  outgoing.once("close", () => {
+    if (!outgoing.writableFinished) abort.abort();
+  });
+  return abort.signal;
+}
+
+function streamAnswer(
+  http: HttpContext,
+  incoming: IncomingRequest,
+  options: HttpRoutesOptions,
+): Response {
+  const abort = new AbortController();
+  return streamSSE(http, async (stream) => {
+    stream.onAbort(() => abort.abort());
+    const sink = new SseSink(stream);
+    const answer = await options.serve(incoming, abort.signal, sink);
+    const { body } = buildHttpAnswer(incoming.requestId, answer);
+    if (answer.kind === "refused") return await sink.sendLast("refusal", body);
+    if (!sink.hasSentPart) sink.sendPart(0, formatOutput(answer.output));
+    await sink.sendLast("end", { ...body, output: undefined });
+  });
+}
+
+function formatOutput(output: unknown): string {
+  return typeof output === "string" ? output : JSON.stringify(output);
+}
+
+async function handleMint(
+  http: HttpContext,
+  options: HttpRoutesOptions,
+): Promise<Response> {
+  const requestId = options.createRequestId();
+  const body = await readBody(http.env.incoming, options.limits);
+  if (body.isErr()) {
+    const refusal = refuseBody(body.error, options.limits);
+    return sendAnswer(http, buildHttpAnswer(requestId, refusal), options);
+  }
+  const arrivedAt = options.readNow();
+  const facts = { requestId, arrivedAt, bodyText: body.value };
+  const minted = options.mintKeys(buildIncoming(http, facts));
+  if (minted.kind !== "minted") {
+    return sendAnswer(http, buildHttpAnswer(requestId, minted), options);
+  }
+  const { keys, expiresInMs } = minted;
+  return http.json({ keys, expiresInMs });
+}
+
+async function handleLookUp(
+  http: HttpContext,
+  options: HttpRoutesOptions,
+): Promise<Response> {
+  const requestId = options.createRequestId();
+  const arrivedAt = options.readNow();
+  const incoming = {
+    ...buildIncoming(http, { requestId, arrivedAt, bodyText: "" }),
+    key: http.req.param("key"),
+  };
+  const status = await options.lookUpKey(incoming);
+  return http.json(status as Record<string, unknown>);
+}
+
+function answerReadiness(
+  http: HttpContext,
+  options: HttpRoutesOptions,
+): Response {
+  return options.isReady()
+    ? http.text("ready")
+    : http.text("not ready", 503);
+}
+
+function refuseBody(fault: BodyFault, limits: BodyLimits): RequestAnswer {
+  return match(fault)
+    .with("too_large", () =>
+      createRefusal(
+        "BODY_TOO_LARGE",
+        `Cannot take a body of more than ${limits.maxBytes} bytes`,
+      ))
+    .with("too_slow", "vanished", () =>
+      createRefusal(
+        "CALLER_TOO_SLOW",
+        `Cannot wait more than ${limits.timeoutMs} ms for the body`,
+      ))
+    .exhaustive();
+}
+
+function sendAnswer(
+  http: HttpContext,
+  answer: HttpAnswer,
+  options?: HttpRoutesOptions,
+): Response {
+  options?.countRefusal(answer.body.name);
+  const { retryAfterMs } = answer.body;
+  const headers: Record<string, string> = {};
+  if (retryAfterMs !== undefined) {
+    headers["retry-after"] = String(Math.ceil(retryAfterMs / 1_000));
+  }
+  // An unread body would be taken for the next request on this connection.
+  const isBodyUnread = !http.env.incoming.complete;
+  if (isBodyUnread) headers.connection = "close";
+  const status = answer.status as ContentfulStatusCode;
+  return http.json(answer.body, status, headers);
+}
+
--- /dev/null
+++ b/packages/entry/src/minted_keys.ts
@@ -0,0 +1,243 @@
+/**
+ * Minted keys: calls that may not be repeated, without the log in their path.
+ *
+ * @module
+ */
+import * as claims from "@sardinestep/claims";
+import type * as rpc from "@sardinestep/rpc";
+import type { CustomerId, InstanceId, MemberFacts } from "@sardinestep/types";
+import { match } from "ts-pattern";
+import { createCompletion, createRefusal, type RequestAnswer } from "./answer.ts";
+import type { Claimant } from "./claimant.ts";
+import type { RequestContext } from "./context.ts";
+import { runAsHolder } from "./filters/claim_key.ts";
+import { refuseReuse } from "./filters/join_duplicate.ts";
+import { refuseExpired } from "./holder_lookup.ts";
+
+type MintedKey = Extract<claims.ParsedKey, { kind: "minted" }>;
+
+const NO_COST = { calls: 0, tokens: 0, workerMs: 0 } as const;
+const RETRY_AFTER_MS = 1_000;
+const LOOK_UP_TIMEOUT_MS = 500;
+/** Leaving entries remembered; a rolling replacement of all VMs fits. */
+const MAX_HAND_OVERS = 64;
+
+/** What {@link MintedKeys} works with. */
+export interface MintedKeysOptions {
+  readonly mint: claims.KeyMint;
+  readonly instance: InstanceId;
+  readonly peers: rpc.Peers;
+  readonly findMember: (instance: InstanceId) => MemberFacts | undefined;
+  readonly openClaimant: (
+    context: RequestContext,
+    attempt: number,
+  ) => Claimant;
+  /** What the log says of a key, if it can be asked. */
+  readonly lookUpKey: (
+    keyId: claims.KeyId,
+    timeoutMs: number,
+  ) => Promise<claims.KeyStatus | undefined>;
+  readonly readNow: () => number;
+}
+
+/** Runs requests under minted keys, here or at the entry that minted them. */
+export class MintedKeys {
+  readonly #options: MintedKeysOptions;
+  readonly #handOvers = new Map<InstanceId, rpc.HandOver>();
+
+  constructor(options: MintedKeysOptions) {
+    this.#options = options;
+  }
+
+  /** Mints keys for a customer; undefined on an entry that is leaving. */
+  mint(customer: CustomerId, count: number): string[] | undefined {
+    const now = this.#options.readNow();
+    const minted = this.#options.mint.mint(count, { customer, now });
+    return minted.isOk() ? minted.value : undefined;
+  }
+
+  /** Runs a request whose key was minted by this entry or another one. */
+  async run(
+    context: RequestContext,
+    key: MintedKey,
+    next: () => Promise<RequestAnswer>,
+  ): Promise<RequestAnswer> {
+    if (key.instance === this.#options.instance) {
+      return await this.#runHere(context, next);
+    }
+    const minter = this.#options.findMember(key.instance);
+    if (minter) return await this.#forward(context, minter);
+    return await this.#answerForGone(context, key);
+  }
+
+  /** Takes what a leaving entry tells of its keys; for answers only. */
+  acceptHandOver(handOver: rpc.HandOver): { kept: number } {
+    this.#handOvers.set(handOver.instance, handOver);
+    const oldest = this.#handOvers.keys().next().value;
+    const isFull = this.#handOvers.size > MAX_HAND_OVERS;
+    if (isFull && oldest !== undefined) this.#handOvers.delete(oldest);
+    return { kept: handOver.answers.length };
+  }
+
+  /** Gives the state of a key that this entry minted. */
+  findStatus(keyId: claims.KeyId): rpc.AnswerStatus {
+    return this.#options.mint.findStatus(keyId) ?? { kind: "none" };
+  }
+
+  /** Closes the mint for good and gives what became of its keys. */
+  close(): rpc.HandOver {
+    this.#options.mint.close();
+    return this.#options.mint.exportAnswers();
+  }
+
+  async #runHere(
+    context: RequestContext,
+    next: () => Promise<RequestAnswer>,
+  ): Promise<RequestAnswer> {
+    const { keyId, fingerprint } = context;
+    if (!keyId) throw new Error("Cannot run a minted key without its name");
+    const now = this.#options.readNow();
+    const begin = this.#options.mint.begin(keyId, { now, fingerprint });
+    return await match(begin)
+      .with({ kind: "run" }, ({ attempt }) => this.#runOnce(context, attempt, next))
+      .with({ kind: "running" }, () => refuseRunning())
+      .with({ kind: "answer" }, ({ status }) => answerStatus(context, status))
+      .with({ kind: "expired" }, () => refuseExpired(context))
+      .with({ kind: "foreign" }, () => refuseForeign(context))
+      .with({ kind: "reused" }, () => refuseReuse(context))
+      .with({ kind: "full" }, ({ retryAfterMs }) => refuseFull(retryAfterMs))
+      .with({ kind: "closed" }, () => refuseClosed(context))
+      .exhaustive();
+  }
+
+  async #runOnce(
+    context: RequestContext,
+    attempt: number,
+    next: () => Promise<RequestAnswer>,
+  ): Promise<RequestAnswer> {
+    const claimant = this.#options.openClaimant(context, attempt);
+    // The mint has let this one attempt through: it holds the key.
+    claimant.applyVerdict({ kind: "won" });
+    return await runAsHolder(context, claimant, next);
+  }
+
+  async #forward(
+    context: RequestContext,
+    minter: MemberFacts,
+  ): Promise<RequestAnswer> {
+    const { customer, pipeline, incoming } = context;
+    const leftMs = context.deadlineAt - this.#options.readNow();
+    const params = {
+      customer,
+      key: context.keyId?.key ?? "",
+      pipeline: pipeline.pipelineId,
+      bodyText: incoming.bodyText,
+      deadlineInMs: Math.floor(leftMs),
+    };
+    const timeoutMs = Math.max(1, leftMs);
+    const answer = await this.#options.peers.call(
+      minter.entryRpc,
+      "runMinted",
+      params,
+      { timeoutMs },
+    );
+    if (answer.isOk()) return answer.value as RequestAnswer;
+    return answer.error.kind === "not_sent"
+      ? refuseGone(context)
+      : refuseUnanswered();
+  }
+
+  async #answerForGone(
+    context: RequestContext,
+    key: MintedKey,
+  ): Promise<RequestAnswer> {
+    const handedOver = this.#findHandedOver(context, key);
+    if (handedOver) return answerStatus(context, handedOver);
+    const logged = context.keyId &&
+      await this.#options.lookUpKey(context.keyId, LOOK_UP_TIMEOUT_MS);
+    if (logged?.kind === "completed") {
+      const body = logged.answer;
+      return body === undefined
+        ? refuseNotKept(context)
+        : createCompletion(body, { ...NO_COST }, true);
+    }
+    return refuseGone(context);
+  }
+
+  #findHandedOver(
+    context: RequestContext,
+    key: MintedKey,
+  ): claims.MintedStatus | undefined {
+    const handOver = this.#handOvers.get(key.instance);
+    if (!handOver) return undefined;
+    const { keyId } = context;
+    const listed = handOver.answers.find((answer) =>
+      answer.keyId.key === keyId?.key &&
+      answer.keyId.customer === keyId?.customer
+    );
+    if (listed) return listed.status;
+    const isClosed = key.mintedAtMs >= handOver.unusedClosedFromMs;
+    return isClosed ? { kind: "closed" } : undefined;
+  }
+}
+
+function answerStatus(
+  context: RequestContext,
+  status: claims.MintedStatus,
+): RequestAnswer {
+  return match(status)
+    .with(
+      { kind: "completed" },
+      ({ body }) => createCompletion(body, { ...NO_COST }, true),
+    )
+    .with({ kind: "running" }, () => refuseRunning())
+    .with({ kind: "unknown" }, () => refuseUnknown(context))
+    .with({ kind: "closed" }, () => refuseClosed(context))
+    .exhaustive();
+}
+
+function refuseRunning(): RequestAnswer {
+  const options = { attempt: "not run", retryAfterMs: RETRY_AFTER_MS } as const;
+  const message = "Another attempt under this key is running";
+  return createRefusal("HELD_ELSEWHERE", message, options);
+}
+
+function refuseUnknown(context: RequestContext): RequestAnswer {
+  const message = `The outcome under key "${context.keyId?.key}" is not known`;
+  return createRefusal("OUTCOME_UNKNOWN", message, { attempt: "not run" });
+}
+
+function refuseForeign(context: RequestContext): RequestAnswer {
+  const message =
+    `Key "${context.keyId?.key}" was not minted for this customer`;
+  return createRefusal("KEY_INVALID", message);
+}
+
+function refuseFull(retryAfterMs: number): RequestAnswer {
+  const message = "The customer has too many minted keys in use";
+  return createRefusal("CUSTOMER_LIMIT", message, { retryAfterMs });
+}
+
+function refuseClosed(context: RequestContext): RequestAnswer {
+  const message = `Key "${context.keyId?.key}" was closed unused`;
+  return createRefusal("KEY_CLOSED", message);
+}
+
+function refuseNotKept(context: RequestContext): RequestAnswer {
+  const message =
+    `Completed earlier under key "${context.keyId?.key}"; the answer is gone`;
+  return createRefusal("ANSWER_NOT_KEPT", message, { attempt: "not run" });
+}
+
+function refuseGone(context: RequestContext): RequestAnswer {
+  const message =
+    `The entry that minted key "${context.keyId?.key}" is out of reach`;
+  const options = { attempt: "not run", retryAfterMs: RETRY_AFTER_MS } as const;
+  return createRefusal("MINTER_GONE", message, options);
+}
+
+function refuseUnanswered(): RequestAnswer {
+  const options = { attempt: "unknown", retryAfterMs: RETRY_AFTER_MS } as const;
+  const message = "The entry that minted the key took the request and fell silent";
+  return createRefusal("HELD_ELSEWHERE", message, options);
+}
--- a/packages/rpc/src/methods.ts
+++ b/packages/rpc/src/methods.ts
@@ -10,6 +10,7 @@
   KeyId,
   KeyStatus,
 } from "@sardinestep/claims";
+import type { Failure } from "@sardinestep/codes";
 import type {
   ConfigurationRecord,
   VersionedConfiguration,
@@ -120,6 +121,7 @@
 
 /** What a control process answers to gossip. */
 export interface GossipReply {
+  readonly identity: Identity;
   /** Set when the answering side has a higher version than the asking one. */
   readonly configuration?: VersionedConfiguration;
   readonly configVersion: number;
@@ -210,22 +212,42 @@
       readonly customer: CustomerId;
       readonly key: string;
       readonly pipeline: string;
-      readonly body: unknown;
+      /** The caller's body to the letter: its hash is part of the key's use. */
+      readonly bodyText: string;
       readonly deadlineInMs: number;
     };
-    result: { readonly httpStatus: number; readonly body: unknown };
+    result: MintedAnswer;
   };
   /** Entry, from a leaving entry: its minted keys, for answers only. */
-  handOver: {
-    params: {
-      readonly instance: InstanceId;
-      readonly answers: readonly {
-        readonly keyId: KeyId;
-        readonly status: AnswerStatus;
-      }[];
+  handOver: { params: HandOver; result: { readonly kept: number } };
+}
+
+/** The final answer of a request that another entry ran. */
+export type MintedAnswer =
+  | {
+    readonly kind: "completed";
+    readonly output: unknown;
+    readonly cost: {
+      readonly calls: number;
+      readonly tokens: number;
+      readonly workerMs: number;
     };
-    result: { readonly kept: number };
-  };
+    readonly isReplayed: boolean;
+  }
+  | { readonly kind: "refused"; readonly failure: Failure };
+
+/** What a leaving entry tells of the keys that it minted. */
+export interface HandOver {
+  readonly instance: InstanceId;
+  readonly answers: readonly {
+    readonly keyId: KeyId;
+    readonly status: Exclude<AnswerStatus, { kind: "none" }>;
+  }[];
+  /**
+   * A key that is not listed and was minted at or after this moment (by the
+   * leaving instance's clock) never ran and never will.
+   */
+  readonly unusedClosedFromMs: number;
 }
 
 /** Notifications, which have no answer. */
