--- a/packages/endpoint_http/src/mod.ts
+++ b/packages/endpoint_http/src/mod.ts
@@ -1,7 +1,8 @@
 /**
- * Adapter of model engines, pools and plain services over HTTP.
+ * Adapter of model engines, pools and plain services over HTTP. The formats
+ * are those of `docs/PROTOCOLS.md`.
  *
  * @module
  */
-
-export {};
+export * from "./endpoints.ts";
+export type { EndpointCounters } from "./counters.ts";
--- /dev/null
+++ b/packages/ports/src/contract/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Contract tests of the ports: any adapter can be put through them.
+ *
+ * @module
+ */
+export {};
