--- /dev/null
+++ b/packages/membership/src/endpoint_row.ts
@@ -0,0 +1,118 @@
+/**
+ * What an endpoint table notes of one endpoint.
+ *
+ * @module
+ */
+import {
+  type Address,
+  ENDPOINT_STATE,
+  type EndpointFacts,
+  type EndpointId,
+  type EndpointRole,
+  type EndpointState,
+  type InstanceId,
+  type ServiceId,
+  type ZoneId,
+} from "@sardinestep/types";
+
+/** Earlier instances remembered, so that a late report can't revive one. */
+const FORMER_INSTANCES_KEPT = 8;
+
+/** An endpoint as the platform's list names it. */
+export interface ListedPlace {
+  readonly endpointId: EndpointId;
+  readonly service: ServiceId;
+  readonly role: EndpointRole;
+  readonly zone: ZoneId;
+  readonly address: Address;
+  readonly coldConcurrency: number;
+  readonly warmConcurrency: number;
+}
+
+/** One endpoint with the evidence that later news is compared with. */
+export interface EndpointRow {
+  place: ListedPlace;
+  instance: InstanceId;
+  formerInstances: InstanceId[];
+  state: EndpointState;
+  listed: "live" | "leaving" | undefined;
+  /** When the newest report that was used was measured. */
+  reportedAt: number;
+  /** When negative news of this instance arrived, by first-hand evidence. */
+  negativeAt: number;
+  /** When first-hand evidence last changed the row; for gossip. */
+  ownNewsAt: number;
+  /** When the list dropped it; for forgetting. */
+  goneAt: number;
+}
+
+/** Makes the row of an endpoint that was just listed: cold until proved warm. */
+export function createEndpointRow(place: ListedPlace): EndpointRow {
+  return {
+    place,
+    instance: "",
+    formerInstances: [],
+    state: ENDPOINT_STATE.cold,
+    listed: undefined,
+    reportedAt: -Infinity,
+    negativeAt: -Infinity,
+    ownNewsAt: -Infinity,
+    goneAt: Infinity,
+  };
+}
+
+/** How an instance id relates to the one that the row knows. */
+export type InstanceRelation = "same" | "first" | "new" | "former";
+
+/** Compares an instance id with those that the row knows. */
+export function compareInstance(
+  row: EndpointRow,
+  instance: InstanceId,
+): InstanceRelation {
+  if (instance === row.instance) return "same";
+  if (row.formerInstances.includes(instance)) return "former";
+  return row.instance === "" ? "first" : "new";
+}
+
+/**
+ * Starts a new run: at once cold, whatever was known of the run before.
+ *
+ * An endpoint restarts without notice; as long as it counts as warm it gets the
+ * load of a warm one and falls over. The new instance id is the earliest sign.
+ */
+export function resetRow(row: EndpointRow, instance: InstanceId): void {
+  if (row.instance !== "") {
+    row.formerInstances.push(row.instance);
+    if (row.formerInstances.length > FORMER_INSTANCES_KEPT) {
+      row.formerInstances.shift();
+    }
+  }
+  row.instance = instance;
+  // Only the list says that an endpoint is there.
+  const isListed = row.listed !== undefined;
+  row.state = isListed ? ENDPOINT_STATE.cold : ENDPOINT_STATE.gone;
+  row.reportedAt = -Infinity;
+  row.negativeAt = -Infinity;
+}
+
+/** Turns a row into facts. */
+export function buildEndpointFacts(row: EndpointRow): EndpointFacts {
+  return { ...row.place, instance: row.instance, state: row.state };
+}
+
+const NEGATIVE: ReadonlySet<EndpointState> = new Set([
+  ENDPOINT_STATE.cold,
+  ENDPOINT_STATE.silent,
+  ENDPOINT_STATE.leaving,
+  ENDPOINT_STATE.gone,
+]);
+
+/** Tells whether a state takes capacity away. */
+export function isNegative(state: EndpointState): boolean {
+  return NEGATIVE.has(state);
+}
+
+/** States that only a new instance undoes. */
+export function isFinal(state: EndpointState): boolean {
+  return state === ENDPOINT_STATE.leaving || state === ENDPOINT_STATE.gone;
+}
--- /dev/null
+++ b/packages/membership/src/endpoint_table.ts
@@ -0,0 +1,331 @@
+/**
+ * The endpoints as one control process sees them. No sockets and no clock of
+ * its own: every call says when it is made, in monotonic milliseconds.
+ *
+ * @module
+ */
+import {
+  ENDPOINT_STATE,
+  type EndpointFacts,
+  type EndpointId,
+  type EndpointState,
+  type InstanceId,
+  type LoadReport,
+} from "@sardinestep/types";
+import { match } from "ts-pattern";
+import {
+  buildEndpointFacts,
+  compareInstance,
+  createEndpointRow,
+  type EndpointRow,
+  isFinal,
+  isNegative,
+  type ListedPlace,
+  resetRow,
+} from "./endpoint_row.ts";
+
+/** An endpoint as the platform's list names it. */
+export interface ListedEndpointFacts extends ListedPlace {
+  readonly state: "live" | "leaving";
+}
+
+/** What an entry has seen of an endpoint itself. */
+export interface EndpointNews {
+  readonly endpointId: EndpointId;
+  /** The run that it was seen of; empty when the entry does not know it. */
+  readonly instance: InstanceId;
+  readonly news: "silent" | "cold" | "warm" | "leaving" | "answered";
+}
+
+/** Limits of an {@link EndpointTable}. */
+export interface EndpointTableOptions {
+  /**
+   * How long first-hand news is given to other controls, and is stronger
+   * than what they say. Several gossip intervals, so that one lost message does
+   * not lose the news.
+   */
+  readonly newsKeptMs?: number;
+  /** An endpoint that is no longer listed is forgotten after so long. */
+  readonly forgetAfterMs?: number;
+}
+
+const NEWS_KEPT_MS = 10_000;
+const FORGET_AFTER_MS = 600_000;
+
+/**
+ * Which endpoints may be used and how far.
+ *
+ * Negative news wins from whichever source and comes undone only by newer proof.
+ * `leaving` and `gone` need a new instance. `silent` and `cold` need a report that
+ * was measured later, or a call that was answered later. The list lags and has no
+ * instance ids, so it only adds, marks as leaving and drops; it revives nothing.
+ *
+ * @example
+ * ```ts
+ * table.applyReport(report, now);
+ * push(table.takeChanges());
+ * ```
+ */
+export class EndpointTable {
+  readonly #newsKeptMs: number;
+  readonly #forgetAfterMs: number;
+  readonly #rows = new Map<EndpointId, EndpointRow>();
+  readonly #changed = new Set<EndpointId>();
+  #listAsOf = -Infinity;
+
+  /** @param options How long news and forgotten endpoints are kept. */
+  constructor(options: EndpointTableOptions = {}) {
+    this.#newsKeptMs = options.newsKeptMs ?? NEWS_KEPT_MS;
+    this.#forgetAfterMs = options.forgetAfterMs ?? FORGET_AFTER_MS;
+  }
+
+  /**
+   * Takes a list over; one that is older than the last is ignored.
+   *
+   * @param endpoints The endpoints of the list.
+   * @param now Monotonic milliseconds.
+   * @param options `asOf`: the list's own time.
+   */
+  applyList(
+    endpoints: readonly ListedEndpointFacts[],
+    now: number,
+    options: { readonly asOf?: number } = {},
+  ): void {
+    const asOf = options.asOf ?? this.#listAsOf;
+    if (asOf < this.#listAsOf) return;
+    this.#listAsOf = asOf;
+    const named = new Set(endpoints.map((it) => it.endpointId));
+    for (const listed of endpoints) this.#applyListed(listed, now);
+    for (const row of this.#rows.values()) {
+      if (!named.has(row.place.endpointId)) this.#applyUnlisted(row, now);
+    }
+  }
+
+  #applyListed(listed: ListedEndpointFacts, now: number): void {
+    const { state, ...place } = listed;
+    const row = this.#getOrCreate(place);
+    if (!isSamePlace(row.place, place)) {
+      row.place = place;
+      this.#changed.add(place.endpointId);
+    }
+    // The list lags: `leaving` counts once, when it changes to it, or it would
+    // hit an instance that started later again and again.
+    const isNews = state === "leaving" && row.listed !== "leaving";
+    row.listed = state;
+    row.goneAt = Infinity;
+    if (isNews) this.#setState(row, ENDPOINT_STATE.leaving, now);
+  }
+
+  #applyUnlisted(row: EndpointRow, now: number): void {
+    row.listed = undefined;
+    if (row.goneAt === Infinity) row.goneAt = now;
+    this.#setState(row, ENDPOINT_STATE.gone, now);
+    if (now - row.goneAt > this.#forgetAfterMs) {
+      this.#rows.delete(row.place.endpointId);
+    }
+  }
+
+  /**
+   * Takes over an endpoint's own report. One of a former run, or measured
+   * before the newest one or before negative news, changes nothing.
+   *
+   * @param report The report; `measuredAt` by the same clock as `now`.
+   * @param now Monotonic milliseconds.
+   * @returns False when the report is stale and its load is of no use either.
+   */
+  applyReport(report: LoadReport, now: number): boolean {
+    const row = this.#rows.get(report.endpointId);
+    if (row === undefined) return false;
+    const relation = compareInstance(row, report.instance);
+    if (relation === "former" || report.measuredAt <= row.reportedAt) {
+      return false;
+    }
+    if (relation === "first") this.#adoptInstance(row, report.instance);
+    if (relation === "new") this.#applyNewInstance(row, report.instance, now);
+    row.reportedAt = report.measuredAt;
+    // Of a run that was just noticed only the start counts: it is cold.
+    if (relation === "new") return true;
+    this.#applyReportedState(row, report, now);
+    return true;
+  }
+
+  #applyReportedState(row: EndpointRow, report: LoadReport, now: number): void {
+    const isNewer = report.measuredAt > row.negativeAt;
+    if (isFinal(row.state)) {
+      if (row.state === ENDPOINT_STATE.gone) this.#applyBack(row, isNewer, now);
+      return;
+    }
+    if (isNegative(report.state) || isNewer) {
+      this.#setState(row, report.state, now);
+    }
+  }
+
+  /**
+   * The list had dropped an endpoint that it names again, and the same run still
+   * reports: the list was wrong. It starts over cold, for nothing is known of
+   * what happened to it in between.
+   */
+  #applyBack(row: EndpointRow, isNewer: boolean, now: number): void {
+    if (row.listed !== "live" || !isNewer) return;
+    this.#setState(row, ENDPOINT_STATE.cold, now);
+  }
+
+  /** Takes over what an entry has seen; the news is first-hand. */
+  applyNews(news: EndpointNews, now: number): void {
+    const row = this.#rows.get(news.endpointId);
+    if (row === undefined) return;
+    if (!this.#applyNewsInstance(row, news.instance, now)) return;
+    if (isFinal(row.state)) return;
+    match(news.news)
+      .with("silent", () => this.#setState(row, ENDPOINT_STATE.silent, now))
+      .with("cold", () => this.#setState(row, ENDPOINT_STATE.cold, now))
+      .with("leaving", () => this.#setState(row, ENDPOINT_STATE.leaving, now))
+      .with("warm", () => this.#applyWarmed(row, now))
+      .with("answered", () => this.#applyAnswered(row, now))
+      .exhaustive();
+  }
+
+  #applyNewsInstance(
+    row: EndpointRow,
+    instance: InstanceId,
+    now: number,
+  ): boolean {
+    if (instance === "") return true;
+    const relation = compareInstance(row, instance);
+    if (relation === "former") return false;
+    if (relation === "first") this.#adoptInstance(row, instance);
+    if (relation === "new") this.#applyNewInstance(row, instance, now);
+    return true;
+  }
+
+  /**
+   * The warmer has finished enough calls. An endpoint that reports its state knows
+   * better, and one that is silent must answer first.
+   */
+  #applyWarmed(row: EndpointRow, now: number): void {
+    if (row.reportedAt !== -Infinity) return;
+    const isWarming = row.state === ENDPOINT_STATE.cold ||
+      row.state === ENDPOINT_STATE.warming;
+    if (isWarming) this.#setState(row, ENDPOINT_STATE.warm, now);
+  }
+
+  /** It may have restarted while silent, so it starts over cold. */
+  #applyAnswered(row: EndpointRow, now: number): void {
+    if (row.state !== ENDPOINT_STATE.silent) return;
+    this.#setState(row, ENDPOINT_STATE.cold, now);
+  }
+
+  /**
+   * Takes over what another control gives as news. Negative states win; a
+   * positive one counts only for endpoints that report nothing themselves, and where
+   * this table has no recent negative evidence of its own.
+   */
+  applyGossip(facts: readonly EndpointFacts[], now: number): void {
+    for (const fact of facts) this.#applyGossiped(fact, now);
+  }
+
+  #applyGossiped(fact: EndpointFacts, now: number): void {
+    const row = this.#rows.get(fact.endpointId);
+    if (row === undefined) return;
+    const relation = compareInstance(row, fact.instance);
+    if (relation === "former") return;
+    if (relation === "first") this.#adoptInstance(row, fact.instance);
+    if (relation === "new") {
+      resetRow(row, fact.instance);
+      this.#changed.add(fact.endpointId);
+    }
+    if (isFinal(row.state)) return;
+    if (fact.state === ENDPOINT_STATE.gone) {
+      // The other's list is newer; what the own list says comes soon. Meanwhile
+      // reports of the same run must not bring it back.
+      this.#setStateByGossip(row, ENDPOINT_STATE.leaving);
+    } else if (isNegative(fact.state)) {
+      this.#setStateByGossip(row, fact.state);
+    } else if (this.#mayBelieve(row, now) && relation !== "new") {
+      this.#setStateByGossip(row, fact.state);
+    }
+  }
+
+  #mayBelieve(row: EndpointRow, now: number): boolean {
+    const isUsed = row.state === ENDPOINT_STATE.cold ||
+      row.state === ENDPOINT_STATE.warming;
+    const hasReported = row.reportedAt !== -Infinity;
+    return isUsed && !hasReported && now - row.negativeAt > this.#newsKeptMs;
+  }
+
+  /** Gives all endpoints. */
+  getEndpoints(): EndpointFacts[] {
+    return [...this.#rows.values()].map(buildEndpointFacts);
+  }
+
+  /** Gives one endpoint. */
+  getEndpoint(endpointId: EndpointId): EndpointFacts | undefined {
+    const row = this.#rows.get(endpointId);
+    return row === undefined ? undefined : buildEndpointFacts(row);
+  }
+
+  /** Gives what has changed since the last call, for the own entries. */
+  takeChanges(): EndpointFacts[] {
+    const rows = [...this.#changed].map((id) => this.#rows.get(id));
+    this.#changed.clear();
+    return rows.filter((row) => row !== undefined).map(buildEndpointFacts);
+  }
+
+  /**
+   * Gives what first-hand evidence has changed lately, for other controls. It
+   * is given again until `newsKeptMs` has passed, since a message may be lost, and
+   * what came by gossip is not passed on, or old news would go round for ever.
+   */
+  getNews(now: number): EndpointFacts[] {
+    return [...this.#rows.values()]
+      .filter((row) => now - row.ownNewsAt <= this.#newsKeptMs)
+      .map(buildEndpointFacts);
+  }
+
+  #applyNewInstance(
+    row: EndpointRow,
+    instance: InstanceId,
+    now: number,
+  ): void {
+    resetRow(row, instance);
+    row.negativeAt = now;
+    row.ownNewsAt = now;
+    this.#changed.add(row.place.endpointId);
+  }
+
+  #adoptInstance(row: EndpointRow, instance: InstanceId): void {
+    row.instance = instance;
+    this.#changed.add(row.place.endpointId);
+  }
+
+  #setState(row: EndpointRow, state: EndpointState, now: number): void {
+    if (isNegative(state)) row.negativeAt = now;
+    if (row.state === state) return;
+    row.state = state;
+    row.ownNewsAt = now;
+    this.#changed.add(row.place.endpointId);
+  }
+
+  #setStateByGossip(row: EndpointRow, state: EndpointState): void {
+    if (row.state === state) return;
+    row.state = state;
+    row.ownNewsAt = -Infinity;
+    this.#changed.add(row.place.endpointId);
+  }
+
+  #getOrCreate(place: ListedPlace): EndpointRow {
+    const known = this.#rows.get(place.endpointId);
+    if (known !== undefined) return known;
+    const row = createEndpointRow(place);
+    this.#rows.set(place.endpointId, row);
+    this.#changed.add(place.endpointId);
+    return row;
+  }
+}
+
+function isSamePlace(left: ListedPlace, right: ListedPlace): boolean {
+  return left.address === right.address && left.zone === right.zone &&
+    left.service === right.service && left.role === right.role &&
+    left.coldConcurrency === right.coldConcurrency &&
+    left.warmConcurrency === right.warmConcurrency;
+}
--- /dev/null
+++ b/packages/membership/src/warmup_guard.ts
@@ -0,0 +1,329 @@
+/**
+ * Which cold endpoints this VM's entry may send to, and how many calls at once.
+ *
+ * ## What must hold
+ *
+ * The calls that a cold endpoint has from all entries together never exceed its
+ * `coldConcurrency`, also while entries disagree about who is alive.
+ *
+ * ## Why it holds
+ *
+ * Only one entry, the warmer, may send: the live member that rendezvous
+ * hashing of the endpoint's id ranks first. A member acts on that only
+ * 1. while its control's view is fresh: a majority of the listed VMs has answered
+ *    calls sent within V = `viewFreshMs`, and the list was read lately;
+ * 2. after it has been the warmer in every view for Q = `quarantineMs`, with
+ *    no stale moment in between.
+ *
+ * Suppose that A and B both send at time t, and the hash ranks A before B. Then
+ * B's view has not had A as live for Q. An entry acts on what its control held
+ * at most V ago, and control on answers at most V old. So B rests on answers that a
+ * majority gave in [t - 2V, t], and A, which was the warmer at t - 2V too, on
+ * answers that a majority gave in [t - 4V, t - 2V]. Two majorities of one list
+ * share a VM C (C may be A or B). C heard A directly at most 4V before it
+ * answered B, and `silentAfterMs` is at least 4V, so C's answer said that A
+ * is live, and B took it over before t: A was live in B's view within Q, which
+ * contradicts 2. If A was not live there because it leaves, or because B's list no
+ * longer has it, A has learnt it from its own list before Q was over.
+ *
+ * Calls of a former warmer may still run when the next one begins; Q includes
+ * the longest call. After a pause, after the start and after a gap in
+ * freshness, Q begins anew.
+ *
+ * ## What is assumed
+ *
+ * - List lag: a VM whose list was read within `listFreshMs` has a list that is at
+ *   most `listLagMs` older than that of any other such VM, and in every span of
+ *   Q there are 4V in which their lists have majorities that share a member. One
+ *   change at a time always does; a list that changes by half of its VMs
+ *   again and again for all of Q does not.
+ * - Monotonic clocks run at the same speed to within the margin in Q.
+ * - A process that is frozen between asking for the slice and writing to the
+ *   socket sends that call late. Callers ask in the same turn of the loop in which
+ *   they write, so the window is microseconds; only a fencing check in the
+ *   endpoint closes it.
+ * - An endpoint that restarts unannounced gets calls as a warm one until the first
+ *   entry sees a broken connection, another instance or a report. From
+ *   then on the warmer waits `settleMs`, in which the others learn it too.
+ *
+ * @module
+ */
+import {
+  ENDPOINT_STATE,
+  type EndpointFacts,
+  type EndpointId,
+  type InstanceId,
+  type MemberFacts,
+  type VmId,
+} from "@sardinestep/types";
+import { match } from "ts-pattern";
+import { pickByHash } from "./rendezvous.ts";
+import { getWarmSlice } from "./warm_slice.ts";
+
+/**
+ * Finished calls in a state of `warming` that raise the bound by one. Larger
+ * than one, so that a burst of short calls does not open an endpoint whose caches
+ * are still empty.
+ */
+export const CALLS_PER_STEP = 4;
+
+/** Finished calls after which an endpoint that reports no state is warm. */
+export const PROVEN_CALLS = 32;
+
+/** Identity and limits of a {@link WarmupGuard}. */
+export interface WarmupGuardOptions {
+  readonly vmId: VmId;
+  /** See {@link buildQuarantineMs}. */
+  readonly quarantineMs: number;
+  /** A view that was not confirmed for so long is stale. */
+  readonly viewFreshMs: number;
+  /**
+   * How long the warmer waits after a warm endpoint turned cold: until all
+   * entries know it and their calls have ended. The quarantine by default.
+   */
+  readonly settleMs?: number;
+}
+
+/** What the quarantine must cover. */
+export interface QuarantineOptions {
+  readonly listLagMs: number;
+  readonly silentAfterMs: number;
+  readonly viewFreshMs: number;
+  /** The longest that a call to a cold endpoint may run. */
+  readonly longestCallMs: number;
+}
+
+/**
+ * Computes the shortest quarantine for which the argument above holds: the list's
+ * lag, the views of control and entry, and the calls of the former warmer, with
+ * a silence more as margin for clocks that run at different speeds.
+ *
+ * @param options The times that it must cover, in milliseconds.
+ * @example
+ * ```ts
+ * buildQuarantineMs({ listLagMs: 5_000, silentAfterMs: 3_000, viewFreshMs: 1_500, longestCallMs: 10_000 });
+ * ```
+ */
+export function buildQuarantineMs(options: QuarantineOptions): number {
+  return options.listLagMs + options.silentAfterMs +
+    4 * options.viewFreshMs + options.longestCallMs;
+}
+
+/**
+ * Picks the one VM whose entry may send to a cold endpoint.
+ *
+ * @param endpointId The endpoint.
+ * @param members All known members; only live ones are candidates.
+ * @returns Undefined when no member is live.
+ * @example
+ * ```ts
+ * pickWarmer("endpoint-1", members);
+ * ```
+ */
+export function pickWarmer(
+  endpointId: EndpointId,
+  members: readonly MemberFacts[],
+): VmId | undefined {
+  const live = members.filter((member) => member.state === "live");
+  return pickByHash(endpointId, live, (member) => member.vmId)?.vmId;
+}
+
+/**
+ * A view of the members, and when it was known to be in force. Control confirms
+ * on the connection on which it sends changes, so that none is overtaken.
+ */
+export interface MemberView {
+  readonly members: readonly MemberFacts[];
+  /**
+   * When control was last known to hold this view as a fresh one, by this
+   * process's monotonic clock: when the call was sent that it answered.
+   * Undefined while control says that its view is not fresh.
+   */
+  readonly viewAt: number | undefined;
+}
+
+interface GuardedEndpoint {
+  facts: EndpointFacts;
+  isWarmer: boolean;
+  /** Since when this VM has been the warmer in every view. */
+  warmerSince: number;
+  /** Since when the endpoint has been known to be cold after it was warm. */
+  coldSince: number;
+  finished: number;
+  warmSlice: number;
+}
+
+/**
+ * Bounds the calls of one entry to each endpoint.
+ *
+ * @example
+ * ```ts
+ * guard.applyView({ members, viewAt: askedAt }, now);
+ * guard.applyEndpoint(facts, now);
+ * guard.getSlice(facts.endpointId, now);
+ * ```
+ */
+export class WarmupGuard {
+  readonly #options: Required<WarmupGuardOptions>;
+  readonly #endpoints = new Map<EndpointId, GuardedEndpoint>();
+  #members: readonly MemberFacts[] = [];
+  #liveText = "";
+  #membersSince = Infinity;
+  #viewAt = -Infinity;
+  #freshSince = Infinity;
+
+  /** @param options Identity and limits. */
+  constructor(options: WarmupGuardOptions) {
+    this.#options = { settleMs: options.quarantineMs, ...options };
+  }
+
+  /** Takes over a view of the members. */
+  applyView(view: MemberView, now: number): void {
+    this.#members = view.members;
+    const liveText = formatLive(view.members);
+    if (liveText !== this.#liveText) {
+      this.#liveText = liveText;
+      this.#membersSince = now;
+      for (const it of this.#endpoints.values()) this.#updatePicks(it, now);
+    }
+    if (view.viewAt !== undefined) this.confirmView(view.viewAt, now);
+  }
+
+  /**
+   * Notes that the view last given was still in force and fresh.
+   *
+   * @param viewAt When the call was sent that control answered so.
+   * @param now Monotonic milliseconds.
+   */
+  confirmView(viewAt: number, now: number): void {
+    // After a gap others may have warmed in between.
+    if (!this.#isFresh(now)) this.#freshSince = now;
+    this.#viewAt = Math.max(this.#viewAt, viewAt);
+  }
+
+  /** Drops the view's proof; after a pause of this process or of control. */
+  handlePause(): void {
+    this.#viewAt = -Infinity;
+  }
+
+  /**
+   * Takes over what is known of an endpoint. An entry that sees for itself that
+   * an endpoint turned cold (a broken connection, another instance in
+   * an answer) gives it here as `cold` at once and tells control.
+   */
+  applyEndpoint(facts: EndpointFacts, now: number): void {
+    const known = this.#endpoints.get(facts.endpointId);
+    if (known === undefined) {
+      this.#addEndpoint(facts);
+      return;
+    }
+    const wasWarm = known.facts.state === ENDPOINT_STATE.warm;
+    const isNewRun = known.facts.instance !== facts.instance &&
+      known.facts.instance !== "";
+    const isCold = facts.state === ENDPOINT_STATE.cold;
+    if (isNewRun || (wasWarm && isCold)) known.finished = 0;
+    if (wasWarm && facts.state !== ENDPOINT_STATE.warm) known.coldSince = now;
+    known.facts = facts;
+    known.warmSlice = this.#getWarmSlice(facts);
+  }
+
+  /** Forgets an endpoint that is gone. */
+  removeEndpoint(endpointId: EndpointId): void {
+    this.#endpoints.delete(endpointId);
+  }
+
+  /**
+   * Gives how many calls at once this entry may have at an endpoint now, those
+   * that run included. Ask in the turn of the loop in which the call is sent.
+   */
+  getSlice(endpointId: EndpointId, now: number): number {
+    const endpoint = this.#endpoints.get(endpointId);
+    if (endpoint === undefined) return 0;
+    return match(endpoint.facts.state)
+      .with("warm", () => endpoint.warmSlice)
+      .with("cold", "warming", () => this.#getColdSlice(endpoint, now))
+      .with("silent", "leaving", "gone", () => 0)
+      .exhaustive();
+  }
+
+  /**
+   * Counts a finished call of an endpoint that is warming.
+   *
+   * @param endpointId The endpoint.
+   * @param instance The run that answered; one of another run counts nothing.
+   * @returns True once, when the endpoint has proved to be warm: tell control.
+   */
+  recordFinished(endpointId: EndpointId, instance: InstanceId): boolean {
+    const endpoint = this.#endpoints.get(endpointId);
+    if (endpoint === undefined) return false;
+    if (endpoint.facts.instance !== instance) return false;
+    endpoint.finished += 1;
+    const isWarm = endpoint.facts.state === ENDPOINT_STATE.warm;
+    return !isWarm && endpoint.finished === PROVEN_CALLS;
+  }
+
+  /** Goes back to the bound of a cold endpoint after a call has failed. */
+  recordFailed(endpointId: EndpointId): void {
+    const endpoint = this.#endpoints.get(endpointId);
+    if (endpoint !== undefined) endpoint.finished = 0;
+  }
+
+  #getColdSlice(endpoint: GuardedEndpoint, now: number): number {
+    const { quarantineMs, settleMs } = this.#options;
+    if (!endpoint.isWarmer || !this.#isFresh(now)) return 0;
+    const since = Math.max(endpoint.warmerSince, this.#freshSince);
+    if (now - since < quarantineMs) return 0;
+    if (now - endpoint.coldSince < settleMs) return 0;
+    return getBound(endpoint);
+  }
+
+  #isFresh(now: number): boolean {
+    return now - this.#viewAt <= this.#options.viewFreshMs;
+  }
+
+  #addEndpoint(facts: EndpointFacts): void {
+    const isWarmer = this.#isWarmer(facts.endpointId);
+    this.#endpoints.set(facts.endpointId, {
+      facts,
+      isWarmer,
+      // The pick rests on the members alone, so it has stood since they changed.
+      warmerSince: this.#membersSince,
+      coldSince: -Infinity,
+      finished: 0,
+      warmSlice: this.#getWarmSlice(facts),
+    });
+  }
+
+  #updatePicks(endpoint: GuardedEndpoint, now: number): void {
+    const isWarmer = this.#isWarmer(endpoint.facts.endpointId);
+    if (isWarmer && !endpoint.isWarmer) endpoint.warmerSince = now;
+    endpoint.isWarmer = isWarmer;
+    endpoint.warmSlice = this.#getWarmSlice(endpoint.facts);
+  }
+
+  #isWarmer(endpointId: EndpointId): boolean {
+    return pickWarmer(endpointId, this.#members) === this.#options.vmId;
+  }
+
+  #getWarmSlice(facts: EndpointFacts): number {
+    const { vmId } = this.#options;
+    return getWarmSlice(facts, { vmId, members: this.#members });
+  }
+}
+
+/**
+ * The bound grows only while the endpoint itself says that it is warming, and
+ * never beyond what it bears when warm.
+ */
+function getBound(endpoint: GuardedEndpoint): number {
+  const { state, coldConcurrency, warmConcurrency } = endpoint.facts;
+  if (state !== ENDPOINT_STATE.warming) return coldConcurrency;
+  const grown = coldConcurrency +
+    Math.floor(endpoint.finished / CALLS_PER_STEP);
+  return Math.max(coldConcurrency, Math.min(grown, warmConcurrency));
+}
+
+function formatLive(members: readonly MemberFacts[]): string {
+  const live = members.filter((member) => member.state === "live");
+  return live.map((member) => member.vmId).sort().join("\0");
+}
--- a/packages/metrics/src/mod.ts
+++ b/packages/metrics/src/mod.ts
@@ -3,5 +3,7 @@
  *
  * @module
  */
-
-export {};
+export * from "./labels.ts";
+export * from "./metrics.ts";
+export * from "./attainment.ts";
+export * from "./stage_cost.ts";
--- a/packages/results/src/mod.ts
+++ b/packages/results/src/mod.ts
@@ -3,5 +3,5 @@
  *
  * @module
  */
-
-export {};
+export * from "./holders.ts";
+export * from "./result_store.ts";
