--- a/packages/cli/src/_scripted_caller.ts
+++ b/packages/cli/src/_scripted_caller.ts
@@ -9,7 +9,6 @@
 import { join } from "node:path";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { Caller } from "./context.ts";
-import { EVENT_TOOLS } from "./event_tools.ts";
 import { runProgram } from "./program.ts";
 import type { Printout } from "./report.ts";
 
@@ -96,7 +95,6 @@
       isLocal ? argv : [...argv, "--settings", file],
       {
         caller,
-        events: EVENT_TOOLS,
         author: "anna@console",
         createRecordId: () => `record-${records += 1}`,
         printProgress: (line) => progress.push(line),
--- a/packages/cli/src/context.ts
+++ b/packages/cli/src/context.ts
@@ -5,7 +5,6 @@
  */
 import type * as rpc from "@sardinestep/rpc";
 import type { CliSettings } from "@sardinestep/settings";
-import type { TimelineEvent } from "@sardinestep/timeline";
 import type { Address } from "@sardinestep/types";
 import type { Result } from "ts-results-es";
 
@@ -19,18 +18,9 @@
   ): Promise<Result<rpc.Methods[M]["result"], rpc.RpcError>>;
 }
 
-/** Puts the events of many processes into one order and shows them. */
-export interface EventTools {
-  mergeEvents(
-    lists: readonly (readonly TimelineEvent[])[],
-  ): readonly TimelineEvent[];
-  formatEvent(event: TimelineEvent): string;
-}
-
 /** What every command gets from outside. */
 export interface Environment {
   readonly caller: Caller;
-  readonly events: EventTools;
   /** Who publishes, unless the command line names someone else. */
   readonly author: string;
   /** Makes a UUIDv7. */
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -7,7 +7,6 @@
 import { hostname, userInfo } from "node:os";
 import * as uuid from "uuid";
 import { EXIT } from "./exit_codes.ts";
-import { EVENT_TOOLS } from "./event_tools.ts";
 import { runProgram } from "./program.ts";
 
 /** Ends quietly when a pager or `head` has closed the pipe. */
@@ -24,7 +23,6 @@
 try {
   const printout = await runProgram(process.argv.slice(2), {
     caller: { call: rpc.callOnce },
-    events: EVENT_TOOLS,
     author: getAuthor(),
     createRecordId: () => uuid.v7(),
     printProgress: (line) => process.stderr.write(`${line}\n`),
--- a/packages/cli/src/watch_commands.ts
+++ b/packages/cli/src/watch_commands.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type * as rpc from "@sardinestep/rpc";
-import type { TimelineFilter } from "@sardinestep/timeline";
+import * as timeline from "@sardinestep/timeline";
 import type { Context } from "./context.ts";
 import {
   callAnyControl,
@@ -157,13 +157,13 @@
  */
 export async function readTimeline(
   context: Context,
-  filter: TimelineFilter,
+  filter: timeline.TimelineFilter,
 ): Promise<Report> {
   const survey = await callEveryProcess(context, "timeline", filter);
   if (survey.isErr()) return survey.error;
   const { answers, silences } = survey.value;
-  const events = context.events.mergeEvents(answers);
-  const lines = events.map((event) => context.events.formatEvent(event));
+  const events = timeline.mergeEvents(answers);
+  const lines = events.map(timeline.formatEvent);
   const none = `No event fits; ${answers.length} process(es) were asked`;
   return {
     kind: "done",
