--- a/packages/control/src/claim_controller.ts
+++ b/packages/control/src/claim_controller.ts
@@ -151,7 +151,10 @@
       const keyId = { customer, key };
       return [{ keyId, status: this.#table.getStatus(keyId), readThrough }];
     }
-    return this.#table.findByKey(key).map((found) => ({ ...found, readThrough }));
+    return this.#table.findByKey(key).map((found) => ({
+      ...found,
+      readThrough,
+    }));
   }
 
   /** Sizes of the table, for status and metrics. */
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -186,16 +186,11 @@
     });
   }
 
-  /**
-   * Entries take each message with members as proof that the view is fresh, so
-   * a control whose own view is not fresh keeps silent about members.
-   */
   #sendMembers(): void {
     const own = this.#feed.identities.find((identity) =>
       identity.vmId === this.#identity.vmId
     );
     this.#membership.setOwnEntry(own?.instance);
-    if (!this.#membership.isViewFresh()) return;
     this.#feed.send({ members: this.#membership.getMembers() });
   }
 
@@ -211,7 +206,8 @@
       ping: () => this.#identity,
       status: () => this.#buildStatus(),
       timeline: (filter) => this.#timeline.find(filter),
-      subscribe: (identity, connection) => this.#subscribe(identity, connection),
+      subscribe: (identity, connection) =>
+        this.#subscribe(identity, connection),
       claim: ({ record, boundMs }) => this.#settleClaim(record, boundMs),
       recordLater: ({ records }) => ({
         queued: this.#claims.recordLater(records),
@@ -220,6 +216,10 @@
         this.#endpoints.applyNews(news);
         return {};
       },
+      readView: () => ({
+        isFresh: this.#membership.isViewFresh(),
+        members: this.#membership.getMembers(),
+      }),
       gossip: (message) => this.#answerGossip(message),
       configuration: () => this.#configuration.current ?? null,
       history: () => this.#configuration.getHistory(),
--- a/packages/daemon/src/run_daemon.ts
+++ b/packages/daemon/src/run_daemon.ts
@@ -44,7 +44,9 @@
  * await runDaemon({ name, description, schema, open: (checked) => new Entry(checked) });
  * ```
  */
-export async function runDaemon<T>(options: RunDaemonOptions<T>): Promise<void> {
+export async function runDaemon<T>(
+  options: RunDaemonOptions<T>,
+): Promise<void> {
   const program = command({
     name: options.name,
     description: options.description,
--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -67,7 +67,10 @@
   message: string,
   options: codes.FailureOptions = {},
 ): RefusedAnswer {
-  return { kind: "refused", failure: codes.createFailure(code, message, options) };
+  return {
+    kind: "refused",
+    failure: codes.createFailure(code, message, options),
+  };
 }
 
 /**
--- a/packages/entry/src/control_link.ts
+++ b/packages/entry/src/control_link.ts
@@ -182,7 +182,10 @@
       return undefined;
     }
     this.#connection = connection;
-    this.#options.logger.change("control_connected", `Connected to "${address}"`);
+    this.#options.logger.change(
+      "control_connected",
+      `Connected to "${address}"`,
+    );
     this.#options.onNews(state.value);
     return { closed };
   }
@@ -191,7 +194,11 @@
     this.#isSendingRecords = true;
     while (this.#waitingRecords.length > 0 && !this.#isClosed) {
       const records = this.#waitingRecords.slice(0, MAX_RECORDS_A_CALL);
-      const taken = await this.call("recordLater", { records }, SUBSCRIBE_TIMEOUT_MS);
+      const taken = await this.call(
+        "recordLater",
+        { records },
+        SUBSCRIBE_TIMEOUT_MS,
+      );
       if (taken) this.#waitingRecords.splice(0, records.length);
       else await sleep(RECORD_PAUSE_MS);
     }
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -9,7 +9,6 @@
 import type * as timeline from "@sardinestep/timeline";
 import {
   type EndpointFacts,
-  type EndpointId,
   REQUEST_CLASS,
   type RequestClass,
   type RequestFacts,
@@ -27,6 +26,7 @@
 } from "./answer.ts";
 import { getResultKey, type RequestContext } from "./context.ts";
 import type { EntryMetrics } from "./entry_metrics.ts";
+import type { SiteController } from "./site_state.ts";
 import { StreamRelay } from "./stream_relay.ts";
 
 /** Engines that honour priorities run a lower number first. */
@@ -40,7 +40,7 @@
 export interface DispatcherOptions {
   readonly decider: decisions.Decider;
   readonly endpoints: ports.EndpointPort;
-  readonly findEndpoint: (endpointId: EndpointId) => EndpointFacts | undefined;
+  readonly site: SiteController;
   readonly timeline: timeline.Timeline;
   readonly metrics: EntryMetrics;
   /** Monotonic milliseconds. */
@@ -49,10 +49,6 @@
   readonly drawRandom: () => number;
   /** Told of every finished stage whose request carries a key. */
   readonly onStageResult: (result: StageResult) => void;
-  /** Told of every answer of an endpoint, with the run that gave it. */
-  readonly onEndpointAnswer: (endpointId: EndpointId, instance: string) => void;
-  /** Told when an endpoint gave no answer in time or broke the connection. */
-  readonly onEndpointTrouble: (endpointId: EndpointId, instance: string) => void;
 }
 
 type StartCall = Extract<decisions.DecisionAction, { kind: "start_call" }>;
@@ -82,6 +78,8 @@
   readonly #options: DispatcherOptions;
   readonly #requests = new Map<RequestId, RunningRequest>();
   readonly #calls = new Map<string, RunningCall>();
+  /** Calls that run at each endpoint, given-up single calls included. */
+  readonly #runningAt = new Map<string, number>();
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
@@ -122,7 +120,11 @@
       };
       this.#requests.set(facts.requestId, request);
       this.#watchCaller(request);
-      this.apply({ kind: "request_arrived", ...this.#readMoment(), request: facts });
+      this.apply({
+        kind: "request_arrived",
+        ...this.#readMoment(),
+        request: facts,
+      });
     });
   }
 
@@ -169,39 +171,64 @@
   }
 
   async #startCall(start: StartCall): Promise<void> {
+    const call = this.#openCall(start);
+    if (!call) return;
+    const { endpoints } = this.#options;
+    const result = await endpoints.call(buildStageCall(start, call), {
+      signal: call.abort.signal,
+      ...this.#buildPartHandler(start, call),
+    });
+    this.#closeCall(start.callId, call);
+    if (result.isOk()) this.#handleAnswer(start.callId, call, result.value);
+    else this.#handleError(start.callId, call, result.error);
+  }
+
+  /** Makes the last checks before a call is sent, in the same turn of the loop. */
+  #openCall(start: StartCall): RunningCall | undefined {
     const request = this.#requests.get(start.requestId);
-    const endpoint = this.#options.findEndpoint(start.endpointId);
-    if (!request || !endpoint) {
-      return this.#failCall(start.callId, "not_sent");
+    const endpoint = this.#options.site.findEndpoint(start.endpointId);
+    const stage = request?.facts.stages[start.stage];
+    if (!request || !endpoint || !stage) {
+      return this.#failUnsent(start.callId, "not_sent");
     }
-    const stage = request.facts.stages[start.stage];
-    if (!stage) return this.#failCall(start.callId, "not_sent");
+    // Guard against a cold endpoint that falls over: the slice may have changed
+    // since the decision, for instance because this process was frozen.
+    const running = this.#runningAt.get(start.endpointId) ?? 0;
+    if (!this.#options.site.mayCall(start.endpointId, running)) {
+      return this.#failUnsent(start.callId, "refused");
+    }
+    // Guard against a dispatch after the deadline or after giving up, as by an
+    // entry that was frozen between claim and dispatch.
     const { claimant } = request.context;
-    if (!stage.repeatable) {
-      // Guard against a dispatch after the deadline or after giving up, as by
-      // an entry that was frozen between claim and dispatch.
-      const mayDispatch = claimant?.mayDispatch(this.#options.readNow());
-      if (!mayDispatch) return this.#failCall(start.callId, "refused");
+    const now = this.#options.readNow();
+    if (!stage.repeatable && !claimant?.mayDispatch(now)) {
+      return this.#failUnsent(start.callId, "refused");
     }
     const call: RunningCall = {
       request,
       stage: start.stage,
       endpoint,
       abort: new AbortController(),
-      startedAt: this.#options.readNow(),
+      startedAt: now,
       isCancelled: false,
     };
     this.#calls.set(start.callId, call);
-    const result = await this.#options.endpoints.call(
-      buildStageCall(start, call),
-      {
-        signal: call.abort.signal,
-        ...this.#buildPartHandler(start, call),
-      },
-    );
-    this.#calls.delete(start.callId);
-    if (result.isOk()) this.#handleAnswer(start.callId, call, result.value);
-    else this.#handleError(start.callId, call, result.error);
+    this.#runningAt.set(start.endpointId, running + 1);
+    return call;
+  }
+
+  #failUnsent(
+    callId: string,
+    reason: decisions.CallFailureKind,
+  ): undefined {
+    this.#failCall(callId, reason);
+  }
+
+  #closeCall(callId: string, { endpoint }: RunningCall): void {
+    this.#calls.delete(callId);
+    const running = this.#runningAt.get(endpoint.endpointId) ?? 1;
+    if (running > 1) this.#runningAt.set(endpoint.endpointId, running - 1);
+    else this.#runningAt.delete(endpoint.endpointId);
   }
 
   #buildPartHandler(
@@ -231,7 +258,7 @@
     answer: ports.StageAnswer,
   ): void {
     const { request, endpoint, stage } = call;
-    this.#options.onEndpointAnswer(endpoint.endpointId, answer.instance);
+    this.#options.site.recordAnswer(endpoint.endpointId, answer.instance);
     this.#options.metrics.recordCall(request.facts, stage, {
       tokens: answer.outputTokens,
       workerMs: answer.workerMs,
@@ -239,7 +266,9 @@
       tookMs: this.#options.readNow() - call.startedAt,
     });
     const spec = request.facts.stages[stage];
-    if (spec && !spec.repeatable) request.context.claimant?.finish(answer.output);
+    if (spec && !spec.repeatable) {
+      request.context.claimant?.finish(answer.output);
+    }
     if (call.isCancelled) return;
     request.cost.calls += 1;
     request.cost.tokens += answer.outputTokens;
@@ -286,8 +315,10 @@
   ): void {
     const { request, stage, endpoint } = call;
     const reason = classifyError(error);
-    if (reason === "timeout" || reason === "broken" || reason === "not_sent") {
-      this.#options.onEndpointTrouble(endpoint.endpointId, endpoint.instance);
+    this.#options.site.recordFailure(endpoint.endpointId);
+    // No new connection can be made: the endpoint is down or restarts.
+    if (reason === "not_sent") {
+      this.#options.site.recordDisconnect(endpoint.address);
     }
     request.relay?.handleFailed(callId);
     const spec = request.facts.stages[stage];
@@ -348,7 +379,9 @@
     arrivedAt: incoming.arrivedAt,
     deadlineAt: context.deadlineAt,
     stageSizes: pipeline.stages.map(() => body.size),
-    ...(body.prefix === undefined ? {} : { prefixHash: hashPrefix(body.prefix) }),
+    ...(body.prefix === undefined
+      ? {}
+      : { prefixHash: hashPrefix(body.prefix) }),
     firstStage: context.priorResults.length,
   };
 }
--- a/packages/entry/src/entry_metrics.ts
+++ b/packages/entry/src/entry_metrics.ts
@@ -43,7 +43,11 @@
   /** Records the time to the first part of a generated text. */
   recordFirstPart(facts: RequestFacts, now: number): void {
     const tookMs = now - facts.arrivedAt;
-    this.metrics.recordMs("first_part_ms", { pipeline: facts.pipeline }, tookMs);
+    this.metrics.recordMs(
+      "first_part_ms",
+      { pipeline: facts.pipeline },
+      tookMs,
+    );
   }
 
   /** Counts an answer that was given before a pipeline was known. */
@@ -51,6 +55,22 @@
     this.metrics.count("refusals_total", { code: name });
   }
 
+  /** Everything in the text form that Prometheus reads. */
+  formatPrometheus(): string {
+    for (const { pipeline, customer, ...counts } of this.attainment.getRows()) {
+      for (const [end, value] of Object.entries(counts)) {
+        const labels = { pipeline, customer, end };
+        this.metrics.setGauge("attainment", labels, value);
+      }
+    }
+    for (const { pipeline, stage, ...sums } of this.stageCost.getRows()) {
+      for (const [sum, value] of Object.entries(sums)) {
+        this.metrics.setGauge("stage_cost", { pipeline, stage, sum }, value);
+      }
+    }
+    return this.metrics.formatPrometheus();
+  }
+
   /** Counts the one final answer of a request. */
   recordAnswer(
     context: RequestContext,
--- /dev/null
+++ b/packages/entry/src/filter_list.ts
@@ -0,0 +1,50 @@
+/**
+ * The filters in their order.
+ *
+ * @module
+ */
+import type { Filter } from "./context.ts";
+import type { Dispatcher } from "./dispatcher.ts";
+import { createCheckAdmission } from "./filters/check_admission.ts";
+import { type ClaimKeyOptions, createClaimKey } from "./filters/claim_key.ts";
+import { createFindResults, type FindResults } from "./filters/find_results.ts";
+import { findPipeline } from "./filters/find_pipeline.ts";
+import { identifyCustomer } from "./filters/identify_customer.ts";
+import { createJoinDuplicate } from "./filters/join_duplicate.ts";
+import { matchKey } from "./filters/match_key.ts";
+import { readDeadline } from "./filters/read_deadline.ts";
+import { createRunStages } from "./filters/run_stages.ts";
+import type { KeyRegistry } from "./key_registry.ts";
+
+/** What the filters work with. */
+export interface FilterListOptions {
+  readonly registry: KeyRegistry;
+  readonly dispatcher: Dispatcher;
+  readonly isLeaving: () => boolean;
+  readonly readNow: () => number;
+  readonly findResults: FindResults;
+  readonly claimKey: ClaimKeyOptions;
+}
+
+/**
+ * Builds the chain. The order matters: input is checked before anything is
+ * looked up, a repeat is joined before load counts, load is checked before
+ * an append is spent, and kept results are asked for only by the one attempt that
+ * may run.
+ *
+ * @param options What the filters work with.
+ * @returns The filters in order.
+ */
+export function buildFilters(options: FilterListOptions): readonly Filter[] {
+  return [
+    identifyCustomer,
+    findPipeline,
+    readDeadline,
+    matchKey,
+    createJoinDuplicate(options.registry, options.readNow),
+    createCheckAdmission(options.dispatcher, options.isLeaving),
+    createClaimKey(options.claimKey),
+    createFindResults(options.findResults),
+    createRunStages(options.dispatcher),
+  ];
+}
--- a/packages/entry/src/filters/find_pipeline.ts
+++ b/packages/entry/src/filters/find_pipeline.ts
@@ -39,7 +39,9 @@
   const checked = BODY_SCHEMA.safeParse(value.value);
   if (checked.success) return Ok(checked.data as RequestBody);
   const faults = checked.error.issues.map(formatIssue).join("; ");
-  return Err(createRefusal("INVALID_REQUEST", `Cannot read the body: ${faults}`));
+  return Err(
+    createRefusal("INVALID_REQUEST", `Cannot read the body: ${faults}`),
+  );
 }
 
 function parseJson(text: string): Result<unknown, RequestAnswer> {
--- a/packages/entry/src/filters/identify_customer.ts
+++ b/packages/entry/src/filters/identify_customer.ts
@@ -23,7 +23,14 @@
   return next();
 };
 
-function hasCredential(
+/**
+ * Tells whether a credential is the one whose hash is configured.
+ *
+ * @param authorization Value of the Authorization header.
+ * @param expectedSha256 The hash in hexadecimal.
+ * @returns Whether it is right, in time that tells nothing of the hash.
+ */
+export function hasCredential(
   authorization: string | undefined,
   expectedSha256: string,
 ): boolean {
--- a/packages/entry/src/filters/join_duplicate.ts
+++ b/packages/entry/src/filters/join_duplicate.ts
@@ -6,7 +6,11 @@
 import { match } from "ts-pattern";
 import { createRefusal, type RequestAnswer } from "../answer.ts";
 import type { Filter, RequestContext } from "../context.ts";
-import { type KeyRegistry, type KeyRelation, waitAtMost } from "../key_registry.ts";
+import {
+  type KeyRegistry,
+  type KeyRelation,
+  waitAtMost,
+} from "../key_registry.ts";
 
 /** A repeat may come back soon: what it waits for is under way. */
 const RETRY_AFTER_MS = 1_000;
@@ -42,7 +46,10 @@
 ): Promise<RequestAnswer> | RequestAnswer {
   return match(relation)
     .with({ kind: "reused" }, () => refuseReuse(context))
-    .with({ kind: "completed" }, ({ answer }) => ({ ...answer, isReplayed: true }))
+    .with(
+      { kind: "completed" },
+      ({ answer }) => ({ ...answer, isReplayed: true }),
+    )
     .with({ kind: "unknown" }, () => refuseUnknown(context))
     .with(
       { kind: "running" },
--- a/packages/entry/src/filters/match_key.ts
+++ b/packages/entry/src/filters/match_key.ts
@@ -21,7 +21,8 @@
   if (key === undefined) {
     if (!context.isSingle) return await next();
     const name = context.pipeline.pipelineId;
-    const message = `Cannot run "${name}" without Idempotency-Key: it may not be repeated`;
+    const message =
+      `Cannot run "${name}" without Idempotency-Key: it may not be repeated`;
     return createRefusal("KEY_REQUIRED", message);
   }
   const fault = checkKey(key, context.isSingle);
@@ -44,5 +45,7 @@
 }
 
 function hashRequest(pipeline: string, bodyText: string): string {
-  return createHash("sha256").update(`${pipeline}\n${bodyText}`).digest("base64url");
+  return createHash("sha256").update(`${pipeline}\n${bodyText}`).digest(
+    "base64url",
+  );
 }
--- a/packages/entry/src/filters/read_deadline.ts
+++ b/packages/entry/src/filters/read_deadline.ts
@@ -22,7 +22,10 @@
     ? context.pipeline.defaultDeadlineMs
     : Number(text);
   if (wanted <= 0) {
-    return createRefusal("DEADLINE_PASSED", `The deadline of ${wanted} ms has passed`);
+    return createRefusal(
+      "DEADLINE_PASSED",
+      `The deadline of ${wanted} ms has passed`,
+    );
   }
   const inMs = Math.min(wanted, MAX_DEADLINE_MS);
   context.deadlineAt = context.incoming.arrivedAt + inMs;
--- a/packages/entry/src/holder_lookup.ts
+++ b/packages/entry/src/holder_lookup.ts
@@ -7,7 +7,11 @@
 import type * as rpc from "@sardinestep/rpc";
 import type { InstanceId, MemberFacts, StageResult } from "@sardinestep/types";
 import { match } from "ts-pattern";
-import { createCompletion, createRefusal, type RequestAnswer } from "./answer.ts";
+import {
+  createCompletion,
+  createRefusal,
+  type RequestAnswer,
+} from "./answer.ts";
 import type { RequestContext } from "./context.ts";
 import { refuseReuse } from "./filters/join_duplicate.ts";
 
--- a/packages/entry/src/http_routes.ts
+++ b/packages/entry/src/http_routes.ts
@@ -178,9 +178,7 @@
   http: HttpContext,
   options: HttpRoutesOptions,
 ): Response {
-  return options.isReady()
-    ? http.text("ready")
-    : http.text("not ready", 503);
+  return options.isReady() ? http.text("ready") : http.text("not ready", 503);
 }
 
 function refuseBody(fault: BodyFault, limits: BodyLimits): RequestAnswer {
@@ -215,4 +213,3 @@
   const status = answer.status as ContentfulStatusCode;
   return http.json(answer.body, status, headers);
 }
-
--- a/packages/entry/src/key_registry.ts
+++ b/packages/entry/src/key_registry.ts
@@ -6,7 +6,11 @@
 import type * as claims from "@sardinestep/claims";
 import type * as rpc from "@sardinestep/rpc";
 import { LRUCache } from "lru-cache";
-import { type CompletedAnswer, createCompletion, type RequestAnswer } from "./answer.ts";
+import {
+  type CompletedAnswer,
+  createCompletion,
+  type RequestAnswer,
+} from "./answer.ts";
 
 /** Bounds of the registry. */
 export interface KeyRegistryOptions {
@@ -63,7 +67,10 @@
     fingerprint: string,
     answer: Promise<RequestAnswer>,
   ): void {
-    const record: KeyRecord = { fingerprint, state: { kind: "running", answer } };
+    const record: KeyRecord = {
+      fingerprint,
+      state: { kind: "running", answer },
+    };
     const name = formatKey(keyId);
     this.#keys.set(name, record);
     void answer.then((final) => this.#settle(name, record, final));
@@ -125,7 +132,7 @@
 ): Promise<T | undefined> {
   let timer: NodeJS.Timeout | undefined;
   const bound = new Promise<undefined>((resolve) => {
-    timer = setTimeout(resolve, Math.max(0, boundMs));
+    timer = setTimeout(() => resolve(undefined), Math.max(0, boundMs));
   });
   try {
     return await Promise.race([promise, bound]);
--- a/packages/entry/src/minted_keys.ts
+++ b/packages/entry/src/minted_keys.ts
@@ -6,9 +6,13 @@
 import * as claims from "@sardinestep/claims";
 import type * as rpc from "@sardinestep/rpc";
 import type { CustomerId, InstanceId, MemberFacts } from "@sardinestep/types";
-import { match } from "ts-pattern";
-import { createCompletion, createRefusal, type RequestAnswer } from "./answer.ts";
-import type { Claimant } from "./claimant.ts";
+import { match, P } from "ts-pattern";
+import {
+  createCompletion,
+  createRefusal,
+  type RequestAnswer,
+} from "./answer.ts";
+import { Claimant } from "./claimant.ts";
 import type { RequestContext } from "./context.ts";
 import { runAsHolder } from "./filters/claim_key.ts";
 import { refuseReuse } from "./filters/join_duplicate.ts";
@@ -28,10 +32,9 @@
   readonly instance: InstanceId;
   readonly peers: rpc.Peers;
   readonly findMember: (instance: InstanceId) => MemberFacts | undefined;
-  readonly openClaimant: (
-    context: RequestContext,
-    attempt: number,
-  ) => Claimant;
+  /** Hands an outcome to the log, when it allows. */
+  readonly recordLater: (record: claims.ClaimRecord) => void;
+  readonly createClaimId: () => claims.ClaimId;
   /** What the log says of a key, if it can be asked. */
   readonly lookUpKey: (
     keyId: claims.KeyId,
@@ -99,7 +102,10 @@
     const now = this.#options.readNow();
     const begin = this.#options.mint.begin(keyId, { now, fingerprint });
     return await match(begin)
-      .with({ kind: "run" }, ({ attempt }) => this.#runOnce(context, attempt, next))
+      .with(
+        { kind: "run" },
+        ({ attempt }) => this.#runOnce(context, attempt, next),
+      )
       .with({ kind: "running" }, () => refuseRunning())
       .with({ kind: "answer" }, ({ status }) => answerStatus(context, status))
       .with({ kind: "expired" }, () => refuseExpired(context))
@@ -115,12 +121,29 @@
     attempt: number,
     next: () => Promise<RequestAnswer>,
   ): Promise<RequestAnswer> {
-    const claimant = this.#options.openClaimant(context, attempt);
+    const claimant = this.#openClaimant(context, attempt);
     // The mint has let this one attempt through: it holds the key.
     claimant.applyVerdict({ kind: "won" });
     return await runAsHolder(context, claimant, next);
   }
 
+  #openClaimant(context: RequestContext, attempt: number): Claimant {
+    const { keyId, fingerprint, deadlineAt } = context;
+    if (!keyId) throw new Error("Cannot run a minted key without its name");
+    const id = this.#options.createClaimId();
+    return new Claimant({
+      facts: { id, keyId, fingerprint, deadlineAt },
+      // No claim was appended, so there is nothing to release.
+      recordLater: (record) => {
+        if (record.kind === "outcome") this.#options.recordLater(record);
+      },
+      onState: (state, answer) => {
+        const ending = buildEnding(state, answer);
+        if (ending) this.#options.mint.finish(keyId, { attempt, ending });
+      },
+    });
+  }
+
   async #forward(
     context: RequestContext,
     minter: MemberFacts,
@@ -181,6 +204,22 @@
   }
 }
 
+function buildEnding(
+  state: claims.AttemptState,
+  answer: unknown,
+): claims.MintedEnding | undefined {
+  return match(state)
+    .returnType<claims.MintedEnding | undefined>()
+    .with({ kind: "abandoned" }, () => ({ kind: "not_run" }))
+    .with(
+      { kind: "done", outcome: "completed" },
+      () => ({ kind: "completed", body: answer }),
+    )
+    .with({ kind: "done", outcome: "unknown" }, () => ({ kind: "unknown" }))
+    .with({ kind: P.union("claiming", "won", "dispatched") }, () => undefined)
+    .exhaustive();
+}
+
 function answerStatus(
   context: RequestContext,
   status: claims.MintedStatus,
@@ -238,6 +277,7 @@
 
 function refuseUnanswered(): RequestAnswer {
   const options = { attempt: "unknown", retryAfterMs: RETRY_AFTER_MS } as const;
-  const message = "The entry that minted the key took the request and fell silent";
+  const message =
+    "The entry that minted the key took the request and fell silent";
   return createRefusal("HELD_ELSEWHERE", message, options);
 }
--- a/packages/entry/src/mod.ts
+++ b/packages/entry/src/mod.ts
@@ -3,5 +3,4 @@
  *
  * @module
  */
-
-export {};
+export * from "./entry.ts";
--- /dev/null
+++ b/packages/entry/src/request_service.ts
@@ -0,0 +1,113 @@
+/**
+ * Takes a request through the filter chain to its one final answer.
+ *
+ * @module
+ */
+import type * as timeline from "@sardinestep/timeline";
+import { createRefusal, type RequestAnswer } from "./answer.ts";
+import {
+  type Filter,
+  type IncomingRequest,
+  type PartSink,
+  type RequestContext,
+  runChain,
+} from "./context.ts";
+import type { EntryMetrics } from "./entry_metrics.ts";
+import type { SiteState } from "./site_state.ts";
+
+/** An entry without configuration gets one within a gossip interval or two. */
+const NO_CONFIGURATION_RETRY_MS = 1_000;
+
+/** What the service works with. */
+export interface RequestServiceOptions {
+  readonly filters: readonly Filter[];
+  readonly getSite: () => SiteState | undefined;
+  readonly readNow: () => number;
+  readonly metrics: EntryMetrics;
+  readonly timeline: timeline.Timeline;
+}
+
+/** Serves requests. */
+export class RequestService {
+  readonly #options: RequestServiceOptions;
+  #running = 0;
+
+  constructor(options: RequestServiceOptions) {
+    this.#options = options;
+  }
+
+  /** Requests that have no answer yet. */
+  get running(): number {
+    return this.#running;
+  }
+
+  /** Serves one request to its final answer. */
+  async serve(
+    incoming: IncomingRequest,
+    callerGone: AbortSignal,
+    sink?: PartSink,
+  ): Promise<RequestAnswer> {
+    const site = this.#options.getSite();
+    if (!site) return refuseWithoutConfiguration();
+    const context = createContext(incoming, site, { callerGone, sink });
+    this.#running += 1;
+    try {
+      const answer = await runChain(this.#options.filters, context);
+      this.#record(context, answer);
+      return answer;
+    } finally {
+      this.#running -= 1;
+    }
+  }
+
+  #record(context: RequestContext, answer: RequestAnswer): void {
+    const { metrics, timeline, readNow } = this.#options;
+    metrics.recordAnswer(context, answer, readNow());
+    const { requestId, pipeline } = context.incoming;
+    const name = answer.kind === "completed"
+      ? "request_completed"
+      : "request_refused";
+    timeline.record(name, {
+      requestId,
+      customer: context.customer,
+      ...(context.keyId && { key: context.keyId.key }),
+    }, buildDetail(pipeline, answer));
+  }
+}
+
+function buildDetail(
+  pipeline: string,
+  answer: RequestAnswer,
+): timeline.TimelineEvent["detail"] {
+  if (answer.kind === "completed") {
+    return { pipeline, replayed: answer.isReplayed };
+  }
+  const { code, outcome } = answer.failure;
+  return { pipeline, code, outcome };
+}
+
+function createContext(
+  incoming: IncomingRequest,
+  site: SiteState,
+  options: Pick<RequestContext, "callerGone" | "sink">,
+): RequestContext {
+  // The filters set these before anyone reads them.
+  const unset = {} as Pick<RequestContext, "pipeline" | "body">;
+  return {
+    ...unset,
+    incoming,
+    site,
+    ...options,
+    customer: "",
+    deadlineAt: incoming.arrivedAt,
+    fingerprint: "",
+    isSingle: false,
+    priorResults: [],
+  };
+}
+
+function refuseWithoutConfiguration(): RequestAnswer {
+  const message = "This entry has no configuration yet";
+  const options = { retryAfterMs: NO_CONFIGURATION_RETRY_MS };
+  return createRefusal("NO_CONFIGURATION", message, options);
+}
--- /dev/null
+++ b/packages/entry/src/site_state.ts
@@ -0,0 +1,242 @@
+/**
+ * What an entry knows of its site, members and endpoints, and what of that the
+ * decisions are told.
+ *
+ * @module
+ */
+import type * as configuration from "@sardinestep/configuration";
+import type * as decisions from "@sardinestep/decisions";
+import * as membership from "@sardinestep/membership";
+import type * as rpc from "@sardinestep/rpc";
+import * as settings from "@sardinestep/settings";
+import {
+  type CustomerId,
+  ENDPOINT_STATE,
+  type EndpointFacts,
+  type EndpointId,
+  type InstanceId,
+  type MemberFacts,
+  type PipelineId,
+  type PipelineSpec,
+} from "@sardinestep/types";
+
+/** What is in force at this site, as requests see it. */
+export interface SiteState {
+  readonly version: number;
+  readonly pipelines: ReadonlyMap<PipelineId, PipelineSpec>;
+  readonly customers: ReadonlyMap<CustomerId, settings.SiteCustomer>;
+}
+
+/** What the controller works with. */
+export interface SiteControllerOptions {
+  readonly vmId: string;
+  readonly site: string;
+  readonly guard: membership.WarmupGuard;
+  readonly readNow: () => number;
+  readonly drawRandom: () => number;
+  /** Tells the decisions. */
+  readonly apply: (event: decisions.DecisionEvent) => void;
+  /** Told when another configuration is in force here. */
+  readonly onConfiguration: (version: number) => void;
+  /** Tells control what was seen of an endpoint. */
+  readonly reportEndpoint: (news: membership.EndpointNews) => void;
+}
+
+/** Takes in news from control and hands on what the decisions need. */
+export class SiteController {
+  readonly #options: SiteControllerOptions;
+  readonly #endpoints = new Map<EndpointId, EndpointFacts>();
+  readonly #slices = new Map<EndpointId, number>();
+  #site: SiteState | undefined;
+  #members: readonly MemberFacts[] = [];
+  #customers: readonly settings.SiteCustomer[] = [];
+
+  constructor(options: SiteControllerOptions) {
+    this.#options = options;
+  }
+
+  /** What is in force; undefined before the first configuration. */
+  get site(): SiteState | undefined {
+    return this.#site;
+  }
+
+  /** All known VMs. */
+  get members(): readonly MemberFacts[] {
+    return this.#members;
+  }
+
+  /** Finds an endpoint. */
+  findEndpoint(endpointId: EndpointId): EndpointFacts | undefined {
+    return this.#endpoints.get(endpointId);
+  }
+
+  /** Finds the VM whose entry is a certain run. */
+  findMember(instance: InstanceId): MemberFacts | undefined {
+    return this.#members.find((member) => member.entryInstance === instance);
+  }
+
+  /** Takes in news. */
+  applyNews(news: rpc.Notifications["news"]): void {
+    if (news.configuration) this.#applyConfiguration(news.configuration);
+    if (news.members) this.#applyMembers(news.members);
+    for (const facts of news.endpoints ?? []) this.#applyEndpoint(facts);
+    const now = this.#options.readNow();
+    for (const report of news.loads ?? []) {
+      this.#options.apply({ kind: "load_reported", now, report });
+    }
+  }
+
+  /** Takes over a view of the members that control has just confirmed. */
+  confirmView(view: membership.MemberView): void {
+    this.#members = view.members;
+    this.#options.guard.applyView(view, this.#options.readNow());
+  }
+
+  /** Drops the proof of the view, after this process was paused. */
+  handlePause(): void {
+    this.#options.guard.handlePause();
+    this.refreshSlices();
+  }
+
+  /** Tells the decisions of slices that time or a confirmation has changed. */
+  refreshSlices(): void {
+    for (const facts of this.#endpoints.values()) this.#tellEndpoint(facts);
+  }
+
+  /** Whether one more call may go to an endpoint that has `running` calls. */
+  mayCall(endpointId: EndpointId, running: number): boolean {
+    const facts = this.#endpoints.get(endpointId);
+    if (!facts) return false;
+    return running < this.#getSlice(facts);
+  }
+
+  /** An endpoint answered: counts towards its warm-up. */
+  recordAnswer(endpointId: EndpointId, instance: InstanceId): void {
+    const facts = this.#endpoints.get(endpointId);
+    if (!facts) return;
+    const isOtherRun = facts.instance !== "" && facts.instance !== instance;
+    if (isOtherRun) {
+      return this.#applySeen({ endpointId, instance, news: "cold" });
+    }
+    const isProved = this.#options.guard.recordFinished(endpointId, instance);
+    if (isProved) this.#applySeen({ endpointId, instance, news: "warm" });
+  }
+
+  /** A call to an endpoint gave no answer. */
+  recordFailure(endpointId: EndpointId): void {
+    this.#options.guard.recordFailed(endpointId);
+  }
+
+  /**
+   * All connections to an address broke, or none can be made.
+   *
+   * Guards against an endpoint that restarted unannounced: it is cold, and
+   * every entry would go on sending as to a warm one. Its restart breaks the
+   * connections, so nothing more goes there until it was heard from anew.
+   */
+  recordDisconnect(address: string): void {
+    for (const facts of this.#endpoints.values()) {
+      const isIt = facts.address === address &&
+        facts.state !== ENDPOINT_STATE.gone;
+      if (!isIt) continue;
+      const { endpointId, instance } = facts;
+      this.#applySeen({ endpointId, instance, news: "silent" });
+    }
+  }
+
+  #applySeen(news: membership.EndpointNews): void {
+    const facts = this.#endpoints.get(news.endpointId);
+    if (!facts || news.news === "answered") return;
+    const { instance } = news;
+    this.#applyEndpoint({ ...facts, instance, state: news.news });
+    this.#options.reportEndpoint(news);
+  }
+
+  #applyConfiguration(versioned: configuration.VersionedConfiguration): void {
+    // Versions only grow: an older one comes from a control that lags.
+    if (versioned.version <= (this.#site?.version ?? 0)) return;
+    const parsed = settings.parseConfiguration(versioned.configuration);
+    if (parsed.isErr()) return;
+    const resolved = settings.resolveSite(parsed.value, this.#options.site);
+    if (resolved.isErr()) return;
+    const { pipelines, customers, zonesOut } = resolved.value;
+    const { version } = versioned;
+    this.#site = { version, pipelines, customers };
+    this.#customers = [...customers.values()];
+    this.#options.apply({
+      kind: "zones_changed",
+      now: this.#options.readNow(),
+      random: this.#options.drawRandom(),
+      zonesOut,
+    });
+    this.#tellCustomers();
+    this.#options.onConfiguration(version);
+  }
+
+  #applyMembers(members: readonly MemberFacts[]): void {
+    const before = countLive(this.#members);
+    this.#members = members;
+    const now = this.#options.readNow();
+    this.#options.guard.applyView({ members, viewAt: undefined }, now);
+    if (countLive(members) !== before) this.#tellCustomers();
+  }
+
+  /**
+   * Gives each entry an equal part of a customer's limit, rounded up, since the
+   * platform's balancer spreads callers evenly over entries.
+   */
+  #tellCustomers(): void {
+    const entries = Math.max(1, countLive(this.#members));
+    const customers = this.#customers.map((customer) => ({
+      ...customer,
+      maxConcurrency: Math.ceil(customer.maxConcurrency / entries),
+    }));
+    const now = this.#options.readNow();
+    this.#options.apply({ kind: "customers_changed", now, customers });
+  }
+
+  #applyEndpoint(facts: EndpointFacts): void {
+    const now = this.#options.readNow();
+    const { endpointId } = facts;
+    if (facts.state === ENDPOINT_STATE.gone) {
+      this.#endpoints.delete(endpointId);
+      this.#slices.delete(endpointId);
+      this.#options.guard.removeEndpoint(endpointId);
+      this.#options.apply({ kind: "endpoint_removed", now, endpointId });
+      return;
+    }
+    this.#endpoints.set(endpointId, facts);
+    this.#options.guard.applyEndpoint(facts, now);
+    this.#slices.delete(endpointId);
+    this.#tellEndpoint(facts);
+  }
+
+  #tellEndpoint(endpoint: EndpointFacts): void {
+    const slice = this.#getSlice(endpoint);
+    if (this.#slices.get(endpoint.endpointId) === slice) return;
+    this.#slices.set(endpoint.endpointId, slice);
+    this.#options.apply({
+      kind: "endpoint_changed",
+      now: this.#options.readNow(),
+      random: this.#options.drawRandom(),
+      endpoint,
+      slice,
+    });
+  }
+
+  /**
+   * Every entry may have one call at a warm endpoint even where its share is less
+   * than one: callers come to all entries, and a warm endpoint queues a few.
+   */
+  #getSlice(facts: EndpointFacts): number {
+    const slice = this.#options.guard.getSlice(
+      facts.endpointId,
+      this.#options.readNow(),
+    );
+    return facts.state === ENDPOINT_STATE.warm ? Math.max(1, slice) : slice;
+  }
+}
+
+function countLive(members: readonly MemberFacts[]): number {
+  return members.filter((member) => member.state === "live").length;
+}
--- a/packages/rpc/src/methods.ts
+++ b/packages/rpc/src/methods.ts
@@ -49,6 +49,12 @@
   readonly logReachable: boolean;
 }
 
+/** What control answers about its view of the members. */
+export interface ViewAnswer {
+  readonly isFresh: boolean;
+  readonly members: readonly MemberFacts[];
+}
+
 /** What became of a claim that an entry asked control to append. */
 export type ClaimVerdict =
   /** The claim is the first of its key: this entry alone may dispatch. */
@@ -159,6 +165,11 @@
     };
     result: Record<never, never>;
   };
+  /**
+   * Control, from entries: the members, and whether control's view of them is
+   * fresh. The answer proves it as of the moment the call was sent.
+   */
+  readView: { params: Record<never, never>; result: ViewAnswer };
   /** Control, from control: gossip. */
   gossip: { params: GossipMessage; result: GossipReply };
 
--- a/packages/settings/src/settings_schema.ts
+++ b/packages/settings/src/settings_schema.ts
@@ -40,6 +40,14 @@
   controls: z.array(ADDRESS).min(1),
   maxBodyBytes: z.int().min(1).default(1_048_576),
   bodyTimeoutMs: z.int().min(1).default(5_000),
+  /** How long this entry still serves after its readiness has gone. */
+  leaveNoticeMs: z.int().min(0).default(2_000),
+  /** How long a minted key may be used. */
+  mintedKeyTtlMs: z.int().min(1).default(600_000),
+  /** How much older one VM's list may be than another's; part of the quarantine. */
+  listLagMs: z.int().min(0).default(3_000),
+  /** The longest that a call to a cold endpoint may run; part of the quarantine. */
+  longestCallMs: z.int().min(1).default(10_000),
   /** How long answers and stage results are kept for callers who repeat. */
   keepResultsMs: z.int().min(0).default(120_000),
   maxKeptResults: z.int().min(1).default(20_000),
