A request from caller through separate processes to endpoints and back

Cause: the parts stood apart; nothing ran as a whole. Found on the way: an unknown own address crashed an entry (now not_sent), an unhandled fault must not end a daemon.

--- a/packages/codes/src/table.ts
+++ b/packages/codes/src/table.ts
@@ -219,6 +219,13 @@
     true,
     "The service refused the call before running it",
   ),
+  INTERNAL: row(
+    4005,
+    500,
+    UNKNOWN,
+    true,
+    "A fault of the system itself; the log has a line",
+  ),
 
   CONFIG_INVALID: row(
     5001,
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -243,9 +243,9 @@
     connection: rpc.Connection,
   ): rpc.ControlState {
     this.#feed.add(connection, identity);
+    this.#membership.applyEntry(identity);
     const isOwn = identity.vmId === this.#identity.vmId;
     if (isOwn) this.#membership.setOwnEntry(identity.instance);
-    else this.#membership.applyEntry(identity);
     this.#membership.spreadNow();
     return {
       configuration: this.#configuration.current,
--- a/packages/control/src/membership_controller.ts
+++ b/packages/control/src/membership_controller.ts
@@ -9,10 +9,6 @@
 import type * as rpc from "@sardinestep/rpc";
 import type { Address, InstanceId, MemberFacts } from "@sardinestep/types";
 
-/** A VM that nobody heard from for so long counts as silent. */
-export const SILENT_AFTER_MS = 3_000;
-/** How long an answered call proves that the other VM hears this one. */
-export const VIEW_FRESH_MS = 1_500;
 /** A view that rests on an older list is not fresh. */
 const LIST_FRESH_MS = 30_000;
 const VM_LIST_TIMEOUT_MS = 2_000;
@@ -53,7 +49,7 @@
   readonly #options: MembershipControllerOptions;
   readonly #table: membership.MemberTable;
   readonly #pauses = new membership.PauseDetector({
-    maxGapMs: VIEW_FRESH_MS,
+    maxGapMs: membership.VIEW_FRESH_MS,
   });
   readonly #timers: NodeJS.Timeout[] = [];
   #isListReachable = true;
@@ -62,8 +58,8 @@
     this.#options = options;
     this.#table = new membership.MemberTable({
       self: options.self,
-      silentAfterMs: SILENT_AFTER_MS,
-      viewFreshMs: VIEW_FRESH_MS,
+      silentAfterMs: membership.SILENT_AFTER_MS,
+      viewFreshMs: membership.VIEW_FRESH_MS,
       listFreshMs: LIST_FRESH_MS,
     });
   }
@@ -107,7 +103,7 @@
     this.#table.setOwnEntry(instance, performance.now());
   }
 
-  /** Notes an entry of another VM, whose own control is gone. */
+  /** Notes an entry that is connected, of this VM or of one whose control is gone. */
   applyEntry(identity: rpc.Identity): void {
     this.#table.applyHeard(identity, performance.now());
   }
--- a/packages/daemon/src/run_daemon.ts
+++ b/packages/daemon/src/run_daemon.ts
@@ -74,6 +74,10 @@
     }
     process.exit(DAEMON_EXIT.badSettings);
   }
+  // A fault in work that nobody waits for must not cut off all requests.
+  process.on("unhandledRejection", (error) => {
+    console.error(`Unhandled fault in ${options.name}:`, error);
+  });
   const daemon = options.open(loaded.value);
   stopOnSignal(daemon);
   try {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -37,10 +37,6 @@
 /** Pace of proofs that the view of the members is fresh. */
 const VIEW_INTERVAL_MS = 200;
 const VIEW_TIMEOUT_MS = 500;
-/** A view that was not confirmed for so long may not be acted on. */
-const VIEW_FRESH_MS = 1_500;
-/** Must be the controls' own limit for silent VMs; part of the quarantine. */
-const SILENT_AFTER_MS = 3_000;
 /** A gap in the tick as long as this is a pause of the process. */
 const PAUSE_GAP_MS = 1_000;
 /** Begun minted keys that are remembered for each customer. */
@@ -196,8 +192,8 @@
     const quarantineMs = membership.buildQuarantineMs({
       listLagMs,
       longestCallMs,
-      silentAfterMs: SILENT_AFTER_MS,
-      viewFreshMs: VIEW_FRESH_MS,
+      silentAfterMs: membership.SILENT_AFTER_MS,
+      viewFreshMs: membership.VIEW_FRESH_MS,
     });
     return new SiteController({
       vmId,
@@ -205,7 +201,7 @@
       guard: new membership.WarmupGuard({
         vmId,
         quarantineMs,
-        viewFreshMs: VIEW_FRESH_MS,
+        viewFreshMs: membership.VIEW_FRESH_MS,
       }),
       readNow: readMonotonic,
       drawRandom: Math.random,
@@ -289,6 +285,7 @@
       getSite: () => this.#site.site,
       readNow: readMonotonic,
       metrics: this.#metrics,
+      logger: this.#logger,
       timeline: this.#timeline,
     });
   }
--- a/packages/entry/src/request_service.ts
+++ b/packages/entry/src/request_service.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type * as logger from "@sardinestep/logger";
 import type * as timeline from "@sardinestep/timeline";
 import { createRefusal, type RequestAnswer } from "./answer.ts";
 import {
@@ -17,6 +18,7 @@
 
 /** An entry without configuration gets one within a gossip interval or two. */
 const NO_CONFIGURATION_RETRY_MS = 1_000;
+const INTERNAL_RETRY_MS = 1_000;
 
 /** What the service works with. */
 export interface RequestServiceOptions {
@@ -24,6 +26,7 @@
   readonly getSite: () => SiteState | undefined;
   readonly readNow: () => number;
   readonly metrics: EntryMetrics;
+  readonly logger: logger.Logger;
   readonly timeline: timeline.Timeline;
 }
 
@@ -55,11 +58,25 @@
       const answer = await runChain(this.#options.filters, context);
       this.#record(context, answer);
       return answer;
+    } catch (error) {
+      return this.#refuseFault(incoming, error);
     } finally {
       this.#running -= 1;
     }
   }
 
+  /** A fault in one request must not take the process and others with it. */
+  #refuseFault(incoming: IncomingRequest, error: unknown): RequestAnswer {
+    const cause = error instanceof Error ? error.stack ?? error.message : error;
+    const { requestId } = incoming;
+    const message = `Cannot serve request "${requestId}"`;
+    this.#options.logger.fault("internal", message, { cause: String(cause) });
+    this.#options.metrics.countEarlyRefusal("INTERNAL");
+    return createRefusal("INTERNAL", message, {
+      retryAfterMs: INTERNAL_RETRY_MS,
+    });
+  }
+
   #record(context: RequestContext, answer: RequestAnswer): void {
     const { metrics, timeline, readNow } = this.#options;
     metrics.recordAnswer(context, answer, readNow());
--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./limits.ts";
 export * from "./rendezvous.ts";
 export * from "./pause_detector.ts";
 export { type MemberPlace, NEVER_HEARD } from "./member_row.ts";
--- a/packages/rpc/src/client.ts
+++ b/packages/rpc/src/client.ts
@@ -39,6 +39,8 @@
   address: Address,
   options: OpenOptions = {},
 ): Promise<Result<Connection, RpcError>> {
+  // A VM whose address is not known yet can't be called; nothing was sent.
+  if (address === "") return Err({ kind: "not_sent", message: "No address" });
   const socket = connect(parseAddress(address));
   const timeoutMs = options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
   const failure = await waitForConnect(socket, timeoutMs);
--- a/packages/settings/src/settings_schema.ts
+++ b/packages/settings/src/settings_schema.ts
@@ -71,8 +71,8 @@
   logRetentionMs: z.int().min(1).default(3_600_000),
   /** How old a key may be; must stay well below the log's retention. */
   keyWindowMs: z.int().min(1).default(900_000),
-  gossipIntervalMs: z.int().min(10).default(500),
-  loadIntervalMs: z.int().min(10).default(200),
+  gossipIntervalMs: z.int().min(10).default(300),
+  loadIntervalMs: z.int().min(10).default(500),
   vmListIntervalMs: z.int().min(10).default(1_000),
   timelineEvents: z.int().min(1).default(20_000),
 });
--- /dev/null
+++ b/packages/testing/src/deployment.ts
@@ -0,0 +1,310 @@
+/**
+ * A whole deployment on loopback: stand-ins, and an entry and a control for
+ * each VM, all as processes of their own.
+ *
+ * @module
+ */
+import * as rpc from "@sardinestep/rpc";
+import type { EndpointRole, SiteId, VmId, ZoneId } from "@sardinestep/types";
+import { randomUUID } from "node:crypto";
+import {
+  type Bench,
+  findFreePorts,
+  type Program,
+  stopProgram,
+  waitForOutput,
+} from "./program.ts";
+import { waitFor } from "./wait.ts";
+
+/** A VM of the system. */
+export interface PlannedVm {
+  readonly vmId: VmId;
+  readonly zone: ZoneId;
+  readonly site: SiteId;
+}
+
+/** A worker, played by a stand-in. */
+export interface PlannedWorker {
+  readonly endpointId: string;
+  readonly service: string;
+  readonly role: EndpointRole;
+  readonly zone: ZoneId;
+  readonly coldConcurrency: number;
+  readonly warmConcurrency: number;
+  /** Further settings of the stand-in, such as `serviceMs`. */
+  readonly [setting: string]: unknown;
+}
+
+/** What a deployment consists of. */
+export interface DeploymentPlan {
+  readonly vms: readonly PlannedVm[];
+  readonly workers: readonly PlannedWorker[];
+  /** Published once the controls answer. */
+  readonly configuration: unknown;
+  readonly entrySettings?: Readonly<Record<string, unknown>>;
+  readonly controlSettings?: Readonly<Record<string, unknown>>;
+  readonly logSettings?: Readonly<Record<string, unknown>>;
+  readonly vmListLagMs?: number;
+}
+
+/** A VM with its two processes. */
+export interface RunningVm extends PlannedVm {
+  readonly url: string;
+  readonly entryRpc: string;
+  readonly controlRpc: string;
+  entry: Program;
+  control: Program;
+}
+
+const LOOPBACK = "127.0.0.1";
+const PORTS_A_VM = 3;
+const PORTS_OF_PLATFORM = 3;
+const READY_BOUND_MS = 30_000;
+const ADMIN_TIMEOUT_MS = 5_000;
+
+/** A running deployment. */
+export class Deployment {
+  readonly #bench: Bench;
+  readonly #plan: DeploymentPlan;
+  readonly vms: RunningVm[] = [];
+  readonly logUrl: string;
+  readonly vmListUrl: string;
+  readonly storeUrl: string;
+  /** Address of each worker. */
+  readonly workerAddresses: ReadonlyMap<string, string>;
+  fakes: Program | undefined;
+
+  private constructor(
+    bench: Bench,
+    plan: DeploymentPlan,
+    ports: readonly number[],
+  ) {
+    this.#bench = bench;
+    this.#plan = plan;
+    const addresses = ports.map((port) => `${LOOPBACK}:${port}`);
+    const take = () => addresses.shift() ?? "";
+    this.logUrl = `http://${take()}`;
+    this.vmListUrl = `http://${take()}`;
+    this.storeUrl = `http://${take()}`;
+    this.workerAddresses = new Map(
+      plan.workers.map((worker) => [worker.endpointId, take()]),
+    );
+    const placed = plan.vms.map((vm) => ({
+      ...vm,
+      url: `http://${take()}`,
+      entryRpc: take(),
+      controlRpc: take(),
+    }));
+    this.fakes = this.#startFakes(placed);
+    for (const vm of placed) {
+      const control = this.#startControl(vm, placed);
+      const entry = this.#startEntry(vm, placed);
+      this.vms.push({ ...vm, control, entry });
+    }
+  }
+
+  /**
+   * Starts everything and waits until each entry serves.
+   *
+   * @param bench Starts and later ends the processes.
+   * @param plan What the deployment consists of.
+   * @returns The running deployment.
+   */
+  static async start(
+    bench: Bench,
+    plan: DeploymentPlan,
+  ): Promise<Deployment> {
+    const count = PORTS_OF_PLATFORM + plan.workers.length +
+      plan.vms.length * PORTS_A_VM;
+    const deployment = new Deployment(bench, plan, await findFreePorts(count));
+    await deployment.#waitForControls();
+    const verdict = await deployment.publish(plan.configuration, 0);
+    if (verdict.kind !== "accepted") {
+      throw new Error(`Cannot publish: ${JSON.stringify(verdict)}`);
+    }
+    await deployment.waitUntilReady();
+    return deployment;
+  }
+
+  /** Publishes a configuration through the first control that answers. */
+  async publish(
+    configuration: unknown,
+    base: number,
+    recordId: string = randomUUID(),
+  ): Promise<rpc.PublishVerdict> {
+    const record = {
+      kind: "publish",
+      recordId,
+      base,
+      author: "deployment",
+      note: "",
+      configuration,
+    } as const;
+    for (const vm of this.vms) {
+      const limit = { timeoutMs: READY_BOUND_MS };
+      const answer = await rpc.callOnce(
+        vm.controlRpc,
+        "publish",
+        record,
+        limit,
+      );
+      if (answer.isOk()) return answer.value;
+    }
+    return { kind: "unknown" };
+  }
+
+  /** Waits until each running entry says that it is ready. */
+  async waitUntilReady(): Promise<void> {
+    await Promise.all(this.vms.map((vm) => this.waitForEntry(vm)));
+  }
+
+  /** Waits until one entry serves and sees all warm endpoints. */
+  async waitForEntry(vm: RunningVm): Promise<void> {
+    await waitFor(async () => {
+      const answer = await fetch(`${vm.url}/readyz`);
+      await answer.text();
+      return answer.ok;
+    }, {
+      what: `entry of "${vm.vmId}", which printed: ${vm.entry.output()}`,
+      boundMs: READY_BOUND_MS,
+    });
+  }
+
+  /** Sends a signal to a VM's processes and waits for their end. */
+  async stopVm(vm: RunningVm, signal: NodeJS.Signals): Promise<void> {
+    await Promise.all([
+      stopProgram(vm.entry, signal),
+      stopProgram(vm.control, signal),
+    ]);
+  }
+
+  /** Starts the two processes of a VM again, at the same addresses. */
+  restartVm(vm: RunningVm): void {
+    vm.control = this.#startControl(vm, this.vms);
+    vm.entry = this.#startEntry(vm, this.vms);
+  }
+
+  /** Starts a VM's entry again. */
+  restartEntry(vm: RunningVm): void {
+    vm.entry = this.#startEntry(vm, this.vms);
+  }
+
+  /** Calls an admin path of a stand-in; see docs/PROTOCOLS.md. */
+  async callAdmin(
+    baseUrl: string,
+    path: string,
+    body?: unknown,
+  ): Promise<unknown> {
+    const answer = await fetch(`${baseUrl}/admin/${path}`, {
+      method: body === undefined ? "GET" : "POST",
+      body: body === undefined ? undefined : JSON.stringify(body),
+      headers: { "content-type": "application/json" },
+      signal: AbortSignal.timeout(ADMIN_TIMEOUT_MS),
+    });
+    const text = await answer.text();
+    if (!answer.ok) throw new Error(`Cannot call "${path}": ${text}`);
+    return text === "" ? undefined : JSON.parse(text);
+  }
+
+  /** Sets faults of a worker's stand-in. */
+  async setWorkerFaults(endpointId: string, faults: unknown): Promise<void> {
+    const address = this.workerAddresses.get(endpointId);
+    await this.callAdmin(`http://${address}`, "faults", faults);
+  }
+
+  /** Reads an admin path of a worker's stand-in. */
+  async readWorker(endpointId: string, path: string): Promise<unknown> {
+    const address = this.workerAddresses.get(endpointId);
+    return await this.callAdmin(`http://${address}`, path);
+  }
+
+  async #waitForControls(): Promise<void> {
+    await Promise.all(
+      this.vms.map((vm) =>
+        waitForOutput(vm.control, "ready", { boundMs: READY_BOUND_MS })
+      ),
+    );
+  }
+
+  #startFakes(vms: readonly Omit<RunningVm, "entry" | "control">[]): Program {
+    const { workers, logSettings, vmListLagMs } = this.#plan;
+    const settings = {
+      logs: [{ listen: stripScheme(this.logUrl), ...logSettings }],
+      vmLists: [{
+        listen: stripScheme(this.vmListUrl),
+        lagMs: vmListLagMs ?? 0,
+        vms: vms.map((vm) => ({
+          vmId: vm.vmId,
+          zone: vm.zone,
+          site: vm.site,
+          entryRpc: vm.entryRpc,
+          controlRpc: vm.controlRpc,
+          state: "live",
+        })),
+        endpoints: workers.map((worker) => ({
+          endpointId: worker.endpointId,
+          service: worker.service,
+          role: worker.role,
+          zone: worker.zone,
+          address: this.workerAddresses.get(worker.endpointId),
+          coldConcurrency: worker.coldConcurrency,
+          warmConcurrency: worker.warmConcurrency,
+          state: "live",
+        })),
+      }],
+      stores: [{ listen: stripScheme(this.storeUrl) }],
+      endpoints: workers.map((worker) => ({
+        ...worker,
+        listen: this.workerAddresses.get(worker.endpointId),
+      })),
+    };
+    return this.#bench.start("sardinestep-fakes", { settings });
+  }
+
+  #startControl(vm: Place, all: readonly Place[]): Program {
+    const { vmId, zone, site, controlRpc } = vm;
+    const neighbours = all
+      .filter((other) => other.vmId !== vmId)
+      .map((other) => other.controlRpc);
+    const settings = {
+      vmId,
+      zone,
+      site,
+      listenRpc: controlRpc,
+      logUrl: this.logUrl,
+      vmListUrl: this.vmListUrl,
+      neighbours,
+      ...this.#plan.controlSettings,
+    };
+    return this.#bench.start("sardinestep-control", {
+      name: `control-${vmId}`,
+      settings,
+    });
+  }
+
+  #startEntry(vm: Place, all: readonly Place[]): Program {
+    const { vmId, zone, site, url, entryRpc, controlRpc } = vm;
+    const others = all
+      .filter((other) => other.vmId !== vmId)
+      .map((other) => other.controlRpc);
+    const settings = {
+      vmId,
+      zone,
+      site,
+      listenHttp: stripScheme(url),
+      listenRpc: entryRpc,
+      controls: [controlRpc, ...others],
+      ...this.#plan.entrySettings,
+    };
+    return this.#bench.start("sardinestep-entry", {
+      name: `entry-${vmId}`,
+      settings,
+    });
+  }
+}
+
+type Place = Omit<RunningVm, "entry" | "control">;
+
+function stripScheme(url: string): string {
+  return url.replace(/^http:\/\//, "");
+}
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -4,5 +4,6 @@
  * @module
  */
 export * from "./snapshot.ts";
+export * from "./deployment.ts";
 export * from "./program.ts";
 export * from "./wait.ts";
--- a/packages/testing/src/program.ts
+++ b/packages/testing/src/program.ts
@@ -121,11 +121,14 @@
   text: string,
   options: Partial<WaitOptions> = {},
 ): Promise<void> {
-  await waitFor(() => program.output().includes(text), {
+  const isDone = () => program.output().includes(text) || !isRunning(program);
+  await waitFor(isDone, {
     what:
       `"${text}" from "${program.name}", which printed: ${program.output()}`,
     ...options,
   });
+  if (program.output().includes(text)) return;
+  throw new Error(`"${program.name}" has ended: ${program.output()}`);
 }
 
 /**
