Demo: both deployments as processes, load with an entry killed, audit of promises

Cause: the whole path had to be shown by one command. Change: testbed package (processes, deployments, callers, audit), demo with a graceful stop at the end.

--- a/packages/demo/src/mod.ts
+++ b/packages/demo/src/mod.ts
@@ -1,7 +1,7 @@
 /**
- * The demo: all programs as processes on loopback, both deployments, one entry killed.
+ * The demo.
  *
  * @module
  */
-
-export {};
+export * from "./demo.ts";
+export * from "./example.ts";
--- a/packages/testing/src/deployment.ts
+++ b/packages/testbed/src/deployment.ts
@@ -56,9 +56,29 @@
   control: Program;
 }
 
+/** What a worker's stand-in counts; see the stand-in's own type. */
+export interface WorkerCounters {
+  readonly address: string;
+  readonly service: string;
+  readonly zone: ZoneId;
+  readonly calls: number;
+  readonly fellOver: number;
+  readonly maxConcurrentWhileCold: number;
+  readonly [counter: string]: unknown;
+}
+
+/** What ran under one key, in order. */
+export interface KeyRuns {
+  readonly count: number;
+  /** Operation of each run; empty for model stages. */
+  readonly operations: readonly string[];
+  /** Hash of the input of each run. */
+  readonly digests: readonly string[];
+}
+
 const LOOPBACK = "127.0.0.1";
 const PORTS_A_VM = 3;
-const PORTS_OF_PLATFORM = 3;
+const PORTS_OF_PLATFORM = 4;
 const READY_BOUND_MS = 30_000;
 const ADMIN_TIMEOUT_MS = 5_000;
 
@@ -70,6 +90,8 @@
   readonly logUrl: string;
   readonly vmListUrl: string;
   readonly storeUrl: string;
+  /** Reaches all stand-ins' admin paths, also during their outages. */
+  readonly adminUrl: string;
   /** Address of each worker. */
   readonly workerAddresses: ReadonlyMap<string, string>;
   fakes: Program | undefined;
@@ -83,18 +105,19 @@
     this.#plan = plan;
     const addresses = ports.map((port) => `${LOOPBACK}:${port}`);
     const take = () => addresses.shift() ?? "";
-    this.logUrl = `http://${take()}`;
-    this.vmListUrl = `http://${take()}`;
-    this.storeUrl = `http://${take()}`;
-    this.workerAddresses = new Map(
-      plan.workers.map((worker) => [worker.endpointId, take()]),
-    );
     const placed = plan.vms.map((vm) => ({
       ...vm,
       url: `http://${take()}`,
       entryRpc: take(),
       controlRpc: take(),
     }));
+    this.logUrl = `http://${take()}`;
+    this.vmListUrl = `http://${take()}`;
+    this.storeUrl = `http://${take()}`;
+    this.adminUrl = `http://${take()}`;
+    this.workerAddresses = new Map(
+      plan.workers.map((worker) => [worker.endpointId, take()]),
+    );
     this.fakes = this.#startFakes(placed);
     for (const vm of placed) {
       const control = this.#startControl(vm, placed);
@@ -108,15 +131,20 @@
    *
    * @param bench Starts and later ends the processes.
    * @param plan What the deployment consists of.
+   * @param options `firstPort`: fixed ports from there on, entries first.
    * @returns The running deployment.
    */
   static async start(
     bench: Bench,
     plan: DeploymentPlan,
+    options: { readonly firstPort?: number } = {},
   ): Promise<Deployment> {
     const count = PORTS_OF_PLATFORM + plan.workers.length +
       plan.vms.length * PORTS_A_VM;
-    const deployment = new Deployment(bench, plan, await findFreePorts(count));
+    const ports = options.firstPort === undefined
+      ? await findFreePorts(count)
+      : Array.from({ length: count }, (_, i) => options.firstPort! + i);
+    const deployment = new Deployment(bench, plan, ports);
     await deployment.#waitForControls();
     const verdict = await deployment.publish(plan.configuration, 0);
     if (verdict.kind !== "accepted") {
@@ -189,33 +217,65 @@
     vm.entry = this.#startEntry(vm, this.vms);
   }
 
-  /** Calls an admin path of a stand-in; see docs/PROTOCOLS.md. */
-  async callAdmin(
-    baseUrl: string,
-    path: string,
-    body?: unknown,
-  ): Promise<unknown> {
-    const answer = await fetch(`${baseUrl}/admin/${path}`, {
-      method: body === undefined ? "GET" : "POST",
-      body: body === undefined ? undefined : JSON.stringify(body),
-      headers: { "content-type": "application/json" },
-      signal: AbortSignal.timeout(ADMIN_TIMEOUT_MS),
-    });
-    const text = await answer.text();
-    if (!answer.ok) throw new Error(`Cannot call "${path}": ${text}`);
-    return text === "" ? undefined : JSON.parse(text);
+  /** Sets faults of the log's stand-in. */
+  async setLogFaults(faults: unknown): Promise<void> {
+    await this.#callStandIn(stripScheme(this.logUrl), "faults", faults);
+  }
+
+  /** Sets faults of the VM list's stand-in. */
+  async setVmListFaults(faults: unknown): Promise<void> {
+    await this.#callStandIn(stripScheme(this.vmListUrl), "faults", faults);
+  }
+
+  /** Calls another admin path of the VM list's stand-in, such as `changes`. */
+  async changeVmList(path: string, body: unknown): Promise<unknown> {
+    return await this.#callStandIn(stripScheme(this.vmListUrl), path, body);
   }
 
   /** Sets faults of a worker's stand-in. */
   async setWorkerFaults(endpointId: string, faults: unknown): Promise<void> {
-    const address = this.workerAddresses.get(endpointId);
-    await this.callAdmin(`http://${address}`, "faults", faults);
+    const address = this.workerAddresses.get(endpointId) ?? "";
+    await this.#callStandIn(address, "faults", faults);
+  }
+
+  /** How many calls a cold worker bears, by address. */
+  getColdConcurrency(): ReadonlyMap<string, number> {
+    return new Map(
+      this.#plan.workers.map((worker) => [
+        this.workerAddresses.get(worker.endpointId) ?? "",
+        worker.coldConcurrency,
+      ]),
+    );
+  }
+
+  /** Reads the counters of the log's stand-in. */
+  async readLogCounters(): Promise<Record<string, number>> {
+    const address = stripScheme(this.logUrl);
+    const counters = await this.#callStandIn(address, "counters");
+    return counters as Record<string, number>;
   }
 
-  /** Reads an admin path of a worker's stand-in. */
-  async readWorker(endpointId: string, path: string): Promise<unknown> {
-    const address = this.workerAddresses.get(endpointId);
-    return await this.callAdmin(`http://${address}`, path);
+  /** Reads the counters of every worker's stand-in. */
+  async readWorkers(): Promise<readonly WorkerCounters[]> {
+    const workers = await callAdmin(`${this.adminUrl}/admin/endpoints`);
+    return workers as readonly WorkerCounters[];
+  }
+
+  /** Reads what ran under which key, over all workers. */
+  async readRuns(): Promise<Readonly<Record<string, KeyRuns>>> {
+    const runs = await callAdmin(`${this.adminUrl}/admin/runs`);
+    return runs as Readonly<Record<string, KeyRuns>>;
+  }
+
+  async #callStandIn(
+    address: string,
+    action: string,
+    body?: unknown,
+  ): Promise<unknown> {
+    return await callAdmin(
+      `${this.adminUrl}/admin/at/${address}/${action}`,
+      body,
+    );
   }
 
   async #waitForControls(): Promise<void> {
@@ -229,6 +289,7 @@
   #startFakes(vms: readonly Omit<RunningVm, "entry" | "control">[]): Program {
     const { workers, logSettings, vmListLagMs } = this.#plan;
     const settings = {
+      adminListen: stripScheme(this.adminUrl),
       logs: [{ listen: stripScheme(this.logUrl), ...logSettings }],
       vmLists: [{
         listen: stripScheme(this.vmListUrl),
@@ -303,6 +364,18 @@
   }
 }
 
+async function callAdmin(url: string, body?: unknown): Promise<unknown> {
+  const answer = await fetch(url, {
+    method: body === undefined ? "GET" : "POST",
+    body: body === undefined ? undefined : JSON.stringify(body),
+    headers: { "content-type": "application/json" },
+    signal: AbortSignal.timeout(ADMIN_TIMEOUT_MS),
+  });
+  const text = await answer.text();
+  if (!answer.ok) throw new Error(`Cannot call "${url}": ${text}`);
+  return text === "" ? undefined : JSON.parse(text);
+}
+
 type Place = Omit<RunningVm, "entry" | "control">;
 
 function stripScheme(url: string): string {
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -1,9 +1,6 @@
 /**
- * Snapshots, free ports and child processes for tests, demo and benches.
+ * Snapshot tests.
  *
  * @module
  */
 export * from "./snapshot.ts";
-export * from "./deployment.ts";
-export * from "./program.ts";
-export * from "./wait.ts";
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -12,6 +12,7 @@
   "sardinestep-control": "packages/control/src/main.ts",
   "sardinestep": "packages/cli/src/main.ts",
   "sardinestep-fakes": "packages/fakes/src/main.ts",
+  "demo": "packages/demo/src/main.ts",
 };
 
 await build({
