--- /dev/null
+++ b/packages/bench/src/decisions/arrivals.ts
@@ -0,0 +1,113 @@
+/**
+ * Requests of a scenario, the same for every policy.
+ *
+ * @module
+ */
+import type { CustomerId, RequestFacts } from "@sardinestep/types";
+import { createRandom, type Random } from "./random.ts";
+import type { Scenario, SizeSpec, WorkloadSpec } from "./scenario.ts";
+
+/** Spread of the service time of calls of equal size. */
+const NOISE_SIGMA = 0.25;
+
+/** A request with what only the simulation knows of it. */
+export interface SimRequest {
+  readonly facts: RequestFacts;
+  readonly entry: number;
+  /** True worker time of each stage on a warm endpoint, in milliseconds. */
+  readonly workMs: readonly number[];
+}
+
+/**
+ * Builds all requests of a scenario in order of arrival.
+ *
+ * @param scenario Its seed decides everything.
+ */
+export function buildArrivals(scenario: Scenario): SimRequest[] {
+  const random = createRandom(scenario.seed);
+  const requests: SimRequest[] = [];
+  scenario.workloads.forEach((workload, index) => {
+    addWorkload(requests, { scenario, workload, index, random });
+  });
+  return requests.sort((a, b) => a.facts.arrivedAt - b.facts.arrivedAt);
+}
+
+interface WorkloadOptions {
+  readonly scenario: Scenario;
+  readonly workload: WorkloadSpec;
+  readonly index: number;
+  readonly random: Random;
+}
+
+function addWorkload(requests: SimRequest[], options: WorkloadOptions): void {
+  const { scenario, workload, random } = options;
+  let at = random.getExponential(1000 / workload.maxRate);
+  let count = 0;
+  while (at < scenario.durationMs) {
+    const isKept =
+      random.getUniform() * workload.maxRate < workload.getRate(at);
+    if (isKept) {
+      requests.push(buildRequest(`${options.index}-${count++}`, at, options));
+    }
+    at += random.getExponential(1000 / workload.maxRate);
+  }
+}
+
+function buildRequest(
+  requestId: string,
+  arrivedAt: number,
+  options: WorkloadOptions,
+): SimRequest {
+  const { workload, random, scenario } = options;
+  const { pipeline } = workload;
+  const size = pickSize(workload.sizes, random);
+  const stageSizes = pipeline.stages.map(() => size);
+  const facts: RequestFacts = {
+    requestId,
+    customer: pickCustomer(workload.customers, random),
+    pipeline: pipeline.pipelineId,
+    requestClass: pipeline.requestClass,
+    stages: pipeline.stages,
+    arrivedAt,
+    deadlineAt: arrivedAt + pipeline.defaultDeadlineMs,
+    stageSizes,
+    prefixHash: workload.prefixes > 0
+      ? pickPrefix(workload.prefixes, random)
+      : undefined,
+    firstStage: 0,
+  };
+  const workMs = pipeline.stages.map((stage) =>
+    stage.expectedMs * size * random.getLogNormal(NOISE_SIGMA)
+  );
+  return { facts, entry: pickEntry(scenario, random), workMs };
+}
+
+function pickSize(sizes: SizeSpec, random: Random): number {
+  if (sizes.kind === "log_normal") return random.getLogNormal(sizes.sigma);
+  return random.getUniform() < sizes.longShare ? sizes.longSize : 1;
+}
+
+function pickCustomer(
+  shares: Readonly<Record<CustomerId, number>>,
+  random: Random,
+): CustomerId {
+  let rest = random.getUniform();
+  const ids = Object.keys(shares);
+  for (const id of ids) {
+    rest -= shares[id] ?? 0;
+    if (rest < 0) return id;
+  }
+  return ids[ids.length - 1] ?? "";
+}
+
+/** A few prefixes are much more frequent than the others. */
+function pickPrefix(prefixes: number, random: Random): number {
+  const rank = Math.floor(prefixes ** random.getUniform());
+  return (rank * 2654435761) >>> 0;
+}
+
+function pickEntry(scenario: Scenario, random: Random): number {
+  const isSkewed = random.getUniform() < scenario.skewToFirstEntry;
+  const entry = Math.floor(random.getUniform() * scenario.entries);
+  return isSkewed ? 0 : entry;
+}
--- /dev/null
+++ b/packages/bench/src/decisions/outcome.ts
@@ -0,0 +1,210 @@
+/**
+ * What became of the requests of a run.
+ *
+ * @module
+ */
+import type { CodeName } from "@sardinestep/codes";
+import type { RequestClass } from "@sardinestep/types";
+import * as hdr from "hdr-histogram-js";
+import type { SimRequest } from "./arrivals.ts";
+import type { Scenario } from "./scenario.ts";
+import type { SimEndpoint } from "./sim_endpoint.ts";
+
+/** What became of one request. */
+export interface RequestRecord {
+  readonly request: SimRequest;
+  /** Undefined when no answer came before the run ended. */
+  answer?: { readonly at: number; readonly code: CodeName };
+  /** Worker time that its calls took, cancelled ones included. */
+  spentMs: number;
+}
+
+/** Metrics of one run; times in milliseconds, shares between 0 and 1. */
+export interface RunOutcome {
+  readonly arrived: number;
+  /** Share finished within the deadline. */
+  readonly attainment: number;
+  readonly goodputPerSecond: number;
+  /** Completed after the deadline. */
+  readonly late: number;
+  readonly refused: number;
+  /** Refused or failed after the deadline, or never answered. */
+  readonly refusedLate: number;
+  /** Median time until a refusal. */
+  readonly refusalMs: number;
+  readonly byClass: Readonly<Partial<Record<RequestClass, ClassOutcome>>>;
+  /** Lowest ratio of a customer's completed work to its fair share. */
+  readonly lowestShare: number;
+  /** Share of worker time that went into requests which missed. */
+  readonly wastedShare: number;
+  /** Worker seconds by stage name. */
+  readonly costByStage: Readonly<Record<string, number>>;
+  /** Highest load of a cold endpoint relative to its bound. */
+  readonly peakCold: number;
+  readonly fallOvers: number;
+  readonly calls: number;
+}
+
+/** Metrics of one class. */
+export interface ClassOutcome {
+  readonly attainment: number;
+  readonly p50: number;
+  readonly p99: number;
+}
+
+/** What {@link buildOutcome} is given. */
+export interface OutcomeOptions {
+  readonly records: readonly RequestRecord[];
+  readonly endpoints: Iterable<SimEndpoint>;
+  readonly costByStage: ReadonlyMap<string, number>;
+  readonly calls: number;
+}
+
+/** Whether a request got its whole answer in time. */
+export function isAttained(record: RequestRecord): boolean {
+  return record.answer?.code === "OK" &&
+    record.answer.at <= record.request.facts.deadlineAt;
+}
+
+/** Computes the metrics of a run. */
+export function buildOutcome(
+  scenario: Scenario,
+  options: OutcomeOptions,
+): RunOutcome {
+  const { records } = options;
+  const attained = records.filter(isAttained);
+  const completed = records.filter((record) => record.answer?.code === "OK");
+  const refused = records.filter((record) =>
+    record.answer !== undefined && record.answer.code !== "OK"
+  );
+  const endpoints = [...options.endpoints];
+  return {
+    arrived: records.length,
+    attainment: attained.length / Math.max(1, records.length),
+    goodputPerSecond: attained.length / (scenario.durationMs / 1000),
+    late: completed.length - attained.length,
+    refused: refused.length,
+    refusedLate: records.length - completed.length -
+      refused.filter(isAnsweredInTime).length,
+    refusalMs: getMedian(refused.map(getAnswerMs)),
+    byClass: buildByClass(records),
+    lowestShare: getLowestShare(scenario, records),
+    wastedShare: getWastedShare(records),
+    costByStage: Object.fromEntries(options.costByStage),
+    peakCold: Math.max(0, ...endpoints.map((each) => each.peakColdRatio)),
+    fallOvers: endpoints.reduce((sum, each) => sum + each.fallOvers, 0),
+    calls: options.calls,
+  };
+}
+
+function isAnsweredInTime(record: RequestRecord): boolean {
+  return (record.answer?.at ?? Infinity) <= record.request.facts.deadlineAt + 1;
+}
+
+function getAnswerMs(record: RequestRecord): number {
+  return (record.answer?.at ?? NaN) - record.request.facts.arrivedAt;
+}
+
+function getMedian(values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.floor(sorted.length / 2)] ?? 0;
+}
+
+function buildByClass(
+  records: readonly RequestRecord[],
+): Partial<Record<RequestClass, ClassOutcome>> {
+  const groups = new Map<RequestClass, RequestRecord[]>();
+  for (const record of records) {
+    const { requestClass } = record.request.facts;
+    const group = groups.get(requestClass);
+    if (group) group.push(record);
+    else groups.set(requestClass, [record]);
+  }
+  const entries = [...groups].map(([requestClass, group]) =>
+    [requestClass, buildClassOutcome(group)] as const
+  );
+  return Object.fromEntries(entries);
+}
+
+function buildClassOutcome(group: readonly RequestRecord[]): ClassOutcome {
+  const histogram = hdr.build({ numberOfSignificantValueDigits: 3 });
+  let attained = 0;
+  for (const record of group) {
+    if (record.answer?.code === "OK") {
+      histogram.recordValue(Math.round(getAnswerMs(record)));
+    }
+    if (isAttained(record)) attained += 1;
+  }
+  return {
+    attainment: attained / group.length,
+    p50: histogram.getValueAtPercentile(50),
+    p99: histogram.getValueAtPercentile(99),
+  };
+}
+
+function getWastedShare(records: readonly RequestRecord[]): number {
+  let spent = 0;
+  let wasted = 0;
+  for (const record of records) {
+    spent += record.spentMs;
+    if (!isAttained(record)) wasted += record.spentMs;
+  }
+  return spent === 0 ? 0 : wasted / spent;
+}
+
+/**
+ * Weighted max-min fair shares of the work that was completed, against what
+ * each customer really got; 1 means that nobody is below its share.
+ */
+function getLowestShare(
+  scenario: Scenario,
+  records: readonly RequestRecord[],
+): number {
+  const demand = new Map<string, number>();
+  const got = new Map<string, number>();
+  let total = 0;
+  for (const record of records) {
+    const { customer } = record.request.facts;
+    const work = record.request.workMs.reduce((sum, each) => sum + each, 0);
+    demand.set(customer, (demand.get(customer) ?? 0) + work);
+    if (!isAttained(record)) continue;
+    got.set(customer, (got.get(customer) ?? 0) + work);
+    total += work;
+  }
+  const weights = new Map(
+    scenario.customers.map((each) => [each.customerId, each.weight]),
+  );
+  const shares = buildFairShares(demand, { total, weights });
+  const ratios = [...shares].map(([id, share]) => (got.get(id) ?? 0) / share);
+  return Math.min(1, ...ratios);
+}
+
+function buildFairShares(
+  demand: ReadonlyMap<string, number>,
+  options: {
+    readonly total: number;
+    readonly weights: ReadonlyMap<string, number>;
+  },
+): Map<string, number> {
+  const shares = new Map<string, number>();
+  let rest = options.total;
+  let open = [...demand.keys()];
+  while (open.length > 0) {
+    const weightOf = (id: string) => options.weights.get(id) ?? 1;
+    const weightSum = open.reduce((sum, id) => sum + weightOf(id), 0);
+    const unit = rest / weightSum;
+    const filled = open.filter((id) =>
+      (demand.get(id) ?? 0) <= unit * weightOf(id)
+    );
+    if (filled.length === 0) {
+      for (const id of open) shares.set(id, unit * weightOf(id));
+      return shares;
+    }
+    for (const id of filled) {
+      shares.set(id, demand.get(id) ?? 0);
+      rest -= demand.get(id) ?? 0;
+    }
+    open = open.filter((id) => !filled.includes(id));
+  }
+  return shares;
+}
--- /dev/null
+++ b/packages/bench/src/decisions/scenarios.ts
@@ -0,0 +1,242 @@
+/**
+ * The scenarios of `npm run bench:decisions`.
+ *
+ * @module
+ */
+import {
+  type Bottleneck,
+  buildFourStages,
+  buildHraunvidur,
+  buildLongAndShort,
+  buildMolkerei,
+  buildWorkloads,
+  type Deployment,
+} from "./deployments.ts";
+import type { Fault, Scenario } from "./scenario.ts";
+
+const SEED = 20_261_202;
+/** Long enough for several thousand requests. */
+const DURATION_MS = 30_000;
+const ZONE = "sudurland-3";
+const SLOW_ENDPOINT = "drafting-1";
+
+interface Options {
+  readonly load?: number;
+  getLoad?(atMs: number): number;
+  readonly maxLoad?: number;
+  readonly deployment?: Deployment;
+  readonly durationMs?: number;
+  readonly entries?: number;
+  readonly faults?: readonly Fault[];
+  readonly customers?: Readonly<Record<string, number>>;
+  readonly changes?: Partial<Scenario>;
+}
+
+function buildScenario(name: string, options: Options): Scenario {
+  const deployment = options.deployment ?? buildHraunvidur();
+  const load = options.load ?? 0.6;
+  return {
+    name,
+    seed: SEED,
+    durationMs: options.durationMs ?? DURATION_MS,
+    entries: options.entries ?? 3,
+    zones: deployment.zones,
+    endpoints: deployment.endpoints,
+    customers: deployment.customers,
+    workloads: buildWorkloads(deployment, {
+      getLoad: options.getLoad ?? (() => load),
+      maxLoad: options.maxLoad ?? load,
+      customers: options.customers,
+    }),
+    faults: options.faults ?? [],
+    reportIntervalMs: 200,
+    reportLagMs: 200,
+    reportLoss: 0,
+    stallShare: 0,
+    skewToFirstEntry: 0,
+    ...options.changes,
+  };
+}
+
+/** Three times the usual load for four seconds out of fifteen. */
+function getBurstLoad(atMs: number): number {
+  const phase = atMs % 15_000;
+  return phase >= 5_000 && phase < 9_000 ? 1.8 : 0.5;
+}
+
+/** A day pressed into two minutes: calm, a busy morning, a peak, a calm end. */
+function getDayLoad(atMs: number): number {
+  const hour = atMs / 5_000;
+  if (hour < 6 || hour > 20) return 0.2;
+  return 0.4 + 0.9 * Math.sin(Math.PI * (hour - 6) / 14) ** 2;
+}
+
+function without(deployment: Deployment, endpointId: string): Deployment {
+  return {
+    ...deployment,
+    endpoints: deployment.endpoints.filter((each) =>
+      each.endpointId !== endpointId
+    ),
+  };
+}
+
+/** One endpoint ten times slower than the others. */
+export function buildSlowEndpoint(load: number): Scenario {
+  return buildScenario(`slow endpoint ${load}`, {
+    load,
+    faults: [{
+      kind: "set_slowness",
+      at: 5_000,
+      endpointIds: [SLOW_ENDPOINT],
+      factor: 10,
+    }],
+  });
+}
+
+/** The same without that endpoint, to compare with. */
+export function buildWithoutSlowEndpoint(load: number): Scenario {
+  return buildScenario(`slow one absent ${load}`, {
+    load,
+    deployment: without(buildHraunvidur(), SLOW_ENDPOINT),
+  });
+}
+
+/** Offered load as a multiple of capacity. */
+export function buildSaturation(load: number): Scenario {
+  return buildScenario(`load ${load}`, { load });
+}
+
+/** A failure domain leaves and returns cold at 60% load. */
+export function buildZoneReturn(): Scenario {
+  return buildScenario("zone out and back", {
+    load: 0.6,
+    durationMs: 90_000,
+    faults: [
+      { kind: "zone_out", at: 20_000, zone: ZONE },
+      { kind: "zone_in", at: 40_000, zone: ZONE },
+    ],
+  });
+}
+
+/** The steady state to which {@link buildZoneReturn} is compared. */
+export function buildSteady(): Scenario {
+  return buildScenario("steady 0.6", { load: 0.6, durationMs: 90_000 });
+}
+
+/** One large customer asks for many times its share. */
+export function buildLargeCustomer(): Scenario {
+  return buildScenario("one customer bursts", {
+    load: 2,
+    customers: { a: 0.8, b: 0.08, c: 0.04, d: 0.04, e: 0.04 },
+  });
+}
+
+/** The peak day of one deployment with nine entries. */
+export function buildPeakDay(name: string, deployment: Deployment): Scenario {
+  return buildScenario(`peak day ${name}`, {
+    deployment,
+    entries: 9,
+    durationMs: 120_000,
+    getLoad: getDayLoad,
+    maxLoad: 1.3,
+    changes: { stallShare: 0.002 },
+  });
+}
+
+/** Offered load twice what one pool of four stages bears. */
+export function buildBottleneck(role: Bottleneck): Scenario {
+  return buildScenario(`${role} bottleneck`, {
+    load: 2,
+    deployment: buildFourStages(role),
+  });
+}
+
+function buildFailures(): Scenario[] {
+  const gate = ["gate-log-1", "gate-log-2", "gate-log-3", "gate-log-4"];
+  return [
+    buildScenario("one endpoint breaks", {
+      faults: [{
+        kind: "set_failure",
+        at: 5_000,
+        endpointIds: [SLOW_ENDPOINT, "tickets-1"],
+        mode: "breaking",
+      }],
+    }),
+    buildScenario("one goes silent", {
+      faults: [{
+        kind: "set_failure",
+        at: 5_000,
+        endpointIds: [SLOW_ENDPOINT, "tickets-1"],
+        mode: "hanging",
+      }],
+    }),
+    buildScenario("a stage fails outright", {
+      faults: [
+        {
+          kind: "set_failure",
+          at: 8_000,
+          endpointIds: gate,
+          mode: "unreachable",
+        },
+        { kind: "set_failure", at: 18_000, endpointIds: gate, mode: "none" },
+      ],
+    }),
+    buildScenario("a stage breaks calls", {
+      faults: [
+        { kind: "set_failure", at: 8_000, endpointIds: gate, mode: "breaking" },
+        { kind: "set_failure", at: 18_000, endpointIds: gate, mode: "none" },
+      ],
+    }),
+    buildScenario("cold unannounced", {
+      load: 0.7,
+      faults: [{
+        kind: "turn_cold",
+        at: 8_000,
+        endpointIds: ["drafting-1", "drafting-2", "tickets-1"],
+      }],
+    }),
+  ];
+}
+
+/** All scenarios in the order of the table. */
+export function buildScenarios(): Scenario[] {
+  return [
+    buildScenario("idle", { load: 0.1 }),
+    buildSteady(),
+    buildScenario("steady 0.85", { load: 0.85 }),
+    buildScenario("bursts", { getLoad: getBurstLoad, maxLoad: 1.8 }),
+    buildLargeCustomer(),
+    buildScenario("requests at one entry", {
+      load: 0.7,
+      changes: { skewToFirstEntry: 0.5 },
+    }),
+    buildSlowEndpoint(0.6),
+    buildWithoutSlowEndpoint(0.6),
+    buildSlowEndpoint(0.85),
+    buildWithoutSlowEndpoint(0.85),
+    ...buildFailures(),
+    buildScenario("long and short", {
+      load: 0.9,
+      deployment: buildLongAndShort(),
+    }),
+    buildScenario("stalls", { load: 0.6, changes: { stallShare: 0.02 } }),
+    buildSaturation(1),
+    buildSaturation(1.5),
+    buildSaturation(2),
+    buildSaturation(5),
+    buildZoneReturn(),
+    buildScenario("reports lag 2 s", {
+      load: 0.85,
+      changes: { reportLagMs: 2_000 },
+    }),
+    buildScenario("reports missing", {
+      load: 0.85,
+      changes: { reportLoss: 1 },
+    }),
+    buildBottleneck("retriever"),
+    buildBottleneck("reranker"),
+    buildBottleneck("generator"),
+    buildPeakDay("Hraunvidur", buildHraunvidur()),
+    buildPeakDay("Molkerei", buildMolkerei()),
+  ];
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -12,6 +12,7 @@
   "sardinestep-control": "packages/control/src/main.ts",
   "sardinestep": "packages/cli/src/main.ts",
   "sardinestep-fakes": "packages/fakes/src/main.ts",
+  "bench_decisions": "packages/bench/src/bench_decisions.ts",
 };
 
 await build({
