--- a/packages/bench/src/decisions/baselines.ts
+++ b/packages/bench/src/decisions/baselines.ts
@@ -114,7 +114,10 @@
   }
 
   getSummary() {
-    return { queueLengths: {}, endpoints: [] };
+    return {
+      queueLengths: { single: 0, lookup: 0, draft: 0 },
+      endpoints: [],
+    };
   }
 
   decide(event: DecisionEvent): readonly DecisionAction[] {
--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -7,4 +7,11 @@
  */
 export * from "./event.ts";
 export * from "./action.ts";
-export * from "./decider.ts";
+export {
+  type AdmissionQuestion,
+  createDecider,
+  type Decider,
+} from "./decider.ts";
+export type { AdmissionRefusal } from "./admission.ts";
+export type { DeciderOptions } from "./state.ts";
+export type { DeciderSummary, EndpointSummary } from "./summary.ts";
