--- a/packages/testbed/src/program.ts
+++ b/packages/testbed/src/program.ts
@@ -31,10 +31,16 @@
  * ```
  */
 export class Bench {
+  readonly #binaries: string;
   readonly #programs: Program[] = [];
   readonly #folder = mkdtempSync(join(tmpdir(), "sardinestep-"));
   #fileCount = 0;
 
+  /** @param binaries Folder of the bundled programs. */
+  constructor(binaries = "dist") {
+    this.#binaries = binaries;
+  }
+
   /** Programs that were started and still run. */
   get running(): readonly Program[] {
     return this.#programs.filter((program) => isRunning(program));
@@ -48,10 +54,10 @@
     return path;
   }
 
-  /** Starts `dist/<binary>.mjs` with a settings file made from a value. */
+  /** Starts a bundled program with a settings file made from a value. */
   start(binary: string, options: StartOptions): Program {
     const name = options.name ?? binary;
-    const args = [`dist/${binary}.mjs`];
+    const args = [`${this.#binaries}/${binary}.mjs`];
     if (options.settings !== undefined) {
       args.push("--settings", this.writeJson(name, options.settings));
     }
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,22 +2,37 @@
  * Bundles each program into one file under dist/, so that a VM needs Node.js
  * and that file only.
  *
- * A program whose source does not exist is an error: nothing is skipped.
+ * `--without MECHANISM` bundles the daemons with one mechanism taken out, into
+ * dist/without-MECHANISM/. Such a build is for proofs only: it shows the violation
+ * that the mechanism prevents. The mutants stand in packages/prove/mutants.json.
  */
 import { build } from "esbuild";
-import { chmod } from "node:fs/promises";
+import { chmod, readFile } from "node:fs/promises";
+import { resolve } from "node:path";
+import { parseArgs } from "node:util";
 
-const PROGRAMS = {
+const DAEMONS = {
   "sardinestep-entry": "packages/entry/src/main.ts",
   "sardinestep-control": "packages/control/src/main.ts",
-  "sardinestep": "packages/cli/src/main.ts",
   "sardinestep-fakes": "packages/fakes/src/main.ts",
+};
+const PROGRAMS = {
+  ...DAEMONS,
+  "sardinestep": "packages/cli/src/main.ts",
+  "bench_decisions": "packages/bench/src/bench_decisions.ts",
   "demo": "packages/demo/src/main.ts",
+  "prove": "packages/prove/src/main.ts",
 };
+const MUTANTS_FILE = "packages/prove/mutants.json";
+
+const { values } = parseArgs({ options: { without: { type: "string" } } });
+const isMutant = values.without !== undefined;
+const outdir = isMutant ? `dist/without-${values.without}` : "dist";
+const programs = isMutant ? DAEMONS : PROGRAMS;
 
 await build({
-  entryPoints: PROGRAMS,
-  outdir: "dist",
+  entryPoints: programs,
+  outdir,
   outExtension: { ".js": ".mjs" },
   bundle: true,
   platform: "node",
@@ -31,8 +46,34 @@
       "const require = __createRequire(import.meta.url);",
   },
   logLevel: "warning",
+  plugins: isMutant ? [createMutation(await findMutant(values.without))] : [],
 });
 
-for (const program of Object.keys(PROGRAMS)) {
-  await chmod(`dist/${program}.mjs`, 0o755);
+for (const program of Object.keys(programs)) {
+  await chmod(`${outdir}/${program}.mjs`, 0o755);
+}
+
+async function findMutant(name) {
+  const mutants = JSON.parse(await readFile(MUTANTS_FILE, "utf8"));
+  const mutant = mutants.find((one) => one.mechanism === name);
+  if (!mutant) throw new Error(`Cannot find mechanism "${name}"`);
+  return mutant;
+}
+
+/** Replaces one text of one file; a text that is gone fails the build. */
+function createMutation({ mechanism, file, find, replace }) {
+  const path = resolve(file);
+  return {
+    name: `without-${mechanism}`,
+    setup({ onLoad }) {
+      onLoad({ filter: /\.ts$/ }, async (args) => {
+        if (args.path !== path) return undefined;
+        const source = await readFile(path, "utf8");
+        if (source.split(find).length !== 2) {
+          throw new Error(`Cannot mutate "${file}": the text must stand once`);
+        }
+        return { contents: source.replace(find, () => replace), loader: "ts" };
+      });
+    },
+  };
 }
