--- /dev/null
+++ b/packages/cli/src/docs_test.ts
@@ -0,0 +1,44 @@
+import { expect } from "chai";
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
+import { Files } from "./_scripted_caller.ts";
+import { EXIT, EXIT_MEANINGS } from "./exit_codes.ts";
+
+const DOCS = join(import.meta.dirname, "../../../docs");
+const OPERATORS = readFileSync(join(DOCS, "OPERATORS.md"), "utf8");
+
+describe("docs/OPERATORS.md", () => {
+  it("shows exactly the exit codes of the program", () => {
+    const rows = OPERATORS.split("\n")
+      .filter((line) => /^\| \d/.test(line))
+      .map((line) => line.split("|").slice(1, -1).map((cell) => cell.trim()));
+    const expected = Object.entries(EXIT).map(([name, exitCode]) => [
+      String(exitCode),
+      name,
+      EXIT_MEANINGS[name as keyof typeof EXIT],
+    ]);
+    expect(rows).to.deep.equal(expected);
+  });
+
+  it("prints no command that the program can't parse", async () => {
+    const lines = OPERATORS.split("\n")
+      .map((line) => line.trim())
+      .filter((line) => /^sardinestep [a-z]/.test(line));
+    const files = new Files();
+    try {
+      for (const line of lines) {
+        const run = await files.run(splitWords(line).slice(1));
+        expect(run.exitCode, line + run.stderr).to.not.equal(EXIT.usage);
+      }
+    } finally {
+      files.remove();
+    }
+    expect(lines).to.have.length.above(10);
+  });
+});
+
+/** Splits a line as a shell would, for the quotes that the page uses. */
+function splitWords(line: string): string[] {
+  const words = line.match(/'[^']*'|"[^"]*"|\S+/g) ?? [];
+  return words.map((word) => word.replace(/^['"]|['"]$/g, ""));
+}
