List processes whose address is not known in status and timeline

Cause: seen in a trial on the real daemons: an entry whose address had not spread stood neither among the answers nor under 'No answer'.

--- a/packages/cli/src/controls.ts
+++ b/packages/cli/src/controls.ts
@@ -70,9 +70,10 @@
  * @returns One line each.
  */
 export function formatSilences(silences: readonly Silence[]): string[] {
-  return silences.map((silence) =>
-    `No answer from ${silence.process} at ${silence.address}: ${silence.message}`
-  );
+  return silences.map(({ process, address, message }) => {
+    const place = address === "" ? process : `${process} at ${address}`;
+    return `No answer from ${place}: ${message}`;
+  });
 }
 
 /** The answers of all processes that gave one. */
@@ -100,21 +101,35 @@
   if (members.isErr()) return members;
   const targets = planTargets(context, members.value);
   const results = await Promise.all(
-    targets.map((target) =>
-      context.caller.call(target.address, method, params, {
-        timeoutMs: context.settings.timeoutMs,
-      })
-    ),
+    targets.map((target) => callTarget(context, target, { method, params })),
   );
   const answers = results.flatMap((result) =>
     result.isOk() ? [result.value] : []
   );
-  const silences = results.flatMap((result, index) =>
-    result.isErr() ? [{ ...targets[index], message: result.error.message }] : []
+  const silences = results.flatMap((result) =>
+    result.isErr() ? [result.error] : []
   );
   return Ok({ answers, silences });
 }
 
+/** A VM of which only one process was heard has no address for the other. */
+async function callTarget<M extends "status" | "timeline">(
+  context: Context,
+  target: Target,
+  call: { readonly method: M; readonly params: rpc.Methods[M]["params"] },
+): Promise<Result<rpc.Methods[M]["result"], Silence>> {
+  if (target.address === "") {
+    return Err({ ...target, message: "its address is not known yet" });
+  }
+  const answer = await context.caller.call(
+    target.address,
+    call.method,
+    call.params,
+    { timeoutMs: context.settings.timeoutMs },
+  );
+  return answer.mapErr(({ message }) => ({ ...target, message }));
+}
+
 type Target = Omit<Silence, "message">;
 
 /** The settings may name a control that the members do not list any more. */
@@ -130,5 +145,5 @@
   const others = context.settings.controls
     .filter((address) => !listed.has(address))
     .map((address) => ({ address, process: "control" }));
-  return [...targets, ...others].filter((target) => target.address !== "");
+  return [...targets, ...others];
 }
--- a/packages/cli/src/program_test.ts
+++ b/packages/cli/src/program_test.ts
@@ -33,8 +33,16 @@
   entryInstance: "entry-2",
   state: "silent",
 };
+/** Its control was heard, its entry was not. */
+const HALF_MEMBER = {
+  ...DEAD_MEMBER,
+  vmId: "vm-3",
+  entryRpc: "",
+  controlRpc: SECOND,
+  entryInstance: "",
+};
 const MEMBERS: Script = {
-  [`${FIRST} members`]: [{ ok: [MEMBER, DEAD_MEMBER] }],
+  [`${FIRST} members`]: [{ ok: [MEMBER, DEAD_MEMBER, HALF_MEMBER] }],
 };
 
 function buildStatus(process: string, configVersion: number) {
