--- /dev/null
+++ b/packages/prove/src/judge.ts
@@ -0,0 +1,78 @@
+/**
+ * What proofs ask of a deployment after its failures.
+ *
+ * @module
+ */
+import * as testbed from "@sardinestep/testbed";
+
+/**
+ * Audits a deployment against what its callers were told.
+ *
+ * @param deployment The deployment, with its stand-ins still running.
+ * @param results What callers were told.
+ * @returns Every broken promise.
+ */
+export async function auditDeployment(
+  deployment: testbed.Deployment,
+  results: readonly testbed.CallerResult[],
+): Promise<testbed.Violation[]> {
+  return testbed.findViolations({
+    results,
+    runs: await deployment.readRuns(),
+    workers: await deployment.readWorkers(),
+    coldConcurrency: deployment.getColdConcurrency(),
+  });
+}
+
+/**
+ * Finds results that did not complete.
+ *
+ * @param results What callers were told.
+ * @param promise The promise that each had to complete.
+ * @returns A violation for each.
+ */
+export function expectCompleted(
+  results: readonly testbed.CallerResult[],
+  promise: string,
+): testbed.Violation[] {
+  return results
+    .filter((result) => result.answer?.outcome !== "completed")
+    .map((result) => ({ promise, detail: describeResult(result) }));
+}
+
+/** Describes a result in a line. */
+export function describeResult(result: testbed.CallerResult): string {
+  const { request, key, attempts } = result;
+  const tries = attempts.map(({ answer, error, url }) =>
+    `${url}: ${answer ? `${answer.name}/${answer.outcome}` : error}`
+  );
+  return `"${request.name}" key ${key}: ${tries.join("; ")}`;
+}
+
+/** Counts outcomes as callers were told. */
+export function countOutcomes(
+  results: readonly testbed.CallerResult[],
+): string {
+  const counts = new Map<string, number>();
+  for (const { answer } of results) {
+    const outcome = answer?.outcome ?? "no answer";
+    counts.set(outcome, (counts.get(outcome) ?? 0) + 1);
+  }
+  return [...counts].map(([outcome, count]) => `${outcome} ${count}`).join(
+    ", ",
+  );
+}
+
+/** Finds billable model stages that ran twice for one key with one input. */
+export function findDoubledStages(
+  runs: Readonly<Record<string, testbed.KeyRuns>>,
+): testbed.Violation[] {
+  return Object.entries(runs).flatMap(([key, { digests }]) => {
+    const doubled = digests.filter((digest, index) =>
+      digests.indexOf(digest) !== index
+    );
+    if (doubled.length === 0) return [];
+    const detail = `key "${key}" ran ${doubled.length} stages again`;
+    return [{ promise: "a billable stage runs once", detail }];
+  });
+}
--- a/packages/prove/src/mod.ts
+++ b/packages/prove/src/mod.ts
@@ -1,7 +1,8 @@
 /**
- * Proofs of what must always hold, with real processes and with mechanisms taken out.
+ * Proofs of what must always hold.
  *
  * @module
  */
-
-export {};
+export * from "./run_proofs.ts";
+export * from "./scenario.ts";
+export * from "./scenario_list.ts";
--- /dev/null
+++ b/packages/prove/src/scenario_list.ts
@@ -0,0 +1,22 @@
+/**
+ * All scenarios with real processes.
+ *
+ * @module
+ */
+import type { Scenario } from "./scenario.ts";
+import { AT_MOST_ONCE } from "./scenarios/at_most_once.ts";
+import { CONFIGURATION_PROOFS } from "./scenarios/configuration.ts";
+import { ENDPOINTS } from "./scenarios/endpoints.ts";
+import { PLANNED_STOP } from "./scenarios/planned_stop.ts";
+import { RESULTS } from "./scenarios/results.ts";
+import { TRUTHFUL_REFUSAL } from "./scenarios/truthful_refusal.ts";
+
+/** Every scenario, by point. */
+export const SCENARIOS: readonly Scenario[] = [
+  ...AT_MOST_ONCE,
+  ...TRUTHFUL_REFUSAL,
+  ...RESULTS,
+  ...ENDPOINTS,
+  ...PLANNED_STOP,
+  ...CONFIGURATION_PROOFS,
+];
--- /dev/null
+++ b/packages/prove/src/scenarios/configuration.ts
@@ -0,0 +1,173 @@
+/**
+ * Point 9: an accepted configuration is in force at every site within seconds
+ * and never reverts.
+ *
+ * @module
+ */
+import * as rpc from "@sardinestep/rpc";
+import * as testbed from "@sardinestep/testbed";
+import { randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Scenario } from "../scenario.ts";
+import { buildSmallPlan, CONFIGURATION, ZONES } from "../small_plan.ts";
+
+const ROUNDS = 8;
+const FEW_SECONDS_MS = 4_000;
+const STATUS_TIMEOUT_MS = 1_000;
+
+/** Proofs of point 9. */
+export const CONFIGURATION_PROOFS: readonly Scenario[] = [
+  {
+    point: 9,
+    name: "operators race at three controls, answers of the log lost",
+    story:
+      "Two operators change the configuration at the same moment. Both are " +
+      "told 'accepted', and one's change is gone.",
+    run: runRaces,
+  },
+  {
+    point: 9,
+    name: "VM started while the log is down, frozen VM wakes up",
+    story: "A VM that was replaced during an outage of the log serves an old " +
+      "configuration or none; one that was frozen brings an old one back.",
+    run: runOutage,
+  },
+];
+
+async function runRaces(bench: testbed.Bench) {
+  const deployment = await testbed.Deployment.start(bench, buildSmallPlan());
+  const violations: testbed.Violation[] = [];
+  const watch = new VersionWatch(deployment);
+  let version = 1;
+  for (let round = 0; round < ROUNDS; round += 1) {
+    if (round % 2 === 1) await deployment.setLogFaults({ loseAnswers: 2 });
+    const verdicts = await Promise.all(
+      deployment.vms.map((vm, index) =>
+        publishAt(vm, version, [ZONES[index % ZONES.length] ?? ""])
+      ),
+    );
+    const accepted = verdicts.filter((verdict) => verdict.kind === "accepted");
+    if (accepted.length !== 1) {
+      const detail = `round ${round}: ${JSON.stringify(verdicts)}`;
+      violations.push({ promise: "one of racing operators wins", detail });
+    }
+    version += 1;
+    violations.push(...await expectVersion(deployment, version));
+  }
+  violations.push(...watch.close());
+  const cases = ROUNDS * deployment.vms.length;
+  return { cases, violations, seen: `version ${version} at every entry` };
+}
+
+async function runOutage(bench: testbed.Bench) {
+  const plan = buildSmallPlan({ vms: 4 });
+  const deployment = await testbed.Deployment.start(bench, plan);
+  const watch = new VersionWatch(deployment);
+  const [first, second, third] = deployment.vms;
+  if (!first || !second || !third) throw new Error("Cannot find the VMs");
+  third.control.process.kill("SIGSTOP");
+  third.entry.process.kill("SIGSTOP");
+  await publishAt(first, 1, [ZONES[0]]);
+  await publishAt(first, 2, [ZONES[1]]);
+  await deployment.setLogFaults({ outage: "refuse" });
+  await deployment.stopVm(second, "SIGKILL");
+  deployment.restartVm(second);
+  third.control.process.kill("SIGCONT");
+  third.entry.process.kill("SIGCONT");
+  const violations = await expectVersion(deployment, 3);
+  await sleep(1_000);
+  violations.push(...await expectVersion(deployment, 3));
+  await deployment.setLogFaults({ outage: "none" });
+  await publishAt(first, 3, []);
+  violations.push(...await expectVersion(deployment, 4));
+  violations.push(...watch.close());
+  return { cases: 3, violations, seen: "version 4 at every entry" };
+}
+
+async function publishAt(
+  vm: testbed.RunningVm,
+  base: number,
+  zonesOut: readonly string[],
+): Promise<rpc.PublishVerdict> {
+  const record = {
+    kind: "publish",
+    recordId: randomUUID(),
+    base,
+    author: `operator at ${vm.vmId}`,
+    note: "",
+    configuration: { ...CONFIGURATION, zonesOut },
+  } as const;
+  const answer = await rpc.callOnce(vm.controlRpc, "publish", record, {
+    timeoutMs: 15_000,
+  });
+  return answer.isOk() ? answer.value : { kind: "unknown" };
+}
+
+/** Waits until every entry has the version. */
+async function expectVersion(
+  deployment: testbed.Deployment,
+  version: number,
+): Promise<testbed.Violation[]> {
+  try {
+    await testbed.waitFor(async () => {
+      const versions = await readVersions(deployment);
+      return versions.every((one) => one === version);
+    }, { what: `version ${version} at every entry`, boundMs: FEW_SECONDS_MS });
+    return [];
+  } catch (error) {
+    const versions = await readVersions(deployment);
+    const detail = `${error}; versions are ${versions.join(", ")}`;
+    return [{ promise: "in force everywhere within seconds", detail }];
+  }
+}
+
+async function readVersions(
+  deployment: testbed.Deployment,
+): Promise<(number | undefined)[]> {
+  return await Promise.all(deployment.vms.map(async (vm) => {
+    const status = await rpc.callOnce(vm.entryRpc, "status", {}, {
+      timeoutMs: STATUS_TIMEOUT_MS,
+    });
+    return status.isOk() ? status.value.configVersion : undefined;
+  }));
+}
+
+/** Watches that no process ever goes back to an older version. */
+class VersionWatch {
+  readonly #deployment: testbed.Deployment;
+  readonly #highest = new Map<string, number>();
+  readonly #violations: testbed.Violation[] = [];
+  readonly #timer: NodeJS.Timeout;
+
+  constructor(deployment: testbed.Deployment) {
+    this.#deployment = deployment;
+    this.#timer = setInterval(() => void this.#look(), 50);
+  }
+
+  close(): testbed.Violation[] {
+    clearInterval(this.#timer);
+    return this.#violations;
+  }
+
+  async #look(): Promise<void> {
+    for (const vm of this.#deployment.vms) {
+      for (const address of [vm.entryRpc, vm.controlRpc]) {
+        const status = await rpc.callOnce(address, "status", {}, {
+          timeoutMs: STATUS_TIMEOUT_MS,
+        });
+        if (status.isOk()) this.#compare(status.value);
+      }
+    }
+  }
+
+  #compare(
+    { instance, configVersion, vmId, process }: rpc.ProcessStatus,
+  ): void {
+    const before = this.#highest.get(instance) ?? 0;
+    if (configVersion < before) {
+      const detail = `${process} of ${vmId}: ${before} to ${configVersion}`;
+      this.#violations.push({ promise: "never reverts", detail });
+    }
+    this.#highest.set(instance, Math.max(before, configVersion));
+  }
+}
