Entry: readiness waits for endpoints, a broken connection is probed at once

Cause: process proofs showed STAGE_UNAVAILABLE refusals right after a start and after any broken stream; entries' addresses were unknown to controls that heard a VM before it was listed. Change: readiness latches once each service has an endpoint; a disconnect asks the endpoint itself before it counts as silent; addresses are filled in from list and gossip (test failed first).

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -37,6 +37,8 @@
 /** Pace of proofs that the view of the members is fresh. */
 const VIEW_INTERVAL_MS = 200;
 const VIEW_TIMEOUT_MS = 500;
+/** An endpoint that does not report within it counts as silent. */
+const REPORT_TIMEOUT_MS = 500;
 /** A gap in the tick as long as this is a pause of the process. */
 const PAUSE_GAP_MS = 1_000;
 /** Begun minted keys that are remembered for each customer. */
@@ -213,6 +215,14 @@
         });
         void this.#link.call("reportEndpoint", news, VIEW_TIMEOUT_MS);
       },
+      readReport: async ({ endpointId, address }) => {
+        const report = await this.#endpointPort.readLoad(
+          endpointId,
+          address,
+          REPORT_TIMEOUT_MS,
+        );
+        return report.isOk() ? report.value : undefined;
+      },
     });
   }
 
@@ -368,7 +378,7 @@
       lookUpKey: (incoming) => this.#desk.lookUp(incoming),
       countRefusal: (name) => this.#metrics.countEarlyRefusal(name),
       formatMetrics: () => this.#formatMetrics(),
-      isReady: () => this.#state === "ready" && this.#site.site !== undefined,
+      isReady: () => this.#state === "ready" && this.#site.isServing,
     });
     const { host, port } = rpc.parseAddress(this.#settings.listenHttp);
     this.#httpServer = createAdaptorServer({ fetch: app.fetch });
--- a/packages/entry/src/site_state.ts
+++ b/packages/entry/src/site_state.ts
@@ -15,6 +15,7 @@
   type EndpointFacts,
   type EndpointId,
   type InstanceId,
+  type LoadReport,
   type MemberFacts,
   type PipelineId,
   type PipelineSpec,
@@ -40,8 +41,19 @@
   readonly onConfiguration: (version: number) => void;
   /** Tells control what was seen of an endpoint. */
   readonly reportEndpoint: (news: membership.EndpointNews) => void;
+  /** Asks an endpoint for its own report; undefined when it does not answer. */
+  readonly readReport: (
+    facts: EndpointFacts,
+  ) => Promise<LoadReport | undefined>;
 }
 
+/**
+ * How long a new entry waits for endpoints of every service. Beyond it, it serves
+ * with what there is: a service that is down everywhere must not take all
+ * entries out.
+ */
+const ENDPOINTS_BOUND_MS = 5_000;
+
 /** Takes in news from control and hands on what the decisions need. */
 export class SiteController {
   readonly #options: SiteControllerOptions;
@@ -50,6 +62,8 @@
   #site: SiteState | undefined;
   #members: readonly MemberFacts[] = [];
   #customers: readonly settings.SiteCustomer[] = [];
+  #configuredAt = Infinity;
+  #isServing = false;
 
   constructor(options: SiteControllerOptions) {
     this.#options = options;
@@ -60,6 +74,17 @@
     return this.#site;
   }
 
+  /**
+   * Whether requests may come: the site is configured and each of its services
+   * has had an endpoint that may be called. Once true it stays true.
+   */
+  get isServing(): boolean {
+    const isLate = this.#options.readNow() - this.#configuredAt >
+      ENDPOINTS_BOUND_MS;
+    this.#isServing ||= isLate || this.#hasEndpoints();
+    return this.#isServing;
+  }
+
   /** All known VMs. */
   get members(): readonly MemberFacts[] {
     return this.#members;
@@ -132,18 +157,37 @@
    *
    * Guards against an endpoint that restarted unannounced: it is cold, and
    * every entry would go on sending as to a warm one. Its restart breaks the
-   * connections, so nothing more goes there until it was heard from anew.
+   * connections, so nothing more goes there until it was heard from anew. The
+   * question goes out at once, so that a connection that broke for another reason
+   * costs an endpoint a few milliseconds only.
    */
   recordDisconnect(address: string): void {
     for (const facts of this.#endpoints.values()) {
-      const isIt = facts.address === address &&
-        facts.state !== ENDPOINT_STATE.gone;
-      if (!isIt) continue;
-      const { endpointId, instance } = facts;
-      this.#applySeen({ endpointId, instance, news: "silent" });
+      const isUsed = facts.state === ENDPOINT_STATE.cold ||
+        facts.state === ENDPOINT_STATE.warming ||
+        facts.state === ENDPOINT_STATE.warm;
+      if (facts.address === address && isUsed) void this.#probe(facts);
     }
   }
 
+  async #probe(before: EndpointFacts): Promise<void> {
+    const { endpointId, instance } = before;
+    const suspected: EndpointFacts = {
+      ...before,
+      state: ENDPOINT_STATE.silent,
+    };
+    this.#applyEndpoint(suspected);
+    const report = await this.#options.readReport(before);
+    // Control may have told more meanwhile.
+    if (this.#endpoints.get(endpointId) !== suspected) return;
+    const isSameRun = report?.instance === instance &&
+      report.state === before.state;
+    if (isSameRun) return this.#applyEndpoint(before);
+    const news = report ? "cold" : "silent";
+    const run = report?.instance ?? instance;
+    this.#applySeen({ endpointId, instance: run, news });
+  }
+
   #applySeen(news: membership.EndpointNews): void {
     const facts = this.#endpoints.get(news.endpointId);
     if (!facts || news.news === "answered") return;
@@ -163,6 +207,7 @@
     const { version } = versioned;
     this.#site = { version, pipelines, customers };
     this.#customers = [...customers.values()];
+    this.#configuredAt = Math.min(this.#configuredAt, this.#options.readNow());
     this.#options.apply({
       kind: "zones_changed",
       now: this.#options.readNow(),
@@ -173,6 +218,19 @@
     this.#options.onConfiguration(version);
   }
 
+  #hasEndpoints(): boolean {
+    if (!this.#site) return false;
+    const usable = new Set(
+      [...this.#endpoints.values()]
+        .filter((facts) => this.#getSlice(facts) > 0)
+        .map((facts) => facts.service),
+    );
+    const stages = [...this.#site.pipelines.values()].flatMap((pipeline) =>
+      pipeline.stages
+    );
+    return stages.every((stage) => usable.has(stage.service));
+  }
+
   #applyMembers(members: readonly MemberFacts[]): void {
     const before = countLive(this.#members);
     this.#members = members;
--- a/packages/membership/src/member_row.ts
+++ b/packages/membership/src/member_row.ts
@@ -88,6 +88,18 @@
   return true;
 }
 
+/**
+ * Fills in addresses that are not known yet. A process that connects tells only
+ * its own address, so a VM heard from before it was listed lacks the other.
+ */
+export function fillPlace(row: MemberRow, place: MemberPlace): void {
+  row.place = {
+    ...row.place,
+    entryRpc: row.place.entryRpc || place.entryRpc,
+    controlRpc: row.place.controlRpc || place.controlRpc,
+  };
+}
+
 /** Turns a row into facts. */
 export function buildFacts(
   row: MemberRow,
--- a/packages/membership/src/member_table.ts
+++ b/packages/membership/src/member_table.ts
@@ -16,6 +16,7 @@
   applyInstance,
   buildFacts,
   createRow,
+  fillPlace,
   type MemberPlace,
   type MemberRow,
   NEVER_HEARD,
@@ -133,6 +134,7 @@
   #applyListed(vm: ListedMember, now: number): void {
     const { state, ...place } = vm;
     const row = this.#getOrCreate(place, now);
+    fillPlace(row, place);
     if (state === "leaving" && row.listed !== "leaving") row.isLeaving = true;
     row.listed = state;
     row.touchedAt = Math.max(row.touchedAt, now);
@@ -203,6 +205,7 @@
     const known = this.#rows.get(member.vmId);
     if (known === undefined && member.state !== "live") return;
     const row = known ?? createRow(buildPlace(member), now);
+    fillPlace(row, member);
     this.#rows.set(member.vmId, row);
     if (!this.#applyGossipedInstance(row, member, now, from)) return;
     if (member.state === "leaving") row.isLeaving = true;
--- a/packages/membership/src/member_table_test.ts
+++ b/packages/membership/src/member_table_test.ts
@@ -52,6 +52,18 @@
 }
 
 describe("MemberTable", () => {
+  // Results of a request are kept at no other entry and minted keys can't be
+  // forwarded, although all VMs live. Each control had heard of the others by
+  // their controls' connections first, which tell the control's address only;
+  // the list's address of the entry was passed over after that.
+  it("fills in an entry's address that the first connection did not tell", () => {
+    const table = createTable();
+    table.applyHeard(buildIdentity("b"), 5);
+    table.applyList(buildListed("a", "b"), 10);
+    const b = table.getMembers(10).find((member) => member.vmId === "b");
+    expect(b?.entryRpc).to.equal(buildPlace("b").entryRpc);
+  });
+
   it("counts a VM that is listed but was never heard from as silent", () => {
     const table = createTable();
     table.applyList(buildListed("a", "b"), 10);
