--- a/packages/entry/src/control_link.ts
+++ b/packages/entry/src/control_link.ts
@@ -11,8 +11,11 @@
 
 /** Pause between attempts to reach a control; short, since news are missed. */
 const RECONNECT_PAUSE_MS = 200;
-/** How often an entry at a neighbour's control tries its own VM's again. */
-const RETURN_HOME_MS = 3_000;
+/**
+ * How often an entry at a neighbour's control tries its own VM's again. Short,
+ * since its own control counts it as down meanwhile.
+ */
+const RETURN_HOME_MS = 250;
 const SUBSCRIBE_TIMEOUT_MS = 2_000;
 /** Least time that is worth a claim: an append and a read of the log. */
 const MIN_CLAIM_MS = 20;
--- a/packages/entry/src/key_registry.ts
+++ b/packages/entry/src/key_registry.ts
@@ -108,9 +108,11 @@
       this.#keys.set(name, record);
       return;
     }
-    const isUnknown = answer.failure.outcome === "unknown";
-    if (isUnknown) record.state = { kind: "unknown" };
-    // An attempt that did not run leaves the key free for the next one.
+    const { outcome, attempt } = answer.failure;
+    // An attempt that did not run leaves the key to the next one, also where
+    // nothing is known of the key itself, as while the log is down.
+    const mayHaveRun = (attempt ?? outcome) !== "not run";
+    if (mayHaveRun) record.state = { kind: "unknown" };
     else this.#keys.delete(name);
   }
 }
--- a/packages/entry/src/site_state.ts
+++ b/packages/entry/src/site_state.ts
@@ -284,14 +284,15 @@
 
   /**
    * Every entry may have one call at a warm endpoint even where its share is less
-   * than one: callers come to all entries, and a warm endpoint queues a few.
+   * than one: callers come to all entries, and a warm endpoint queues a few. An
+   * entry whose own VM is not counted as live yet takes an equal share too.
    */
   #getSlice(facts: EndpointFacts): number {
-    const slice = this.#options.guard.getSlice(
-      facts.endpointId,
-      this.#options.readNow(),
-    );
-    return facts.state === ENDPOINT_STATE.warm ? Math.max(1, slice) : slice;
+    const { guard, readNow } = this.#options;
+    const slice = guard.getSlice(facts.endpointId, readNow());
+    if (facts.state !== ENDPOINT_STATE.warm || slice > 0) return slice;
+    const others = countLive(this.#members);
+    return Math.max(1, Math.floor(facts.warmConcurrency / (others + 1)));
   }
 }
 
--- a/packages/testbed/src/deployment.ts
+++ b/packages/testbed/src/deployment.ts
@@ -76,6 +76,8 @@
   readonly digests: readonly string[];
 }
 
+type KeyRunsByKey = Readonly<Record<string, KeyRuns>>;
+
 const LOOPBACK = "127.0.0.1";
 const PORTS_A_VM = 3;
 const PORTS_OF_PLATFORM = 4;
@@ -262,9 +264,23 @@
   }
 
   /** Reads what ran under which key, over all workers. */
-  async readRuns(): Promise<Readonly<Record<string, KeyRuns>>> {
+  async readRuns(): Promise<KeyRunsByKey> {
     const runs = await callAdmin(`${this.adminUrl}/admin/runs`);
-    return runs as Readonly<Record<string, KeyRuns>>;
+    return runs as KeyRunsByKey;
+  }
+
+  /** Reads how often each key ran at the workers of one service. */
+  async countRunsAt(service: string): Promise<ReadonlyMap<string, number>> {
+    const counts = new Map<string, number>();
+    for (const worker of this.#plan.workers) {
+      if (worker.service !== service) continue;
+      const address = this.workerAddresses.get(worker.endpointId) ?? "";
+      const runs = await this.#callStandIn(address, "runs");
+      for (const [key, { count }] of Object.entries(runs as KeyRunsByKey)) {
+        counts.set(key, (counts.get(key) ?? 0) + count);
+      }
+    }
+    return counts;
   }
 
   async #callStandIn(
