Membership: evidence judged apart from tables; warmer's argument in one place

Change: pure functions decide what evidence says, the tables carry it out; metrics find a kept series by a cheap key.

--- a/packages/membership/src/endpoint_row.ts
+++ b/packages/membership/src/endpoint_row.ts
@@ -29,6 +29,19 @@
   readonly warmConcurrency: number;
 }
 
+/** An endpoint of the platform's list with its state there. */
+export interface ListedEndpointFacts extends ListedPlace {
+  readonly state: "live" | "leaving";
+}
+
+/** What an entry has seen of an endpoint itself. */
+export interface EndpointNews {
+  readonly endpointId: EndpointId;
+  /** The run that it was seen of; empty when the entry does not know it. */
+  readonly instance: InstanceId;
+  readonly news: "silent" | "cold" | "warm" | "leaving" | "answered";
+}
+
 /** One endpoint with the evidence that later news is compared with. */
 export interface EndpointRow {
   place: ListedPlace;
--- a/packages/membership/src/endpoint_table.ts
+++ b/packages/membership/src/endpoint_table.ts
@@ -12,31 +12,23 @@
   type InstanceId,
   type LoadReport,
 } from "@sardinestep/types";
-import { match } from "ts-pattern";
+import {
+  decideByGossip,
+  decideByNews,
+  decideByReport,
+} from "./endpoint_evidence.ts";
 import {
   buildEndpointFacts,
   compareInstance,
   createEndpointRow,
+  type EndpointNews,
   type EndpointRow,
-  isFinal,
   isNegative,
+  type ListedEndpointFacts,
   type ListedPlace,
   resetRow,
 } from "./endpoint_row.ts";
 
-/** An endpoint as the platform's list names it. */
-export interface ListedEndpointFacts extends ListedPlace {
-  readonly state: "live" | "leaving";
-}
-
-/** What an entry has seen of an endpoint itself. */
-export interface EndpointNews {
-  readonly endpointId: EndpointId;
-  /** The run that it was seen of; empty when the entry does not know it. */
-  readonly instance: InstanceId;
-  readonly news: "silent" | "cold" | "warm" | "leaving" | "answered";
-}
-
 /** Limits of an {@link EndpointTable}. */
 export interface EndpointTableOptions {
   /**
@@ -145,44 +137,16 @@
     row.reportedAt = report.measuredAt;
     // Of a run that was just noticed only the start counts: it is cold.
     if (relation === "new") return true;
-    this.#applyReportedState(row, report, now);
+    this.#setState(row, decideByReport(row, report), now);
     return true;
   }
 
-  #applyReportedState(row: EndpointRow, report: LoadReport, now: number): void {
-    const isNewer = report.measuredAt > row.negativeAt;
-    if (isFinal(row.state)) {
-      if (row.state === ENDPOINT_STATE.gone) this.#applyBack(row, isNewer, now);
-      return;
-    }
-    if (isNegative(report.state) || isNewer) {
-      this.#setState(row, report.state, now);
-    }
-  }
-
-  /**
-   * The list had dropped an endpoint that it names again, and the same run still
-   * reports: the list was wrong. It starts over cold, for nothing is known of
-   * what happened to it in between.
-   */
-  #applyBack(row: EndpointRow, isNewer: boolean, now: number): void {
-    if (row.listed !== "live" || !isNewer) return;
-    this.#setState(row, ENDPOINT_STATE.cold, now);
-  }
-
   /** Takes over what an entry has seen; the news is first-hand. */
   applyNews(news: EndpointNews, now: number): void {
     const row = this.#rows.get(news.endpointId);
     if (row === undefined) return;
     if (!this.#applyNewsInstance(row, news.instance, now)) return;
-    if (isFinal(row.state)) return;
-    match(news.news)
-      .with("silent", () => this.#setState(row, ENDPOINT_STATE.silent, now))
-      .with("cold", () => this.#setState(row, ENDPOINT_STATE.cold, now))
-      .with("leaving", () => this.#setState(row, ENDPOINT_STATE.leaving, now))
-      .with("warm", () => this.#applyWarmed(row, now))
-      .with("answered", () => this.#applyAnswered(row, now))
-      .exhaustive();
+    this.#setState(row, decideByNews(row, news.news), now);
   }
 
   #applyNewsInstance(
@@ -198,23 +162,6 @@
     return true;
   }
 
-  /**
-   * The warmer has finished enough calls. An endpoint that reports its state knows
-   * better, and one that is silent must answer first.
-   */
-  #applyWarmed(row: EndpointRow, now: number): void {
-    if (row.reportedAt !== -Infinity) return;
-    const isWarming = row.state === ENDPOINT_STATE.cold ||
-      row.state === ENDPOINT_STATE.warming;
-    if (isWarming) this.#setState(row, ENDPOINT_STATE.warm, now);
-  }
-
-  /** It may have restarted while silent, so it starts over cold. */
-  #applyAnswered(row: EndpointRow, now: number): void {
-    if (row.state !== ENDPOINT_STATE.silent) return;
-    this.#setState(row, ENDPOINT_STATE.cold, now);
-  }
-
   /**
    * Takes over what another control gives as news. Negative states win; a
    * positive one counts only for endpoints that report nothing themselves, and where
@@ -234,23 +181,10 @@
       resetRow(row, fact.instance);
       this.#changed.add(fact.endpointId);
     }
-    if (isFinal(row.state)) return;
-    if (fact.state === ENDPOINT_STATE.gone) {
-      // The other's list is newer; what the own list says comes soon. Meanwhile
-      // reports of the same run must not bring it back.
-      this.#setStateByGossip(row, ENDPOINT_STATE.leaving);
-    } else if (isNegative(fact.state)) {
-      this.#setStateByGossip(row, fact.state);
-    } else if (this.#mayBelieve(row, now) && relation !== "new") {
-      this.#setStateByGossip(row, fact.state);
-    }
-  }
-
-  #mayBelieve(row: EndpointRow, now: number): boolean {
-    const isUsed = row.state === ENDPOINT_STATE.cold ||
-      row.state === ENDPOINT_STATE.warming;
-    const hasReported = row.reportedAt !== -Infinity;
-    return isUsed && !hasReported && now - row.negativeAt > this.#newsKeptMs;
+    const hasOwnNews = relation === "new" ||
+      now - row.negativeAt <= this.#newsKeptMs;
+    const state = decideByGossip(row, fact.state, { hasOwnNews });
+    if (state !== undefined) this.#setStateByGossip(row, state);
   }
 
   /** Gives all endpoints. */
@@ -298,7 +232,12 @@
     this.#changed.add(row.place.endpointId);
   }
 
-  #setState(row: EndpointRow, state: EndpointState, now: number): void {
+  #setState(
+    row: EndpointRow,
+    state: EndpointState | undefined,
+    now: number,
+  ): void {
+    if (state === undefined) return;
     if (isNegative(state)) row.negativeAt = now;
     if (row.state === state) return;
     row.state = state;
--- a/packages/membership/src/endpoint_table_test.ts
+++ b/packages/membership/src/endpoint_table_test.ts
@@ -1,6 +1,7 @@
 import type { EndpointFacts, LoadReport } from "@sardinestep/types";
 import { expect } from "chai";
-import { EndpointTable, type ListedEndpointFacts } from "./endpoint_table.ts";
+import type { ListedEndpointFacts } from "./endpoint_row.ts";
+import { EndpointTable } from "./endpoint_table.ts";
 
 const LISTED: ListedEndpointFacts = {
   endpointId: "e",
--- /dev/null
+++ b/packages/membership/src/member_evidence.ts
@@ -0,0 +1,60 @@
+/**
+ * What the evidence about a VM amounts to.
+ *
+ * @module
+ */
+import type { MemberFacts, VmId } from "@sardinestep/types";
+import { type MemberRow, NEVER_HEARD } from "./member_row.ts";
+
+/** When a VM counts as silent, and who judges. */
+export interface SilenceLimits {
+  /** Monotonic milliseconds. */
+  readonly now: number;
+  readonly silentAfterMs: number;
+  readonly ownVmId: VmId;
+}
+
+/** Gives a VM's state by all evidence, that of other VMs included. */
+export function getState(
+  row: MemberRow,
+  limits: SilenceLimits,
+): MemberFacts["state"] {
+  const state = getDirectState(row, limits);
+  if (state !== "silent") return state;
+  return isRelayed(row, limits) ? "live" : "silent";
+}
+
+/** Gives a VM's state by what the own VM hears itself. */
+export function getDirectState(
+  row: MemberRow,
+  limits: SilenceLimits,
+): MemberFacts["state"] {
+  if (row.isLeaving) return "leaving";
+  return isHeard(row, limits) ? "live" : "silent";
+}
+
+/**
+ * Tells whether a VM's entry is heard directly.
+ *
+ * The entry itself is the best proof. Its control's word counts while it does
+ * not say that its entry is down: that entry may have changed to another
+ * control, where it is heard.
+ */
+export function isHeard(row: MemberRow, limits: SilenceLimits): boolean {
+  if (isRecent(row.entryHeardAt, limits)) return true;
+  if (row.isEntryDown) return false;
+  if (row.place.vmId === limits.ownVmId) return true;
+  return isRecent(row.heardAt, limits);
+}
+
+/** Tells whether another VM hears it; what a VM says of itself is no such proof. */
+export function isRelayed(row: MemberRow, limits: SilenceLimits): boolean {
+  for (const [from, at] of row.relayedBy) {
+    if (from !== row.place.vmId && isRecent(at, limits)) return true;
+  }
+  return false;
+}
+
+function isRecent(at: number, limits: SilenceLimits): boolean {
+  return at !== NEVER_HEARD && limits.now - at <= limits.silentAfterMs;
+}
--- a/packages/membership/src/member_row.ts
+++ b/packages/membership/src/member_row.ts
@@ -27,6 +27,21 @@
   readonly controlRpc: Address;
 }
 
+/** A VM as the platform's list names it. */
+export interface ListedMember extends MemberPlace {
+  readonly state: "live" | "leaving";
+}
+
+/** Who was heard from: the identity that a process sends on a connection. */
+export interface HeardIdentity {
+  readonly process: "entry" | "control";
+  readonly vmId: VmId;
+  readonly zone: ZoneId;
+  readonly site: SiteId;
+  readonly instance: InstanceId;
+  readonly rpc: Address;
+}
+
 /** One VM with the evidence for and against it. */
 export interface MemberRow {
   place: MemberPlace;
@@ -82,6 +97,10 @@
       row.formerInstances.shift();
     }
     row.isLeaving = false;
+  } else if (row.listed === "live") {
+    // Listed as leaving before it was ever heard, and as live since then: what
+    // leaves was an earlier run.
+    row.isLeaving = false;
   }
   row.entryInstance = instance;
   row.isEntryDown = false;
@@ -100,3 +119,23 @@
     heardAt: row.heardAt,
   };
 }
+
+/** Gives the place alone, with what is not known left empty. */
+export function buildPlace(source: HeardIdentity | MemberPlace): MemberPlace {
+  const { vmId, zone, site } = source;
+  if ("entryRpc" in source) {
+    const { entryRpc, controlRpc } = source;
+    return { vmId, zone, site, entryRpc, controlRpc };
+  }
+  return mergePlace({ vmId, zone, site, entryRpc: "", controlRpc: "" }, source);
+}
+
+/** The process itself knows best where it listens. */
+export function mergePlace(
+  place: MemberPlace,
+  heard: HeardIdentity,
+): MemberPlace {
+  return heard.process === "entry"
+    ? { ...place, entryRpc: heard.rpc }
+    : { ...place, controlRpc: heard.rpc };
+}
--- a/packages/membership/src/member_table.ts
+++ b/packages/membership/src/member_table.ts
@@ -4,37 +4,25 @@
  *
  * @module
  */
-import type {
-  Address,
-  InstanceId,
-  MemberFacts,
-  SiteId,
-  VmId,
-  ZoneId,
-} from "@sardinestep/types";
+import type { InstanceId, MemberFacts, VmId } from "@sardinestep/types";
 import {
   applyInstance,
   buildFacts,
+  buildPlace,
   createRow,
+  type HeardIdentity,
+  type ListedMember,
   type MemberPlace,
   type MemberRow,
-  NEVER_HEARD,
+  mergePlace,
 } from "./member_row.ts";
-
-/** A VM as the platform's list names it. */
-export interface ListedMember extends MemberPlace {
-  readonly state: "live" | "leaving";
-}
-
-/** Who was heard from: the identity that a process sends on a connection. */
-export interface HeardIdentity {
-  readonly process: "entry" | "control";
-  readonly vmId: VmId;
-  readonly zone: ZoneId;
-  readonly site: SiteId;
-  readonly instance: InstanceId;
-  readonly rpc: Address;
-}
+import {
+  getDirectState,
+  getState,
+  isHeard,
+  isRelayed,
+  type SilenceLimits,
+} from "./member_evidence.ts";
 
 /** Limits of a {@link MemberTable}. */
 export interface MemberTableOptions {
@@ -44,7 +32,7 @@
   readonly silentAfterMs: number;
   /**
    * How long an answered call proves that a VM hears this one. At most, and by
-   * default, a quarter of `silentAfterMs`; `warmup_guard.ts` has the reason.
+   * default, a quarter of `silentAfterMs`; `warmer.ts` has the reason.
    */
   readonly viewFreshMs?: number;
   /** A view that rests on an older list is not fresh. */
@@ -221,7 +209,7 @@
     from: VmId | undefined,
   ): boolean {
     const isFirstHand = from === member.vmId;
-    if (!isFirstHand && this.#isHeard(row, now)) {
+    if (!isFirstHand && isHeard(row, this.#getLimits(now))) {
       return member.entryInstance === row.entryInstance;
     }
     return applyInstance(row, member.entryInstance);
@@ -248,7 +236,7 @@
   /** Gives all known VMs, sorted by id. */
   getMembers(now: number): MemberFacts[] {
     this.#forget(now);
-    return this.#buildAll((row) => this.#getState(row, now));
+    return this.#buildAll((row) => getState(row, this.#getLimits(now)));
   }
 
   /**
@@ -257,7 +245,7 @@
    */
   getGossip(now: number): MemberFacts[] {
     this.#forget(now);
-    return this.#buildAll((row) => this.#getDirectState(row, now));
+    return this.#buildAll((row) => getDirectState(row, this.#getLimits(now)));
   }
 
   /**
@@ -282,41 +270,6 @@
     for (const row of this.#rows.values()) row.confirmedAt = -Infinity;
   }
 
-  #getState(row: MemberRow, now: number): MemberFacts["state"] {
-    const state = this.#getDirectState(row, now);
-    if (state !== "silent") return state;
-    return this.#isRelayed(row, now) ? "live" : "silent";
-  }
-
-  #getDirectState(row: MemberRow, now: number): MemberFacts["state"] {
-    if (row.isLeaving) return "leaving";
-    return this.#isHeard(row, now) ? "live" : "silent";
-  }
-
-  /**
-   * The entry itself is the best proof. Its control's word counts while it does
-   * not say that its entry is down: that entry may have changed to another
-   * control, where it is heard.
-   */
-  #isHeard(row: MemberRow, now: number): boolean {
-    if (this.#isRecent(row.entryHeardAt, now)) return true;
-    if (row.isEntryDown) return false;
-    if (row.place.vmId === this.#options.self.vmId) return true;
-    return this.#isRecent(row.heardAt, now);
-  }
-
-  /** Others' word counts, but not that of the VM about itself. */
-  #isRelayed(row: MemberRow, now: number): boolean {
-    for (const [from, at] of row.relayedBy) {
-      if (from !== row.place.vmId && this.#isRecent(at, now)) return true;
-    }
-    return false;
-  }
-
-  #isRecent(at: number, now: number): boolean {
-    return at !== NEVER_HEARD && now - at <= this.#options.silentAfterMs;
-  }
-
   #buildAll(
     getState: (row: MemberRow) => MemberFacts["state"],
   ): MemberFacts[] {
@@ -325,6 +278,11 @@
       .sort((left, right) => left.vmId < right.vmId ? -1 : 1);
   }
 
+  #getLimits(now: number): SilenceLimits {
+    const { self, silentAfterMs } = this.#options;
+    return { now, silentAfterMs, ownVmId: self.vmId };
+  }
+
   #getOwn(): MemberRow {
     return this.#rows.get(this.#options.self.vmId) as MemberRow;
   }
@@ -342,24 +300,8 @@
     const { self, forgetAfterMs } = this.#options;
     for (const [vmId, row] of this.#rows) {
       if (vmId === self.vmId || row.listed) continue;
-      if (this.#isRelayed(row, now)) continue;
+      if (isRelayed(row, this.#getLimits(now))) continue;
       if (now - row.touchedAt > forgetAfterMs) this.#rows.delete(vmId);
     }
   }
 }
-
-function buildPlace(source: HeardIdentity | MemberPlace): MemberPlace {
-  const { vmId, zone, site } = source;
-  if ("entryRpc" in source) {
-    const { entryRpc, controlRpc } = source;
-    return { vmId, zone, site, entryRpc, controlRpc };
-  }
-  return mergePlace({ vmId, zone, site, entryRpc: "", controlRpc: "" }, source);
-}
-
-/** The process itself knows best where it listens. */
-function mergePlace(place: MemberPlace, heard: HeardIdentity): MemberPlace {
-  return heard.process === "entry"
-    ? { ...place, entryRpc: heard.rpc }
-    : { ...place, controlRpc: heard.rpc };
-}
--- a/packages/membership/src/member_table_test.ts
+++ b/packages/membership/src/member_table_test.ts
@@ -1,7 +1,7 @@
 import type { MemberFacts } from "@sardinestep/types";
 import { expect } from "chai";
-import { type HeardIdentity, MemberTable } from "./member_table.ts";
-import { NEVER_HEARD } from "./member_row.ts";
+import { type HeardIdentity, NEVER_HEARD } from "./member_row.ts";
+import { MemberTable } from "./member_table.ts";
 
 const SILENT_AFTER_MS = 4_000;
 
@@ -102,6 +102,17 @@
     expect(getStates(table, 4).b).to.equal("live");
   });
 
+  it("serves a VM that left before it was ever heard and came back", () => {
+    const table = createTable();
+    const leaving = [{ ...buildPlace("b"), state: "leaving" as const }];
+    table.applyList(leaving, 1, { asOf: 50 });
+    expect(getStates(table, 1).b).to.equal("leaving");
+    table.applyList(buildListed("b"), 2, { asOf: 51 });
+    expect(getStates(table, 2).b).to.equal("leaving");
+    table.applyHeard(buildIdentity("b", "b#2", "entry"), 3);
+    expect(getStates(table, 3).b).to.equal("live");
+  });
+
   it("lets a VM that another one hears count as live, but not by hearsay", () => {
     const table = createTable();
     table.applyHeard(buildIdentity("b"), 0);
--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -5,9 +5,19 @@
  */
 export * from "./rendezvous.ts";
 export * from "./pause_detector.ts";
-export { type MemberPlace, NEVER_HEARD } from "./member_row.ts";
+export {
+  type HeardIdentity,
+  type ListedMember,
+  type MemberPlace,
+  NEVER_HEARD,
+} from "./member_row.ts";
 export * from "./member_table.ts";
-export type { ListedPlace } from "./endpoint_row.ts";
+export type {
+  EndpointNews,
+  ListedEndpointFacts,
+  ListedPlace,
+} from "./endpoint_row.ts";
 export * from "./endpoint_table.ts";
 export * from "./warm_slice.ts";
+export * from "./warmer.ts";
 export * from "./warmup_guard.ts";
--- a/packages/membership/src/warmup_guard_property_test.ts
+++ b/packages/membership/src/warmup_guard_property_test.ts
@@ -1,8 +1,13 @@
 import type { EndpointFacts, InstanceId, VmId } from "@sardinestep/types";
 import { expect } from "chai";
 import fc from "fast-check";
-import { type HeardIdentity, MemberTable } from "./member_table.ts";
-import { buildQuarantineMs, rankByHash, WarmupGuard } from "./mod.ts";
+import {
+  buildQuarantineMs,
+  type HeardIdentity,
+  MemberTable,
+  rankByHash,
+  WarmupGuard,
+} from "./mod.ts";
 
 /*
  * Nine VMs, each with the table of its control and the guard of its entry, in
--- a/packages/metrics/src/labels.ts
+++ b/packages/metrics/src/labels.ts
@@ -66,6 +66,8 @@
   readonly #create: () => T;
   readonly #maxSeries: number;
   readonly #byText = new Map<string, T>();
+  /** Kept series once more, by a key that is cheap to build. */
+  readonly #byQuickKey = new Map<string, T>();
   readonly #labelsByText = new Map<string, Labels>();
 
   /**
@@ -79,11 +81,17 @@
 
   /** Gives the series of a label set, a new one if there is room. */
   get(labels: Labels): T {
+    const quickKey = buildQuickKey(labels);
+    const quick = this.#byQuickKey.get(quickKey);
+    if (quick !== undefined) return quick;
     const text = formatLabels(labels);
     const known = this.#byText.get(text);
-    if (known !== undefined) return known;
-    if (this.#byText.size < this.#maxSeries) return this.#add(text, labels);
-    return this.#getOther(labels);
+    const hasRoom = this.#byText.size < this.#maxSeries;
+    if (known === undefined && !hasRoom) return this.#getOther(labels);
+    const series = known ?? this.#add(text, labels);
+    // Only of series that are kept, so this map is bounded as well.
+    this.#byQuickKey.set(quickKey, series);
+    return series;
   }
 
   #getOther(labels: Labels): T {
@@ -107,3 +115,10 @@
     }
   }
 }
+
+/** As written by the caller, neither sorted nor escaped: this runs per count. */
+function buildQuickKey(labels: Labels): string {
+  let key = "";
+  for (const name in labels) key += `${name}\0${labels[name]}\0`;
+  return key;
+}
