--- a/packages/membership/src/endpoint_row.ts
+++ b/packages/membership/src/endpoint_row.ts
@@ -77,12 +77,12 @@
 /** How an instance id relates to the one that the row knows. */
 export type InstanceRelation = "same" | "first" | "new" | "former";
 
-/** Compares an instance id with those that the row knows. */
+/** Compares an instance id with those that the row knows; empty is not known. */
 export function compareInstance(
   row: EndpointRow,
   instance: InstanceId,
 ): InstanceRelation {
-  if (instance === row.instance) return "same";
+  if (instance === row.instance || instance === "") return "same";
   if (row.formerInstances.includes(instance)) return "former";
   return row.instance === "" ? "first" : "new";
 }
@@ -93,7 +93,7 @@
  * An endpoint restarts without notice; as long as it counts as warm it gets the
  * load of a warm one and falls over. The new instance id is the earliest sign.
  */
-export function resetRow(row: EndpointRow, instance: InstanceId): void {
+export function setNewRun(row: EndpointRow, instance: InstanceId): void {
   if (row.instance !== "") {
     row.formerInstances.push(row.instance);
     if (row.formerInstances.length > FORMER_INSTANCES_KEPT) {
--- a/packages/membership/src/endpoint_table.ts
+++ b/packages/membership/src/endpoint_table.ts
@@ -26,7 +26,7 @@
   isNegative,
   type ListedEndpointFacts,
   type ListedPlace,
-  resetRow,
+  setNewRun,
 } from "./endpoint_row.ts";
 
 /** Limits of an {@link EndpointTable}. */
@@ -132,7 +132,7 @@
     if (relation === "former" || report.measuredAt <= row.reportedAt) {
       return false;
     }
-    if (relation === "first") this.#adoptInstance(row, report.instance);
+    if (relation === "first") this.#setFirstInstance(row, report.instance);
     if (relation === "new") this.#applyNewInstance(row, report.instance, now);
     row.reportedAt = report.measuredAt;
     // Of a run that was just noticed only the start counts: it is cold.
@@ -154,10 +154,9 @@
     instance: InstanceId,
     now: number,
   ): boolean {
-    if (instance === "") return true;
     const relation = compareInstance(row, instance);
     if (relation === "former") return false;
-    if (relation === "first") this.#adoptInstance(row, instance);
+    if (relation === "first") this.#setFirstInstance(row, instance);
     if (relation === "new") this.#applyNewInstance(row, instance, now);
     return true;
   }
@@ -174,11 +173,13 @@
   #applyGossiped(fact: EndpointFacts, now: number): void {
     const row = this.#rows.get(fact.endpointId);
     if (row === undefined) return;
+    // Who does not know the run may mean an earlier one.
+    if (fact.instance === "" && row.instance !== "") return;
     const relation = compareInstance(row, fact.instance);
     if (relation === "former") return;
-    if (relation === "first") this.#adoptInstance(row, fact.instance);
+    if (relation === "first") this.#setFirstInstance(row, fact.instance);
     if (relation === "new") {
-      resetRow(row, fact.instance);
+      setNewRun(row, fact.instance);
       this.#changed.add(fact.endpointId);
     }
     const hasOwnNews = relation === "new" ||
@@ -221,13 +222,13 @@
     instance: InstanceId,
     now: number,
   ): void {
-    resetRow(row, instance);
+    setNewRun(row, instance);
     row.negativeAt = now;
     row.ownNewsAt = now;
     this.#changed.add(row.place.endpointId);
   }
 
-  #adoptInstance(row: EndpointRow, instance: InstanceId): void {
+  #setFirstInstance(row: EndpointRow, instance: InstanceId): void {
     row.instance = instance;
     this.#changed.add(row.place.endpointId);
   }
--- a/packages/membership/src/endpoint_table_test.ts
+++ b/packages/membership/src/endpoint_table_test.ts
@@ -195,6 +195,16 @@
     expect(table.getNews(50_000)).to.deep.equal([]);
   });
 
+  it("ignores gossip from one who does not know the run", () => {
+    const table = createWarmTable();
+    for (const state of ["cold", "leaving", "silent"] as const) {
+      table.applyGossip([buildFacts({ instance: "", state })], 20);
+    }
+    expect(table.getEndpoint("e")).to.include(
+      { instance: "e#1", state: "warm" },
+    );
+  });
+
   it("forgets endpoints that are gone for long", () => {
     const table = createWarmTable();
     table.applyList([], 50, { asOf: 5 });
--- a/packages/membership/src/member_evidence.ts
+++ b/packages/membership/src/member_evidence.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { MemberFacts, VmId } from "@sardinestep/types";
-import { type MemberRow, NEVER_HEARD } from "./member_row.ts";
+import { applyInstance, type MemberRow, NEVER_HEARD } from "./member_row.ts";
 
 /** When a VM counts as silent, and who judges. */
 export interface SilenceLimits {
@@ -55,6 +55,51 @@
   return false;
 }
 
+/** Who says something of a VM, and when. */
+export interface RelayOptions {
+  /** Undefined when it is not known who says so. */
+  readonly from: VmId | undefined;
+  readonly limits: SilenceLimits;
+}
+
+/** Takes over what another control says of a VM that is not the own one. */
+export function applyRelayed(
+  row: MemberRow,
+  member: MemberFacts,
+  options: RelayOptions,
+): void {
+  const { from, limits } = options;
+  if (!applyRelayedInstance(row, member, options)) return;
+  // Who does not know the run may mean an earlier one.
+  const isSameRun = member.entryInstance === row.entryInstance;
+  if (member.state === "leaving" && isSameRun) row.isLeaving = true;
+  if (from === undefined) return;
+  // A control says of its own VM that it is silent when its entry is down.
+  if (from === member.vmId) row.isEntryDown = member.state === "silent";
+  if (member.state === "live") row.relayedBy.set(from, limits.now);
+  else row.relayedBy.delete(from);
+}
+
+/** Second-hand instance ids count only while nothing better is known. */
+function applyRelayedInstance(
+  row: MemberRow,
+  member: MemberFacts,
+  options: RelayOptions,
+): boolean {
+  const isFirstHand = options.from === member.vmId;
+  if (!isFirstHand && isHeard(row, options.limits)) {
+    return member.entryInstance === row.entryInstance;
+  }
+  return applyInstance(row, member.entryInstance);
+}
+
+/** Drops the word of VMs that have said nothing lately, or are gone themselves. */
+export function dropOldRelays(row: MemberRow, limits: SilenceLimits): void {
+  for (const [from, at] of row.relayedBy) {
+    if (!isRecent(at, limits)) row.relayedBy.delete(from);
+  }
+}
+
 function isRecent(at: number, limits: SilenceLimits): boolean {
   return at !== NEVER_HEARD && limits.now - at <= limits.silentAfterMs;
 }
--- a/packages/membership/src/member_table.ts
+++ b/packages/membership/src/member_table.ts
@@ -17,9 +17,10 @@
   mergePlace,
 } from "./member_row.ts";
 import {
+  applyRelayed,
+  dropOldRelays,
   getDirectState,
   getState,
-  isHeard,
   isRelayed,
   type SilenceLimits,
 } from "./member_evidence.ts";
@@ -179,8 +180,9 @@
   /** Others may know from the list that this VM leaves before it knows. */
   #applyGossipAboutSelf(member: MemberFacts): void {
     const own = this.#getOwn();
-    const isAboutThisRun = member.entryInstance === own.entryInstance;
-    if (member.state === "leaving" && isAboutThisRun) own.isLeaving = true;
+    const isSameRun = own.entryInstance !== "" &&
+      member.entryInstance === own.entryInstance;
+    if (member.state === "leaving" && isSameRun) own.isLeaving = true;
   }
 
   #applyGossiped(
@@ -192,27 +194,7 @@
     if (known === undefined && member.state !== "live") return;
     const row = known ?? createRow(buildPlace(member), now);
     this.#rows.set(member.vmId, row);
-    if (!this.#applyGossipedInstance(row, member, now, from)) return;
-    if (member.state === "leaving") row.isLeaving = true;
-    if (from === undefined) return;
-    // A control says of its own VM that it is silent when its entry is down.
-    if (from === member.vmId) row.isEntryDown = member.state === "silent";
-    if (member.state === "live") row.relayedBy.set(from, now);
-    else row.relayedBy.delete(from);
-  }
-
-  /** Second-hand instance ids count only while nothing better is known. */
-  #applyGossipedInstance(
-    row: MemberRow,
-    member: MemberFacts,
-    now: number,
-    from: VmId | undefined,
-  ): boolean {
-    const isFirstHand = from === member.vmId;
-    if (!isFirstHand && isHeard(row, this.#getLimits(now))) {
-      return member.entryInstance === row.entryInstance;
-    }
-    return applyInstance(row, member.entryInstance);
+    applyRelayed(row, member, { from, limits: this.#getLimits(now) });
   }
 
   /** Says which entry process of the own VM is connected, if any. */
@@ -235,7 +217,7 @@
 
   /** Gives all known VMs, sorted by id. */
   getMembers(now: number): MemberFacts[] {
-    this.#forget(now);
+    this.#dropForgotten(now);
     return this.#buildAll((row) => getState(row, this.#getLimits(now)));
   }
 
@@ -244,7 +226,7 @@
    * others is not passed on, or a rumour would outlive the VM it is about.
    */
   getGossip(now: number): MemberFacts[] {
-    this.#forget(now);
+    this.#dropForgotten(now);
     return this.#buildAll((row) => getDirectState(row, this.#getLimits(now)));
   }
 
@@ -296,9 +278,10 @@
   }
 
   /** All VMs are replaced again and again: the table must not keep them all. */
-  #forget(now: number): void {
+  #dropForgotten(now: number): void {
     const { self, forgetAfterMs } = this.#options;
     for (const [vmId, row] of this.#rows) {
+      dropOldRelays(row, this.#getLimits(now));
       if (vmId === self.vmId || row.listed) continue;
       if (isRelayed(row, this.#getLimits(now))) continue;
       if (now - row.touchedAt > forgetAfterMs) this.#rows.delete(vmId);
--- a/packages/membership/src/member_table_test.ts
+++ b/packages/membership/src/member_table_test.ts
@@ -102,6 +102,18 @@
     expect(getStates(table, 4).b).to.equal("live");
   });
 
+  // A control has just started and knows from the lagging list only that a VM
+  // leaves, not which run of it. The VM has been replaced meanwhile, and all others
+  // would take the new run out of service.
+  it("ignores leaving from one who does not know the run", () => {
+    const table = createTable();
+    table.applyHeard(buildIdentity("b", "b#2", "entry"), 0);
+    const vague = { state: "leaving", entryInstance: "" } as const;
+    table.applyGossip([buildMember("b", vague)], 1, { from: "c" });
+    table.applyGossip([buildMember("a", vague)], 1, { from: "c" });
+    expect(getStates(table, 1)).to.deep.equal({ a: "live", b: "live" });
+  });
+
   it("serves a VM that left before it was ever heard and came back", () => {
     const table = createTable();
     const leaving = [{ ...buildPlace("b"), state: "leaving" as const }];
--- a/packages/membership/src/rendezvous.ts
+++ b/packages/membership/src/rendezvous.ts
@@ -15,10 +15,10 @@
  * @returns A new list.
  * @example
  * ```ts
- * rankByHash("endpoint-1", members, (member) => member.vmId)[0];
+ * buildRanking("endpoint-1", members, (member) => member.vmId)[0];
  * ```
  */
-export function rankByHash<T>(
+export function buildRanking<T>(
   subject: string,
   items: readonly T[],
   getId: (item: T) => string,
@@ -36,7 +36,7 @@
  * @param subject What the items compete for.
  * @param items The competitors, in any order.
  * @param getId Gives an item's id.
- * @returns The item that {@link rankByHash} puts first, if there is any.
+ * @returns The item that {@link buildRanking} puts first, if there is any.
  * @example
  * ```ts
  * pickByHash("endpoint-1", members, (member) => member.vmId);
@@ -87,7 +87,7 @@
   items: readonly T[],
   options: PickSubsetOptions<T>,
 ): T[] {
-  return rankByHash(owner, items, options.getId).slice(0, options.size);
+  return buildRanking(owner, items, options.getId).slice(0, options.size);
 }
 
 interface Scored<T> {
--- a/packages/membership/src/rendezvous_test.ts
+++ b/packages/membership/src/rendezvous_test.ts
@@ -1,11 +1,11 @@
 import type { EndpointFacts, MemberFacts } from "@sardinestep/types";
 import { expect } from "chai";
 import {
+  buildRanking,
   getWarmSlice,
   PauseDetector,
   pickByHash,
   pickSubset,
-  rankByHash,
 } from "./mod.ts";
 
 const getId = (id: string) => id;
@@ -23,8 +23,10 @@
 describe("rendezvous hashing", () => {
   it("does not depend on the order of the items", () => {
     const items = buildNames("vm", 9);
-    const ranked = rankByHash("key", items, getId);
-    expect(rankByHash("key", items.toReversed(), getId)).to.deep.equal(ranked);
+    const ranked = buildRanking("key", items, getId);
+    expect(buildRanking("key", items.toReversed(), getId)).to.deep.equal(
+      ranked,
+    );
     expect(pickByHash("key", items, getId)).to.equal(ranked[0]);
     expect(pickByHash("key", [], getId)).to.equal(undefined);
   });
--- a/packages/membership/src/warm_slice.ts
+++ b/packages/membership/src/warm_slice.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { EndpointFacts, MemberFacts, VmId } from "@sardinestep/types";
-import { rankByHash } from "./rendezvous.ts";
+import { buildRanking } from "./rendezvous.ts";
 
 /** Whose slice, and among whom it is shared. */
 export interface WarmSliceOptions {
@@ -50,7 +50,7 @@
   options: { readonly vmId: VmId; readonly left: number },
 ): boolean {
   if (options.left === 0) return false;
-  return rankByHash(facts.endpointId, live, (member) => member.vmId)
+  return buildRanking(facts.endpointId, live, (member) => member.vmId)
     .slice(0, options.left)
     .some((member) => member.vmId === options.vmId);
 }
--- a/packages/membership/src/warmup_guard.ts
+++ b/packages/membership/src/warmup_guard.ts
@@ -100,7 +100,7 @@
       this.#membersSince = now;
       for (const it of this.#endpoints.values()) this.#updatePicks(it, now);
     }
-    if (view.viewAt !== undefined) this.confirmView(view.viewAt, now);
+    if (view.viewAt !== undefined) this.recordConfirmed(view.viewAt, now);
   }
 
   /**
@@ -109,7 +109,7 @@
    * @param viewAt When the call was sent that control answered so.
    * @param now Monotonic milliseconds.
    */
-  confirmView(viewAt: number, now: number): void {
+  recordConfirmed(viewAt: number, now: number): void {
     // After a gap others may have warmed in between.
     if (!this.#isFresh(now)) this.#freshSince = now;
     this.#viewAt = Math.max(this.#viewAt, viewAt);
--- a/packages/membership/src/warmup_guard_property_test.ts
+++ b/packages/membership/src/warmup_guard_property_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import fc from "fast-check";
-import { rankByHash } from "./rendezvous.ts";
+import { buildRanking } from "./rendezvous.ts";
 import {
   type TimedFault,
   VM_FAULT_KINDS,
@@ -81,7 +81,7 @@
   // another VM warm its endpoints; the one that is cut off goes on, because it
   // takes its view for fresh.
   it("would be broken if a VM that is cut off took its view for fresh", () => {
-    const [vm] = rankVms("e-1");
+    const [vm] = buildVmRanking("e-1");
     const fault = { kind: "cut_off" as const, vm: vm! };
     const faults = [{ fault, atMs: 18_000, forMs: 27_000 }];
     expect(runWarmupWorld(faults, "without_majority").maxRunning)
@@ -94,7 +94,7 @@
   // for dead, so that both believe that they are the warmer, for as long as
   // the path is cut. What the others hear must count.
   it("would be broken if one cut path made two VMs dead to each other", () => {
-    const [vm, other] = rankVms("e-1");
+    const [vm, other] = buildVmRanking("e-1");
     const fault = { kind: "path_cut" as const, vm: vm!, other: other! };
     const faults = [{ fault, atMs: 5_000, forMs: 40_000 }];
     expect(runWarmupWorld(faults, "without_relay").maxRunning)
@@ -105,7 +105,7 @@
 });
 
 /** The numbers of the VMs in the order in which they may warm an endpoint. */
-function rankVms(endpointId: string): number[] {
+function buildVmRanking(endpointId: string): number[] {
   const vms = Array.from({ length: WORLD_VMS }, (_, vm) => vm);
-  return rankByHash(endpointId, vms, (vm) => `vm-${vm}`);
+  return buildRanking(endpointId, vms, (vm) => `vm-${vm}`);
 }
--- a/packages/membership/src/warmup_guard_test.ts
+++ b/packages/membership/src/warmup_guard_test.ts
@@ -45,9 +45,13 @@
 }
 
 /** Confirms the view at short intervals up to a time. */
-function confirmUntil(guard: WarmupGuard, from: number, until: number): void {
+function recordConfirmedUntil(
+  guard: WarmupGuard,
+  from: number,
+  until: number,
+): void {
   for (let now = from; now <= until; now += VIEW_FRESH_MS / 2) {
-    guard.confirmView(now, now);
+    guard.recordConfirmed(now, now);
   }
 }
 
@@ -56,7 +60,7 @@
   const guard = createGuard(vmId);
   guard.applyView({ members: MEMBERS, viewAt: 0 }, 0);
   guard.applyEndpoint(buildFacts(), 0);
-  confirmUntil(guard, 0, READY_AT);
+  recordConfirmedUntil(guard, 0, READY_AT);
   return guard;
 }
 
@@ -96,9 +100,9 @@
     const guard = createReadyGuard();
     const awakeAt = READY_AT + 60_000;
     expect(guard.getSlice("e", awakeAt)).to.equal(0);
-    confirmUntil(guard, awakeAt, awakeAt + QUARANTINE_MS / 2);
+    recordConfirmedUntil(guard, awakeAt, awakeAt + QUARANTINE_MS / 2);
     expect(guard.getSlice("e", awakeAt + QUARANTINE_MS / 2)).to.equal(0);
-    confirmUntil(
+    recordConfirmedUntil(
       guard,
       awakeAt + QUARANTINE_MS / 2,
       awakeAt + QUARANTINE_MS,
@@ -112,7 +116,7 @@
     expect(guard.getSlice("e", READY_AT)).to.equal(0);
     guard.applyView({ members: MEMBERS, viewAt: undefined }, READY_AT);
     expect(guard.getSlice("e", READY_AT)).to.equal(0);
-    guard.confirmView(READY_AT, READY_AT);
+    guard.recordConfirmed(READY_AT, READY_AT);
     expect(guard.getSlice("e", READY_AT)).to.equal(0);
   });
 
@@ -122,7 +126,7 @@
     const guard = createReadyGuard(vmId);
     guard.applyView({ members, viewAt: READY_AT }, READY_AT);
     expect(guard.getSlice("e", READY_AT)).to.equal(0);
-    confirmUntil(guard, READY_AT, READY_AT + QUARANTINE_MS);
+    recordConfirmedUntil(guard, READY_AT, READY_AT + QUARANTINE_MS);
     expect(guard.getSlice("e", READY_AT + QUARANTINE_MS)).to.equal(2);
     guard.applyView({ members: MEMBERS, viewAt: 0 }, READY_AT + QUARANTINE_MS);
     expect(guard.getSlice("e", READY_AT + QUARANTINE_MS)).to.equal(0);
@@ -137,7 +141,7 @@
     expect(guard.getSlice("e", READY_AT)).to.be.above(0);
     guard.applyEndpoint(buildFacts({ instance: "e#2" }), READY_AT);
     expect(guard.getSlice("e", READY_AT)).to.equal(0);
-    confirmUntil(guard, READY_AT, READY_AT + QUARANTINE_MS);
+    recordConfirmedUntil(guard, READY_AT, READY_AT + QUARANTINE_MS);
     expect(guard.getSlice("e", READY_AT + QUARANTINE_MS)).to.equal(2);
   });
 
--- a/packages/results/src/holders.ts
+++ b/packages/results/src/holders.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { rankByHash } from "@sardinestep/membership";
+import { buildRanking } from "@sardinestep/membership";
 import type { CustomerId, MemberFacts } from "@sardinestep/types";
 
 /** The customer and key that results belong to. */
@@ -38,7 +38,11 @@
 export function pickHolders(options: PickHoldersOptions): MemberFacts[] {
   const { keyId, members, count } = options;
   const live = members.filter((member) => member.state === "live");
-  const ranked = rankByHash(formatKeyId(keyId), live, (member) => member.vmId);
+  const ranked = buildRanking(
+    formatKeyId(keyId),
+    live,
+    (member) => member.vmId,
+  );
   const spread = pickOnePerZone(ranked, count);
   const rest = ranked.filter((member) => !spread.includes(member));
   return [...spread, ...rest].slice(0, count);
--- a/packages/results/src/result_store.ts
+++ b/packages/results/src/result_store.ts
@@ -117,7 +117,7 @@
     }
     const kept = { result, keyText, untilMs, bytes };
     this.#add(kept);
-    this.#evict();
+    this.#dropToFit();
     return this.#has(kept) ? undefined : RESULT_DROP.evicted;
   }
 
@@ -198,7 +198,7 @@
     }
   }
 
-  #evict(): void {
+  #dropToFit(): void {
     const { maxEntries, maxBytes } = this.#options;
     while (this.size > maxEntries || this.#bytes > maxBytes) {
       this.#dropFirst(RESULT_DROP.evicted);
