--- a/packages/control/src/log_tail.ts
+++ b/packages/control/src/log_tail.ts
@@ -9,9 +9,9 @@
 
 const READ_LIMIT = 500;
 /** The log holds a read open for so long while there is no news. */
-const LONG_POLL_MS = 2_000;
-/** A read that takes longer has lost its connection. */
-const READ_TIMEOUT_MS = 4_000;
+const LONG_POLL_MS = 1_000;
+/** A read that takes longer has lost its connection, or the log is down. */
+const READ_TIMEOUT_MS = 2_000;
 /** First pause after a failed read; doubles up to the longest one. */
 const MIN_PAUSE_MS = 50;
 /** Short enough that service resumes within a second after an outage. */
--- a/packages/membership/src/member_table.ts
+++ b/packages/membership/src/member_table.ts
@@ -4,38 +4,27 @@
  *
  * @module
  */
-import type {
-  Address,
-  InstanceId,
-  MemberFacts,
-  SiteId,
-  VmId,
-  ZoneId,
-} from "@sardinestep/types";
+import type { InstanceId, MemberFacts, VmId } from "@sardinestep/types";
 import {
   applyInstance,
   buildFacts,
+  buildPlace,
   createRow,
   fillPlace,
+  type HeardIdentity,
+  type ListedMember,
   type MemberPlace,
   type MemberRow,
-  NEVER_HEARD,
+  mergePlace,
 } from "./member_row.ts";
-
-/** A VM as the platform's list names it. */
-export interface ListedMember extends MemberPlace {
-  readonly state: "live" | "leaving";
-}
-
-/** Who was heard from: the identity that a process sends on a connection. */
-export interface HeardIdentity {
-  readonly process: "entry" | "control";
-  readonly vmId: VmId;
-  readonly zone: ZoneId;
-  readonly site: SiteId;
-  readonly instance: InstanceId;
-  readonly rpc: Address;
-}
+import {
+  applyRelayed,
+  dropOldRelays,
+  getDirectState,
+  getState,
+  isRelayed,
+  type SilenceLimits,
+} from "./member_evidence.ts";
 
 /** Limits of a {@link MemberTable}. */
 export interface MemberTableOptions {
@@ -45,7 +34,7 @@
   readonly silentAfterMs: number;
   /**
    * How long an answered call proves that a VM hears this one. At most, and by
-   * default, a quarter of `silentAfterMs`; `warmup_guard.ts` has the reason.
+   * default, a quarter of `silentAfterMs`; `warmer.ts` has the reason.
    */
   readonly viewFreshMs?: number;
   /** A view that rests on an older list is not fresh. */
@@ -193,8 +182,9 @@
   /** Others may know from the list that this VM leaves before it knows. */
   #applyGossipAboutSelf(member: MemberFacts): void {
     const own = this.#getOwn();
-    const isAboutThisRun = member.entryInstance === own.entryInstance;
-    if (member.state === "leaving" && isAboutThisRun) own.isLeaving = true;
+    const isSameRun = own.entryInstance !== "" &&
+      member.entryInstance === own.entryInstance;
+    if (member.state === "leaving" && isSameRun) own.isLeaving = true;
   }
 
   #applyGossiped(
@@ -207,27 +197,7 @@
     const row = known ?? createRow(buildPlace(member), now);
     fillPlace(row, member);
     this.#rows.set(member.vmId, row);
-    if (!this.#applyGossipedInstance(row, member, now, from)) return;
-    if (member.state === "leaving") row.isLeaving = true;
-    if (from === undefined) return;
-    // A control says of its own VM that it is silent when its entry is down.
-    if (from === member.vmId) row.isEntryDown = member.state === "silent";
-    if (member.state === "live") row.relayedBy.set(from, now);
-    else row.relayedBy.delete(from);
-  }
-
-  /** Second-hand instance ids count only while nothing better is known. */
-  #applyGossipedInstance(
-    row: MemberRow,
-    member: MemberFacts,
-    now: number,
-    from: VmId | undefined,
-  ): boolean {
-    const isFirstHand = from === member.vmId;
-    if (!isFirstHand && this.#isHeard(row, now)) {
-      return member.entryInstance === row.entryInstance;
-    }
-    return applyInstance(row, member.entryInstance);
+    applyRelayed(row, member, { from, limits: this.#getLimits(now) });
   }
 
   /** Says which entry process of the own VM is connected, if any. */
@@ -250,8 +220,8 @@
 
   /** Gives all known VMs, sorted by id. */
   getMembers(now: number): MemberFacts[] {
-    this.#forget(now);
-    return this.#buildAll((row) => this.#getState(row, now));
+    this.#dropForgotten(now);
+    return this.#buildAll((row) => getState(row, this.#getLimits(now)));
   }
 
   /**
@@ -259,8 +229,8 @@
    * others is not passed on, or a rumour would outlive the VM it is about.
    */
   getGossip(now: number): MemberFacts[] {
-    this.#forget(now);
-    return this.#buildAll((row) => this.#getDirectState(row, now));
+    this.#dropForgotten(now);
+    return this.#buildAll((row) => getDirectState(row, this.#getLimits(now)));
   }
 
   /**
@@ -285,41 +255,6 @@
     for (const row of this.#rows.values()) row.confirmedAt = -Infinity;
   }
 
-  #getState(row: MemberRow, now: number): MemberFacts["state"] {
-    const state = this.#getDirectState(row, now);
-    if (state !== "silent") return state;
-    return this.#isRelayed(row, now) ? "live" : "silent";
-  }
-
-  #getDirectState(row: MemberRow, now: number): MemberFacts["state"] {
-    if (row.isLeaving) return "leaving";
-    return this.#isHeard(row, now) ? "live" : "silent";
-  }
-
-  /**
-   * The entry itself is the best proof. Its control's word counts while it does
-   * not say that its entry is down: that entry may have changed to another
-   * control, where it is heard.
-   */
-  #isHeard(row: MemberRow, now: number): boolean {
-    if (this.#isRecent(row.entryHeardAt, now)) return true;
-    if (row.isEntryDown) return false;
-    if (row.place.vmId === this.#options.self.vmId) return true;
-    return this.#isRecent(row.heardAt, now);
-  }
-
-  /** Others' word counts, but not that of the VM about itself. */
-  #isRelayed(row: MemberRow, now: number): boolean {
-    for (const [from, at] of row.relayedBy) {
-      if (from !== row.place.vmId && this.#isRecent(at, now)) return true;
-    }
-    return false;
-  }
-
-  #isRecent(at: number, now: number): boolean {
-    return at !== NEVER_HEARD && now - at <= this.#options.silentAfterMs;
-  }
-
   #buildAll(
     getState: (row: MemberRow) => MemberFacts["state"],
   ): MemberFacts[] {
@@ -328,6 +263,11 @@
       .sort((left, right) => left.vmId < right.vmId ? -1 : 1);
   }
 
+  #getLimits(now: number): SilenceLimits {
+    const { self, silentAfterMs } = this.#options;
+    return { now, silentAfterMs, ownVmId: self.vmId };
+  }
+
   #getOwn(): MemberRow {
     return this.#rows.get(this.#options.self.vmId) as MemberRow;
   }
@@ -341,28 +281,13 @@
   }
 
   /** All VMs are replaced again and again: the table must not keep them all. */
-  #forget(now: number): void {
+  #dropForgotten(now: number): void {
     const { self, forgetAfterMs } = this.#options;
     for (const [vmId, row] of this.#rows) {
+      dropOldRelays(row, this.#getLimits(now));
       if (vmId === self.vmId || row.listed) continue;
-      if (this.#isRelayed(row, now)) continue;
+      if (isRelayed(row, this.#getLimits(now))) continue;
       if (now - row.touchedAt > forgetAfterMs) this.#rows.delete(vmId);
     }
   }
 }
-
-function buildPlace(source: HeardIdentity | MemberPlace): MemberPlace {
-  const { vmId, zone, site } = source;
-  if ("entryRpc" in source) {
-    const { entryRpc, controlRpc } = source;
-    return { vmId, zone, site, entryRpc, controlRpc };
-  }
-  return mergePlace({ vmId, zone, site, entryRpc: "", controlRpc: "" }, source);
-}
-
-/** The process itself knows best where it listens. */
-function mergePlace(place: MemberPlace, heard: HeardIdentity): MemberPlace {
-  return heard.process === "entry"
-    ? { ...place, entryRpc: heard.rpc }
-    : { ...place, controlRpc: heard.rpc };
-}
--- a/packages/metrics/src/labels.ts
+++ b/packages/metrics/src/labels.ts
@@ -10,6 +10,8 @@
 /** Value of every label of the series that takes what is beyond the bound. */
 export const OTHER = "other";
 
+const NEEDS_ESCAPE = /[\\"\n]/;
+
 /** No labels; shared, so that a call without labels allocates nothing. */
 export const NO_LABELS: Labels = Object.freeze({});
 
@@ -24,8 +26,9 @@
  * ```
  */
 export function formatLabels(labels: Labels): string {
-  const names = Object.keys(labels).sort();
+  const names = Object.keys(labels);
   if (names.length === 0) return "";
+  names.sort();
   const pairs = names.map((name) =>
     `${name}="${formatLabelValue(labels[name] ?? "")}"`
   );
@@ -34,6 +37,7 @@
 
 /** Escapes what the exposition format can't carry inside quotes. */
 function formatLabelValue(value: string): string {
+  if (!NEEDS_ESCAPE.test(value)) return value;
   return value
     .replaceAll("\\", "\\\\")
     .replaceAll('"', '\\"')
@@ -62,6 +66,8 @@
   readonly #create: () => T;
   readonly #maxSeries: number;
   readonly #byText = new Map<string, T>();
+  /** Kept series once more, by a key that is cheap to build. */
+  readonly #byQuickKey = new Map<string, T>();
   readonly #labelsByText = new Map<string, Labels>();
 
   /**
@@ -75,11 +81,17 @@
 
   /** Gives the series of a label set, a new one if there is room. */
   get(labels: Labels): T {
+    const quickKey = buildQuickKey(labels);
+    const quick = this.#byQuickKey.get(quickKey);
+    if (quick !== undefined) return quick;
     const text = formatLabels(labels);
     const known = this.#byText.get(text);
-    if (known !== undefined) return known;
-    if (this.#byText.size < this.#maxSeries) return this.#add(text, labels);
-    return this.#getOther(labels);
+    const hasRoom = this.#byText.size < this.#maxSeries;
+    if (known === undefined && !hasRoom) return this.#getOther(labels);
+    const series = known ?? this.#add(text, labels);
+    // Only of series that are kept, so this map is bounded as well.
+    this.#byQuickKey.set(quickKey, series);
+    return series;
   }
 
   #getOther(labels: Labels): T {
@@ -103,3 +115,10 @@
     }
   }
 }
+
+/** As written by the caller, neither sorted nor escaped: this runs per count. */
+function buildQuickKey(labels: Labels): string {
+  let key = "";
+  for (const name in labels) key += `${name}\0${labels[name]}\0`;
+  return key;
+}
--- a/packages/testbed/src/program.ts
+++ b/packages/testbed/src/program.ts
@@ -137,24 +137,39 @@
   throw new Error(`"${program.name}" has ended: ${program.output()}`);
 }
 
+/** Below the range from which the system takes ports of outgoing connections. */
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 20_000;
+/** Spreads test processes that run at the same time over the range. */
+const PORTS_A_PROCESS = 500;
+let nextPort = process.pid * PORTS_A_PROCESS % PORT_COUNT;
+
 /**
- * Finds TCP ports on loopback that nothing listens on.
+ * Finds TCP ports on loopback that nothing listens on. A process never gets one
+ * twice, so that deployments started at the same time don't take each other's.
  *
  * @param count How many ports to find.
  * @returns Distinct port numbers.
  */
 export async function findFreePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
   const ports: number[] = [];
-  for (const server of servers) {
-    server.listen(0, "127.0.0.1");
-    await once(server, "listening");
-    const address = server.address();
-    if (address && typeof address === "object") ports.push(address.port);
-  }
-  for (const server of servers) {
-    server.close();
-    await once(server, "close");
+  while (ports.length < count) {
+    const port = FIRST_PORT + nextPort;
+    nextPort = (nextPort + 1) % PORT_COUNT;
+    if (await isFree(port)) ports.push(port);
   }
   return ports;
 }
+
+async function isFree(port: number): Promise<boolean> {
+  const server = createServer();
+  server.listen(port, "127.0.0.1");
+  try {
+    await once(server, "listening");
+  } catch {
+    return false;
+  }
+  server.close();
+  await once(server, "close");
+  return true;
+}
