--- a/packages/cli/src/_scripted_caller.ts
+++ b/packages/cli/src/_scripted_caller.ts
@@ -84,15 +84,18 @@
   }
 
   /** Runs the program on a script, with settings for calls. */
-  async run(argv: readonly string[], script: Script = {}): Promise<Run> {
-    const file = this.write("cli.json", { controls: CONTROLS });
-    const isLocal = argv[0] === "codes" || argv[0] === "--version" ||
-      argv[1] === "check";
+  async run(
+    argv: readonly string[],
+    script: Script = {},
+    controls: readonly string[] = CONTROLS,
+  ): Promise<Run> {
+    const file = this.write("cli.json", { controls });
+    const isBare = argv[0] === "--version";
     const caller = new ScriptedCaller(script);
     const progress: string[] = [];
     let records = 0;
     const printout = await runProgram(
-      isLocal ? argv : [...argv, "--settings", file],
+      isBare ? argv : [...argv, "--settings", file],
       {
         caller,
         author: "anna@console",
@@ -137,7 +140,11 @@
       },
     },
     sites: {
-      yard: { zones: ["yard-a", "yard-b"], offers: ["lookup"], customers: {} },
+      yard: {
+        zones: ["yard-a", "yard-b", "yard-c"],
+        offers: ["lookup"],
+        customers: {},
+      },
     },
     ...(zonesOut ? { zonesOut } : {}),
   };
--- a/packages/cli/src/arguments.ts
+++ b/packages/cli/src/arguments.ts
@@ -44,14 +44,9 @@
   },
 };
 
-/** Options that every command takes. */
-export const OUTPUT_OPTIONS = {
+/** Options that every command takes, also one that calls no process. */
+export const COMMON_OPTIONS = {
   json: cmd.flag({ long: "json", description: "JSON for programs" }),
-};
-
-/** Options of commands that call control processes. */
-export const CALL_OPTIONS = {
-  ...OUTPUT_OPTIONS,
   settings: cmd.option({
     long: "settings",
     description: "the settings file, which names control processes",
--- a/packages/cli/src/config_syntax.ts
+++ b/packages/cli/src/config_syntax.ts
@@ -22,7 +22,7 @@
       check: cmd.command({
         name: "check",
         description: "name every fault of a configuration; asks no process",
-        args: { ...args.OUTPUT_OPTIONS, file },
+        args: { ...args.COMMON_OPTIONS, file },
         handler: (it): Answer => ({
           report: config.checkConfiguration(it.file),
           json: it.json,
@@ -31,7 +31,7 @@
       compose: cmd.command({
         name: "compose",
         description: "print a folder as one whole configuration",
-        args: { ...args.OUTPUT_OPTIONS, file },
+        args: { ...args.COMMON_OPTIONS, file },
         handler: (it): Answer => ({
           report: config.buildWhole(it.file),
           json: it.json,
@@ -40,7 +40,7 @@
       diff: cmd.command({
         name: "diff",
         description: "compare a configuration with the one in force",
-        args: { ...args.CALL_OPTIONS, file },
+        args: { ...args.COMMON_OPTIONS, file },
         handler: (it) =>
           runWithContext(
             environment,
@@ -52,7 +52,7 @@
         name: "publish",
         description: "bring a configuration in force at every site",
         args: {
-          ...args.CALL_OPTIONS,
+          ...args.COMMON_OPTIONS,
           file,
           note: args.createOption("note", "why, for the history"),
           author: args.createOption("author", "who publishes"),
@@ -77,7 +77,7 @@
         name: "show",
         description: "show the configuration in force",
         args: {
-          ...args.CALL_OPTIONS,
+          ...args.COMMON_OPTIONS,
           version: args.createVersion(
             "version",
             "refuse unless it is in force",
@@ -93,7 +93,7 @@
       history: cmd.command({
         name: "history",
         description: "list every published record and its verdict",
-        args: args.CALL_OPTIONS,
+        args: args.COMMON_OPTIONS,
         handler: (it) =>
           runWithContext(
             environment,
--- a/packages/cli/src/publish.ts
+++ b/packages/cli/src/publish.ts
@@ -28,17 +28,27 @@
 
 /**
  * Every control is asked once; as long as the record may have been sent, they
- * are asked once more. The record id makes that idempotent, and two rounds
- * outlast a connection that broke while leaving the operator an answer soon.
+ * are asked once more. The record id makes that idempotent.
  */
 const ROUNDS = 2;
+/**
+ * Controls whose answer is waited for at most. Each may take seconds to find
+ * out that the log does not answer, and an operator needs a word soon; four
+ * outlast a few broken connections.
+ */
+const MAX_WAITS = 4;
+/** Two controls out of reach of the log: it is the log, not one control. */
+const ENOUGH_WITHOUT_LOG = 2;
 
 interface Attempts {
   readonly record: rpc.Methods["publish"]["params"];
   readonly silences: Silence[];
   /** Whether the record may stand in the log through an earlier attempt. */
   mayBeSent: boolean;
-  logUnavailable: boolean;
+  /** Controls that waited for the log in vain. */
+  withoutLog: number;
+  /** Calls that were sent, with or without an answer. */
+  waits: number;
 }
 
 /**
@@ -58,18 +68,28 @@
     record: { kind: "publish", recordId, ...publication },
     silences: [],
     mayBeSent: false,
-    logUnavailable: false,
+    withoutLog: 0,
+    waits: 0,
   };
-  for (let round = 0; round < ROUNDS; round += 1) {
-    if (round > 0 && !attempts.mayBeSent) break;
-    for (const address of context.settings.controls) {
-      const end = await callPublish(context, address, attempts);
-      if (end) return end;
-    }
+  const { controls } = context.settings;
+  for (let call = 0; call < ROUNDS * controls.length; call += 1) {
+    if (isEnough(attempts, { hasAskedAll: call >= controls.length })) break;
+    const address = controls[call % controls.length];
+    const end = await callPublish(context, address, attempts);
+    if (end) return end;
   }
   return await handleUnsettled(context, attempts);
 }
 
+function isEnough(
+  attempts: Attempts,
+  { hasAskedAll }: { hasAskedAll: boolean },
+): boolean {
+  if (attempts.waits >= MAX_WAITS) return true;
+  if (attempts.mayBeSent) return false;
+  return hasAskedAll || attempts.withoutLog >= ENOUGH_WITHOUT_LOG;
+}
+
 /** Asks one control; undefined when another one has to be asked. */
 async function callPublish(
   context: Context,
@@ -84,6 +104,7 @@
       timeoutMs: context.settings.timeoutMs,
     },
   );
+  if (answer.isOk() || answer.error.kind !== "not_sent") attempts.waits += 1;
   if (answer.isOk()) {
     return await handleVerdict(context, answer.value, { attempts, address });
   }
@@ -109,7 +130,7 @@
     )
     .with({ kind: "invalid" }, (it) => createInvalidEnd(it.faults))
     .with({ kind: "log_unavailable" }, () => {
-      attempts.logUnavailable = true;
+      attempts.withoutLog += 1;
       return undefined;
     })
     .with({ kind: "unknown" }, () => {
@@ -162,7 +183,7 @@
     const accepted = findAccepted(history.unwrapOr([]), recordId);
     return accepted ?? { kind: "ended", report: createUnknown(recordId) };
   }
-  const report = attempts.logUnavailable
+  const report = attempts.withoutLog > 0
     ? createLogUnavailable()
     : createUnreachable(attempts.silences);
   return { kind: "ended", report };
--- a/packages/cli/src/publish_test.ts
+++ b/packages/cli/src/publish_test.ts
@@ -70,6 +70,7 @@
   async function runPublish(
     script: Script,
     options: readonly string[] = [],
+    controls: readonly string[] = CONTROLS,
   ): Promise<Run> {
     const configuration = buildConfiguration();
     configuration.base.customers["mill-a"].weight = 4;
@@ -77,7 +78,7 @@
     return await files.run(["config", "publish", path, ...options], {
       [`${FIRST} configuration`]: [buildInForce(4, ["yard-b"])],
       ...script,
-    });
+    }, controls);
   }
 
   for (const [title, { script, exitCode }] of Object.entries(CASES)) {
@@ -152,6 +153,32 @@
     );
   });
 
+  // The log hangs. Each control finds that out by itself and takes seconds for
+  // it; asked one after the other, nine of them kept an operator waiting for
+  // almost a minute.
+  it("asks two controls at most about a log that does not answer", async () => {
+    const controls = Array.from(
+      { length: 9 },
+      (_, i) => `127.0.0.1:${7001 + i}`,
+    );
+    const unavailable = { ok: { kind: "log_unavailable" } };
+    const scripted = controls.map((it) => [`${it} publish`, [unavailable]]);
+    const run = await runPublish(Object.fromEntries(scripted), [], controls);
+    expect(run.caller.getCalls("publish")).to.have.length(2);
+    expect(run.exitCode).to.equal(EXIT.unreachable);
+  });
+
+  it("waits for four controls at most when nothing is certain", async () => {
+    const controls = Array.from(
+      { length: 9 },
+      (_, i) => `127.0.0.1:${7001 + i}`,
+    );
+    const scripted = controls.map((it) => [`${it} publish`, ["timeout"]]);
+    const run = await runPublish(Object.fromEntries(scripted), [], controls);
+    expect(run.caller.getCalls("publish")).to.have.length(4);
+    expect(run.exitCode).to.equal(EXIT.unknown);
+  });
+
   it("sends base, note and author of the command line", async () => {
     const run = await runPublish({ [`${FIRST} publish`]: [ACCEPTED] }, [
       "--base",
--- a/packages/cli/src/syntax.ts
+++ b/packages/cli/src/syntax.ts
@@ -16,18 +16,23 @@
 /** Version of the program; a test holds it to the package's own. */
 export const VERSION = "0.1.0";
 
-function buildZoneCommand(
-  environment: Environment,
-  direction: zone.ZoneDirection,
-  description: string,
-) {
+/** Arguments that `zone out` and `zone in` share. */
+const ZONE_ARGUMENTS = {
+  ...args.COMMON_OPTIONS,
+  zone: args.createArgument("ZONE", "the failure domain"),
+  author: args.createOption("author", "who changes it"),
+};
+
+function buildZoneOut(environment: Environment) {
   return cmd.command({
-    name: direction,
-    description,
+    name: "out",
+    description: "no new work goes there",
     args: {
-      ...args.CALL_OPTIONS,
-      zone: args.createArgument("ZONE", "the failure domain"),
-      author: args.createOption("author", "who changes it"),
+      ...ZONE_ARGUMENTS,
+      evenLast: cmd.flag({
+        long: "even-last",
+        description: "also if its site has no other zone in service",
+      }),
     },
     handler: (it) =>
       runWithContext(
@@ -35,7 +40,26 @@
         it,
         (context) =>
           zone.setZone(context, it.zone, {
-            direction,
+            direction: "out",
+            author: it.author ?? environment.author,
+            evenLast: it.evenLast,
+          }),
+      ),
+  });
+}
+
+function buildZoneIn(environment: Environment) {
+  return cmd.command({
+    name: "in",
+    description: "work comes back step by step",
+    args: ZONE_ARGUMENTS,
+    handler: (it) =>
+      runWithContext(
+        environment,
+        it,
+        (context) =>
+          zone.setZone(context, it.zone, {
+            direction: "in",
             author: it.author ?? environment.author,
           }),
       ),
@@ -46,10 +70,7 @@
   return cmd.subcommands({
     name: "zone",
     description: "take a failure domain out of service, or bring it back in",
-    cmds: {
-      out: buildZoneCommand(environment, "out", "no new work goes there"),
-      in: buildZoneCommand(environment, "in", "work comes back step by step"),
-    },
+    cmds: { out: buildZoneOut(environment), in: buildZoneIn(environment) },
   });
 }
 
@@ -62,7 +83,7 @@
         name: "show",
         description: "what is known of a caller's key",
         args: {
-          ...args.CALL_OPTIONS,
+          ...args.COMMON_OPTIONS,
           key: args.createArgument("KEY", "the Idempotency-Key"),
           customer: args.createOption("customer", "whose key it is"),
         },
@@ -82,7 +103,7 @@
     name: "endpoints",
     description: "list endpoints, their state and load",
     args: {
-      ...args.CALL_OPTIONS,
+      ...args.COMMON_OPTIONS,
       zone: args.createOption("zone", "of this failure domain only"),
       service: args.createOption("service", "of this service only"),
     },
@@ -100,7 +121,7 @@
     name: "timeline",
     description: "merge the events of all processes that answer",
     args: {
-      ...args.CALL_OPTIONS,
+      ...args.COMMON_OPTIONS,
       key: args.createOption("key", "of this Idempotency-Key only"),
       request: args.createOption("request", "of this request id only"),
       endpoint: args.createOption("endpoint", "of this endpoint only"),
@@ -135,7 +156,7 @@
       status: cmd.command({
         name: "status",
         description: "ask every process for its state",
-        args: args.CALL_OPTIONS,
+        args: args.COMMON_OPTIONS,
         handler: (it) =>
           runWithContext(
             environment,
@@ -148,7 +169,7 @@
       codes: cmd.command({
         name: "codes",
         description: "list result codes and exit codes",
-        args: args.OUTPUT_OPTIONS,
+        args: args.COMMON_OPTIONS,
         handler: (it): Answer => ({
           report: code.buildCodes(),
           json: it.json,
--- a/packages/cli/src/zone_commands.ts
+++ b/packages/cli/src/zone_commands.ts
@@ -19,6 +19,8 @@
 export interface ZoneOptions {
   readonly direction: ZoneDirection;
   readonly author: string;
+  /** Whether a site may be left without any zone in service. */
+  readonly evenLast?: boolean;
 }
 
 /**
@@ -54,7 +56,7 @@
   for (let race = 0; race < MAX_RACES; race += 1) {
     const inForce = await callAnyControl(context, "configuration", {});
     if (inForce.isErr()) return inForce.error;
-    const planned = planZoneChange(inForce.value, zone, options.direction);
+    const planned = planZoneChange(inForce.value, zone, options);
     if (planned.isErr()) return planned.error;
     const { base } = planned.value;
     const data = { zone, state: options.direction };
@@ -100,7 +102,7 @@
 function planZoneChange(
   inForce: configuration.VersionedConfiguration | null,
   zone: string,
-  direction: ZoneDirection,
+  { direction, evenLast }: ZoneOptions,
 ): Result<ZoneChange, Report> {
   if (inForce === null) {
     return Err(createNotFound("No configuration is in force yet"));
@@ -119,17 +121,53 @@
   if (isOut === (direction === "out")) return Ok({ base });
   const others = zonesOut.filter((it) => it !== zone);
   const changed = direction === "out" ? [...others, zone] : others;
+  const emptied = direction === "out" && !evenLast
+    ? findSiteWithoutZone(value, changed)
+    : undefined;
+  if (emptied !== undefined) return Err(createLast(zone, emptied));
   return Ok({
     base,
     configuration: { ...value as object, zonesOut: changed },
   });
 }
 
-function findZones(value: unknown): string[] {
+/**
+ * Guards a site against losing its last zone, by mistake or because two
+ * operators take out one each at the same moment: every request there would be
+ * refused. The loser of the race plans again on the winner's version, and it is
+ * refused here.
+ */
+function findSiteWithoutZone(
+  value: unknown,
+  zonesOut: readonly string[],
+): string | undefined {
+  return findSites(value).find((site) => {
+    const zones = getStrings(settings.findAt(value, ["sites", site, "zones"]));
+    return zones.every((zone) => zonesOut.includes(zone));
+  });
+}
+
+function createLast(zone: string, site: string): Report {
+  const failure = codes.createFailure(
+    "CONFIG_INVALID",
+    `Cannot take zone "${zone}" out: site "${site}" would have none in service`,
+  );
+  return createRefusal(failure, {
+    lines: ["Every request there would be refused. If that is meant:"]
+      .concat(`  sardinestep zone out ${zone} --even-last`),
+    data: { zone, site },
+  });
+}
+
+function findSites(value: unknown): string[] {
   const sites = settings.findAt(value, ["sites"]);
   if (typeof sites !== "object" || sites === null) return [];
-  const zones = Object.keys(sites).flatMap((site) =>
-    getStrings(settings.findAt(sites, [site, "zones"]))
+  return Object.keys(sites);
+}
+
+function findZones(value: unknown): string[] {
+  const zones = findSites(value).flatMap((site) =>
+    getStrings(settings.findAt(value, ["sites", site, "zones"]))
   );
   return [...new Set(zones)];
 }
--- a/packages/cli/src/zone_commands_test.ts
+++ b/packages/cli/src/zone_commands_test.ts
@@ -94,6 +94,29 @@
     expect(JSON.parse(run.stdout)).to.include({ code: 0, version: 6 });
   });
 
+  // Of three zones one is out. Two operators each take one of the others out at
+  // the same moment, both looking at the same version. Were the loser's change
+  // put on top of the winner's, the site would have no zone left.
+  it("refuses the last zone, also on top of a winner's version", async function () {
+    const run = await runZone(["out", "yard-a"], {
+      inForce: [
+        buildInForce(4, ["yard-b"]),
+        buildInForce(5, ["yard-b", "yard-c"]),
+      ],
+      publish: [LOST],
+    });
+    expect(run.caller.getCalls("publish")).to.have.length(1);
+    expect(run.exitCode).to.equal(EXIT.refused);
+    expectSnapshot(this, run.stderr);
+  });
+
+  it("takes the last zone out when that is said", async () => {
+    const run = await runZone(["out", "yard-a", "--even-last"], {
+      inForce: [buildInForce(5, ["yard-b", "yard-c"])],
+    });
+    expect(run.exitCode).to.equal(EXIT.done);
+  });
+
   it("names the zones there are when asked for another", async function () {
     const run = await runZone(["out", "yard-z"], {
       inForce: [buildInForce(5)],
