--- a/packages/cli/src/arguments.ts
+++ b/packages/cli/src/arguments.ts
@@ -8,6 +8,9 @@
 /** Where settings come from when `--settings` is left out. */
 export const DEFAULT_SETTINGS_FILE = "sardinestep.json";
 
+/** Names the settings file when `--settings` is left out. */
+export const SETTINGS_VARIABLE = "SARDINESTEP_SETTINGS";
+
 /** A moment: ISO 8601 or milliseconds since the Unix epoch. */
 const MOMENT: cmd.Type<string, number> = {
   displayName: "time",
@@ -49,6 +52,7 @@
   json: cmd.flag({ long: "json", description: "JSON for programs" }),
   settings: cmd.option({
     long: "settings",
+    env: SETTINGS_VARIABLE,
     description: "the settings file, which names control processes",
     type: cmd.string,
     defaultValue: () => DEFAULT_SETTINGS_FILE,
