--- a/packages/cli/src/arguments.ts
+++ b/packages/cli/src/arguments.ts
@@ -8,6 +8,9 @@
 /** Where settings come from when `--settings` is left out. */
 export const DEFAULT_SETTINGS_FILE = "sardinestep.json";
 
+/** Names the settings file when `--settings` is left out. */
+export const SETTINGS_VARIABLE = "SARDINESTEP_SETTINGS";
+
 /** A moment: ISO 8601 or milliseconds since the Unix epoch. */
 const MOMENT: cmd.Type<string, number> = {
   displayName: "time",
@@ -44,16 +47,12 @@
   },
 };
 
-/** Options that every command takes. */
-export const OUTPUT_OPTIONS = {
+/** Options that every command takes, also one that calls no process. */
+export const COMMON_OPTIONS = {
   json: cmd.flag({ long: "json", description: "JSON for programs" }),
-};
-
-/** Options of commands that call control processes. */
-export const CALL_OPTIONS = {
-  ...OUTPUT_OPTIONS,
   settings: cmd.option({
     long: "settings",
+    env: SETTINGS_VARIABLE,
     description: "the settings file, which names control processes",
     type: cmd.string,
     defaultValue: () => DEFAULT_SETTINGS_FILE,
