--- a/packages/decisions/src/call_life.ts
+++ b/packages/decisions/src/call_life.ts
@@ -23,6 +23,10 @@
  * given much longer.
  */
 const MIN_SINGLE_TIMEOUT_MS = 10_000;
+/** A call is overdue after so many times its expected time. */
+const OVERDUE_FACTOR = 3;
+/** Network and event loops add so much at times. */
+const OVERDUE_SLACK_MS = 20;
 /** Calls of one stage, so that one bad request does not visit every endpoint. */
 const MAX_ATTEMPTS = 3;
 
@@ -49,9 +53,12 @@
   request.attempts += 1;
   request.anySent = true;
   endpoint.calls.add(call);
+  endpoint.load.recordStart(state.now);
   pool.inFlight += 1;
-  pool.refresh(endpoint);
+  pool.refresh(endpoint, state.now);
   state.calls.set(callId, call);
+  const at = state.now + OVERDUE_FACTOR * call.expectedMs + OVERDUE_SLACK_MS;
+  state.timers.add({ kind: "overdue", at, call });
   state.actions.push({
     kind: "start_call",
     callId,
@@ -75,9 +82,10 @@
   const pool = state.getPool(endpoint.facts.service);
   state.calls.delete(call.callId);
   endpoint.calls.delete(call);
+  endpoint.load.recordEnd(state.now);
   request.calls = request.calls.filter((each) => each !== call);
   pool.inFlight -= 1;
-  pool.refresh(endpoint);
+  pool.refresh(endpoint, state.now);
   state.changedPools.add(pool);
 }
 
@@ -86,7 +94,11 @@
   const { request } = call;
   const size = getStageSize(request.facts, request.stage);
   const latency = state.latency.getStage(getStage(request));
-  latency.record(size, state.now - call.startedAt);
+  const elapsedMs = state.now - call.startedAt;
+  const ratio = elapsedMs / Math.max(1, latency.getExpected(size));
+  if (!call.endpoint.health.isSlow) latency.record(size, elapsedMs);
+  call.endpoint.recordFinish(ratio, { elapsedMs, now: state.now });
+  checkSlowness(state, call.endpoint);
   releaseCall(state, call);
   for (const other of [...request.calls]) {
     releaseCall(state, other);
@@ -106,7 +118,9 @@
   call: TrackedCall,
   reason: CallFailureKind,
 ): void {
-  const { request } = call;
+  const { request, endpoint } = call;
+  endpoint.health.recordFailure(reason, state.now);
+  if (reason === "refused") endpoint.recordRefusal();
   releaseCall(state, call);
   request.tried.push(call.endpoint.facts.endpointId);
   const stage = getStage(request);
@@ -122,6 +136,34 @@
   queueStage(state, request);
 }
 
+function checkSlowness(state: State, endpoint: Endpoint): void {
+  if (!endpoint.health.hasBecomeSlow()) return;
+  const pool = state.getPool(endpoint.facts.service);
+  if (pool.maySetSlow()) endpoint.health.setSlow(state.now);
+}
+
+/**
+ * Shuts an endpoint out while its call is overdue and nothing else finishes.
+ *
+ * Made for stragglers and silent endpoints: their calls have no result yet that
+ * would show it, and being idle they look best. Results that came meanwhile
+ * prove that the one call is to blame and not the endpoint.
+ */
+export function handleOverdue(state: State, call: TrackedCall): void {
+  if (!state.calls.has(call.callId)) return;
+  const { endpoint } = call;
+  const since = Math.max(call.startedAt, endpoint.health.lastFinishAt);
+  const at = since + OVERDUE_FACTOR * call.expectedMs + OVERDUE_SLACK_MS;
+  if (state.now < at) {
+    state.timers.add({ kind: "overdue", at, call });
+    return;
+  }
+  const pool = state.getPool(endpoint.facts.service);
+  if (!pool.maySetSlow()) return;
+  endpoint.health.isOverdue = true;
+  pool.refresh(endpoint, state.now);
+}
+
 function mayRetry(request: TrackedRequest): boolean {
   return !request.isCallerGone && request.attempts < MAX_ATTEMPTS;
 }
--- a/packages/decisions/src/decider.ts
+++ b/packages/decisions/src/decider.ts
@@ -7,12 +7,14 @@
 import type { Result } from "ts-results-es";
 import type { DecisionAction } from "./action.ts";
 import { type AdmissionRefusal, checkAdmission } from "./admission.ts";
-import { handleFailure, handleFinish } from "./call_life.ts";
+import { handleFailure, handleFinish, handleOverdue } from "./call_life.ts";
 import { startCalls } from "./dispatch.ts";
 import type { DecisionEvent } from "./event.ts";
 import {
   handleEndpointChange,
   handleEndpointRemoval,
+  handleReport,
+  handleTick,
   handleZones,
 } from "./fleet.ts";
 import {
@@ -100,7 +102,7 @@
       return request && handleCallerGone(state, request);
     }
     case "load_reported":
-      return;
+      return handleReport(state, event.report);
     case "endpoint_changed":
       return handleEndpointChange(state, event.endpoint, event.slice);
     case "endpoint_removed":
@@ -110,7 +112,7 @@
     case "customers_changed":
       return state.customers.update(event.customers);
     case "ticked":
-      return;
+      return handleTick(state);
     default:
       return expectNever(event);
   }
@@ -133,6 +135,8 @@
     }
     case "deadline":
       return handleDeadline(state, timer.request);
+    case "overdue":
+      return handleOverdue(state, timer.call);
     case "hedge":
       return;
     default:
--- a/packages/decisions/src/fleet.ts
+++ b/packages/decisions/src/fleet.ts
@@ -3,7 +3,12 @@
  *
  * @module
  */
-import type { EndpointFacts, EndpointId, ZoneId } from "@sardinestep/types";
+import type {
+  EndpointFacts,
+  EndpointId,
+  LoadReport,
+  ZoneId,
+} from "@sardinestep/types";
 import { Endpoint } from "./endpoint.ts";
 import type { State } from "./state.ts";
 
@@ -20,11 +25,11 @@
   const pool = state.getPool(facts.service);
   const endpoint = state.endpoints.get(facts.endpointId) ??
     new Endpoint(facts, slice);
-  endpoint.update(facts, slice);
+  endpoint.update(facts, slice, state.now);
   endpoint.isZoneOut = state.zonesOut.has(facts.zone);
   state.endpoints.set(facts.endpointId, endpoint);
   pool.add(endpoint);
-  pool.refresh(endpoint);
+  pool.refresh(endpoint, state.now);
   state.changedPools.add(pool);
 }
 
@@ -45,7 +50,23 @@
   for (const endpoint of state.endpoints.values()) {
     endpoint.isZoneOut = state.zonesOut.has(endpoint.facts.zone);
     const pool = state.getPool(endpoint.facts.service);
-    pool.refresh(endpoint);
+    pool.refresh(endpoint, state.now);
     state.changedPools.add(pool);
   }
 }
+
+/** Takes in an endpoint's own report. */
+export function handleReport(state: State, report: LoadReport): void {
+  const endpoint = state.endpoints.get(report.endpointId);
+  if (!endpoint) return;
+  endpoint.applyReport(report);
+  state.getPool(endpoint.facts.service).refresh(endpoint, state.now);
+}
+
+/** Opens endpoints whose pause is over and looks at every queue. */
+export function handleTick(state: State): void {
+  for (const pool of state.pools.values()) {
+    pool.refreshDoubtful(state.now);
+    if (pool.queue.length > 0) state.changedPools.add(pool);
+  }
+}
--- a/packages/decisions/src/pool.ts
+++ b/packages/decisions/src/pool.ts
@@ -9,6 +9,9 @@
 import { RecentRefusals } from "./return_time.ts";
 import { StageQueue } from "./stage_queue.ts";
 
+/** Part of a pool that may be shut out for being slow. */
+const MAX_SLOW_PART = 0.34;
+
 /** Endpoints and waiting work of a service. */
 export class Pool {
   readonly service: ServiceId;
@@ -20,6 +23,10 @@
   readonly refusals = new RecentRefusals(() => this.slots);
   /** Calls at once that this entry may have in the whole pool. */
   slots = 0;
+  /** Endpoints with slots that are not on probation. */
+  trusted = 0;
+  /** Endpoints that are paused or slow and have to be looked at again. */
+  readonly doubtful = new Set<Endpoint>();
   /** Calls of this entry that run in the pool. */
   inFlight = 0;
 
@@ -39,19 +46,43 @@
   /** Removes an endpoint; its running calls go on. */
   remove(endpoint: Endpoint): void {
     this.endpoints.delete(endpoint);
+    this.doubtful.delete(endpoint);
     this.#setSlots(endpoint, 0);
     this.#setOpen(endpoint, false);
   }
 
   /** Brings slots and open endpoints in line after an endpoint has changed. */
-  refresh(endpoint: Endpoint): void {
+  refresh(endpoint: Endpoint, now: number): void {
     if (!this.endpoints.has(endpoint)) return;
-    const limit = endpoint.getLimit();
+    const limit = endpoint.getLimit(now);
     this.#setSlots(endpoint, limit);
     this.#setOpen(endpoint, endpoint.inFlight < limit);
+    if (endpoint.health.isOpen(now)) this.doubtful.delete(endpoint);
+    else this.doubtful.add(endpoint);
+  }
+
+  /** Opens endpoints whose pause is over. */
+  refreshDoubtful(now: number): void {
+    for (const endpoint of this.doubtful) this.refresh(endpoint, now);
+  }
+
+  /**
+   * Whether one endpoint more may be shut out for being slow. When many are
+   * slow at once it is the load or the work that has changed, not they: then
+   * shutting them out would take away the capacity that is left.
+   */
+  maySetSlow(): boolean {
+    let shutOut = 0;
+    for (const { health } of this.endpoints) {
+      if (health.isSlow || health.isOverdue) shutOut += 1;
+    }
+    return shutOut < this.endpoints.size * MAX_SLOW_PART;
   }
 
   #setSlots(endpoint: Endpoint, slots: number): void {
+    const isTrusted = slots > 0 && !endpoint.health.isProbed;
+    if (isTrusted !== endpoint.isTrusted) this.trusted += isTrusted ? 1 : -1;
+    endpoint.isTrusted = isTrusted;
     this.slots += slots - endpoint.slots;
     endpoint.slots = slots;
   }
--- /dev/null
+++ b/packages/decisions/src/reported_load.ts
@@ -0,0 +1,61 @@
+/**
+ * Load of an endpoint by other entries, from its lagging reports.
+ *
+ * @module
+ */
+import type { LoadReport } from "@sardinestep/types";
+
+/** Starts and ends that are remembered; reports lag by less. */
+const MAX_MOMENTS = 256;
+
+/**
+ * Calls of others in an endpoint.
+ *
+ * Made for lagging reports: an endpoint that looked idle a moment ago gets work
+ * from every entry at once. Own calls are known exactly, so the report counts
+ * for the others' part only: what it names, less what this entry had there when
+ * it was measured. Own calls sent since then are so added without waiting for
+ * the next report.
+ */
+export class ReportedLoad {
+  /** Calls of other entries that run or wait there. */
+  others = 0;
+  /** Calls that waited there at the last report. */
+  waiting = 0;
+  measuredAt = -Infinity;
+  #started: number[] = [];
+  #ended: number[] = [];
+
+  /** Notes that an own call begins. */
+  recordStart(now: number): void {
+    addMoment(this.#started, now);
+  }
+
+  /** Notes that an own call ends. */
+  recordEnd(now: number): void {
+    addMoment(this.#ended, now);
+  }
+
+  /** Takes in a report; an older one than the last changes nothing. */
+  apply(report: LoadReport, ownInFlight: number): void {
+    const { measuredAt } = report;
+    if (measuredAt < this.measuredAt) return;
+    this.measuredAt = measuredAt;
+    this.#started = this.#started.filter((at) => at >= measuredAt);
+    this.#ended = this.#ended.filter((at) => at >= measuredAt);
+    const ownThen = ownInFlight - this.#started.length + this.#ended.length;
+    this.waiting = report.waiting;
+    this.others = Math.max(0, report.running + report.waiting - ownThen);
+  }
+
+  /** Forgets reports of an earlier run of the endpoint. */
+  reset(): void {
+    this.others = 0;
+    this.waiting = 0;
+  }
+}
+
+function addMoment(moments: number[], now: number): void {
+  moments.push(now);
+  if (moments.length > MAX_MOMENTS) moments.shift();
+}
--- a/packages/decisions/src/summary.ts
+++ b/packages/decisions/src/summary.ts
@@ -46,8 +46,8 @@
     endpoints: [...state.endpoints.values()].map((endpoint) => ({
       endpointId: endpoint.facts.endpointId,
       inFlight: endpoint.inFlight,
-      limit: endpoint.getLimit(),
-      latencyMs: 0,
+      limit: endpoint.getLimit(state.now),
+      latencyMs: endpoint.latencyMs,
     })),
   };
 }
--- a/packages/decisions/src/timers.ts
+++ b/packages/decisions/src/timers.ts
@@ -21,6 +21,12 @@
     readonly at: number;
     readonly request: TrackedRequest;
   }
+  /** A call runs so long that its endpoint is in doubt. */
+  | {
+    readonly kind: "overdue";
+    readonly at: number;
+    readonly call: TrackedCall;
+  }
   /** A call runs longer than nearly all of its kind. */
   | { readonly kind: "hedge"; readonly at: number; readonly call: TrackedCall };
 
