--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -64,7 +64,7 @@
   if (!state.customers.mayAdd(facts.customer)) {
     return refuse("CUSTOMER_LIMIT", pools[0], 0);
   }
-  const closed = pools.find((pool) => pool.slots === 0);
+  const closed = pools.find((pool, index) => isClosed(pool, index === 0));
   if (closed) return refuse("STAGE_UNAVAILABLE", closed, 0);
   const full = pools.find((pool) => isFull(pool, facts));
   if (full) return refuse("QUEUE_FULL", full, 0);
@@ -72,11 +72,24 @@
   const latest = now + USABLE_PART * (facts.deadlineAt - now);
   if (prediction.finishAt > latest) {
     const lateMs = prediction.finishAt - latest;
-    return refuse("DEADLINE_OUT_OF_REACH", prediction.slowest, lateMs);
+    const isOut = prediction.slowest?.outage.isOn === true;
+    const code = isOut ? "STAGE_UNAVAILABLE" : "DEADLINE_OUT_OF_REACH";
+    return refuse(code, prediction.slowest, lateMs);
   }
   return Ok(undefined);
 }
 
+/**
+ * Whether a pool takes nothing now. In an outage requests may wait for a first
+ * stage, where nothing is lost if they wait in vain; a later stage that is out
+ * gets just the one request that finds out whether it works again.
+ */
+function isClosed(pool: Pool, isFirst: boolean): boolean {
+  if (!pool.outage.isOn) return pool.slots === 0;
+  if (isFirst) return pool.getNominalSlots() === 0;
+  return pool.slots === 0 || pool.inFlight + pool.queue.length > 0;
+}
+
 /**
  * A customer below its share of a full queue is still let in, so that a burst
  * of another can't lock it out; the sum stays under twice the limit.
@@ -107,7 +120,7 @@
     if (!stage) break;
     const pool = state.getPool(stage.service);
     // What is ahead is worked off while the request is in earlier stages.
-    const wait = Math.max(0, now + getWaitMs(pool, facts) - at);
+    const wait = Math.max(0, now + getWaitMs(pool, facts, now) - at);
     if (wait > longestWait) {
       longestWait = wait;
       slowest = pool;
@@ -123,17 +136,18 @@
  * What goes before by class and deadline; what is ahead in the own class at the
  * class's guaranteed share; the customer's own work at its fair share.
  */
-function getWaitMs(pool: Pool, facts: RequestFacts): number {
-  const hasRoom = pool.queue.length === 0 && pool.inFlight < pool.slots;
+function getWaitMs(pool: Pool, facts: RequestFacts, now: number): number {
+  const slots = pool.outage.isOn ? pool.outage.slotsBefore : pool.slots;
+  const hasRoom = pool.queue.length === 0 && pool.inFlight < slots;
   const { requestClass, customer, deadlineAt } = facts;
-  const running = hasRoom ? 0 : 1;
+  const outageMs = pool.outage.getRestMs(now);
+  if (hasRoom) return outageMs;
   const ahead = pool.backlog.getAhead(requestClass, deadlineAt);
-  const wholeMs = running * ahead / pool.slots;
-  if (requestClass === REQUEST_CLASS.single) return wholeMs;
+  const wholeMs = ahead / slots;
+  if (requestClass === REQUEST_CLASS.single) return outageMs + wholeMs;
   const classMs = pool.backlog.getOwnClassAhead(requestClass, deadlineAt) /
-    (pool.slots * GUARANTEED_SHARE[requestClass]);
+    (slots * GUARANTEED_SHARE[requestClass]);
   const share = pool.backlog.getShare(customer);
-  const customerMs = pool.backlog.getOfCustomer(customer) /
-    (pool.slots * share);
-  return Math.min(wholeMs, Math.min(classMs, customerMs));
+  const customerMs = pool.backlog.getOfCustomer(customer) / (slots * share);
+  return outageMs + Math.min(wholeMs, classMs, customerMs);
 }
--- a/packages/decisions/src/call_life.ts
+++ b/packages/decisions/src/call_life.ts
@@ -3,8 +3,11 @@
  *
  * @module
  */
+import type { CodeName } from "@sardinestep/codes";
 import type { Endpoint } from "./endpoint.ts";
 import type { CallFailureKind } from "./event.ts";
+import { addHedgeTimer } from "./hedging.ts";
+import type { Pool } from "./pool.ts";
 import { completeStage, queueStage, refuse } from "./request_life.ts";
 import type { State } from "./state.ts";
 import {
@@ -24,11 +27,11 @@
  */
 const MIN_SINGLE_TIMEOUT_MS = 10_000;
 /** A call is overdue after so many times its expected time. */
-const OVERDUE_FACTOR = 3;
+const OVERDUE_FACTOR = 4;
 /** Network and event loops add so much at times. */
 const OVERDUE_SLACK_MS = 20;
-/** Calls of one stage, so that one bad request does not visit every endpoint. */
-const MAX_ATTEMPTS = 3;
+/** Failures of one stage, so that a bad request does not break every endpoint. */
+const MAX_FAILED_CALLS = 3;
 
 /** Starts a call of the stage that is due. */
 export function startCall(
@@ -46,12 +49,13 @@
     startedAt: state.now,
     expectedMs: request.workMs[request.stage] ?? 0,
     isHedge,
+    isProbe: endpoint.health.isProbed,
     hasProgressed: false,
   };
   const pool = state.getPool(endpoint.facts.service);
   request.calls.push(call);
-  request.attempts += 1;
-  request.anySent = true;
+  request.sentCalls += 1;
+  request.ranCalls += 1;
   endpoint.calls.add(call);
   endpoint.load.recordStart(state.now);
   pool.inFlight += 1;
@@ -59,6 +63,11 @@
   state.calls.set(callId, call);
   const at = state.now + OVERDUE_FACTOR * call.expectedMs + OVERDUE_SLACK_MS;
   state.timers.add({ kind: "overdue", at, call });
+  if (!isHedge) {
+    pool.retries.recordCall();
+    pool.hedges.recordCall();
+    addHedgeTimer(state, call);
+  }
   state.actions.push({
     kind: "start_call",
     callId,
@@ -100,6 +109,11 @@
   call.endpoint.recordFinish(ratio, { elapsedMs, now: state.now });
   checkSlowness(state, call.endpoint);
   releaseCall(state, call);
+  const pool = state.getPool(call.endpoint.facts.service);
+  if (pool.outage.isOn) {
+    pool.outage.end();
+    pool.endPauses(state.now);
+  }
   for (const other of [...request.calls]) {
     releaseCall(state, other);
     state.actions.push({ kind: "cancel_call", callId: other.callId });
@@ -122,20 +136,54 @@
   endpoint.health.recordFailure(reason, state.now);
   if (reason === "refused") endpoint.recordRefusal();
   releaseCall(state, call);
-  request.tried.push(call.endpoint.facts.endpointId);
-  const stage = getStage(request);
-  if (mayHaveRun(reason) && !stage.repeatable) {
+  const pool = state.getPool(endpoint.facts.service);
+  if (pool.trusted === 0) {
+    pool.outage.start(state.now, pool.getNominalSlots());
+  }
+  const hasRun = mayHaveRun(reason);
+  if (reason === "not_sent") request.sentCalls -= 1;
+  if (hasRun) request.failedCalls += 1;
+  else request.ranCalls -= 1;
+  if (hasRun && !getStage(request).repeatable) {
     refuse(state, request, "OUTCOME_UNKNOWN");
     return;
   }
   if (request.calls.length > 0) return;
-  if (!mayRetry(request)) {
-    refuse(state, request, "STAGE_FAILED");
+  if (!mayRetry(pool, call)) {
+    refuse(state, request, getFailureCode(request));
     return;
   }
+  addTried(pool, call);
   queueStage(state, request);
 }
 
+/**
+ * Whether the stage may be sent once more.
+ *
+ * A failed probe costs nothing of the budget: the pauses between probes bound
+ * their number already, and the request that served as one must not pay.
+ */
+function mayRetry(pool: Pool, call: TrackedCall): boolean {
+  const { request } = call;
+  if (request.isCallerGone || request.failedCalls >= MAX_FAILED_CALLS) {
+    return false;
+  }
+  return call.isProbe || pool.retries.mayTake();
+}
+
+/** Another endpoint comes next, until all have failed. */
+function addTried(pool: Pool, call: TrackedCall): void {
+  const { request, endpoint } = call;
+  request.tried.push(endpoint.facts.endpointId);
+  if (request.tried.length >= pool.endpoints.size) request.tried = [];
+}
+
+/** Says "not run" only where every call was proved not to have run. */
+function getFailureCode(request: TrackedRequest): CodeName {
+  if (request.sentCalls === 0) return "STAGE_UNAVAILABLE";
+  return request.ranCalls === 0 ? "STAGE_REFUSED" : "STAGE_FAILED";
+}
+
 function checkSlowness(state: State, endpoint: Endpoint): void {
   if (!endpoint.health.hasBecomeSlow()) return;
   const pool = state.getPool(endpoint.facts.service);
@@ -164,10 +212,6 @@
   pool.refresh(endpoint, state.now);
 }
 
-function mayRetry(request: TrackedRequest): boolean {
-  return !request.isCallerGone && request.attempts < MAX_ATTEMPTS;
-}
-
 /** Whether the endpoint may have done the work in spite of the failure. */
 export function mayHaveRun(reason: CallFailureKind): boolean {
   return reason !== "not_sent" && reason !== "refused";
--- a/packages/decisions/src/decider.ts
+++ b/packages/decisions/src/decider.ts
@@ -17,6 +17,7 @@
   handleTick,
   handleZones,
 } from "./fleet.ts";
+import { handleHedge } from "./hedging.ts";
 import {
   giveUpWaiting,
   handleArrival,
@@ -138,7 +139,7 @@
     case "overdue":
       return handleOverdue(state, timer.call);
     case "hedge":
-      return;
+      return handleHedge(state, timer.call);
     default:
       return expectNever(timer);
   }
--- a/packages/decisions/src/endpoint_health.ts
+++ b/packages/decisions/src/endpoint_health.ts
@@ -86,6 +86,11 @@
     this.pausedUntil = now + Math.min(MAX_PAUSE_MS, pauseMs);
   }
 
+  /** Ends a pause that failures have caused; it is probed at once. */
+  endPause(now: number): void {
+    if (!this.isSlow) this.pausedUntil = Math.min(this.pausedUntil, now);
+  }
+
   /** Whether it has become a straggler and is not yet treated as one. */
   hasBecomeSlow(): boolean {
     return !this.isSlow && this.#slowStreak >= SLOW_STREAK;
--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -63,6 +63,7 @@
   request: TrackedRequest,
 ): boolean {
   if (request.tried.includes(endpoint.facts.endpointId)) return false;
+  if (request.calls.some((call) => call.endpoint === endpoint)) return false;
   if (!endpoint.health.isProbed) return true;
   return getStage(request).repeatable || pool.trusted === 0;
 }
--- a/packages/decisions/src/pool.ts
+++ b/packages/decisions/src/pool.ts
@@ -6,12 +6,21 @@
 import type { CustomerId, ServiceId } from "@sardinestep/types";
 import { Backlog } from "./backlog.ts";
 import type { Endpoint } from "./endpoint.ts";
+import { Budget } from "./budget.ts";
 import { RecentRefusals } from "./return_time.ts";
+import { Outage } from "./outage.ts";
 import { StageQueue } from "./stage_queue.ts";
 
 /** Part of a pool that may be shut out for being slow. */
 const MAX_SLOW_PART = 0.34;
 
+/** Retries for each call; brings a stage through the loss of one endpoint in ten. */
+const RETRY_PART = 0.1;
+/** Hedges for each call: about as many as calls exceed their usual time. */
+const HEDGE_PART = 0.05;
+/** Extra calls at once after a quiet time. */
+const MAX_EXTRA_CALLS = 10;
+
 /** Endpoints and waiting work of a service. */
 export class Pool {
   readonly service: ServiceId;
@@ -21,6 +30,9 @@
   readonly queue = new StageQueue();
   readonly backlog: Backlog;
   readonly refusals = new RecentRefusals(() => this.slots);
+  readonly retries = new Budget({ part: RETRY_PART, max: MAX_EXTRA_CALLS });
+  readonly hedges = new Budget({ part: HEDGE_PART, max: MAX_EXTRA_CALLS });
+  readonly outage = new Outage();
   /** Calls at once that this entry may have in the whole pool. */
   slots = 0;
   /** Endpoints with slots that are not on probation. */
@@ -61,11 +73,31 @@
     else this.doubtful.add(endpoint);
   }
 
+  /** Slots that the pool would have if all its endpoints answered. */
+  getNominalSlots(): number {
+    let slots = 0;
+    for (const endpoint of this.endpoints) {
+      if (endpoint.mayTakeWork()) slots += endpoint.slice;
+    }
+    return slots;
+  }
+
   /** Opens endpoints whose pause is over. */
   refreshDoubtful(now: number): void {
     for (const endpoint of this.doubtful) this.refresh(endpoint, now);
   }
 
+  /**
+   * Ends all pauses after a result while the pool was out: what had failed
+   * together has one cause, which is gone.
+   */
+  endPauses(now: number): void {
+    for (const endpoint of this.doubtful) {
+      endpoint.health.endPause(now);
+      this.refresh(endpoint, now);
+    }
+  }
+
   /**
    * Whether one endpoint more may be shut out for being slow. When many are
    * slow at once it is the load or the work that has changed, not they: then
--- a/packages/decisions/src/reported_load.ts
+++ b/packages/decisions/src/reported_load.ts
@@ -8,6 +8,12 @@
 /** Starts and ends that are remembered; reports lag by less. */
 const MAX_MOMENTS = 256;
 
+/**
+ * Weight of a new report. Calls are shorter than the lag, so one report is a
+ * sample of the past; the mean of several tells more about now.
+ */
+const SMOOTHING = 0.2;
+
 /**
  * Calls of others in an endpoint.
  *
@@ -18,7 +24,7 @@
  * the next report.
  */
 export class ReportedLoad {
-  /** Calls of other entries that run or wait there. */
+  /** Mean of the calls of other entries that run or wait there. */
   others = 0;
   /** Calls that waited there at the last report. */
   waiting = 0;
@@ -45,7 +51,8 @@
     this.#ended = this.#ended.filter((at) => at >= measuredAt);
     const ownThen = ownInFlight - this.#started.length + this.#ended.length;
     this.waiting = report.waiting;
-    this.others = Math.max(0, report.running + report.waiting - ownThen);
+    const others = Math.max(0, report.running + report.waiting - ownThen);
+    this.others += SMOOTHING * (others - this.others);
   }
 
   /** Forgets reports of an earlier run of the endpoint. */
--- a/packages/decisions/src/request_life.ts
+++ b/packages/decisions/src/request_life.ts
@@ -50,9 +50,10 @@
     ),
     stage: facts.firstStage,
     calls: [],
-    attempts: 0,
+    failedCalls: 0,
     tried: [],
-    anySent: false,
+    sentCalls: 0,
+    ranCalls: 0,
     hasFinishedStage: false,
     isQueued: false,
     queueToken: 0,
@@ -110,7 +111,7 @@
   changeBacklog(state, request, { stage: request.stage, change: "remove" });
   const { facts } = request;
   request.stage += 1;
-  request.attempts = 0;
+  request.failedCalls = 0;
   request.tried = [];
   request.hasFinishedStage = true;
   if (request.stage >= facts.stages.length) {
@@ -143,7 +144,7 @@
     requestId: request.facts.requestId,
     code,
     retryAfterMs: getReturnMs(pool, { now, lateMs: 0, random }),
-    anySent: request.anySent,
+    anySent: request.sentCalls > 0,
   });
 }
 
@@ -156,7 +157,7 @@
 export function giveUpWaiting(state: State, request: TrackedRequest): void {
   const code = request.hasFinishedStage
     ? "SHED_AFTER_START"
-    : request.anySent
+    : request.sentCalls > 0
     ? "DEADLINE_EXCEEDED"
     : "DEADLINE_OUT_OF_REACH";
   refuse(state, request, code);
--- a/packages/decisions/src/tracked.ts
+++ b/packages/decisions/src/tracked.ts
@@ -20,11 +20,14 @@
   stage: number;
   /** Calls of the stage that run; a second one is a hedge. */
   calls: TrackedCall[];
-  /** Calls of the stage that were sent. */
-  attempts: number;
+  /** Calls of the stage that failed and may have run. */
+  failedCalls: number;
   /** Endpoints where the stage failed. */
   tried: EndpointId[];
-  anySent: boolean;
+  /** Calls of any stage, without those that were proved not to be sent. */
+  sentCalls: number;
+  /** Calls of any stage, without those that were proved not to have run. */
+  ranCalls: number;
   hasFinishedStage: boolean;
   isQueued: boolean;
   /** Changes whenever it is queued, so that old queue items can be told. */
@@ -41,6 +44,8 @@
   readonly startedAt: number;
   readonly expectedMs: number;
   readonly isHedge: boolean;
+  /** Sent to an endpoint on probation. */
+  readonly isProbe: boolean;
   hasProgressed: boolean;
 }
 
