--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { EndpointRole } from "@sardinestep/types";
 import type { Endpoint } from "./endpoint.ts";
 import type { Pool } from "./pool.ts";
 import type { State } from "./state.ts";
@@ -19,6 +20,20 @@
  * their concurrency, and then spills before a queue grows.
  */
 const OTHER_ZONE_PENALTY = 0.15;
+/** Model engines with a cache of prompt prefixes. */
+const HAS_CACHE: Readonly<Record<EndpointRole, boolean>> = {
+  generator: true,
+  encoder: false,
+  retriever: false,
+  reranker: false,
+  service: false,
+};
+/** Endpoints that a prefix may be cached at. */
+const PREFIX_CANDIDATES = 3;
+/** Load of an endpoint relative to the mean of the pool that prefixes may cause. */
+const PREFIX_LOAD_FACTOR = 1.25;
+/** While a pool is nearly idle, that much load is no matter. */
+const PREFIX_FREE_FILL = 0.15;
 /** Cost of calls that would wait inside the endpoint. */
 const OVERFULL_FACTOR = 3;
 
@@ -33,6 +48,42 @@
   state: State,
   pool: Pool,
   request: TrackedRequest,
+): Endpoint | undefined {
+  return pickByPrefix(pool, request) ?? pickByCost(state, pool, request);
+}
+
+/**
+ * The endpoint whose cache should hold the prefix, as long as its load stays
+ * within a bound.
+ *
+ * Made for skewed demand: without the bound a popular prefix would drive one
+ * endpoint over its limit while others idle. A few next ones on the ring take
+ * what is above the bound, so that a popular prefix is cached in as many
+ * places as it needs.
+ */
+function pickByPrefix(
+  pool: Pool,
+  request: TrackedRequest,
+): Endpoint | undefined {
+  const { prefixHash } = request.facts;
+  if (prefixHash === undefined || !HAS_CACHE[pool.role]) return undefined;
+  return pool.ring.getOrder(prefixHash, PREFIX_CANDIDATES).find((endpoint) =>
+    endpoint.openIndex >= 0 && isSuitable(endpoint, pool, request) &&
+    endpoint.totalLoad < getPrefixBound(pool, endpoint)
+  );
+}
+
+/** A quarter above the mean, as usual for consistent hashing with bounds. */
+function getPrefixBound(pool: Pool, endpoint: Endpoint): number {
+  const fill = (pool.inFlight + 1) / Math.max(1, pool.slots);
+  const share = Math.min(1, PREFIX_LOAD_FACTOR * fill + PREFIX_FREE_FILL);
+  return share * endpoint.facts.warmConcurrency;
+}
+
+function pickByCost(
+  state: State,
+  pool: Pool,
+  request: TrackedRequest,
 ): Endpoint | undefined {
   const { open } = pool;
   const offset = Math.floor(state.getRandom() * open.length);
--- a/packages/decisions/src/pool.ts
+++ b/packages/decisions/src/pool.ts
@@ -3,10 +3,16 @@
  *
  * @module
  */
-import type { CustomerId, ServiceId } from "@sardinestep/types";
+import {
+  type CustomerId,
+  ENDPOINT_ROLE,
+  type EndpointRole,
+  type ServiceId,
+} from "@sardinestep/types";
 import { Backlog } from "./backlog.ts";
 import type { Endpoint } from "./endpoint.ts";
 import { Budget } from "./budget.ts";
+import { PrefixRing } from "./prefix_ring.ts";
 import { RecentRefusals } from "./return_time.ts";
 import { Outage } from "./outage.ts";
 import { StageQueue } from "./stage_queue.ts";
@@ -24,7 +30,10 @@
 /** Endpoints and waiting work of a service. */
 export class Pool {
   readonly service: ServiceId;
+  /** What its endpoints do. */
+  role: EndpointRole = ENDPOINT_ROLE.service;
   readonly endpoints = new Set<Endpoint>();
+  readonly ring = new PrefixRing(this.endpoints);
   /** Endpoints with room for a call. */
   readonly open: Endpoint[] = [];
   readonly queue = new StageQueue();
@@ -52,12 +61,16 @@
 
   /** Adds an endpoint. */
   add(endpoint: Endpoint): void {
+    if (this.endpoints.has(endpoint)) return;
     this.endpoints.add(endpoint);
+    this.role = endpoint.facts.role;
+    this.ring.reset();
   }
 
   /** Removes an endpoint; its running calls go on. */
   remove(endpoint: Endpoint): void {
     this.endpoints.delete(endpoint);
+    this.ring.reset();
     this.doubtful.delete(endpoint);
     this.#setSlots(endpoint, 0);
     this.#setOpen(endpoint, false);
