--- a/packages/demo/src/demo.ts
+++ b/packages/demo/src/demo.ts
@@ -90,6 +90,7 @@
     results,
     runs: await deployment.readRuns(),
     workers: await deployment.readWorkers(),
+    singleOperations: deployment.getSingleOperations(),
     coldConcurrency: deployment.getColdConcurrency(),
   });
 }
--- a/packages/entry/src/filters/claim_key.ts
+++ b/packages/entry/src/filters/claim_key.ts
@@ -9,8 +9,12 @@
 import { createRefusal, type RequestAnswer } from "../answer.ts";
 import type { Claimant } from "../claimant.ts";
 import type { Filter, RequestContext } from "../context.ts";
+import { waitAtMost } from "../key_registry.ts";
 import { type HolderLookup, refuseExpired } from "../holder_lookup.ts";
 
+/** A repeat may come back soon: the call may end any moment. */
+const LATE_RETRY_MS = 1_000;
+
 /** What the filter works with. */
 export interface ClaimKeyOptions {
   /** Creates the attempt of a request that carries a UUIDv7 key. */
@@ -58,7 +62,10 @@
   const verdict = await options.claim(claimant.claimRecord, boundMs);
   claimant.applyVerdict(verdict);
   return await match(verdict)
-    .with({ kind: "won" }, () => runAsHolder(context, claimant, next))
+    .with(
+      { kind: "won" },
+      () => runAsHolder(context, { claimant, next, readNow: options.readNow }),
+    )
     .with(
       { kind: "lost" },
       ({ status }) => options.lookup.answerLoser(context, status),
@@ -72,21 +79,34 @@
     .exhaustive();
 }
 
+/** How {@link runAsHolder} goes on. */
+export interface RunAsHolderOptions {
+  /** The attempt, which may dispatch. */
+  readonly claimant: Claimant;
+  /** The rest of the chain. */
+  readonly next: () => Promise<RequestAnswer>;
+  /** Monotonic milliseconds. */
+  readonly readNow: () => number;
+}
+
 /**
  * Runs a request whose key this entry holds, and closes the attempt.
  *
+ * At its deadline the caller is told that the outcome is unknown, and may repeat;
+ * a call that was sent goes on, and a repeat gets its answer.
+ *
  * @param context The request.
- * @param claimant Its attempt, which may dispatch.
- * @param next The rest of the chain.
+ * @param options Its attempt and the rest of the chain.
  * @returns An answer that never says "not run" of what may have run.
  */
 export async function runAsHolder(
   context: RequestContext,
-  claimant: Claimant,
-  next: () => Promise<RequestAnswer>,
+  options: RunAsHolderOptions,
 ): Promise<RequestAnswer> {
+  const { claimant, next, readNow } = options;
   context.claimant = claimant;
-  const answer = await next();
+  const boundMs = context.deadlineAt - readNow();
+  const answer = await waitAtMost(next(), boundMs) ?? refuseLate(claimant);
   claimant.giveUp("deadline");
   if (answer.kind === "completed" || !claimant.mayHaveRun) return answer;
   if (answer.failure.outcome !== "not run") return answer;
@@ -94,3 +114,11 @@
   // dispatch has been made and nobody has proved that it did not run.
   return createRefusal("OUTCOME_UNKNOWN", answer.failure.message);
 }
+
+function refuseLate(claimant: Claimant): RequestAnswer {
+  const message = "The deadline passed";
+  const options = { retryAfterMs: LATE_RETRY_MS };
+  return claimant.mayHaveRun
+    ? createRefusal("DEADLINE_EXCEEDED", message, options)
+    : createRefusal("DEADLINE_OUT_OF_REACH", message, options);
+}
--- a/packages/entry/src/holder_lookup.ts
+++ b/packages/entry/src/holder_lookup.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type * as claims from "@sardinestep/claims";
+import * as claims from "@sardinestep/claims";
 import type * as rpc from "@sardinestep/rpc";
 import type { InstanceId, MemberFacts, StageResult } from "@sardinestep/types";
 import { match } from "ts-pattern";
@@ -18,6 +18,11 @@
 const RETRY_AFTER_MS = 1_000;
 /** A lookup that waits for the holder's answer keeps this much of the deadline. */
 const RESERVE_MS = 50;
+/**
+ * A holder that is not among the members so long after its key was made is gone.
+ * A younger one may just not have been told of yet.
+ */
+const HOLDER_SETTLE_MS = 5_000;
 const NO_COST = { calls: 0, tokens: 0, workerMs: 0 } as const;
 
 /** Whom a lookup asks. */
@@ -130,10 +135,17 @@
     const message = `Completed earlier under key "${key}"; the answer is gone`;
     return createRefusal("ANSWER_NOT_KEPT", message, { attempt: "not run" });
   }
+  if (isYoung(key ?? "")) return refuseHeld("The holder is not known here yet");
   const message = `The holder of key "${key}" is gone without an outcome`;
   return createRefusal("HOLDER_GONE", message, { attempt: "not run" });
 }
 
+function isYoung(key: string): boolean {
+  const parsed = claims.parseKey(key);
+  if (parsed.isErr() || parsed.value.kind !== "uuidv7") return false;
+  return Date.now() - parsed.value.time < HOLDER_SETTLE_MS;
+}
+
 /**
  * Refuses a key that is older than what the log is sure to cover.
  *
--- a/packages/entry/src/minted_keys.ts
+++ b/packages/entry/src/minted_keys.ts
@@ -124,7 +124,8 @@
     const claimant = this.#openClaimant(context, attempt);
     // The mint has let this one attempt through: it holds the key.
     claimant.applyVerdict({ kind: "won" });
-    return await runAsHolder(context, claimant, next);
+    const { readNow } = this.#options;
+    return await runAsHolder(context, { claimant, next, readNow });
   }
 
   #openClaimant(context: RequestContext, attempt: number): Claimant {
--- a/packages/prove/src/judge.ts
+++ b/packages/prove/src/judge.ts
@@ -20,6 +20,7 @@
     results,
     runs: await deployment.readRuns(),
     workers: await deployment.readWorkers(),
+    singleOperations: deployment.getSingleOperations(),
     coldConcurrency: deployment.getColdConcurrency(),
   });
 }
@@ -43,8 +44,10 @@
 /** Describes a result in a line. */
 export function describeResult(result: testbed.CallerResult): string {
   const { request, key, attempts } = result;
-  const tries = attempts.map(({ answer, error, url }) =>
-    `${url}: ${answer ? `${answer.name}/${answer.outcome}` : error}`
+  const tries = attempts.map(({ answer, error, url, tookMs }) =>
+    `${url} after ${tookMs.toFixed(0)} ms: ${
+      answer ? `${answer.name}/${answer.outcome}` : error
+    }`
   );
   return `"${request.name}" key ${key}: ${tries.join("; ")}`;
 }
--- a/packages/prove/src/scenarios/truthful_refusal.ts
+++ b/packages/prove/src/scenarios/truthful_refusal.ts
@@ -53,7 +53,14 @@
       );
       await setTicketFaults(deployment, { delayMs: 1_500 });
       const results = await sendOnceEach(deployment, 700);
-      const violations = await auditDeployment(deployment, results);
+      const late = results.filter((result) => result.tookMs > 1_200);
+      const violations = [
+        ...await auditDeployment(deployment, results),
+        ...late.map((result) => ({
+          promise: "an answer by the deadline",
+          detail: describeResult(result),
+        })),
+      ];
       const seen = countOutcomes(results);
       return { cases: results.length, violations, seen };
     },
--- a/packages/testbed/src/audit.ts
+++ b/packages/testbed/src/audit.ts
@@ -17,6 +17,8 @@
   readonly results: readonly CallerResult[];
   readonly runs: Readonly<Record<string, KeyRuns>>;
   readonly workers: readonly WorkerCounters[];
+  /** Operations that may not be repeated. */
+  readonly singleOperations: ReadonlySet<string>;
   /** How many calls a cold worker bears, by address. */
   readonly coldConcurrency: ReadonlyMap<string, number>;
 }
@@ -29,17 +31,17 @@
  */
 export function findViolations(input: AuditInput): Violation[] {
   return [
-    ...findDoubleRuns(input.runs),
+    ...findDoubleRuns(input),
     ...input.results.flatMap((result) => checkResult(result, input.runs)),
     ...findFallenWorkers(input),
   ];
 }
 
-function findDoubleRuns(
-  runs: Readonly<Record<string, KeyRuns>>,
-): Violation[] {
-  return Object.entries(runs).flatMap(([key, keyRuns]) => {
-    const operations = keyRuns.operations.filter((name) => name !== "");
+function findDoubleRuns(input: AuditInput): Violation[] {
+  return Object.entries(input.runs).flatMap(([key, keyRuns]) => {
+    const operations = keyRuns.operations.filter((name) =>
+      input.singleOperations.has(name)
+    );
     if (operations.length <= 1) return [];
     const detail = `key "${key}" ran ${operations.join(", ")}`;
     return [{ promise: "at most once", detail }];
--- a/packages/testbed/src/caller.ts
+++ b/packages/testbed/src/caller.ts
@@ -79,7 +79,7 @@
     const url = options.urls[attempts.length % options.urls.length] ?? "";
     const attempt = await sendOnce(request, url, options.key);
     attempts.push(attempt);
-    if (isFinal(attempt)) break;
+    if (isFinal(attempt) || attempts.length === maxAttempts) break;
     const waitMs = attempt.answer?.retryAfterMs ?? 0;
     await sleep(Math.min(waitMs, options.maxWaitMs ?? 1_000));
   }
--- a/packages/testbed/src/deployment.ts
+++ b/packages/testbed/src/deployment.ts
@@ -76,6 +76,20 @@
   readonly digests: readonly string[];
 }
 
+/** The part of a configuration that an audit reads. */
+interface PlannedConfiguration {
+  readonly base: {
+    readonly pipelines: Readonly<
+      Record<string, { readonly stages: readonly PlannedStage[] }>
+    >;
+  };
+}
+
+interface PlannedStage {
+  readonly repeatable: boolean;
+  readonly operation?: string;
+}
+
 type KeyRunsByKey = Readonly<Record<string, KeyRuns>>;
 
 const LOOPBACK = "127.0.0.1";
@@ -250,6 +264,17 @@
     );
   }
 
+  /** Operations of the published configuration that may not be repeated. */
+  getSingleOperations(): ReadonlySet<string> {
+    const { base } = this.#plan.configuration as PlannedConfiguration;
+    const stages = Object.values(base.pipelines).flatMap((one) => one.stages);
+    return new Set(
+      stages.filter((stage) => !stage.repeatable).map((stage) =>
+        stage.operation ?? ""
+      ),
+    );
+  }
+
   /** Reads the counters of the log's stand-in. */
   async readLogCounters(): Promise<Record<string, number>> {
     const address = stripScheme(this.logUrl);
