Membership: hearsay orders no runs

The endpoint table had the same fault for news and gossip. Change: only a VM's own word, and only an endpoint's reports, make a run a former one; hearsay of another run makes an endpoint cold until its next report. Cold no longer hides silent.

--- a/packages/membership/src/endpoint_evidence.ts
+++ b/packages/membership/src/endpoint_evidence.ts
@@ -14,8 +14,8 @@
 import {
   type EndpointNews,
   type EndpointRow,
+  isAsBad,
   isFinal,
-  isNegative,
 } from "./endpoint_row.ts";
 
 /**
@@ -37,7 +37,8 @@
     return row.listed === "live" && isNewer ? ENDPOINT_STATE.cold : undefined;
   }
   if (isFinal(row.state)) return undefined;
-  return isNegative(report.state) || isNewer ? report.state : undefined;
+  const mayApply = isNewer || isAsBad(report.state, row.state);
+  return mayApply ? report.state : undefined;
 }
 
 /**
@@ -53,7 +54,12 @@
 ): EndpointState | undefined {
   if (isFinal(row.state)) return undefined;
   return match(news)
-    .with("silent", "cold", "leaving", (state) => state)
+    .with(
+      "silent",
+      "cold",
+      "leaving",
+      (state) => isAsBad(state, row.state) ? state : undefined,
+    )
     // A count of finished calls. An endpoint that reports its state knows
     // better, and one that is silent must answer first.
     .with("warm", (state) => isUnproved(row) ? state : undefined)
@@ -83,7 +89,7 @@
   // The other's list is newer; what the own list says comes soon. Meanwhile
   // reports of the same run must not bring the endpoint back.
   if (state === ENDPOINT_STATE.gone) return ENDPOINT_STATE.leaving;
-  if (isNegative(state)) return state;
+  if (isAsBad(state, row.state)) return state;
   return isUnproved(row) && !options.hasOwnNews ? state : undefined;
 }
 
--- a/packages/membership/src/endpoint_row.ts
+++ b/packages/membership/src/endpoint_row.ts
@@ -15,8 +15,8 @@
   type ZoneId,
 } from "@sardinestep/types";
 
-/** Earlier instances remembered, so that a late report can't revive one. */
-const FORMER_INSTANCES_KEPT = 8;
+/** Other instances remembered, so that late news can't revive one. */
+const INSTANCES_KEPT = 8;
 
 /** An endpoint as the platform's list names it. */
 export interface ListedPlace {
@@ -49,6 +49,8 @@
   formerInstances: InstanceId[];
   state: EndpointState;
   listed: "live" | "leaving" | undefined;
+  /** Runs other than the known one that others say are leaving. */
+  leavingInstances: InstanceId[];
   /** When the newest report that was used was measured. */
   reportedAt: number;
   /** When negative news of this instance arrived, by first-hand evidence. */
@@ -65,6 +67,7 @@
     place,
     instance: "",
     formerInstances: [],
+    leavingInstances: [],
     state: ENDPOINT_STATE.cold,
     listed: undefined,
     reportedAt: -Infinity,
@@ -94,20 +97,31 @@
  * load of a warm one and falls over. The new instance id is the earliest sign.
  */
 export function setNewRun(row: EndpointRow, instance: InstanceId): void {
-  if (row.instance !== "") {
-    row.formerInstances.push(row.instance);
-    if (row.formerInstances.length > FORMER_INSTANCES_KEPT) {
-      row.formerInstances.shift();
-    }
-  }
+  if (row.instance !== "") addInstance(row.formerInstances, row.instance);
   row.instance = instance;
-  // Only the list says that an endpoint is there.
-  const isListed = row.listed !== undefined;
-  row.state = isListed ? ENDPOINT_STATE.cold : ENDPOINT_STATE.gone;
+  row.state = getFirstState(row);
   row.reportedAt = -Infinity;
   row.negativeAt = -Infinity;
 }
 
+/** Notes that a run which this table does not know is leaving. */
+export function addLeaving(row: EndpointRow, instance: InstanceId): void {
+  if (row.leavingInstances.includes(instance)) return;
+  addInstance(row.leavingInstances, instance);
+}
+
+function getFirstState(row: EndpointRow): EndpointState {
+  // Only the list says that an endpoint is there.
+  if (row.listed === undefined) return ENDPOINT_STATE.gone;
+  const isLeaving = row.leavingInstances.includes(row.instance);
+  return isLeaving ? ENDPOINT_STATE.leaving : ENDPOINT_STATE.cold;
+}
+
+function addInstance(instances: InstanceId[], instance: InstanceId): void {
+  instances.push(instance);
+  if (instances.length > INSTANCES_KEPT) instances.shift();
+}
+
 /** Turns a row into facts. */
 export function buildEndpointFacts(row: EndpointRow): EndpointFacts {
   return { ...row.place, instance: row.instance, state: row.state };
@@ -125,6 +139,24 @@
   return NEGATIVE.has(state);
 }
 
+/** How much a state takes away; the order in which negative news wins. */
+const SEVERITY = {
+  warm: 0,
+  warming: 1,
+  cold: 2,
+  silent: 3,
+  leaving: 4,
+  gone: 5,
+} as const satisfies Record<EndpointState, number>;
+
+/**
+ * Tells whether a state takes as much away as another one, or more. That needs no
+ * newer proof; `cold` must not hide that an endpoint is `silent`.
+ */
+export function isAsBad(state: EndpointState, other: EndpointState): boolean {
+  return SEVERITY[state] >= SEVERITY[other];
+}
+
 /** States that only a new instance undoes. */
 export function isFinal(state: EndpointState): boolean {
   return state === ENDPOINT_STATE.leaving || state === ENDPOINT_STATE.gone;
--- a/packages/membership/src/endpoint_table.ts
+++ b/packages/membership/src/endpoint_table.ts
@@ -18,11 +18,13 @@
   decideByReport,
 } from "./endpoint_evidence.ts";
 import {
+  addLeaving,
   buildEndpointFacts,
   compareInstance,
   createEndpointRow,
   type EndpointNews,
   type EndpointRow,
+  isFinal,
   isNegative,
   type ListedEndpointFacts,
   type ListedPlace,
@@ -149,16 +151,25 @@
     this.#setState(row, decideByNews(row, news.news), now);
   }
 
+  /**
+   * Only reports tell which of two runs came later. An entry that names an unknown
+   * one has seen either a restart or, before it knew better, the run before: the
+   * endpoint is cold until the next report tells.
+   */
   #applyNewsInstance(
     row: EndpointRow,
     instance: InstanceId,
     now: number,
   ): boolean {
     const relation = compareInstance(row, instance);
+    if (relation === "same") return true;
     if (relation === "former") return false;
-    if (relation === "first") this.#setFirstInstance(row, instance);
-    if (relation === "new") this.#applyNewInstance(row, instance, now);
-    return true;
+    if (row.reportedAt === -Infinity) {
+      this.#applyNewInstance(row, instance, now);
+      return true;
+    }
+    this.#setState(row, decideByNews(row, "cold"), now);
+    return false;
   }
 
   /**
@@ -173,21 +184,33 @@
   #applyGossiped(fact: EndpointFacts, now: number): void {
     const row = this.#rows.get(fact.endpointId);
     if (row === undefined) return;
-    // Who does not know the run may mean an earlier one.
-    if (fact.instance === "" && row.instance !== "") return;
-    const relation = compareInstance(row, fact.instance);
-    if (relation === "former") return;
-    if (relation === "first") this.#setFirstInstance(row, fact.instance);
-    if (relation === "new") {
-      setNewRun(row, fact.instance);
-      this.#changed.add(fact.endpointId);
+    if (fact.instance !== row.instance) {
+      this.#applyGossipedRun(row, fact);
+      return;
     }
-    const hasOwnNews = relation === "new" ||
-      now - row.negativeAt <= this.#newsKeptMs;
+    const hasOwnNews = now - row.negativeAt <= this.#newsKeptMs;
     const state = decideByGossip(row, fact.state, { hasOwnNews });
     if (state !== undefined) this.#setStateByGossip(row, state);
   }
 
+  /**
+   * Hearsay about another run than the known one. It has no order, so it changes no
+   * instance: the endpoint is cold until its next report tells, and a run that
+   * leaves is remembered in case it turns out to be the one.
+   */
+  #applyGossipedRun(row: EndpointRow, fact: EndpointFacts): void {
+    const isOld = row.formerInstances.includes(fact.instance);
+    // Who does not know the run may mean an earlier one.
+    if (isOld || fact.instance === "") return;
+    const isLeaving = fact.state === ENDPOINT_STATE.leaving ||
+      fact.state === ENDPOINT_STATE.gone;
+    if (isLeaving) addLeaving(row, fact.instance);
+    const state = decideByGossip(row, ENDPOINT_STATE.cold, {
+      hasOwnNews: false,
+    });
+    if (state !== undefined) this.#setStateByGossip(row, state);
+  }
+
   /** Gives all endpoints. */
   getEndpoints(): EndpointFacts[] {
     return [...this.#rows.values()].map(buildEndpointFacts);
@@ -228,8 +251,12 @@
     this.#changed.add(row.place.endpointId);
   }
 
+  /** A first report is no restart: its state counts, unless that run leaves. */
   #setFirstInstance(row: EndpointRow, instance: InstanceId): void {
-    row.instance = instance;
+    const { state, negativeAt } = row;
+    setNewRun(row, instance);
+    if (!isFinal(row.state)) row.state = state;
+    row.negativeAt = negativeAt;
     this.#changed.add(row.place.endpointId);
   }
 
--- a/packages/membership/src/endpoint_table_test.ts
+++ b/packages/membership/src/endpoint_table_test.ts
@@ -205,6 +205,40 @@
     );
   });
 
+  // A control has just started and has had a report of the running instance. An
+  // entry, or another control, still names the run before. If that were
+  // taken for a restart, the running instance would count as a former one, and
+  // the endpoint would get no work until it restarts.
+  it("does not take late news of an earlier run for a restart", () => {
+    const table = createWarmTable();
+    const news = "silent" as const;
+    table.applyNews({ endpointId: "e", instance: "e#0", news }, 20);
+    table.applyGossip([buildFacts({ instance: "e#0" })], 20);
+    expect(getState(table)).to.equal("cold");
+    table.applyReport(buildReport({ measuredAt: 21 }), 22);
+    expect(getState(table)).to.equal("warm");
+  });
+
+  it("remembers that a run leaves which it does not know yet", () => {
+    const table = new EndpointTable();
+    table.applyList([LISTED], 0);
+    table.applyGossip([buildFacts({ state: "leaving" })], 1);
+    table.applyReport(buildReport(), 11);
+    expect(getState(table)).to.equal("leaving");
+    table.applyReport(buildReport({ instance: "e#2", measuredAt: 20 }), 21);
+    expect(getState(table)).to.equal("cold");
+  });
+
+  it("lets no news of cold hide that an endpoint is silent", () => {
+    const table = createWarmTable();
+    const of = { endpointId: "e", instance: "e#1" };
+    table.applyNews({ ...of, news: "silent" }, 50);
+    table.applyNews({ ...of, news: "cold" }, 51);
+    table.applyGossip([buildFacts({ state: "cold" })], 52);
+    table.applyReport(buildReport({ state: "cold", measuredAt: 49 }), 53);
+    expect(getState(table)).to.equal("silent");
+  });
+
   it("forgets endpoints that are gone for long", () => {
     const table = createWarmTable();
     table.applyList([], 50, { asOf: 5 });
--- a/packages/membership/src/member_evidence.ts
+++ b/packages/membership/src/member_evidence.ts
@@ -4,7 +4,12 @@
  * @module
  */
 import type { MemberFacts, VmId } from "@sardinestep/types";
-import { applyInstance, type MemberRow, NEVER_HEARD } from "./member_row.ts";
+import {
+  applyHearsayInstance,
+  applyInstance,
+  type MemberRow,
+  NEVER_HEARD,
+} from "./member_row.ts";
 
 /** When a VM counts as silent, and who judges. */
 export interface SilenceLimits {
@@ -80,17 +85,22 @@
   else row.relayedBy.delete(from);
 }
 
-/** Second-hand instance ids count only while nothing better is known. */
+/**
+ * A VM's word on itself decides. Hearsay counts while nothing better is known, and
+ * replaces a known run only if who says so hears the other one.
+ */
 function applyRelayedInstance(
   row: MemberRow,
   member: MemberFacts,
   options: RelayOptions,
 ): boolean {
   const isFirstHand = options.from === member.vmId;
-  if (!isFirstHand && isHeard(row, options.limits)) {
-    return member.entryInstance === row.entryInstance;
-  }
-  return applyInstance(row, member.entryInstance);
+  if (isFirstHand) return applyInstance(row, member.entryInstance);
+  const isKnown = row.entryInstance !== "";
+  const isBetterKnown = isHeard(row, options.limits) ||
+    (isKnown && member.state !== "live");
+  if (isBetterKnown) return member.entryInstance === row.entryInstance;
+  return applyHearsayInstance(row, member.entryInstance);
 }
 
 /** Drops the word of VMs that have said nothing lately, or are gone themselves. */
--- a/packages/membership/src/member_row.ts
+++ b/packages/membership/src/member_row.ts
@@ -46,6 +46,8 @@
 export interface MemberRow {
   place: MemberPlace;
   entryInstance: InstanceId;
+  /** Whether the VM itself has named its instance. */
+  isInstanceProved: boolean;
   formerInstances: InstanceId[];
   /** What the VM list says; undefined while it does not name the VM. */
   listed: "live" | "leaving" | undefined;
@@ -70,6 +72,7 @@
   return {
     place,
     entryInstance: "",
+    isInstanceProved: false,
     formerInstances: [],
     listed: undefined,
     isLeaving: false,
@@ -83,28 +86,57 @@
 }
 
 /**
- * Takes over the entry's instance. A new one is the newer proof that
- * undoes negative news; one that was seen before proves nothing.
+ * Takes over the entry's instance as the VM itself names it. A new one is the
+ * newer proof that undoes negative news; one that was followed by another proves
+ * nothing.
  *
  * @returns False when the instance is a former one.
  */
 export function applyInstance(row: MemberRow, instance: InstanceId): boolean {
-  if (instance === "" || instance === row.entryInstance) return true;
+  if (instance === "") return true;
   if (row.formerInstances.includes(instance)) return false;
-  if (row.entryInstance !== "") {
-    row.formerInstances.push(row.entryInstance);
-    if (row.formerInstances.length > FORMER_INSTANCES_KEPT) {
-      row.formerInstances.shift();
-    }
-    row.isLeaving = false;
-  } else if (row.listed === "live") {
-    // Listed as leaving before it was ever heard, and as live since then: what
-    // leaves was an earlier run.
-    row.isLeaving = false;
+  if (instance !== row.entryInstance) {
+    if (row.isInstanceProved) addFormer(row, row.entryInstance);
+    setInstance(row, instance);
   }
+  row.isInstanceProved = true;
+  return true;
+}
+
+/**
+ * Takes over the entry's instance as another VM names it.
+ *
+ * Hearsay has no order: of two VMs one may name the instance before. So it makes
+ * no instance a former one, or the VM itself would be refused when it says
+ * which one runs.
+ *
+ * @returns False when the instance is a former one.
+ */
+export function applyHearsayInstance(
+  row: MemberRow,
+  instance: InstanceId,
+): boolean {
+  if (instance === "" || instance === row.entryInstance) return true;
+  if (row.formerInstances.includes(instance)) return false;
+  setInstance(row, instance);
+  row.isInstanceProved = false;
+  return true;
+}
+
+function setInstance(row: MemberRow, instance: InstanceId): void {
+  // Listed as leaving before it was ever heard, and as live since then: what
+  // leaves was an earlier run.
+  const isAnotherRun = row.entryInstance !== "" || row.listed === "live";
+  if (isAnotherRun) row.isLeaving = false;
   row.entryInstance = instance;
   row.isEntryDown = false;
-  return true;
+}
+
+function addFormer(row: MemberRow, instance: InstanceId): void {
+  row.formerInstances.push(instance);
+  if (row.formerInstances.length > FORMER_INSTANCES_KEPT) {
+    row.formerInstances.shift();
+  }
 }
 
 /** Turns a row into facts. */
--- a/packages/membership/src/member_table_test.ts
+++ b/packages/membership/src/member_table_test.ts
@@ -114,6 +114,28 @@
     expect(getStates(table, 1)).to.deep.equal({ a: "live", b: "live" });
   });
 
+  // A zone comes back. A VM in it hears of its neighbour's new run from one control
+  // and then of the run before from another, which is slower. The neighbour's own
+  // word must count, or it would be out of service here and nowhere else, and
+  // two entries would warm its endpoints.
+  it("takes a VM's own word for its run, whatever others said before", () => {
+    const table = createTable();
+    const old = { state: "leaving", entryInstance: "b#2" } as const;
+    table.applyGossip([buildMember("b", { entryInstance: "b#3" })], 1);
+    table.applyGossip([buildMember("b", old)], 2, { from: "c" });
+    table.applyGossip([buildMember("b", { entryInstance: "b#2" })], 3, {
+      from: "d",
+    });
+    table.applyHeard(buildIdentity("b"), 4);
+    table.applyGossip([buildMember("b", { entryInstance: "b#3" })], 4, {
+      from: "b",
+    });
+    table.applyGossip([buildMember("b", old)], 5, { from: "c" });
+    expect(table.getMembers(5)[1]).to.include(
+      { entryInstance: "b#3", state: "live" },
+    );
+  });
+
   it("serves a VM that left before it was ever heard and came back", () => {
     const table = createTable();
     const leaving = [{ ...buildPlace("b"), state: "leaving" as const }];
