--- /dev/null
+++ b/packages/prove/src/mutants_test.ts
@@ -0,0 +1,26 @@
+import { expect } from "chai";
+import { readFileSync } from "node:fs";
+import { readMutants } from "./mutants.ts";
+import { POINTS } from "./scenario.ts";
+import { SCENARIOS } from "./scenario_list.ts";
+
+describe("mutants", () => {
+  for (const mutant of readMutants()) {
+    it(`without ${mutant.mechanism}: its text stands once in its file`, () => {
+      const source = readFileSync(mutant.file, "utf8");
+      expect(source.split(mutant.find)).to.have.length(2);
+    });
+
+    it(`without ${mutant.mechanism}: a scenario is meant to show it`, () => {
+      const scenario = SCENARIOS.find(({ name }) =>
+        name.includes(mutant.scenario)
+      );
+      expect(scenario?.name).to.be.a("string");
+    });
+  }
+
+  it("has a mechanism for each of the nine points", () => {
+    const points = new Set(readMutants().map(({ point }) => String(point)));
+    expect([...points].sort()).to.deep.equal(Object.keys(POINTS).sort());
+  });
+});
--- a/packages/prove/src/run_proofs.ts
+++ b/packages/prove/src/run_proofs.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { buildMutant, readMutants } from "./mutants.ts";
 import {
   POINTS,
   runScenario,
@@ -31,10 +32,11 @@
  * @returns The exit code: 1 when any promise was broken.
  */
 export async function runProofs(options: ProofOptions): Promise<number> {
-  const binaries = options.without === undefined
-    ? "dist"
-    : `dist/without-${options.without}`;
-  const scenarios = SCENARIOS.filter((scenario) =>
+  const plan = options.without === undefined
+    ? { binaries: "dist", scenarios: SCENARIOS }
+    : planMutant(options.without);
+  const { binaries } = plan;
+  const scenarios = plan.scenarios.filter((scenario) =>
     scenario.name.includes(options.only ?? "")
   );
   const results = await runAll(scenarios, binaries);
@@ -46,6 +48,25 @@
   return broken.length === 0 ? 0 : 1;
 }
 
+interface ProofPlan {
+  readonly binaries: string;
+  readonly scenarios: readonly Scenario[];
+}
+
+function planMutant(mechanism: string): ProofPlan {
+  const mutant = readMutants().find((one) => one.mechanism === mechanism);
+  if (!mutant) {
+    const names = readMutants().map((one) => one.mechanism).join(", ");
+    throw new Error(`Cannot find mechanism "${mechanism}"; there are ${names}`);
+  }
+  console.log(`without "${mechanism}": ${mutant.what}`);
+  const binaries = buildMutant(mechanism);
+  const scenarios = SCENARIOS.filter(({ name }) =>
+    name.includes(mutant.scenario)
+  );
+  return { binaries, scenarios };
+}
+
 async function runAll(
   scenarios: readonly Scenario[],
   binaries: string,
