Proofs: foreign parts and drain are shown by their scenarios

Cause: the stand-in's foreign part had the own part's text, and calls ended before an entry did without draining. Change: foreign text differs; calls run 700 ms, longer than the notice of 300 ms.

--- a/packages/entry/src/control_link.ts
+++ b/packages/entry/src/control_link.ts
@@ -52,6 +52,7 @@
   readonly #options: ControlLinkOptions;
   #controls: readonly Address[];
   #connection: rpc.Connection | undefined;
+  #isHome = false;
   #isClosed = false;
   #waitingRecords: claims.ClaimRecord[] = [];
   #isSendingRecords = false;
@@ -68,6 +69,11 @@
     return this.#connection?.isOpen ?? false;
   }
 
+  /** Whether the control of the own VM is connected, not a neighbour's. */
+  get isHome(): boolean {
+    return this.isConnected && this.#isHome;
+  }
+
   /** Outcomes and releases that no control has taken yet. */
   get waitingRecords(): number {
     return this.#waitingRecords.length;
@@ -147,8 +153,10 @@
         await sleep(RECONNECT_PAUSE_MS);
         continue;
       }
-      const isHome = address === this.#controls[0];
-      const ends = isHome ? [link.closed] : [link.closed, this.#waitForHome()];
+      this.#isHome = address === this.#controls[0];
+      const ends = this.#isHome
+        ? [link.closed]
+        : [link.closed, this.#waitForHome()];
       await Promise.race(ends);
       this.#connection?.close();
       this.#connection = undefined;
--- a/packages/fakes/src/stream_writer.ts
+++ b/packages/fakes/src/stream_writer.ts
@@ -80,7 +80,12 @@
     }
     this.#written += 1;
     if (faults?.foreignParts) {
-      const foreign = { callId: `foreign-${callId}`, sequence, text };
+      // Its text differs, so that it shows where it is taken for the own one.
+      const foreign = {
+        callId: `foreign-${callId}`,
+        sequence,
+        text: `foreign ${text}`,
+      };
       this.#write(formatEvent("part", foreign));
     }
     if (faults?.reorderParts && this.#heldBack === undefined) {
--- a/packages/prove/src/scenarios/planned_stop.ts
+++ b/packages/prove/src/scenarios/planned_stop.ts
@@ -14,7 +14,7 @@
   type SmallPipeline,
 } from "../small_plan.ts";
 
-const REQUEST_INTERVAL_MS = 15;
+const REQUEST_INTERVAL_MS = 40;
 const BALANCER_INTERVAL_MS = 50;
 const PIPELINES: readonly SmallPipeline[] = [
   "issue",
@@ -36,7 +36,8 @@
 ];
 
 async function runRollingReplacement(bench: testbed.Bench) {
-  const plan = buildSmallPlan({ vms: 3, workers: { serviceMs: 80 } });
+  // Calls run longer than an entry still serves after its readiness has gone.
+  const plan = buildSmallPlan({ vms: 3, workers: { serviceMs: 700 } });
   const deployment = await testbed.Deployment.start(bench, plan);
   const balancer = new Balancer(deployment);
   const load = sendUntil(balancer);
