Refusals tell key and attempt apart; a fault in a record does not end the reading

Cause: a trial found an untrue 'not run': a repeat of a completed key at another entry was refused before the claim as not run. Change: a refusal before the key is settled says outcome unknown, attempt not run; LogTail hands on behind a fault; zone_out and zone_in stand in the time line.

--- a/packages/control/src/claim_controller.ts
+++ b/packages/control/src/claim_controller.ts
@@ -32,6 +32,8 @@
   readonly timeline: timeline.Timeline;
   readonly count: (name: string, by?: number) => void;
   readonly onReachable: (isReachable: boolean) => void;
+  /** Told of an exception in the handling of a record. */
+  readonly onFault: (error: unknown) => void;
 }
 
 type ClaimRequest = Extract<claims.ClaimRecord, { kind: "claim" }>;
@@ -70,6 +72,7 @@
       stream: claims.CLAIM_STREAM,
       onRecord: (record) => this.#applyRecord(record),
       onReachable: (isReachable) => this.#handleReachable(isReachable),
+      onFault: options.onFault,
     });
     this.#pruneTimer = setInterval(
       () => this.#table.prune(this.#logTime),
--- a/packages/control/src/configuration_controller.ts
+++ b/packages/control/src/configuration_controller.ts
@@ -30,6 +30,8 @@
   readonly log: ports.LogPort;
   readonly logRetentionMs: number;
   readonly drawRandom: () => number;
+  /** Told of an exception in the handling of a record. */
+  readonly onFault: (error: unknown) => void;
   /** Told of every new version in force. */
   readonly onChange: (versioned: configuration.VersionedConfiguration) => void;
 }
@@ -55,6 +57,7 @@
         this.#announce();
       },
       onReachable: () => {},
+      onFault: options.onFault,
     });
     this.#renewalTimer = setInterval(
       () => void this.#renew(),
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -8,9 +8,11 @@
 import * as logger from "@sardinestep/logger";
 import * as metrics from "@sardinestep/metrics";
 import * as rpc from "@sardinestep/rpc";
-import type * as settings from "@sardinestep/settings";
+import * as settings from "@sardinestep/settings";
 import * as timeline from "@sardinestep/timeline";
 import * as vmListHttp from "@sardinestep/vmlist_http";
+import type { VersionedConfiguration } from "@sardinestep/configuration";
+import type { ZoneId } from "@sardinestep/types";
 import { randomUUID } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
 import { ClaimController } from "./claim_controller.ts";
@@ -43,6 +45,7 @@
   readonly #endpoints: EndpointController;
   #server: rpc.RpcServer | undefined;
   #isLeaving = false;
+  #zonesOut: readonly ZoneId[] = [];
 
   constructor(options: settings.ControlSettings) {
     this.#settings = options;
@@ -131,6 +134,7 @@
       timeline: this.#timeline,
       count: (name, by) => this.#metrics.count(name, {}, by),
       onReachable: (isReachable) => this.#handleLogReachable(isReachable),
+      onFault: (error) => this.#handleFault(error),
     });
   }
 
@@ -139,18 +143,37 @@
       log: this.#log,
       logRetentionMs: this.#settings.logRetentionMs,
       drawRandom: Math.random,
+      onFault: (error) => this.#handleFault(error),
       onChange: (configuration) => {
         const { version, author } = configuration;
         const message = `Configuration ${version} is in force`;
         this.#logger.change("config_applied", message, { version, author });
         const subject = { configVersion: version };
         this.#timeline.record("config_applied", subject, { author });
+        this.#recordZones(configuration);
         this.#feed.send({ configuration });
         this.#membership.spreadNow();
       },
     });
   }
 
+  #recordZones(versioned: VersionedConfiguration): void {
+    const parsed = settings.parseConfiguration(versioned.configuration);
+    if (parsed.isErr()) return;
+    const { zonesOut } = parsed.value;
+    const configVersion = versioned.version;
+    const before = this.#zonesOut;
+    this.#zonesOut = zonesOut;
+    for (const zone of zonesOut) {
+      if (before.includes(zone)) continue;
+      this.#timeline.record("zone_out", { zone, configVersion });
+    }
+    for (const zone of before) {
+      if (zonesOut.includes(zone)) continue;
+      this.#timeline.record("zone_in", { zone, configVersion });
+    }
+  }
+
   #createEndpoints(): EndpointController {
     return new EndpointController({
       endpoints: this.#endpointPort,
@@ -194,6 +217,12 @@
     this.#feed.send({ members: this.#membership.getMembers() });
   }
 
+  #handleFault(error: unknown): void {
+    const cause = error instanceof Error ? error.stack ?? error.message : error;
+    const message = "Cannot apply a record of the log; reading goes on";
+    this.#logger.fault("record_fault", message, { cause: String(cause) });
+  }
+
   #handleLogReachable(logReachable: boolean): void {
     const state = logReachable ? "answers" : "does not answer";
     this.#logger.change("log", `The log service ${state}`);
--- a/packages/control/src/log_tail.ts
+++ b/packages/control/src/log_tail.ts
@@ -28,6 +28,8 @@
   readonly stream: string;
   /** Told of every record once, in order of offset. */
   readonly onRecord: (record: TailRecord) => void;
+  /** Told of an exception of `onRecord`; reading goes on behind the record. */
+  readonly onFault: (error: unknown) => void;
   /** Told when the log begins or ceases to answer. */
   readonly onReachable: (isReachable: boolean) => void;
 }
@@ -124,7 +126,13 @@
   #handOn(record: ports.LogRecord): void {
     this.#nextOffset = record.offset + 1;
     const firstOffset = this.#firstOffset;
-    this.#options.onRecord({ ...record, firstOffset });
+    // Guard against a fault in one record's handling: it would end the reading,
+    // and this process would go on for good with what it knew until then.
+    try {
+      this.#options.onRecord({ ...record, firstOffset });
+    } catch (error) {
+      this.#options.onFault(error);
+    }
   }
 
   #setReachable(isReachable: boolean): void {
--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -89,6 +89,23 @@
   return { kind: "completed", output, cost, isReplayed };
 }
 
+/**
+ * Makes a refusal speak truly of its key.
+ *
+ * A refusal before the key is settled knows that this attempt was not run, and
+ * nothing of the key: an earlier attempt may have completed at another entry.
+ *
+ * @param answer The answer of a request that came with a key.
+ * @returns The answer, with the outcome of the key and of the attempt apart.
+ */
+export function tellOfUnsettledKey(answer: RequestAnswer): RequestAnswer {
+  if (answer.kind === "completed") return answer;
+  const { failure } = answer;
+  if (failure.outcome !== "not run") return answer;
+  const told = { ...failure, outcome: "unknown", attempt: "not run" } as const;
+  return { kind: "refused", failure: told };
+}
+
 /**
  * Turns an answer into HTTP status and body.
  *
--- a/packages/entry/src/context.ts
+++ b/packages/entry/src/context.ts
@@ -67,6 +67,8 @@
   fingerprint: string;
   /** Whether a stage of the pipeline may not be repeated. */
   isSingle: boolean;
+  /** Whether it is proved what ran under the key before this attempt. */
+  isKeySettled: boolean;
   /** Set once this entry may dispatch the stage that may not be repeated. */
   claimant?: Claimant;
   /** Results of earlier stages that are held already, from stage 0 on. */
--- a/packages/entry/src/filters/claim_key.ts
+++ b/packages/entry/src/filters/claim_key.ts
@@ -105,6 +105,8 @@
 ): Promise<RequestAnswer> {
   const { claimant, next, readNow } = options;
   context.claimant = claimant;
+  // Every earlier claim of the key was released, so nothing has run under it.
+  context.isKeySettled = true;
   const boundMs = context.deadlineAt - readNow();
   const answer = await waitAtMost(next(), boundMs) ?? refuseLate(claimant);
   claimant.giveUp("deadline");
--- a/packages/entry/src/http_routes.ts
+++ b/packages/entry/src/http_routes.ts
@@ -13,6 +13,7 @@
   createRefusal,
   type HttpAnswer,
   type RequestAnswer,
+  tellOfUnsettledKey,
 } from "./answer.ts";
 import { type BodyFault, type BodyLimits, readBody } from "./body_reader.ts";
 import type { IncomingRequest, PartSink } from "./context.ts";
@@ -79,7 +80,9 @@
   const body = await readBody(http.env.incoming, options.limits);
   if (body.isErr()) {
     const refusal = refuseBody(body.error, options.limits);
-    return sendAnswer(http, buildHttpAnswer(requestId, refusal), options);
+    const hasKey = http.req.header("idempotency-key") !== undefined;
+    const told = hasKey ? tellOfUnsettledKey(refusal) : refusal;
+    return sendAnswer(http, buildHttpAnswer(requestId, told), options);
   }
   const incoming = buildIncoming(http, {
     requestId,
--- a/packages/entry/src/minted_keys.ts
+++ b/packages/entry/src/minted_keys.ts
@@ -259,6 +259,7 @@
 }
 
 function refuseClosed(context: RequestContext): RequestAnswer {
+  context.isKeySettled = true;
   const message = `Key "${context.keyId?.key}" was closed unused`;
   return createRefusal("KEY_CLOSED", message);
 }
--- a/packages/entry/src/request_service.ts
+++ b/packages/entry/src/request_service.ts
@@ -5,7 +5,11 @@
  */
 import type * as logger from "@sardinestep/logger";
 import type * as timeline from "@sardinestep/timeline";
-import { createRefusal, type RequestAnswer } from "./answer.ts";
+import {
+  createRefusal,
+  type RequestAnswer,
+  tellOfUnsettledKey,
+} from "./answer.ts";
 import {
   type Filter,
   type IncomingRequest,
@@ -51,11 +55,14 @@
     sink?: PartSink,
   ): Promise<RequestAnswer> {
     const site = this.#options.getSite();
-    if (!site) return refuseWithoutConfiguration();
+    if (!site) return refuseWithoutConfiguration(incoming);
     const context = createContext(incoming, site, { callerGone, sink });
     this.#running += 1;
     try {
-      const answer = await runChain(this.#options.filters, context);
+      const answer = tellOfKey(
+        context,
+        await runChain(this.#options.filters, context),
+      );
       this.#record(context, answer);
       return answer;
     } catch (error) {
@@ -92,6 +99,15 @@
   }
 }
 
+function tellOfKey(
+  context: RequestContext,
+  answer: RequestAnswer,
+): RequestAnswer {
+  const isUnsettled = context.incoming.key !== undefined &&
+    !context.isKeySettled;
+  return isUnsettled ? tellOfUnsettledKey(answer) : answer;
+}
+
 function buildDetail(
   pipeline: string,
   answer: RequestAnswer,
@@ -119,12 +135,14 @@
     deadlineAt: incoming.arrivedAt,
     fingerprint: "",
     isSingle: false,
+    isKeySettled: false,
     priorResults: [],
   };
 }
 
-function refuseWithoutConfiguration(): RequestAnswer {
+function refuseWithoutConfiguration(incoming: IncomingRequest): RequestAnswer {
   const message = "This entry has no configuration yet";
   const options = { retryAfterMs: NO_CONFIGURATION_RETRY_MS };
-  return createRefusal("NO_CONFIGURATION", message, options);
+  const refusal = createRefusal("NO_CONFIGURATION", message, options);
+  return incoming.key === undefined ? refusal : tellOfUnsettledKey(refusal);
 }
