--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -31,7 +31,7 @@
  * deadlines and more urgent classes. A queue that is filled to the last moment
  * serves everyone just too late.
  */
-const USABLE_PART = 0.85;
+const USABLE_PART = 0.75;
 /**
  * Requests that may wait for one pool. Waiting time bounds the queue long
  * before; this is for memory while nothing at all moves.
@@ -143,7 +143,8 @@
   const outageMs = pool.outage.getRestMs(now);
   if (hasRoom) return outageMs;
   const ahead = pool.backlog.getAhead(requestClass, deadlineAt);
-  const wholeMs = ahead / slots;
+  // What runs is on average half done.
+  const wholeMs = Math.max(0, ahead - pool.runningMs / 2) / slots;
   if (requestClass === REQUEST_CLASS.single) return outageMs + wholeMs;
   const classMs = pool.backlog.getOwnClassAhead(requestClass, deadlineAt) /
     (slots * GUARANTEED_SHARE[requestClass]);
--- a/packages/decisions/src/call_life.ts
+++ b/packages/decisions/src/call_life.ts
@@ -59,6 +59,7 @@
   endpoint.calls.add(call);
   endpoint.load.recordStart(state.now);
   pool.inFlight += 1;
+  pool.runningMs += call.expectedMs;
   pool.refresh(endpoint, state.now);
   state.calls.set(callId, call);
   const at = state.now + OVERDUE_FACTOR * call.expectedMs + OVERDUE_SLACK_MS;
@@ -94,6 +95,7 @@
   endpoint.load.recordEnd(state.now);
   request.calls = request.calls.filter((each) => each !== call);
   pool.inFlight -= 1;
+  pool.runningMs = Math.max(0, pool.runningMs - call.expectedMs);
   pool.refresh(endpoint, state.now);
   state.changedPools.add(pool);
 }
--- a/packages/decisions/src/pool.ts
+++ b/packages/decisions/src/pool.ts
@@ -50,6 +50,8 @@
   readonly doubtful = new Set<Endpoint>();
   /** Calls of this entry that run in the pool. */
   inFlight = 0;
+  /** Expected time of those calls in milliseconds. */
+  runningMs = 0;
 
   constructor(
     service: ServiceId,
