--- a/packages/bench/src/decisions/arrivals.ts
+++ b/packages/bench/src/decisions/arrivals.ts
@@ -62,9 +62,10 @@
   const { pipeline } = workload;
   const size = pickSize(workload.sizes, random);
   const stageSizes = pipeline.stages.map(() => size);
+  const customer = pickCustomer(workload.customers, random);
   const facts: RequestFacts = {
     requestId,
-    customer: pickCustomer(workload.customers, random),
+    customer,
     pipeline: pipeline.pipelineId,
     requestClass: pipeline.requestClass,
     stages: pipeline.stages,
@@ -79,7 +80,7 @@
   const workMs = pipeline.stages.map((stage) =>
     stage.expectedMs * size * random.getLogNormal(NOISE_SIGMA)
   );
-  return { facts, entry: pickEntry(scenario, random), workMs };
+  return { facts, entry: pickEntry(scenario, { customer, random }), workMs };
 }
 
 function pickSize(sizes: SizeSpec, random: Random): number {
@@ -106,8 +107,14 @@
   return (rank * 2654435761) >>> 0;
 }
 
-function pickEntry(scenario: Scenario, random: Random): number {
+function pickEntry(
+  scenario: Scenario,
+  options: { readonly customer: CustomerId; readonly random: Random },
+): number {
+  const { customer, random } = options;
   const isSkewed = random.getUniform() < scenario.skewToFirstEntry;
-  const entry = Math.floor(random.getUniform() * scenario.entries);
-  return isSkewed ? 0 : entry;
+  const homes = scenario.homes[customer];
+  const choice = random.getUniform();
+  if (homes) return homes[Math.floor(choice * homes.length)] ?? 0;
+  return isSkewed ? 0 : Math.floor(choice * scenario.entries);
 }
--- a/packages/bench/src/decisions/baselines.ts
+++ b/packages/bench/src/decisions/baselines.ts
@@ -120,6 +120,10 @@
     };
   }
 
+  getDemand() {
+    return [];
+  }
+
   decide(event: DecisionEvent): readonly DecisionAction[] {
     return match(event)
       .with(
--- a/packages/bench/src/decisions/scenario.ts
+++ b/packages/bench/src/decisions/scenario.ts
@@ -105,4 +105,8 @@
   readonly stallShare: number;
   /** Share of the entries' requests that go to the first entry; 0 spreads evenly. */
   readonly skewToFirstEntry: number;
+  /** Entries that a customer's requests come to; all for those not named. */
+  readonly homes: Readonly<Record<CustomerId, readonly number[]>>;
+  /** Whether slices follow the demand, planned anew each second. */
+  readonly isSlicedByDemand: boolean;
 }
--- a/packages/bench/src/decisions/scenarios.ts
+++ b/packages/bench/src/decisions/scenarios.ts
@@ -54,6 +54,8 @@
     reportLoss: 0,
     stallShare: 0,
     skewToFirstEntry: 0,
+    homes: {},
+    isSlicedByDemand: false,
     ...options.changes,
   };
 }
@@ -131,6 +133,20 @@
   });
 }
 
+/** Each customer comes in by an entry of its own, at twice the capacity. */
+export function buildCustomersAtHome(isSlicedByDemand: boolean): Scenario {
+  return buildScenario(
+    isSlicedByDemand ? "homes, sliced by demand" : "homes, even slices",
+    {
+      load: 2,
+      changes: {
+        homes: { a: [0], b: [1], c: [2], d: [0], e: [0] },
+        isSlicedByDemand,
+      },
+    },
+  );
+}
+
 /** The peak day of one deployment with nine entries. */
 export function buildPeakDay(name: string, deployment: Deployment): Scenario {
   return buildScenario(`peak day ${name}`, {
@@ -206,6 +222,8 @@
     buildScenario("steady 0.85", { load: 0.85 }),
     buildScenario("bursts", { getLoad: getBurstLoad, maxLoad: 1.8 }),
     buildLargeCustomer(),
+    buildCustomersAtHome(false),
+    buildCustomersAtHome(true),
     buildScenario("requests at one entry", {
       load: 0.7,
       changes: { skewToFirstEntry: 0.5 },
--- a/packages/bench/src/decisions/simulation.ts
+++ b/packages/bench/src/decisions/simulation.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { CodeName } from "@sardinestep/codes";
+import * as decisions from "@sardinestep/decisions";
 import type {
   CallFailureKind,
   Decider,
@@ -19,7 +20,7 @@
   type RunOutcome,
 } from "./outcome.ts";
 import { createRandom } from "./random.ts";
-import type { Fault, Scenario } from "./scenario.ts";
+import type { Fault, Scenario, SimEndpointSpec } from "./scenario.ts";
 import { type SimCall, SimEndpoint } from "./sim_endpoint.ts";
 
 /** Makes the decider of one entry. */
@@ -46,6 +47,9 @@
 const STALL_FACTOR = 10;
 /** Share of a streamed call after which its first part arrives. */
 const FIRST_PART = 0.2;
+/** Time between plans of slices. */
+const SLICE_PLAN_MS = 1_000;
+const GOLDEN_RATIO = 0.618033988749895;
 /** The run goes on after the last arrival until everything is answered. */
 const DRAIN_MS = 60_000;
 
@@ -79,6 +83,7 @@
   readonly #calls = new Map<string, OpenCall>();
   readonly #costByStage = new Map<string, number>();
   #zonesOut: string[] = [];
+  #slices: readonly decisions.EntrySlice[] | undefined;
   #callCount = 0;
 
   constructor(scenario: Scenario, createPolicy: PolicyFactory) {
@@ -99,6 +104,7 @@
       this.#queue.add(fault.at, () => this.#applyFault(fault));
     }
     this.#addTicks();
+    if (this.#scenario.isSlicedByDemand) this.#addSlicePlans();
     this.#queue.runUntil(this.#scenario.durationMs + DRAIN_MS);
     return buildOutcome(this.#scenario, {
       records: [...this.#records.values()],
@@ -165,6 +171,39 @@
     });
   }
 
+  /** Plans slices by demand each second, as control would from gossip. */
+  #addSlicePlans(): void {
+    const { entries, endpoints, customers, durationMs } = this.#scenario;
+    const capacities: Record<string, number> = {};
+    for (const { service, concurrency } of endpoints) {
+      capacities[service] = (capacities[service] ?? 0) + concurrency;
+    }
+    const plan = () => {
+      const { now } = this.#queue;
+      const demands = this.#deciders.map((each) => each.getDemand(now));
+      this.#slices = decisions.planSlices({ customers, demands, capacities });
+      for (let entry = 0; entry < entries; entry++) {
+        this.#tell(entry, {
+          kind: "customers_changed",
+          now,
+          customers: this.#slices[entry]?.customers ?? [],
+        });
+      }
+      for (const each of this.#endpoints.values()) this.#announce(each, 0);
+      if (now < durationMs) this.#queue.add(now + SLICE_PLAN_MS, plan);
+    };
+    this.#queue.add(SLICE_PLAN_MS, plan);
+  }
+
+  /** An entry's whole number of calls; remainders are spread over endpoints. */
+  #getSlice(spec: SimEndpointSpec, entry: number): number {
+    const { entries, endpoints } = this.#scenario;
+    const part = this.#slices?.[entry]?.parts[spec.service];
+    if (part === undefined) return Math.ceil(spec.concurrency / entries);
+    const offset = endpoints.indexOf(spec) * GOLDEN_RATIO % 1;
+    return Math.max(1, Math.floor(spec.concurrency * part + offset));
+  }
+
   #addReports(endpoint: SimEndpoint): void {
     const { reportIntervalMs, reportLagMs, reportLoss, durationMs } =
       this.#scenario;
@@ -423,7 +462,7 @@
     this.#queue.add(this.#queue.now + lagMs, () => {
       this.#deciders.forEach((_, entry) => {
         const isShared = state === "warm";
-        const share = isShared ? Math.ceil(spec.concurrency / entries) : 0;
+        const share = isShared ? this.#getSlice(spec, entry) : 0;
         const whole = state === "cold"
           ? spec.coldConcurrency
           : spec.concurrency;
--- a/packages/decisions/src/decider.ts
+++ b/packages/decisions/src/decider.ts
@@ -8,6 +8,7 @@
 import type { DecisionAction } from "./action.ts";
 import { type AdmissionRefusal, checkAdmission } from "./admission.ts";
 import { handleFailure, handleFinish, handleOverdue } from "./call_life.ts";
+import type { CustomerDemand } from "./demand.ts";
 import { startCalls } from "./dispatch.ts";
 import type { DecisionEvent } from "./event.ts";
 import {
@@ -45,6 +46,8 @@
   checkAdmission(question: AdmissionQuestion): Result<void, AdmissionRefusal>;
   /** Gives gauges for metrics and status. */
   getSummary(): DeciderSummary;
+  /** Gives customers' demand here, for whoever plans the entries' slices. */
+  getDemand(now: number): CustomerDemand[];
 }
 
 /**
@@ -64,6 +67,7 @@
     checkAdmission: ({ now, random, request }) =>
       checkAdmission(state, request, { now, random }),
     getSummary: () => buildSummary(state),
+    getDemand: (now) => state.demand.getAll(now),
   };
 }
 
--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -15,3 +15,17 @@
 export type { AdmissionRefusal } from "./admission.ts";
 export type { DeciderOptions } from "./state.ts";
 export type { DeciderSummary, EndpointSummary } from "./summary.ts";
+export type { CustomerDemand } from "./demand.ts";
+export {
+  type EntrySlice,
+  type FairShareOptions,
+  planFairShares,
+  planSlices,
+  type SlicePlanOptions,
+} from "./slice_plan.ts";
+export {
+  planRoles,
+  type PoolLoad,
+  type RoleChange,
+  type RolePlanOptions,
+} from "./role_plan.ts";
--- a/packages/decisions/src/request_life.ts
+++ b/packages/decisions/src/request_life.ts
@@ -18,6 +18,7 @@
   facts: RequestFacts,
   random: number,
 ): void {
+  recordDemand(state, facts);
   const admission = checkAdmission(state, facts, { now: state.now, random });
   if (admission.isErr()) {
     recordRefusal(state, facts, facts.firstStage);
@@ -45,9 +46,7 @@
 function createRequest(state: State, facts: RequestFacts): TrackedRequest {
   return {
     facts,
-    workMs: facts.stages.map((stage, index) =>
-      state.latency.getStage(stage).getExpected(getStageSize(facts, index))
-    ),
+    workMs: facts.stages.map((_, index) => getExpectedMs(state, facts, index)),
     stage: facts.firstStage,
     calls: [],
     failedCalls: 0,
@@ -228,6 +227,17 @@
   state.getPool(spec.service).backlog[options.change](item);
 }
 
+function recordDemand(state: State, facts: RequestFacts): void {
+  for (let index = facts.firstStage; index < facts.stages.length; index++) {
+    const stage = facts.stages[index];
+    if (!stage) return;
+    const workMs = getExpectedMs(state, facts, index);
+    const { service } = stage;
+    const { customer } = facts;
+    state.demand.record(workMs, { service, customer, now: state.now });
+  }
+}
+
 function recordRefusal(
   state: State,
   facts: RequestFacts,
@@ -236,8 +246,13 @@
   for (let index = fromStage; index < facts.stages.length; index++) {
     const stage = facts.stages[index];
     if (!stage) return;
-    const workMs = state.latency.getStage(stage)
-      .getExpected(getStageSize(facts, index));
+    const workMs = getExpectedMs(state, facts, index);
     state.getPool(stage.service).refusals.record(workMs, state.now);
   }
 }
+
+function getExpectedMs(state: State, facts: RequestFacts, index: number) {
+  const stage = facts.stages[index];
+  if (!stage) return 0;
+  return state.latency.getStage(stage).getExpected(getStageSize(facts, index));
+}
--- a/packages/decisions/src/state.ts
+++ b/packages/decisions/src/state.ts
@@ -12,6 +12,7 @@
 } from "@sardinestep/types";
 import type { DecisionAction } from "./action.ts";
 import { Customers } from "./customers.ts";
+import { Demand } from "./demand.ts";
 import type { Endpoint } from "./endpoint.ts";
 import { LatencyModel } from "./latency_model.ts";
 import { Pool } from "./pool.ts";
@@ -31,6 +32,7 @@
   readonly callIdPrefix: string;
   readonly zone: ZoneId | undefined;
   readonly customers = new Customers();
+  readonly demand = new Demand();
   readonly latency = new LatencyModel();
   readonly timers = new Timers();
   readonly endpoints = new Map<EndpointId, Endpoint>();
