--- a/packages/bench/src/decisions/outcome.ts
+++ b/packages/bench/src/decisions/outcome.ts
@@ -25,6 +25,8 @@
   /** Share finished within the deadline. */
   readonly attainment: number;
   readonly goodputPerSecond: number;
+  /** Worker seconds a second that went into requests answered in time. */
+  readonly usefulWork: number;
   /** Completed after the deadline. */
   readonly late: number;
   readonly refused: number;
@@ -82,6 +84,8 @@
     arrived: records.length,
     attainment: attained.length / Math.max(1, records.length),
     goodputPerSecond: attained.length / (scenario.durationMs / 1000),
+    usefulWork: attained.reduce((sum, each) => sum + getWorkMs(each), 0) /
+      scenario.durationMs,
     late: completed.length - attained.length,
     refused: refused.length,
     refusedLate: records.length - completed.length -
@@ -97,6 +101,11 @@
   };
 }
 
+/** True work of a request on a warm endpoint without a cached prefix. */
+function getWorkMs(record: RequestRecord): number {
+  return record.request.workMs.reduce((sum, each) => sum + each, 0);
+}
+
 function isAnsweredInTime(record: RequestRecord): boolean {
   return (record.answer?.at ?? Infinity) <= record.request.facts.deadlineAt + 1;
 }
@@ -165,7 +174,7 @@
   let total = 0;
   for (const record of records) {
     const { customer } = record.request.facts;
-    const work = record.request.workMs.reduce((sum, each) => sum + each, 0);
+    const work = getWorkMs(record);
     demand.set(customer, (demand.get(customer) ?? 0) + work);
     if (!isAttained(record)) continue;
     got.set(customer, (got.get(customer) ?? 0) + work);
--- a/packages/decisions/src/class_queue.ts
+++ b/packages/decisions/src/class_queue.ts
@@ -34,6 +34,8 @@
   /** Work served so far, divided by weight. */
   served: number;
   isListed: boolean;
+  /** Key under which it stands in the order of starts. */
+  listedStart: number;
 }
 
 interface LaneKey {
@@ -84,7 +86,9 @@
     lane.items.push(item);
     lane.waiting += 1;
     this.#length += 1;
-    this.#byStart.push({ lane, key: item.latestStart });
+    if (item.latestStart < lane.listedStart) {
+      this.#listStart(lane, item.latestStart);
+    }
     if (!lane.isListed) {
       lane.isListed = true;
       this.#byServed.push({ lane, key: lane.served });
@@ -135,23 +139,34 @@
       waiting: 0,
       served: 0,
       isListed: false,
+      listedStart: Infinity,
     };
     this.#lanes.set(customer, lane);
     return lane;
   }
 
-  /** Every waiting lane has a key at or before its first item's. */
+  #listStart(lane: Lane, key: number): void {
+    lane.listedStart = key;
+    this.#byStart.push({ lane, key });
+  }
+
+  /**
+   * Every waiting lane is listed at or before its first item. A listing that
+   * an earlier one has replaced is dropped: listing it again would let the
+   * heap grow with every request.
+   */
   #findEarliest(): Lane | undefined {
     for (;;) {
       const top = this.#byStart.peek();
       if (!top) return undefined;
-      dropStale(top.lane);
-      const start = top.lane.items.peek()?.latestStart;
-      if (start === top.key) return top.lane;
+      const { lane, key } = top;
+      const isCurrent = key === lane.listedStart;
+      const start = isCurrent ? getFirstStart(lane) : Infinity;
+      if (isCurrent && start === key) return lane;
       this.#byStart.pop();
-      if (start !== undefined) {
-        this.#byStart.push({ lane: top.lane, key: start });
-      }
+      if (!isCurrent) continue;
+      lane.listedStart = Infinity;
+      if (start !== Infinity) this.#listStart(lane, start);
     }
   }
 
@@ -170,6 +185,12 @@
   }
 }
 
+/** Latest start of a lane's first item, infinite without any. */
+function getFirstStart(lane: Lane): number {
+  dropStale(lane);
+  return lane.items.peek()?.latestStart ?? Infinity;
+}
+
 function dropStale(lane: Lane): void {
   for (;;) {
     const item = lane.items.peek();
