Test the decisions' rules; count work on its way to a later stage

Cause: the test of a bottleneck late in the pipeline failed: room that was free there now hid the work on its way to it, so a burst was let in whole.

--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -119,8 +119,12 @@
     const stage = facts.stages[index];
     if (!stage) break;
     const pool = state.getPool(stage.service);
+    const isFirst = index === facts.firstStage;
     // What is ahead is worked off while the request is in earlier stages.
-    const wait = Math.max(0, now + getWaitMs(pool, facts, now) - at);
+    const wait = Math.max(
+      0,
+      now + getWaitMs(pool, facts, { now, isFirst }) - at,
+    );
     if (wait > longestWait) {
       longestWait = wait;
       slowest = pool;
@@ -131,14 +135,28 @@
   return { finishAt: at, slowest };
 }
 
+interface WaitOptions {
+  readonly now: number;
+  /**
+   * Whether the request would come there at once. Room that is free now says
+   * nothing of a later stage: others are already on their way to it.
+   */
+  readonly isFirst: boolean;
+}
+
 /**
  * Predicted wait for a free slot in milliseconds: the shortest of three views.
  * What goes before by class and deadline; what is ahead in the own class at the
  * class's guaranteed share; the customer's own work at its fair share.
  */
-function getWaitMs(pool: Pool, facts: RequestFacts, now: number): number {
+function getWaitMs(
+  pool: Pool,
+  facts: RequestFacts,
+  options: WaitOptions,
+): number {
+  const { now, isFirst } = options;
   const slots = pool.outage.isOn ? pool.outage.slotsBefore : pool.slots;
-  const hasRoom = pool.queue.length === 0 && pool.inFlight < slots;
+  const hasRoom = isFirst && pool.queue.length === 0 && pool.inFlight < slots;
   const { requestClass, customer, deadlineAt } = facts;
   const outageMs = pool.outage.getRestMs(now);
   if (hasRoom) return outageMs;
--- /dev/null
+++ b/packages/decisions/src/plans_test.ts
@@ -0,0 +1,81 @@
+import { expectSnapshot } from "@sardinestep/testing";
+import { expect } from "chai";
+import { planRoles, type RolePlanOptions } from "./role_plan.ts";
+import { planFairShares, planSlices } from "./slice_plan.ts";
+
+const CUSTOMERS = [
+  { customerId: "a", weight: 3, maxConcurrency: 90 },
+  { customerId: "b", weight: 1, maxConcurrency: 30 },
+];
+
+describe("planFairShares", () => {
+  it("gives a small demand whole and splits the rest by weight", () => {
+    const customers = [...CUSTOMERS, {
+      customerId: "c",
+      weight: 1,
+      maxConcurrency: 30,
+    }];
+    const demand = new Map([["a", 100], ["b", 100], ["c", 1]]);
+    const shares = planFairShares(demand, { capacity: 21, customers });
+    expect(Object.fromEntries(shares)).to.deep.equal({ c: 1, b: 5, a: 15 });
+  });
+});
+
+describe("planSlices", () => {
+  it("sends capacity and weight where the demand comes in", function () {
+    const demands = [
+      [{ service: "drafting", customer: "a", load: 40 }],
+      [{ service: "drafting", customer: "b", load: 40 }],
+    ];
+    const capacities = { drafting: 40 };
+    const slices = planSlices({ customers: CUSTOMERS, demands, capacities });
+    const sum = slices.reduce(
+      (all, each) => all + (each.parts.drafting ?? 0),
+      0,
+    );
+    expect(sum).to.be.closeTo(1, 1e-9);
+    expectSnapshot(this, slices);
+  });
+});
+
+function buildOptions(options: Partial<RolePlanOptions>): RolePlanOptions {
+  const pool = { engineCapacity: 8, modelBytes: 1_000 };
+  return {
+    pools: [
+      { ...pool, service: "rerankers", demand: 40, engines: ["r1", "r2"] },
+      { ...pool, service: "encoders", demand: 4, engines: ["e1", "e2", "e3"] },
+    ],
+    horizonMs: 600_000,
+    storeBytesPerMs: 1,
+    bytesAhead: 0,
+    warmUpMs: 10_000,
+    ...options,
+  };
+}
+
+describe("planRoles", () => {
+  it("moves engines from an idle pool to the bottleneck", () => {
+    const changes = planRoles(buildOptions({}));
+    expect(changes.map(({ endpointId, from, to }) => [endpointId, from, to]))
+      .to.deep.equal([
+        ["e3", "encoders", "rerankers"],
+        ["e2", "encoders", "rerankers"],
+      ]);
+  });
+
+  it("moves nothing when the reload outlasts the demand", () => {
+    const slowStore = { storeBytesPerMs: 0.001 };
+    expect(planRoles(buildOptions(slowStore))).to.deep.equal([]);
+    const queuedStore = { bytesAhead: 600_000 };
+    expect(planRoles(buildOptions(queuedStore))).to.deep.equal([]);
+  });
+
+  it("moves nothing that the other pool needs itself", () => {
+    const pool = { engineCapacity: 8, modelBytes: 1_000 };
+    const pools = [
+      { ...pool, service: "rerankers", demand: 40, engines: ["r1", "r2"] },
+      { ...pool, service: "encoders", demand: 40, engines: ["e1", "e2"] },
+    ];
+    expect(planRoles(buildOptions({ pools }))).to.deep.equal([]);
+  });
+});
