A repeatable request that reaches several entries runs once

Cause: a caller that sent its key through three entries had each billable stage run three times; results were only found once they were finished. Change: the first holder of a key also knows which entry runs it; others wait for that one's answer, and run it themselves if it is gone. Conclusion: advice in memory; single calls still rest on their claims alone.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -242,6 +242,7 @@
   #createKeeper(): ResultKeeper {
     return new ResultKeeper({
       vmId: this.#settings.vmId,
+      instance: this.#identity.instance,
       peers: this.#peers,
       keepMs: this.#settings.keepResultsMs,
       maxEntries: this.#settings.maxKeptResults,
@@ -271,22 +272,28 @@
   }
 
   #createService(): RequestService {
+    const lookup = new HolderLookup({
+      peers: this.#peers,
+      findMember: (run) => this.#site.findMember(run),
+      findResults: (context) => this.#keeper.findAll(context),
+      readNow: readMonotonic,
+    });
     const filters = buildFilters({
       registry: this.#registry,
       dispatcher: this.#dispatcher,
       isLeaving: () => this.#refusesNew,
       readNow: readMonotonic,
-      findResults: (context) => this.#keeper.findAll(context),
+      findResults: {
+        findAll: (context) => this.#keeper.findAll(context),
+        endRun: (context) => this.#keeper.endRun(context),
+        waitForRunner: (context, runner) =>
+          lookup.waitForRunner(context, runner),
+      },
       claimKey: {
         openClaimant: (context) => this.#openClaimant(context),
         claim: (record, boundMs) => this.#link.claim(record, boundMs),
         runMinted: (context, key, next) => this.#minted.run(context, key, next),
-        lookup: new HolderLookup({
-          peers: this.#peers,
-          findMember: (run) => this.#site.findMember(run),
-          findResults: (context) => this.#keeper.findAll(context),
-          readNow: readMonotonic,
-        }),
+        lookup,
         readNow: readMonotonic,
       },
     });
--- a/packages/entry/src/filter_list.ts
+++ b/packages/entry/src/filter_list.ts
@@ -7,7 +7,10 @@
 import type { Dispatcher } from "./dispatcher.ts";
 import { createCheckAdmission } from "./filters/check_admission.ts";
 import { type ClaimKeyOptions, createClaimKey } from "./filters/claim_key.ts";
-import { createFindResults, type FindResults } from "./filters/find_results.ts";
+import {
+  createFindResults,
+  type FindResultsOptions,
+} from "./filters/find_results.ts";
 import { findPipeline } from "./filters/find_pipeline.ts";
 import { identifyCustomer } from "./filters/identify_customer.ts";
 import { createJoinDuplicate } from "./filters/join_duplicate.ts";
@@ -22,7 +25,7 @@
   readonly dispatcher: Dispatcher;
   readonly isLeaving: () => boolean;
   readonly readNow: () => number;
-  readonly findResults: FindResults;
+  readonly findResults: FindResultsOptions;
   readonly claimKey: ClaimKeyOptions;
 }
 
--- a/packages/entry/src/filters/find_results.ts
+++ b/packages/entry/src/filters/find_results.ts
@@ -3,36 +3,54 @@
  *
  * @module
  */
-import type { StageResult } from "@sardinestep/types";
-import { createCompletion } from "../answer.ts";
+import type * as rpc from "@sardinestep/rpc";
+import type { InstanceId, StageResult } from "@sardinestep/types";
+import { createCompletion, type RequestAnswer } from "../answer.ts";
 import type { Filter, RequestContext } from "../context.ts";
 
 /** The earlier attempt has paid for the stages; this one costs nothing. */
 const NO_COST = { calls: 0, tokens: 0, workerMs: 0 } as const;
 
-/** Finds what is kept under the key of a request. */
-export type FindResults = (
-  context: RequestContext,
-) => Promise<readonly StageResult[]>;
+/** What the filter works with. */
+export interface FindResultsOptions {
+  /** Finds what is kept under the key of a request, and who runs it. */
+  readonly findAll: (context: RequestContext) => Promise<rpc.FoundResults>;
+  /** Tells that this entry runs the request no longer. */
+  readonly endRun: (context: RequestContext) => void;
+  /** Waits for the answer of the entry that runs the same request. */
+  readonly waitForRunner: (
+    context: RequestContext,
+    runner: InstanceId,
+  ) => Promise<RequestAnswer | undefined>;
+}
 
 /**
  * Creates the filter. It resumes a request behind the stages that finished in
- * an earlier attempt, so that no billable stage runs again because an entry died.
+ * an earlier attempt, so that no billable stage runs again because an entry
+ * died, and it waits for an attempt that another entry runs at this moment.
  *
- * @param findResults Asks the entries that keep results of this key.
+ * @param options Asks the entries that keep results of this key.
  * @returns The filter.
  */
-export function createFindResults(findResults: FindResults): Filter {
+export function createFindResults(options: FindResultsOptions): Filter {
   return async (context, next) => {
     if (!context.keyId) return await next();
-    const kept = await findResults(context);
-    const prior = pickPrior(kept, context);
+    const found = await options.findAll(context);
+    const prior = pickPrior(found.results, context);
     const last = prior[context.pipeline.stages.length - 1];
-    if (last) {
-      return createCompletion(last.output, { ...NO_COST }, true);
-    }
+    if (last) return createCompletion(last.output, { ...NO_COST }, true);
+    // The one attempt that holds a claim waits for nobody.
+    const mayWait = found.runningAt !== undefined && !context.isSingle;
+    const answer = mayWait && found.runningAt
+      ? await options.waitForRunner(context, found.runningAt)
+      : undefined;
+    if (answer) return answer;
     context.priorResults = prior;
-    return await next();
+    try {
+      return await next();
+    } finally {
+      options.endRun(context);
+    }
   };
 }
 
--- a/packages/entry/src/holder_lookup.ts
+++ b/packages/entry/src/holder_lookup.ts
@@ -5,7 +5,7 @@
  */
 import * as claims from "@sardinestep/claims";
 import type * as rpc from "@sardinestep/rpc";
-import type { InstanceId, MemberFacts, StageResult } from "@sardinestep/types";
+import type { InstanceId, MemberFacts } from "@sardinestep/types";
 import { match } from "ts-pattern";
 import {
   createCompletion,
@@ -29,9 +29,7 @@
 export interface HolderLookupOptions {
   readonly peers: rpc.Peers;
   readonly findMember: (instance: InstanceId) => MemberFacts | undefined;
-  readonly findResults: (
-    context: RequestContext,
-  ) => Promise<readonly StageResult[]>;
+  readonly findResults: (context: RequestContext) => Promise<rpc.FoundResults>;
   readonly readNow: () => number;
 }
 
@@ -60,6 +58,22 @@
     return await this.#askHolder(context, status);
   }
 
+  /**
+   * Waits for the answer of an entry that runs the same repeatable request.
+   *
+   * @returns Undefined when that entry has none or is gone: run it here.
+   */
+  async waitForRunner(
+    context: RequestContext,
+    runner: InstanceId,
+  ): Promise<RequestAnswer | undefined> {
+    const member = this.#options.findMember(runner);
+    const answer = member && await this.#callHolder(context, member);
+    if (answer?.kind !== "refused") return answer;
+    // Still running there at the deadline: a second run would end no sooner.
+    return answer.failure.code === "HELD_ELSEWHERE" ? answer : undefined;
+  }
+
   async #askHolder(
     context: RequestContext,
     status: HeldStatus,
@@ -67,7 +81,8 @@
     const kept = await this.#findKeptAnswer(context);
     if (kept) return kept;
     const member = this.#options.findMember(status.holder.instance);
-    const answer = member && await this.#callHolder(context, status, member);
+    const answer = member &&
+      await this.#callHolder(context, member, status.holder);
     // The holder may have answered and died between the two questions.
     return answer ?? await this.#findKeptAnswer(context) ??
       refuseWithoutHolder(context, status);
@@ -76,7 +91,7 @@
   async #findKeptAnswer(
     context: RequestContext,
   ): Promise<RequestAnswer | undefined> {
-    const results = await this.#options.findResults(context);
+    const { results } = await this.#options.findResults(context);
     const lastStage = context.pipeline.stages.length - 1;
     const last = results.find((result) => result.stage === lastStage);
     return last && createCompletion(last.output, { ...NO_COST }, true);
@@ -84,13 +99,13 @@
 
   async #callHolder(
     context: RequestContext,
-    status: HeldStatus,
     member: MemberFacts,
+    id?: claims.ClaimId,
   ): Promise<RequestAnswer | undefined> {
     if (!context.keyId) return undefined;
     const leftMs = context.deadlineAt - this.#options.readNow();
     const waitMs = Math.max(0, leftMs - RESERVE_MS);
-    const params = { keyId: context.keyId, waitMs, id: status.holder };
+    const params = { keyId: context.keyId, waitMs, id };
     const asked = await this.#options.peers.call(
       member.entryRpc,
       "findAnswer",
--- a/packages/entry/src/result_keeper.ts
+++ b/packages/entry/src/result_keeper.ts
@@ -6,8 +6,9 @@
 import type * as claims from "@sardinestep/claims";
 import * as results from "@sardinestep/results";
 import type * as rpc from "@sardinestep/rpc";
-import type { MemberFacts, StageResult } from "@sardinestep/types";
+import type { InstanceId, MemberFacts, StageResult } from "@sardinestep/types";
 import { getResultKey, type RequestContext } from "./context.ts";
+import { RunTable } from "./run_table.ts";
 
 const HOLDER_COUNT = 2;
 const KEEP_TIMEOUT_MS = 1_000;
@@ -19,6 +20,7 @@
 /** What the keeper works with. */
 export interface ResultKeeperOptions {
   readonly vmId: string;
+  readonly instance: InstanceId;
   readonly peers: rpc.Peers;
   readonly keepMs: number;
   readonly maxEntries: number;
@@ -31,11 +33,13 @@
 export class ResultKeeper {
   readonly #options: ResultKeeperOptions;
   readonly #store: results.ResultStore;
+  readonly #runs: RunTable;
   #sending = 0;
 
   constructor(options: ResultKeeperOptions) {
     this.#options = options;
-    const { maxEntries } = options;
+    const { maxEntries, readNow } = options;
+    this.#runs = new RunTable({ maxRuns: maxEntries, readNow });
     this.#store = new results.ResultStore({ maxEntries, maxBytes: MAX_BYTES });
   }
 
@@ -56,9 +60,15 @@
     this.#store.keep(result, now + boundMs, now);
   }
 
-  /** Gives what this entry keeps under a key. */
-  findHere(keyId: claims.KeyId): StageResult[] {
-    return this.#store.find(keyId, this.#options.readNow());
+  /** Gives what this entry keeps under a key, and who runs it. */
+  findHere(params: rpc.FindResultsParams): rpc.FoundResults {
+    const found = this.#store.find(params.keyId, this.#options.readNow());
+    return { results: found, runningAt: this.#runs.begin(params) };
+  }
+
+  /** Notes that an entry runs a key no longer. */
+  acceptEnd(keyId: claims.KeyId, runner: InstanceId): void {
+    this.#runs.end(keyId, runner);
   }
 
   /** Sends a result to its two holders; this entry may be one of them. */
@@ -72,18 +82,37 @@
     }
   }
 
-  /** Asks the holders of a request's results for them. */
-  async findAll(context: RequestContext): Promise<StageResult[]> {
+  /**
+   * Asks the holders of a request's results for them. Which entry runs the key
+   * is the first holder's word alone, so that two can't be told different things.
+   */
+  async findAll(context: RequestContext): Promise<rpc.FoundResults> {
     const keyId = getResultKey(context);
-    if (!keyId) return [];
-    const holders = this.#pickHolders(keyId);
+    if (!keyId) return { results: [] };
+    const runInMs = context.deadlineAt - this.#options.readNow();
+    const params = { keyId, runner: this.#options.instance, runInMs };
     const found = await Promise.all(
-      holders.map((holder) => this.#findAt(keyId, holder)),
+      this.#pickHolders(keyId).map((holder) => this.#findAt(params, holder)),
     );
     const stageNames = context.pipeline.stages.map((stage) => stage.name);
-    return mergeByStage(
-      found.map((list) => this.#store.dropForeign(list, { keyId, stageNames })),
+    const results = mergeByStage(
+      found.map(({ results }) =>
+        this.#store.dropForeign(results, { keyId, stageNames })
+      ),
     );
+    return { results, runningAt: found[0]?.runningAt };
+  }
+
+  /** Tells the first holder that this entry runs a request no longer. */
+  endRun(context: RequestContext): void {
+    const keyId = getResultKey(context);
+    const [holder] = keyId ? this.#pickHolders(keyId) : [];
+    if (!keyId || !holder) return;
+    const { vmId, instance, peers } = this.#options;
+    if (holder.vmId === vmId) return this.acceptEnd(keyId, instance);
+    const params = { keyId, runner: instance };
+    const limit = { timeoutMs: KEEP_TIMEOUT_MS };
+    void peers.call(holder.entryRpc, "endRun", params, limit);
   }
 
   #pickHolders(keyId: claims.KeyId): MemberFacts[] {
@@ -105,17 +134,17 @@
   }
 
   async #findAt(
-    keyId: claims.KeyId,
+    params: rpc.FindResultsParams,
     holder: MemberFacts,
-  ): Promise<readonly StageResult[]> {
-    if (holder.vmId === this.#options.vmId) return this.findHere(keyId);
+  ): Promise<rpc.FoundResults> {
+    if (holder.vmId === this.#options.vmId) return this.findHere(params);
     const found = await this.#options.peers.call(
       holder.entryRpc,
       "findResults",
-      keyId,
+      params,
       { timeoutMs: FIND_TIMEOUT_MS },
     );
-    return found.isOk() ? found.value : [];
+    return found.isOk() ? found.value : { results: [] };
   }
 }
 
--- a/packages/entry/src/rpc_handlers.ts
+++ b/packages/entry/src/rpc_handlers.ts
@@ -41,7 +41,11 @@
       keeper.accept(result, keepMs);
       return {};
     },
-    findResults: (keyId) => keeper.findHere(keyId),
+    findResults: (params) => keeper.findHere(params),
+    endRun: ({ keyId, runner }) => {
+      keeper.acceptEnd(keyId, runner);
+      return {};
+    },
     findAnswer: async ({ keyId, waitMs }) => {
       const status = await registry.waitForStatus(keyId, waitMs);
       return status.kind === "none" ? minted.findStatus(keyId) : status;
--- a/packages/prove/src/scenarios/results.ts
+++ b/packages/prove/src/scenarios/results.ts
@@ -71,16 +71,49 @@
       const drafted = await deployment.countRunsAt("drafters");
       const violations = [
         ...expectCompleted(results, "a repeat completes"),
-        ...findRunTwice(encoded),
+        ...findRunTwice("encoder", encoded),
       ];
       const again = [...drafted.values()].filter((count) => count > 1).length;
       const seen = `${countOutcomes(results)}; of ${KEYS} encodings ` +
         `${
-          findRunTwice(encoded).length
+          findRunTwice("encoder", encoded).length
         } ran twice, of unfinished drafts ${again}`;
       return { cases: results.length, violations, seen };
     },
   },
+  {
+    point: 3,
+    name: "one draft asked for through three entries at once",
+    story:
+      "A buyer is billed twice for one note. Its client lost patience and sent " +
+      "the same key to two other entries while the first still ran.",
+    run: async (bench) => {
+      const deployment = await testbed.Deployment.start(
+        bench,
+        buildSmallPlan(),
+      );
+      // Entries learn each other's addresses by gossip.
+      await sleep(1_500);
+      await setDrafterFaults(deployment, { slowFactor: 5 });
+      const sends = Array.from({ length: KEYS }).flatMap((_, turn) => {
+        const key = createKey();
+        return deployment.vms.map((_vm, first) =>
+          testbed.sendRequest(buildRequest("draft", turn), {
+            urls: rotateUrls(deployment, first),
+            key,
+          })
+        );
+      });
+      const results = await Promise.all(sends);
+      const violations = [
+        ...expectCompleted(results, "a duplicate gets the first one's answer"),
+        ...findRunTwice("encoder", await deployment.countRunsAt("encoders")),
+        ...findRunTwice("drafter", await deployment.countRunsAt("drafters")),
+      ];
+      const seen = countOutcomes(results);
+      return { cases: results.length, violations, seen };
+    },
+  },
   {
     point: 4,
     name: "streams cut, doubled, reordered, foreign, without a last part",
@@ -140,11 +173,12 @@
 }
 
 function findRunTwice(
+  worker: string,
   counts: ReadonlyMap<string, number>,
 ): testbed.Violation[] {
   return [...counts].flatMap(([key, count]) => {
     if (count <= 1) return [];
-    const detail = `the encoder ran ${count} times for key "${key}"`;
+    const detail = `the ${worker} ran ${count} times for key "${key}"`;
     return [{ promise: "a finished billable stage runs once", detail }];
   });
 }
--- a/packages/rpc/src/methods.ts
+++ b/packages/rpc/src/methods.ts
@@ -30,6 +30,22 @@
   ZoneId,
 } from "@sardinestep/types";
 
+/** Who asks for results, in order to run what is missing. */
+export interface FindResultsParams {
+  readonly keyId: KeyId;
+  /** The entry process that asks. */
+  readonly runner: InstanceId;
+  /** How long it may run; after that it counts no longer. */
+  readonly runInMs: number;
+}
+
+/** What a holder knows of a key. */
+export interface FoundResults {
+  readonly results: readonly StageResult[];
+  /** Another entry process that runs the key at this moment. */
+  readonly runningAt?: InstanceId;
+}
+
 /** Who speaks, sent with the first call on a connection. */
 export interface Identity {
   readonly process: "entry" | "control";
@@ -205,8 +221,16 @@
     };
     result: Record<never, never>;
   };
-  /** Entry, from entries: stage results kept under a key. */
-  findResults: { params: KeyId; result: readonly StageResult[] };
+  /**
+   * Entry, from entries: stage results kept under a key, and who runs it. The
+   * asker counts as running it from then on, unless another one does.
+   */
+  findResults: { params: FindResultsParams; result: FoundResults };
+  /** Entry, from entries: the asker runs the key no longer. */
+  endRun: {
+    params: { readonly keyId: KeyId; readonly runner: InstanceId };
+    result: Record<never, never>;
+  };
   /** Entry, from entries: what this entry did under a key that it holds. */
   findAnswer: {
     params: {
