--- /dev/null
+++ b/packages/fakes/src/models_test.ts
@@ -0,0 +1,61 @@
+import { expect } from "chai";
+import { LoadHistory } from "./load_history.ts";
+import { LogStreams } from "./log_streams.ts";
+import { RateLimit } from "./rate_limit.ts";
+import { Warmth } from "./warmth.ts";
+
+describe("log streams", () => {
+  it("drop what is older than the retention and keep offsets", () => {
+    const streams = new LogStreams(100);
+    for (const time of [0, 50, 120]) streams.append("s", time, time);
+    const page = streams.getPage("s", { from: 0, limit: 10 }, 130);
+    expect(page.records.map((record) => record.offset)).to.deep.equal([1, 2]);
+    expect([page.firstOffset, page.endOffset]).to.deep.equal([1, 3]);
+    const later = streams.getPage("s", { from: 0, limit: 10 }, 10_000);
+    expect([later.firstOffset, later.endOffset]).to.deep.equal([3, 3]);
+  });
+});
+
+describe("rate limit", () => {
+  it("grants its rate over time and a short burst", () => {
+    const rate = new RateLimit(100, 0);
+    let granted = 0;
+    for (let now = 0; now < 10_000; now += 1) {
+      if (rate.take(now) === 0) granted += 1;
+    }
+    expect(granted).to.be.within(1000, 1026);
+  });
+
+  it("says when the next one is granted", () => {
+    const rate = new RateLimit(1, 0);
+    expect(rate.take(0)).to.equal(0);
+    expect(rate.take(0)).to.equal(1000);
+    expect(rate.take(1000)).to.equal(0);
+  });
+});
+
+describe("lagging load", () => {
+  it("shows the state of a lag ago", () => {
+    const history = new LoadHistory(100);
+    for (const at of [0, 50, 100, 150]) {
+      history.add({ at, running: at, waiting: 0, state: "warm" });
+    }
+    expect(history.getLagged(160).running).to.equal(50);
+    expect(history.getLagged(260).running).to.equal(150);
+  });
+});
+
+describe("warmth", () => {
+  const settings = { coldConcurrency: 1, coldMs: 100, recoverMs: 50 };
+
+  it("comes with time and goes when it falls over", () => {
+    const warmth = new Warmth({ ...settings, callsToWarm: undefined }, 0);
+    expect(warmth.isCold(99)).to.equal(true);
+    expect(warmth.isTooMuch(2, 99)).to.equal(true);
+    expect(warmth.isCold(100)).to.equal(false);
+    warmth.fallOver(200);
+    expect(warmth.getDownMs(210)).to.equal(40);
+    expect(warmth.isCold(349)).to.equal(true);
+    expect(warmth.isCold(350)).to.equal(false);
+  });
+});
--- a/packages/fakes/src/store.ts
+++ b/packages/fakes/src/store.ts
@@ -33,6 +33,8 @@
   outage: z.enum(OUTAGE).optional(),
   slowMs: z.number().nonnegative().optional(),
   requestsPerSecond: z.number().positive().optional(),
+  /** So many next requests are refused with status 429. */
+  rateLimitNext: z.number().int().nonnegative().optional(),
   /** Loads that the store reports as running. */
   loadsRunning: z.number().int().nonnegative().optional(),
 });
@@ -51,6 +53,7 @@
   readonly #rate: RateLimit;
   readonly #counters: StoreCounters = { requests: 0, rateLimited: 0 };
   #slowMs = 0;
+  #rateLimitNext = 0;
   #loadsRunning = 0;
 
   constructor(options: FakeStoreOptions) {
@@ -81,6 +84,7 @@
   /** Switches faults on or off. */
   async setFaults(faults: StoreFaults): Promise<void> {
     this.#slowMs = faults.slowMs ?? this.#slowMs;
+    this.#rateLimitNext = faults.rateLimitNext ?? this.#rateLimitNext;
     this.#loadsRunning = faults.loadsRunning ?? this.#loadsRunning;
     if (faults.requestsPerSecond) this.#rate.setRate(faults.requestsPerSecond);
     if (faults.outage) await this.server.setOutage(faults.outage);
@@ -90,10 +94,16 @@
     return this.server.close();
   }
 
+  #takeRequest(): number {
+    if (this.#rateLimitNext === 0) return this.#rate.take(performance.now());
+    this.#rateLimitNext -= 1;
+    return 1;
+  }
+
   #buildRoutes(): Hono {
     const routes = new Hono();
     routes.use("/v1/*", async (context, next) => {
-      const retryAfterMs = this.#rate.take(performance.now());
+      const retryAfterMs = this.#takeRequest();
       if (retryAfterMs > 0) {
         this.#counters.rateLimited += 1;
         return context.json(buildRefusal("Rate exceeded", retryAfterMs), 429);
--- /dev/null
+++ b/packages/ports/src/contract/log_contract.ts
@@ -0,0 +1,230 @@
+/**
+ * The contract of the log service's port.
+ *
+ * @module
+ */
+import { expect } from "chai";
+import type { PortErrorKind } from "../error.ts";
+import type { LogPage, LogPort } from "../log.ts";
+import {
+  addCases,
+  type Bench,
+  type ContractCase,
+  expectError,
+  expectTruth,
+  IMPATIENT_MS,
+  type OpenBench,
+  PATIENT_MS,
+} from "./bench.ts";
+
+/** Faults that a log service under the contract can be put into. */
+export type LogFault =
+  | { readonly kind: "none" }
+  /** Connects are refused. */
+  | { readonly kind: "down" }
+  /** Requests are taken and never answered. */
+  | { readonly kind: "hang" }
+  /** Connections break when a request comes. */
+  | { readonly kind: "reset" }
+  /** The next append takes effect and its answer is lost. */
+  | { readonly kind: "lose_next_answer" }
+  /** The next append's connection breaks; it takes effect later. */
+  | { readonly kind: "late_next_append" }
+  | { readonly kind: "rate_limit_next" }
+  | {
+    readonly kind: "trim";
+    readonly stream: string;
+    readonly before: number;
+  };
+
+/** A log service under the contract. */
+export type LogBench = Bench<LogPort, LogFault>;
+
+const STREAM = "contract";
+const APPEND = { timeoutMs: PATIENT_MS };
+
+interface FaultRow {
+  readonly fault: LogFault;
+  readonly expected: PortErrorKind;
+  readonly timeoutMs: number;
+  /** Records in the stream once the fault is over. */
+  readonly records: number;
+}
+
+const FAULT_ROWS: readonly FaultRow[] = [
+  {
+    fault: { kind: "down" },
+    expected: "not_sent",
+    timeoutMs: PATIENT_MS,
+    records: 0,
+  },
+  {
+    fault: { kind: "hang" },
+    expected: "timeout",
+    timeoutMs: IMPATIENT_MS,
+    records: 0,
+  },
+  {
+    fault: { kind: "reset" },
+    expected: "answer_lost",
+    timeoutMs: PATIENT_MS,
+    records: 0,
+  },
+  {
+    fault: { kind: "lose_next_answer" },
+    expected: "answer_lost",
+    timeoutMs: PATIENT_MS,
+    records: 1,
+  },
+  {
+    fault: { kind: "late_next_append" },
+    expected: "answer_lost",
+    timeoutMs: PATIENT_MS,
+    records: 1,
+  },
+  {
+    fault: { kind: "rate_limit_next" },
+    expected: "rate_limited",
+    timeoutMs: PATIENT_MS,
+    records: 0,
+  },
+];
+
+const CASES: readonly ContractCase<LogBench>[] = [
+  { name: "gives growing offsets and reads records back", run: checkOrder },
+  { name: "keeps streams apart", run: checkStreams },
+  { name: "reads from an offset, so many at most", run: checkPaging },
+  { name: "wakes a waiting read on an append", run: checkLongPoll },
+  { name: "starts a trimmed read at the first kept record", run: checkTrim },
+  { name: "carries any JSON value unchanged", run: checkValues },
+  { name: "says when to come back after a rate limit", run: checkRetryAfter },
+  ...FAULT_ROWS.map((row) => ({
+    name: `append under "${row.fault.kind}" is "${row.expected}"`,
+    run: (bench: LogBench) => checkAppendFault(bench, row),
+  })),
+];
+
+/**
+ * Adds the contract's cases to the running mocha suite.
+ *
+ * @param name The adapter's name.
+ * @param openBench Opens the adapter with an empty service.
+ * @example
+ * ```ts
+ * addLogContract("log_http", openHttpLogBench);
+ * ```
+ */
+export function addLogContract(
+  name: string,
+  openBench: OpenBench<LogBench>,
+): void {
+  describe(`log contract: ${name}`, () => addCases(CASES, openBench));
+}
+
+async function appendAll(
+  port: LogPort,
+  values: readonly unknown[],
+): Promise<number[]> {
+  const offsets: number[] = [];
+  for (const value of values) {
+    const receipt = await port.append(STREAM, value, APPEND);
+    offsets.push(receipt.unwrap().offset);
+  }
+  return offsets;
+}
+
+async function readPage(port: LogPort, from = 0): Promise<LogPage> {
+  const result = await port.read(STREAM, {
+    from,
+    limit: 100,
+    waitMs: 0,
+    timeoutMs: PATIENT_MS,
+  });
+  return result.unwrap();
+}
+
+async function checkOrder({ port }: LogBench): Promise<void> {
+  const offsets = await appendAll(port, ["a", "b", "c"]);
+  const page = await readPage(port);
+  expect(offsets).to.deep.equal([...offsets].sort((a, b) => a - b));
+  expect(new Set(offsets).size).to.equal(offsets.length);
+  expect(page.records.map((record) => record.offset)).to.deep.equal(offsets);
+  expect(page.records.map((record) => record.value)).to.deep.equal([
+    "a",
+    "b",
+    "c",
+  ]);
+  expect(page.endOffset).to.be.greaterThan(offsets[2]);
+}
+
+async function checkStreams({ port }: LogBench): Promise<void> {
+  await port.append("other", "x", APPEND);
+  expect((await readPage(port)).records).to.deep.equal([]);
+}
+
+async function checkPaging({ port }: LogBench): Promise<void> {
+  const offsets = await appendAll(port, [1, 2, 3, 4]);
+  const result = await port.read(STREAM, {
+    from: offsets[1],
+    limit: 2,
+    waitMs: 0,
+    timeoutMs: PATIENT_MS,
+  });
+  const values = result.unwrap().records.map((record) => record.value);
+  expect(values).to.deep.equal([2, 3]);
+}
+
+async function checkLongPoll({ port }: LogBench): Promise<void> {
+  const reading = port.read(STREAM, {
+    from: 0,
+    limit: 10,
+    waitMs: PATIENT_MS,
+    timeoutMs: PATIENT_MS * 2,
+  });
+  await appendAll(port, ["news"]);
+  const values = (await reading).unwrap().records.map((one) => one.value);
+  expect(values).to.deep.equal(["news"]);
+}
+
+async function checkTrim({ port, setFault }: LogBench): Promise<void> {
+  const offsets = await appendAll(port, ["a", "b", "c"]);
+  await setFault({ kind: "trim", stream: STREAM, before: offsets[1] });
+  const page = await readPage(port, offsets[0]);
+  expect(page.firstOffset).to.equal(offsets[1]);
+  expect(page.records.map((one) => one.value)).to.deep.equal(["b", "c"]);
+}
+
+async function checkValues({ port }: LogBench): Promise<void> {
+  const values = [null, 0, "", "ö\n\u2028", [], { a: { b: [1.5, true] } }];
+  await appendAll(port, values);
+  const page = await readPage(port);
+  expect(page.records.map((one) => one.value)).to.deep.equal(values);
+}
+
+async function checkRetryAfter({ port, setFault }: LogBench): Promise<void> {
+  await setFault({ kind: "rate_limit_next" });
+  const result = await port.append(STREAM, 1, APPEND);
+  const error = expectError(result, "rate_limited");
+  expect(error.retryAfterMs).to.be.a("number");
+}
+
+// A caller is told "not run" about an append that stands in the log: the
+// answer was lost or came too late, and the adapter took silence for a no.
+async function checkAppendFault(
+  { port, setFault }: LogBench,
+  row: FaultRow,
+): Promise<void> {
+  await setFault(row.fault);
+  const { timeoutMs } = row;
+  const result = await port.append(STREAM, "x", { timeoutMs });
+  const error = expectError(result, row.expected);
+  expectTruth(error, row.records);
+  await setFault({ kind: "none" });
+  const page = await port.read(STREAM, {
+    from: 0,
+    limit: 10,
+    waitMs: row.records > 0 ? PATIENT_MS : 0,
+    timeoutMs: PATIENT_MS * 2,
+  });
+  expect(page.unwrap().records.length).to.equal(row.records);
+}
--- /dev/null
+++ b/packages/ports/src/contract/weight_store_contract.ts
@@ -0,0 +1,96 @@
+/**
+ * The contract of the weight store's port.
+ *
+ * @module
+ */
+import { expect } from "chai";
+import type { PortErrorKind } from "../error.ts";
+import type { WeightInfo, WeightStorePort } from "../weight_store.ts";
+import {
+  addCases,
+  type Bench,
+  type ContractCase,
+  expectError,
+  IMPATIENT_MS,
+  type OpenBench,
+  PATIENT_MS,
+} from "./bench.ts";
+
+/** Faults of a weight store under the contract. */
+export type WeightStoreFault =
+  | { readonly kind: "none" }
+  | { readonly kind: "down" }
+  | { readonly kind: "hang" }
+  | { readonly kind: "reset" }
+  /** Every request is beyond the rate. */
+  | { readonly kind: "rate_limit" };
+
+/** A weight store under the contract. */
+export type WeightStoreBench = Bench<WeightStorePort, WeightStoreFault>;
+
+/** The model that the store must know at the start. */
+export const CONTRACT_MODEL: WeightInfo = {
+  model: "drafts/7b",
+  version: "3",
+  bytes: 14_000_000_000,
+};
+
+const FAULT_ROWS: readonly (readonly [
+  WeightStoreFault["kind"],
+  PortErrorKind,
+  number,
+])[] = [
+  ["down", "not_sent", PATIENT_MS],
+  ["hang", "timeout", IMPATIENT_MS],
+  ["reset", "answer_lost", PATIENT_MS],
+  ["rate_limit", "rate_limited", PATIENT_MS],
+];
+
+const CASES: readonly ContractCase<WeightStoreBench>[] = [
+  {
+    name: "describes a model",
+    run: async ({ port }) => {
+      const info = await port.describe(CONTRACT_MODEL.model, PATIENT_MS);
+      expect(info.unwrap()).to.deep.equal(CONTRACT_MODEL);
+    },
+  },
+  {
+    name: "refuses an unknown model",
+    run: async ({ port }) => {
+      expectError(await port.describe("other", PATIENT_MS), "refused");
+    },
+  },
+  {
+    name: "reports its load",
+    run: async ({ port }) => {
+      const load = (await port.readLoad(PATIENT_MS)).unwrap();
+      expect(load.bytesPerSecond).to.be.greaterThan(0);
+      expect(load.loadsRunning).to.equal(0);
+    },
+  },
+  ...FAULT_ROWS.map(([kind, expected, timeoutMs]) => ({
+    name: `read under "${kind}" is "${expected}"`,
+    run: async ({ port, setFault }: WeightStoreBench) => {
+      await setFault({ kind });
+      expectError(await port.readLoad(timeoutMs), expected);
+    },
+  })),
+];
+
+/**
+ * Adds the contract's cases to the running mocha suite.
+ *
+ * @param name The adapter's name.
+ * @param openBench Opens the adapter with a store that knows
+ *   {@link CONTRACT_MODEL}.
+ * @example
+ * ```ts
+ * addWeightStoreContract("store_http", openHttpStoreBench);
+ * ```
+ */
+export function addWeightStoreContract(
+  name: string,
+  openBench: OpenBench<WeightStoreBench>,
+): void {
+  describe(`weight store contract: ${name}`, () => addCases(CASES, openBench));
+}
