--- a/packages/endpoint_http/src/endpoints_test.ts
+++ b/packages/endpoint_http/src/endpoints_test.ts
@@ -99,7 +99,7 @@
       world.port.call(world.buildCall(id))
     );
     await Promise.all(calls);
-    world.endpoint.restart();
+    world.endpoint.startAgain();
     const answer = await world.port.call({
       ...world.buildCall("d"),
       freshConnection: true,
--- a/packages/endpoint_http/src/stream_assembly.ts
+++ b/packages/endpoint_http/src/stream_assembly.ts
@@ -82,24 +82,24 @@
       counters.reorderedParts += 1;
       if (this.#held.size < MAX_HELD_PARTS) this.#held.set(sequence, text);
     } else {
-      this.#deliver(text);
-      this.#deliverHeld();
+      this.#applyPart(text);
+      this.#applyHeld();
       this.#checkWhole();
     }
   }
 
-  #deliver(text: string): void {
+  #applyPart(text: string): void {
     const part = { sequence: this.next, text };
     this.#texts.push(text);
     this.#options.onPart?.(part);
   }
 
-  #deliverHeld(): void {
+  #applyHeld(): void {
     while (this.#held.size > 0) {
       const text = this.#held.get(this.next);
       if (text === undefined) return;
       this.#held.delete(this.next);
-      this.#deliver(text);
+      this.#applyPart(text);
     }
   }
 
--- a/packages/endpoint_http/src/stream_call.ts
+++ b/packages/endpoint_http/src/stream_call.ts
@@ -8,8 +8,12 @@
  *
  * @module
  */
-import type { CallOptions, PortError, StageAnswer } from "@sardinestep/ports";
-import type { StageCall } from "@sardinestep/ports";
+import type {
+  CallOptions,
+  PortError,
+  StageAnswer,
+  StageCall,
+} from "@sardinestep/ports";
 import * as http from "@sardinestep/ports/http";
 import { createParser } from "eventsource-parser";
 import { StringDecoder } from "node:string_decoder";
@@ -64,16 +68,18 @@
     if (answer) return Ok(answer);
     const error = this.#parseEnd(ended);
     if (isFinal(error)) return Err(error);
-    return await this.#resume(error);
+    return await this.#runResumes(error);
   }
 
-  async #resume(
+  async #runResumes(
     firstError: PortError,
   ): Promise<Result<StageAnswer, PortError>> {
     let error = firstError;
     while (this.#mayResume(error)) {
       const { callId, address } = this.#call;
       const from = this.#assembly.next;
+      this.#resumeCount += 1;
+      if (error.kind === "timeout") this.#silentCount += 1;
       this.#options.counters.resumes += 1;
       const request = this.#buildRequest({
         method: "GET",
@@ -93,12 +99,9 @@
       return false;
     }
     if (this.#assembly.failure !== undefined) return false;
-    if (error.kind === "timeout") {
-      this.#silentCount += 1;
-      if (this.#silentCount > MAX_SILENT_RESUMES) return false;
-    }
-    this.#resumeCount += 1;
-    return this.#resumeCount <= MAX_RESUMES;
+    const isSilent = error.kind === "timeout";
+    if (isSilent && this.#silentCount >= MAX_SILENT_RESUMES) return false;
+    return this.#resumeCount < MAX_RESUMES;
   }
 
   /**
--- a/packages/fakes/src/endpoint.ts
+++ b/packages/fakes/src/endpoint.ts
@@ -108,25 +108,25 @@
       this.#leavingSince = Date.now();
     }
     Object.assign(this.#faults, lasting);
-    if (silentConnections) this.server.silenceConnections();
-    if (turnCold) this.#engine.warmth.turnCold(performance.now());
-    if (restart) this.restart();
+    if (silentConnections) this.server.setConnectionsSilent();
+    if (turnCold) this.#engine.warmth.setCold(performance.now());
+    if (restart) this.startAgain();
     if (outage) await this.server.setOutage(outage);
   }
 
   /** Loses all calls and connections and comes back cold as a new instance. */
-  restart(): void {
+  startAgain(): void {
     this.#counters.restarts += 1;
     this.#instance = randomUUID();
-    this.server.breakConnections();
-    this.#engine.failAll("Endpoint restarted");
+    this.server.dropConnections();
+    this.#engine.stopAll("Endpoint restarted");
     this.#engine.dropKept();
-    this.#engine.warmth.turnCold(performance.now());
+    this.#engine.warmth.setCold(performance.now());
   }
 
   async close(): Promise<void> {
     await this.server.close();
-    this.#engine.failAll("Endpoint closed");
+    this.#engine.stopAll("Endpoint closed");
   }
 
   // The hot path stays on node:http: routing and Request objects cost more
@@ -146,7 +146,7 @@
 
   #handleCall(url: string, text: string, outgoing: ServerResponse): void {
     this.#countCall();
-    const refusal = this.#takeRefusal();
+    const refusal = this.#decideRefusal();
     if (refusal) return this.#send(outgoing, refusal.status, refusal.body);
     const request = parseRequest(url, text, outgoing.req);
     if (!request) {
@@ -158,7 +158,7 @@
     const run = this.#engine.add(request);
     if (request.stream) this.#startStream(run, outgoing);
     else this.#startWhole(run, outgoing);
-    this.#engine.fallOverIfTooMuch();
+    this.#engine.checkOverload();
     this.#sampleLoad();
   }
 
@@ -171,7 +171,7 @@
     this.#counters.lastCallAfterLeavingMs = now - this.#leavingSince;
   }
 
-  #takeRefusal(): { status: number; body: object } | undefined {
+  #decideRefusal(): { status: number; body: object } | undefined {
     const faults = this.#faults;
     const downMs = this.#engine.warmth.getDownMs(performance.now());
     if (faults.rateLimit > 0) {
@@ -212,7 +212,7 @@
   }
 
   #answerWhole(run: Run, outgoing: ServerResponse): void {
-    if (this.#takeLostAnswer()) {
+    if (this.#decideLostAnswer()) {
       outgoing.destroy();
       return;
     }
@@ -237,7 +237,7 @@
       instance: this.#instance,
       faults: isFaulty ? this.#faults : undefined,
       isSilent: () => this.server.isSilent(outgoing.socket),
-      takeLostAnswer: () => isFaulty && this.#takeLostAnswer(),
+      isAnswerLost: () => isFaulty && this.#decideLostAnswer(),
       delayMs: this.#faults.delayMs,
     }).start();
   }
@@ -253,7 +253,7 @@
     this.#startStream(run, outgoing, from);
   }
 
-  #takeLostAnswer(): boolean {
+  #decideLostAnswer(): boolean {
     if (this.#faults.loseAnswer === 0) return false;
     this.#faults.loseAnswer -= 1;
     this.#counters.lostAnswers += 1;
--- a/packages/fakes/src/engine.ts
+++ b/packages/fakes/src/engine.ts
@@ -76,13 +76,13 @@
   }
 
   /** Fails every call and turns cold, as too much load on a cold engine does. */
-  fallOverIfTooMuch(): void {
+  checkOverload(): void {
     const now = performance.now();
     const concurrent = this.runningCount + this.waitingCount;
     if (!this.warmth.isTooMuch(concurrent, now)) return;
     this.#parts.counters.fellOver += 1;
-    this.warmth.fallOver(now);
-    this.failAll("Endpoint fell over");
+    this.warmth.handleOverload(now);
+    this.stopAll("Endpoint fell over");
   }
 
   /** Ends a call on its caller's wish. */
@@ -90,15 +90,15 @@
     const run = this.find(callId);
     if (!run || !isActive(run)) return false;
     this.#parts.counters.cancelled += 1;
-    this.#end(run, "Cancelled");
+    this.#stop(run, "Cancelled");
     return true;
   }
 
   /** Fails every call that runs or waits. */
-  failAll(failure: string): void {
+  stopAll(failure: string): void {
     const all = [...this.#running, ...this.#waiting.toArray()];
     // None of the waiting ones may start in between.
-    for (const run of all) this.#finish(run, failure);
+    for (const run of all) this.#applyEnd(run, failure);
   }
 
   /** Forgets finished streams, as a restart does. */
@@ -132,24 +132,24 @@
     run.startedAt = performance.now();
     this.#running.add(run);
     this.runCounts.add(run.request);
-    const prefixFactor = this.#hasPrefix(run) ? PREFIX_HIT_FACTOR : 1;
+    const prefixFactor = this.#updatePrefixes(run) ? PREFIX_HIT_FACTOR : 1;
     const serviceMs = this.#parts.settings.serviceMs * prefixFactor;
-    this.#schedule(run, serviceMs, () => {
+    this.#startTimer(run, serviceMs, () => {
       if (run.request.stream) this.#addPart(run);
-      else this.#end(run);
+      else this.#stop(run);
     });
   }
 
   #addPart(run: Run): void {
     const { tokens, partMs } = this.#parts.settings;
-    if (run.parts.length >= tokens) return this.#end(run);
+    if (run.parts.length >= tokens) return this.#stop(run);
     const index = run.parts.length;
     run.parts.push(index === 0 ? `${run.request.digest} ` : `t${index} `);
     for (const listener of run.listeners) listener.handlePart();
-    this.#schedule(run, partMs, () => this.#addPart(run));
+    this.#startTimer(run, partMs, () => this.#addPart(run));
   }
 
-  #schedule(run: Run, baseMs: number, next: () => void): void {
+  #startTimer(run: Run, baseMs: number, next: () => void): void {
     const ms = baseMs * this.#getSlowness();
     run.timer = ms > 0 ? setTimeout(next, ms) : setImmediate(next);
   }
@@ -163,7 +163,7 @@
     return slowFactor * (1 + batchSlowdown * fill) * spread;
   }
 
-  #hasPrefix(run: Run): boolean {
+  #updatePrefixes(run: Run): boolean {
     const { input } = run.request;
     const prefix = (input as { prefix?: unknown } | null)?.prefix;
     if (prefix === undefined) return false;
@@ -177,14 +177,14 @@
     return isHit;
   }
 
-  #end(run: Run, failure?: string): void {
-    this.#finish(run, failure);
+  #stop(run: Run, failure?: string): void {
+    this.#applyEnd(run, failure);
     this.#startNext();
   }
 
-  #finish(run: Run, wantedFailure?: string): void {
+  #applyEnd(run: Run, wantedFailure?: string): void {
     const { counters } = this.#parts;
-    const failure = wantedFailure ?? this.#takeFailure();
+    const failure = wantedFailure ?? this.#decideFailure();
     if (run.state === "waiting") this.#waiting.remove(run);
     clearTimeout(run.timer as NodeJS.Timeout);
     clearImmediate(run.timer as NodeJS.Immediate);
@@ -198,17 +198,17 @@
     } else {
       counters.failed += 1;
     }
-    this.#keep(run);
+    this.#addKept(run);
     for (const listener of run.listeners) listener.handleEnd();
   }
 
-  #takeFailure(): string | undefined {
+  #decideFailure(): string | undefined {
     if (this.#parts.faults.fail === 0) return undefined;
     this.#parts.faults.fail -= 1;
     return "Call failed";
   }
 
-  #keep(run: Run): void {
+  #addKept(run: Run): void {
     if (!run.request.stream) {
       this.#byCallId.delete(run.request.callId);
       return;
--- a/packages/fakes/src/engine_test.ts
+++ b/packages/fakes/src/engine_test.ts
@@ -66,7 +66,7 @@
     });
     const ended = ["a", "b", "c"].map((callId) => runCall(engine, { callId }));
     await Promise.resolve();
-    engine.failAll("Restart");
+    engine.stopAll("Restart");
     await Promise.all(ended);
     expect([engine.runningCount, engine.waitingCount]).to.deep.equal([0, 0]);
     expect(counters.failed).to.equal(3);
--- a/packages/fakes/src/fake_server.ts
+++ b/packages/fakes/src/fake_server.ts
@@ -95,16 +95,16 @@
     this.#outage = outage;
     if (outage === OUTAGE.refuse) await this.#stopListening();
     else if (before === OUTAGE.refuse) await this.start();
-    else if (before === OUTAGE.hang) this.breakConnections();
+    else if (before === OUTAGE.hang) this.dropConnections();
   }
 
   /** Breaks every open connection. */
-  breakConnections(): void {
+  dropConnections(): void {
     for (const socket of this.#sockets) socket.destroy();
   }
 
   /** Makes every open connection silent for good; new ones work. */
-  silenceConnections(): void {
+  setConnectionsSilent(): void {
     for (const socket of this.#sockets) this.#silent.add(socket);
   }
 
@@ -121,7 +121,7 @@
   async #stopListening(): Promise<void> {
     const closed = once(this.#server, "close");
     this.#server.close();
-    this.breakConnections();
+    this.dropConnections();
     await closed;
   }
 
--- a/packages/fakes/src/log.ts
+++ b/packages/fakes/src/log.ts
@@ -138,7 +138,7 @@
   async #handleAppend(context: Context): Promise<Response> {
     const stream = context.req.param("stream") ?? "";
     const value: unknown = await context.req.json();
-    const retryAfterMs = this.#takeAppend();
+    const retryAfterMs = this.#decideAppendWait();
     if (retryAfterMs > 0) {
       this.#counters.rateLimited += 1;
       return context.json(
@@ -162,8 +162,10 @@
     return context.json(receipt, 201);
   }
 
-  #takeAppend(): number {
-    if (this.#rateLimitNext === 0) return this.#rate.take(performance.now());
+  #decideAppendWait(): number {
+    if (this.#rateLimitNext === 0) {
+      return this.#rate.decideWait(performance.now());
+    }
     this.#rateLimitNext -= 1;
     return 1;
   }
--- a/packages/fakes/src/log_streams.ts
+++ b/packages/fakes/src/log_streams.ts
@@ -31,7 +31,7 @@
     const stream = this.#getStream(name);
     const offset = stream.firstOffset + stream.records.length;
     stream.records.push({ offset, time: now, value });
-    for (const wake of [...stream.waiters]) wake();
+    for (const handleAppend of [...stream.waiters]) handleAppend();
     return { offset, time: now };
   }
 
@@ -62,14 +62,14 @@
   waitForAppend(name: string, waitMs: number): Promise<void> {
     const { waiters } = this.#getStream(name);
     return new Promise((resolve) => {
-      function wake(): void {
-        waiters.delete(wake);
+      function handleAppend(): void {
+        waiters.delete(handleAppend);
         clearTimeout(timer);
         resolve();
       }
-      const timer = setTimeout(wake, waitMs);
+      const timer = setTimeout(handleAppend, waitMs);
       timer.unref();
-      waiters.add(wake);
+      waiters.add(handleAppend);
     });
   }
 
--- a/packages/fakes/src/models_test.ts
+++ b/packages/fakes/src/models_test.ts
@@ -21,16 +21,16 @@
     const rate = new RateLimit(100, 0);
     let granted = 0;
     for (let now = 0; now < 10_000; now += 1) {
-      if (rate.take(now) === 0) granted += 1;
+      if (rate.decideWait(now) === 0) granted += 1;
     }
     expect(granted).to.be.within(1000, 1026);
   });
 
   it("says when the next one is granted", () => {
     const rate = new RateLimit(1, 0);
-    expect(rate.take(0)).to.equal(0);
-    expect(rate.take(0)).to.equal(1000);
-    expect(rate.take(1000)).to.equal(0);
+    expect(rate.decideWait(0)).to.equal(0);
+    expect(rate.decideWait(0)).to.equal(1000);
+    expect(rate.decideWait(1000)).to.equal(0);
   });
 });
 
@@ -53,7 +53,7 @@
     expect(warmth.isCold(99)).to.equal(true);
     expect(warmth.isTooMuch(2, 99)).to.equal(true);
     expect(warmth.isCold(100)).to.equal(false);
-    warmth.fallOver(200);
+    warmth.handleOverload(200);
     expect(warmth.getDownMs(210)).to.equal(40);
     expect(warmth.isCold(349)).to.equal(true);
     expect(warmth.isCold(350)).to.equal(false);
--- a/packages/fakes/src/rate_limit.ts
+++ b/packages/fakes/src/rate_limit.ts
@@ -26,7 +26,7 @@
   }
 
   /** Takes a token; otherwise gives the milliseconds until there is one. */
-  take(now: number): number {
+  decideWait(now: number): number {
     const grown = (now - this.#updatedAt) / SECOND_MS * this.#perSecond;
     this.#tokens = Math.min(this.#getCapacity(), this.#tokens + grown);
     this.#updatedAt = now;
--- a/packages/fakes/src/store.ts
+++ b/packages/fakes/src/store.ts
@@ -94,8 +94,10 @@
     return this.server.close();
   }
 
-  #takeRequest(): number {
-    if (this.#rateLimitNext === 0) return this.#rate.take(performance.now());
+  #decideRequestWait(): number {
+    if (this.#rateLimitNext === 0) {
+      return this.#rate.decideWait(performance.now());
+    }
     this.#rateLimitNext -= 1;
     return 1;
   }
@@ -103,7 +105,7 @@
   #buildRoutes(): Hono {
     const routes = new Hono();
     routes.use("/v1/*", async (context, next) => {
-      const retryAfterMs = this.#takeRequest();
+      const retryAfterMs = this.#decideRequestWait();
       if (retryAfterMs > 0) {
         this.#counters.rateLimited += 1;
         return context.json(buildRefusal("Rate exceeded", retryAfterMs), 429);
--- a/packages/fakes/src/stream_writer.ts
+++ b/packages/fakes/src/stream_writer.ts
@@ -17,7 +17,7 @@
   readonly faults?: Readonly<ActiveFaults>;
   readonly isSilent: () => boolean;
   /** Whether the last part is lost with its connection. */
-  readonly takeLostAnswer: () => boolean;
+  readonly isAnswerLost: () => boolean;
   readonly delayMs: number;
 }
 
@@ -99,9 +99,9 @@
   }
 
   #writeEnd(): void {
-    const { outgoing, faults, takeLostAnswer } = this.#options;
+    const { outgoing, faults, isAnswerLost } = this.#options;
     if (this.#isOver()) return;
-    if (takeLostAnswer()) {
+    if (isAnswerLost()) {
       outgoing.destroy();
       return;
     }
--- a/packages/fakes/src/warmth.ts
+++ b/packages/fakes/src/warmth.ts
@@ -51,15 +51,15 @@
   }
 
   /** Begins the cold start anew. */
-  turnCold(now: number): void {
+  setCold(now: number): void {
     this.#isWarm = false;
     this.#finishedCalls = 0;
     this.#coldSince = now;
   }
 
   /** Fell over: it refuses for a while and is cold again. */
-  fallOver(now: number): void {
+  handleOverload(now: number): void {
     this.#downUntil = now + this.#settings.recoverMs;
-    this.turnCold(this.#downUntil);
+    this.setCold(this.#downUntil);
   }
 }
--- a/packages/ports/src/contract/endpoint_contract.ts
+++ b/packages/ports/src/contract/endpoint_contract.ts
@@ -127,14 +127,14 @@
   openBench: OpenEndpointBench,
 ): void {
   describe(`endpoint contract, plain service: ${name}`, () => {
-    addCases(SERVICE_CASES, asOpenBench(openBench, "service"));
+    addCases(SERVICE_CASES, buildOpenBench(openBench, "service"));
   });
   describe(`endpoint contract, model engine: ${name}`, () => {
-    addCases(ENGINE_CASES, asOpenBench(openBench, "encoder"));
+    addCases(ENGINE_CASES, buildOpenBench(openBench, "encoder"));
   });
 }
 
-function asOpenBench(
+function buildOpenBench(
   openBench: OpenEndpointBench,
   role: StageCall["role"],
 ): OpenBench<EndpointBench> {
--- a/packages/ports/src/http/connections.ts
+++ b/packages/ports/src/http/connections.ts
@@ -34,7 +34,7 @@
   /** Sends over a pooled connection. */
   send(address: Address, request: HttpRequest): Promise<HttpResult> {
     const exchange = new Exchange(request);
-    this.dispatch(address, request, exchange);
+    this.#getPool(address).dispatch(buildDispatch(request), exchange);
     return exchange.result;
   }
 
@@ -55,11 +55,6 @@
     }
   }
 
-  /** Gives a request with its own handlers to a pooled connection. */
-  dispatch(address: Address, request: HttpRequest, exchange: Exchange): void {
-    this.#getPool(address).dispatch(buildDispatch(request), exchange);
-  }
-
   /** Ends all connections; calls that still run fail. */
   async close(): Promise<void> {
     const all = [...this.#pools.values(), ...this.#fresh];
@@ -77,12 +72,12 @@
         DEFAULT_CONNECTIONS_PER_ADDRESS,
     });
     this.#pools.set(address, pool);
-    this.#watchPool(address, pool);
+    this.#startWatch(address, pool);
     return pool;
   }
 
   /** One piece of news for each time that all connections broke. */
-  #watchPool(address: Address, pool: Pool): void {
+  #startWatch(address: Address, pool: Pool): void {
     let isConnected = false;
     pool.on("connect", () => isConnected = true);
     pool.on("disconnect", (_origin, _targets, error) => {
--- a/packages/ports/src/http/exchange.ts
+++ b/packages/ports/src/http/exchange.ts
@@ -65,11 +65,6 @@
     if (request.signal?.aborted) this.#handleCancel();
   }
 
-  /** Whether the answer's status line has come. */
-  get hasHead(): boolean {
-    return this.#status !== 0;
-  }
-
   onConnect(abort: (error?: Error) => void): void {
     // Given up while it waited for a connection: nothing may be written now.
     if (this.#isDone) return abort();
@@ -117,11 +112,6 @@
     }
   }
 
-  /** Gives up with an error; the connection is destroyed. */
-  stop(kind: PortErrorKind, message: string): void {
-    this.#fail(kind, message);
-  }
-
   #recordProgress(): void {
     if (this.#request.timeoutIsProgress) this.#timer.refresh();
   }
