--- a/packages/fakes/src/endpoint.ts
+++ b/packages/fakes/src/endpoint.ts
@@ -5,7 +5,6 @@
  */
 import { type Address, ENDPOINT_ROLE } from "@sardinestep/types";
 import { Hono } from "hono";
-import type { IncomingMessage, ServerResponse } from "node:http";
 import { randomUUID } from "node:crypto";
 import {
   type ActiveFaults,
@@ -18,16 +17,12 @@
   type FakeEndpointCounters,
   type FakeEndpointOptions,
 } from "./endpoint_settings.ts";
+import { EndpointCalls } from "./endpoint_calls.ts";
 import { Engine } from "./engine.ts";
 import { FakeServer } from "./fake_server.ts";
-import { buildRefusal, MAX_BODY_BYTES, readBody } from "./http.ts";
+import { buildRefusal, readBody } from "./http.ts";
 import { LoadHistory } from "./load_history.ts";
 import { engineOrderSchema, Orders } from "./orders.ts";
-import { buildDigest, type Run, type RunRequest } from "./run.ts";
-import { StreamWriter } from "./stream_writer.ts";
-
-const OPERATIONS_PATH = "/v1/operations/";
-const RUNS_PATH = "/v1/runs/";
 
 /** What an endpoint reports of itself beside its counts. */
 export interface EndpointStatus extends FakeEndpointCounters {
@@ -50,14 +45,22 @@
   readonly #orders: Orders;
   readonly #load: LoadHistory;
   #instance = randomUUID();
-  #leavingSince = 0;
+  readonly #calls: EndpointCalls;
 
   constructor(options: FakeEndpointOptions) {
     this.settings = endpointSettingsSchema.parse(options);
-    this.#engine = new Engine({
+    const parts = {
       settings: this.settings,
       faults: this.#faults,
       counters: this.#counters,
+    };
+    this.#engine = new Engine(parts);
+    this.#calls = new EndpointCalls({
+      ...parts,
+      engine: this.#engine,
+      getServer: () => this.server,
+      getInstance: () => this.#instance,
+      onLoadChange: () => this.#recordLoad(),
     });
     this.#orders = new Orders(this.settings);
     this.#load = new LoadHistory(this.settings.reportLagMs);
@@ -65,7 +68,8 @@
     this.server = new FakeServer({
       listen: this.settings.listen,
       routes: this.#buildRoutes(),
-      handleRaw: (incoming, outgoing) => this.#handleRaw(incoming, outgoing),
+      handleRaw: (incoming, outgoing) =>
+        this.#calls.handleRequest(incoming, outgoing),
     });
   }
 
@@ -105,7 +109,7 @@
   async setFaults(faults: EndpointFaults): Promise<void> {
     const { outage, silentConnections, restart, turnCold, ...lasting } = faults;
     if (lasting.leaving && !this.#faults.leaving) {
-      this.#leavingSince = Date.now();
+      this.#calls.setLeavingSince(Date.now());
     }
     Object.assign(this.#faults, lasting);
     if (silentConnections) this.server.setConnectionsSilent();
@@ -129,155 +133,12 @@
     this.#engine.stopAll("Endpoint closed");
   }
 
-  // The hot path stays on node:http: routing and Request objects cost more
-  // than the call itself.
-  #handleRaw(incoming: IncomingMessage, outgoing: ServerResponse): boolean {
-    const { method, url = "" } = incoming;
-    if (method === "POST" && isCallPath(url)) {
-      readText(incoming, (text) => this.#handleCall(url, text, outgoing));
-      return true;
-    }
-    if (method === "GET" && url.startsWith(RUNS_PATH)) {
-      this.#handleResume(url, outgoing);
-      return true;
-    }
-    return false;
-  }
-
-  #handleCall(url: string, text: string, outgoing: ServerResponse): void {
-    this.#countCall();
-    const refusal = this.#decideRefusal();
-    if (refusal) return this.#send(outgoing, refusal.status, refusal.body);
-    const request = parseRequest(url, text, outgoing.req);
-    if (!request) {
-      return this.#send(outgoing, 400, buildRefusal("Malformed call"));
-    }
-    if (this.#engine.find(request.callId)) {
-      return this.#send(outgoing, 409, buildRefusal("Call id is in use"));
-    }
-    const run = this.#engine.add(request);
-    if (request.stream) this.#startStream(run, outgoing);
-    else this.#startWhole(run, outgoing);
-    this.#engine.checkOverload();
-    this.#sampleLoad();
-  }
-
-  #countCall(): void {
-    const now = Date.now();
-    this.#counters.calls += 1;
-    this.#counters.lastCallAt = now;
-    if (!this.#faults.leaving) return;
-    this.#counters.callsWhileLeaving += 1;
-    this.#counters.lastCallAfterLeavingMs = now - this.#leavingSince;
-  }
-
-  #decideRefusal(): { status: number; body: object } | undefined {
-    const faults = this.#faults;
-    const downMs = this.#engine.warmth.getDownMs(performance.now());
-    if (faults.rateLimit > 0) {
-      faults.rateLimit -= 1;
-      return this.#countRefusal(429, buildRefusal("Rate exceeded", 1));
-    }
-    if (faults.refuse > 0) {
-      faults.refuse -= 1;
-      return this.#countRefusal(503, buildRefusal("Refused"));
-    }
-    if (downMs > 0) {
-      return this.#countRefusal(
-        503,
-        buildRefusal("Endpoint fell over", downMs),
-      );
-    }
-    if (!this.#engine.hasRoom()) {
-      return this.#countRefusal(429, buildRefusal("Queue is full"));
-    }
-    return undefined;
-  }
-
-  #countRefusal(status: number, body: object) {
-    this.#counters.refused += 1;
-    return { status, body };
-  }
-
-  #startWhole(run: Run, outgoing: ServerResponse): void {
-    run.listeners.add({
-      handlePart: () => {},
-      handleEnd: () => {
-        const { delayMs } = this.#faults;
-        if (delayMs === 0) this.#answerWhole(run, outgoing);
-        else {setTimeout(() => this.#answerWhole(run, outgoing), delayMs)
-            .unref();}
-      },
-    });
-  }
-
-  #answerWhole(run: Run, outgoing: ServerResponse): void {
-    if (this.#decideLostAnswer()) {
-      outgoing.destroy();
-      return;
-    }
-    if (run.state === "failed") {
-      return this.#send(outgoing, 500, { error: run.failure });
-    }
-    const { callId, operation, key, digest } = run.request;
-    this.#send(outgoing, 200, {
-      callId,
-      instance: this.#instance,
-      output: { endpointId: this.settings.endpointId, operation, key, digest },
-      outputTokens: 0,
-      workerMs: run.workerMs,
-    });
-  }
-
-  #startStream(run: Run, outgoing: ServerResponse, resumeFrom?: number): void {
-    const isFaulty = resumeFrom === undefined || this.#faults.faultResumes;
-    new StreamWriter(run, {
-      outgoing,
-      from: resumeFrom ?? 0,
-      instance: this.#instance,
-      faults: isFaulty ? this.#faults : undefined,
-      isSilent: () => this.server.isSilent(outgoing.socket),
-      isAnswerLost: () => isFaulty && this.#decideLostAnswer(),
-      delayMs: this.#faults.delayMs,
-    }).start();
-  }
-
-  #handleResume(url: string, outgoing: ServerResponse): void {
-    const { pathname, searchParams } = new URL(url, "http://endpoint");
-    const run = this.#engine.find(getCallId(pathname));
-    const from = Number(searchParams.get("from") ?? 0);
-    if (!run?.request.stream || !Number.isSafeInteger(from) || from < 0) {
-      return this.#send(outgoing, 404, buildRefusal("Unknown call"));
-    }
-    this.#counters.resumed += 1;
-    this.#startStream(run, outgoing, from);
-  }
-
-  #decideLostAnswer(): boolean {
-    if (this.#faults.loseAnswer === 0) return false;
-    this.#faults.loseAnswer -= 1;
-    this.#counters.lostAnswers += 1;
-    return true;
-  }
-
-  #send(outgoing: ServerResponse, status: number, body: object): void {
-    if (this.server.isSilent(outgoing.socket)) return;
-    const text = JSON.stringify(body);
-    outgoing.writeHead(status, {
-      "content-type": "application/json",
-      "content-length": Buffer.byteLength(text),
-      "instance-id": this.#instance,
-    });
-    outgoing.end(text);
-    this.#sampleLoad();
-  }
-
   #getState(): "cold" | "warm" | "leaving" {
     if (this.#faults.leaving) return "leaving";
     return this.#engine.warmth.isCold(performance.now()) ? "cold" : "warm";
   }
 
-  #sampleLoad(): void {
+  #recordLoad(): void {
     if (this.#load.isDue(performance.now())) {
       this.#load.add(this.#buildSample());
     }
@@ -294,7 +155,7 @@
 
   #buildReport() {
     const now = performance.now();
-    this.#sampleLoad();
+    this.#recordLoad();
     const { at, ...sample } = this.#load.getLagged(now);
     return {
       endpointId: this.settings.endpointId,
@@ -343,80 +204,6 @@
   }
 }
 
-function isCallPath(url: string): boolean {
-  return url === "/v1/run" || url.startsWith(OPERATIONS_PATH);
-}
-
-function getCallId(pathname: string): string {
-  return decodeURIComponent(pathname.slice(RUNS_PATH.length));
-}
-
-function readText(
-  incoming: IncomingMessage,
-  handle: (text: string) => void,
-): void {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  incoming.on("data", (chunk: Buffer) => {
-    size += chunk.length;
-    if (size > MAX_BODY_BYTES) incoming.destroy();
-    chunks.push(chunk);
-  });
-  incoming.on("end", () => handle(Buffer.concat(chunks).toString()));
-}
-
-function parseRequest(
-  url: string,
-  text: string,
-  incoming: IncomingMessage,
-): RunRequest | undefined {
-  try {
-    const body = JSON.parse(text);
-    const key = incoming.headers["idempotency-key"] as string | undefined;
-    return url === "/v1/run"
-      ? buildEngineRequest(body, key)
-      : buildOperationRequest({ url, text, body, key, incoming });
-  } catch {
-    return undefined;
-  }
-}
-
-function buildEngineRequest(
-  body: Record<string, unknown>,
-  key: string | undefined,
-): RunRequest | undefined {
-  const { callId, priority = 0, stream = false, input } = body;
-  if (typeof callId !== "string") return undefined;
-  return {
-    callId,
-    key,
-    operation: "",
-    priority: Number(priority),
-    stream: stream === true,
-    input,
-    digest: buildDigest(JSON.stringify(input) ?? ""),
-  };
-}
-
-function buildOperationRequest(call: {
-  readonly url: string;
-  readonly text: string;
-  readonly body: unknown;
-  readonly key: string | undefined;
-  readonly incoming: IncomingMessage;
-}): RunRequest {
-  const callId = call.incoming.headers["call-id"] as string | undefined;
-  return {
-    callId: callId ?? randomUUID(),
-    key: call.key,
-    operation: decodeURIComponent(call.url.slice(OPERATIONS_PATH.length)),
-    priority: 0,
-    stream: false,
-    input: call.body,
-    digest: buildDigest(call.text),
-  };
-}
-
 /** Settings of {@link startFakeEndpoint}: all but the id and address may be left out. */
 export type StartEndpointOptions = Partial<FakeEndpointOptions>;
 
