--- a/packages/endpoint_http/src/endpoints_test.ts
+++ b/packages/endpoint_http/src/endpoints_test.ts
@@ -109,6 +109,19 @@
     expect(broken).to.deep.equal([world.endpoint.address]);
   });
 
+  // Calls stop one after the other until none gets through: each forgotten
+  // connection stays in the pool for good, and the pool is bounded.
+  it("replaces a silent connection although the pool is full", async () => {
+    const world = await openTracked("service", { connectionsPerAddress: 1 });
+    (await world.port.call(world.buildCall("a"))).unwrap();
+    await world.endpoint.setFaults({ silentConnections: true });
+    const progressTimeoutMs = contract.IMPATIENT_MS;
+    const call = { ...world.buildCall("b"), progressTimeoutMs };
+    const silent = await world.port.call(call);
+    expect(silent.isErr() && silent.error.kind).to.equal("timeout");
+    (await world.port.call(world.buildCall("c"))).unwrap();
+  });
+
   it("counts what it dropped and put in order", async () => {
     const world = await openTracked("generator");
     await world.endpoint.setFaults({
--- a/packages/fakes/src/endpoint_calls.ts
+++ b/packages/fakes/src/endpoint_calls.ts
@@ -130,8 +130,9 @@
       return this.#send(outgoing, 500, { error: run.failure });
     }
     const { callId, operation, key, digest } = run.request;
+    const isForeign = this.#parts.faults.foreignParts;
     this.#send(outgoing, 200, {
-      callId,
+      callId: isForeign ? `foreign-${callId}` : callId,
       instance: this.#parts.getInstance(),
       output: {
         endpointId: this.#parts.settings.endpointId,
--- a/packages/fakes/src/endpoint_settings.ts
+++ b/packages/fakes/src/endpoint_settings.ts
@@ -71,6 +71,7 @@
   cutStreamAfter: countSchema.nullable().optional(),
   duplicateParts: z.boolean().optional(),
   reorderParts: z.boolean().optional(),
+  /** Parts of another call come in between; whole answers are another's. */
   foreignParts: z.boolean().optional(),
   endWithoutLast: z.boolean().optional(),
   /** Whether the stream faults hit resumed streams too. */
--- a/packages/ports/src/contract/endpoint_contract.ts
+++ b/packages/ports/src/contract/endpoint_contract.ts
@@ -37,6 +37,7 @@
   | { readonly kind: "restart" }
   | { readonly kind: "duplicate_parts" }
   | { readonly kind: "reorder_parts" }
+  /** Parts of another call come in between; whole answers are another's. */
   | { readonly kind: "foreign_parts" }
   | { readonly kind: "end_without_last" }
   /** Streams break after so many parts, resumed ones only `forGood`. */
@@ -75,6 +76,7 @@
   { fault: { kind: "rate_limit_next" }, expected: "rate_limited", runs: 0 },
   { fault: { kind: "fail_next" }, expected: "answer_lost", runs: 1 },
   { fault: { kind: "lose_next_answer" }, expected: "answer_lost", runs: 1 },
+  { fault: { kind: "foreign_parts" }, expected: "bad_answer", runs: 1 },
   {
     fault: { kind: "hang" },
     expected: "timeout",
