Lagging load keeps the last state before a quiet time

Cause: a sample was taken only when due, so the end of a burst could be missing and the next report showed calls that had ended long ago. Change: a sample right after another replaces it.

--- a/packages/fakes/src/endpoint.ts
+++ b/packages/fakes/src/endpoint.ts
@@ -139,9 +139,7 @@
   }
 
   #recordLoad(): void {
-    if (this.#load.isDue(performance.now())) {
-      this.#load.add(this.#buildSample());
-    }
+    this.#load.add(this.#buildSample());
   }
 
   #buildSample() {
@@ -154,14 +152,15 @@
   }
 
   #buildReport() {
-    const now = performance.now();
     this.#recordLoad();
-    const { at, ...sample } = this.#load.getLagged(now);
+    const { running, waiting, state } = this.#load.getLagged(performance.now());
     return {
       endpointId: this.settings.endpointId,
       instance: this.#instance,
-      ageMs: Math.max(this.settings.reportLagMs, now - at),
-      ...sample,
+      ageMs: this.settings.reportLagMs,
+      running,
+      waiting,
+      state,
     };
   }
 
--- a/packages/fakes/src/load_history.ts
+++ b/packages/fakes/src/load_history.ts
@@ -24,14 +24,18 @@
     this.#lagMs = lagMs;
   }
 
-  /** Tells whether a new sample is due; cheap, for it is asked per call. */
-  isDue(now: number): boolean {
-    const newest = this.#samples[this.#samples.length - 1];
-    return !newest || now - newest.at >= this.#lagMs / SAMPLES_PER_LAG;
-  }
-
-  /** Adds a sample and drops those that nobody will see again. */
+  /**
+   * Adds a sample and drops those that nobody will see again. A sample right
+   * after another replaces it, so that the last state before a quiet time is
+   * always there.
+   */
   add(sample: LoadSample): void {
+    const newest = this.#samples[this.#samples.length - 1];
+    if (newest && sample.at - newest.at < this.#lagMs / SAMPLES_PER_LAG) {
+      this.#samples.pop();
+      this.#samples.push({ ...sample, at: newest.at });
+      return;
+    }
     this.#samples.push(sample);
     const seenUpTo = sample.at - this.#lagMs;
     while (this.#samples.length > 1 && this.#samples[1].at <= seenUpTo) {
--- a/packages/fakes/src/models_test.ts
+++ b/packages/fakes/src/models_test.ts
@@ -43,6 +43,14 @@
     expect(history.getLagged(160).running).to.equal(50);
     expect(history.getLagged(260).running).to.equal(150);
   });
+
+  it("shows the last state before a quiet time", () => {
+    const history = new LoadHistory(100);
+    for (const [at, running] of [[0, 0], [50, 3], [51, 2], [52, 0]]) {
+      history.add({ at, running, waiting: 0, state: "warm" });
+    }
+    expect(history.getLagged(10_000).running).to.equal(0);
+  });
 });
 
 describe("warmth", () => {
