--- a/packages/endpoint_http/src/endpoints_test.ts
+++ b/packages/endpoint_http/src/endpoints_test.ts
@@ -122,6 +122,22 @@
     (await world.port.call(world.buildCall("c"))).unwrap();
   });
 
+  // A stopping entry closes its adapter; a stream that it gives up must not be
+  // taken up again on new connections, which would keep the process alive.
+  it("sends nothing more once it is closed", async () => {
+    const world = await openTracked("generator");
+    const result = await world.port.call(world.buildCall("a"), {
+      onPart: (part) => {
+        if (part.sequence === 2) void world.port.close();
+      },
+    });
+    expect(result.isErr() && result.error.kind).to.equal("answer_lost");
+    const later = await world.port.call(world.buildCall("b"));
+    expect(later.isErr() && later.error.kind).to.equal("not_sent");
+    const { calls, resumed } = world.endpoint.getCounters();
+    expect({ calls, resumed }).to.deep.equal({ calls: 1, resumed: 0 });
+  });
+
   it("counts what it dropped and put in order", async () => {
     const world = await openTracked("generator");
     await world.endpoint.setFaults({
--- a/packages/fakes/src/run_counts.ts
+++ b/packages/fakes/src/run_counts.ts
@@ -33,12 +33,23 @@
   /** Counts a run as it begins, for from then on it may have acted. */
   add(request: RunRequest): void {
     if (request.key === undefined) return;
-    const runs = this.#getRuns(request.key);
-    runs.count += 1;
-    runs.operations.push(request.operation);
-    runs.digests.push(request.digest);
+    const { key, operation, digest } = request;
+    const known = this.#byKey.get(key);
+    if (known) {
+      known.count += 1;
+      known.operations.push(operation);
+      known.digests.push(digest);
+    } else {
+      this.#dropOldest();
+      // Literals, for a push to an empty array makes room for many more.
+      const runs = { count: 1, operations: [operation], digests: [digest] };
+      this.#byKey.set(key, runs);
+    }
     this.#total += 1;
-    this.#maxRunsPerKey = Math.max(this.#maxRunsPerKey, runs.count);
+    this.#maxRunsPerKey = Math.max(
+      this.#maxRunsPerKey,
+      known?.count ?? 1,
+    );
   }
 
   /** Gives all keys with their runs. */
@@ -51,15 +62,9 @@
     return this.#byKey.entries();
   }
 
-  #getRuns(key: string): KeyRuns {
-    const known = this.#byKey.get(key);
-    if (known) return known;
-    if (this.#byKey.size >= MAX_KEYS) {
-      const [oldest] = this.#byKey.keys();
-      this.#byKey.delete(oldest);
-    }
-    const runs: KeyRuns = { count: 0, operations: [], digests: [] };
-    this.#byKey.set(key, runs);
-    return runs;
+  #dropOldest(): void {
+    if (this.#byKey.size < MAX_KEYS) return;
+    const [oldest] = this.#byKey.keys();
+    this.#byKey.delete(oldest);
   }
 }
--- a/packages/ports/src/http/connections.ts
+++ b/packages/ports/src/http/connections.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import type { Address } from "@sardinestep/types";
+import { Err } from "ts-results-es";
 import { Client, Pool } from "undici";
+import type { PortError } from "../error.ts";
 import { Exchange, type HttpRequest, type HttpResult } from "./exchange.ts";
 
 /** Connections to one address; a stage pool bears fewer calls at once. */
@@ -12,6 +14,7 @@
 /** Addresses with a pool at once; an idle one is closed for a new one. */
 export const DEFAULT_MAX_ADDRESSES = 1024;
 const KEEP_ALIVE_MS = 30_000;
+const CLOSED: PortError = { kind: "not_sent", message: "Adapter is closed" };
 
 /** Bounds and news of {@link HttpConnections}. */
 export interface HttpConnectionsOptions {
@@ -26,16 +29,18 @@
   readonly #pools = new Map<Address, Pool>();
   readonly #fresh = new Set<Client>();
   readonly #options: HttpConnectionsOptions;
+  #isClosed = false;
 
   constructor(options: HttpConnectionsOptions = {}) {
     this.#options = options;
   }
 
   /** Sends over a pooled connection. */
-  send(address: Address, request: HttpRequest): Promise<HttpResult> {
+  async send(address: Address, request: HttpRequest): Promise<HttpResult> {
+    if (this.#isClosed) return Err(CLOSED);
     const exchange = new Exchange(request);
     this.#getPool(address).dispatch(buildDispatch(request), exchange);
-    return exchange.result;
+    return await exchange.result;
   }
 
   /**
@@ -43,6 +48,7 @@
    * died shows as a failed connect, which proves that nothing ran.
    */
   async sendFresh(address: Address, request: HttpRequest): Promise<HttpResult> {
+    if (this.#isClosed) return Err(CLOSED);
     const exchange = new Exchange(request);
     const client = new Client(buildOrigin(address), buildClientOptions());
     this.#fresh.add(client);
@@ -55,8 +61,9 @@
     }
   }
 
-  /** Ends all connections; calls that still run fail. */
+  /** Ends all connections; calls that still run fail, later ones are not sent. */
   async close(): Promise<void> {
+    this.#isClosed = true;
     const all = [...this.#pools.values(), ...this.#fresh];
     this.#pools.clear();
     await Promise.all(all.map((dispatcher) => dispatcher.destroy()));
