--- a/packages/endpoint_http/src/endpoints_test.ts
+++ b/packages/endpoint_http/src/endpoints_test.ts
@@ -1,7 +1,7 @@
 import * as fakes from "@sardinestep/fakes";
 import * as contract from "@sardinestep/ports/contract";
 import type { StageCall } from "@sardinestep/ports";
-import { waitFor } from "@sardinestep/testing";
+import { waitFor } from "@sardinestep/testbed";
 import { expect } from "chai";
 import { match } from "ts-pattern";
 import { type HttpEndpointsOptions, openHttpEndpoints } from "./mod.ts";
--- a/packages/fakes/src/main_test.ts
+++ b/packages/fakes/src/main_test.ts
@@ -3,7 +3,7 @@
   findFreePorts,
   stopProgram,
   waitForOutput,
-} from "@sardinestep/testing";
+} from "@sardinestep/testbed";
 import { expect } from "chai";
 import { once } from "node:events";
 
