--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -214,6 +214,8 @@
     };
     this.#calls.set(start.callId, call);
     this.#runningAt.set(start.endpointId, running + 1);
+    const { isHedge } = start;
+    this.#recordCallEvent("stage_sent", call, { stage: stage.name, isHedge });
     return call;
   }
 
@@ -266,6 +268,7 @@
       tookMs: this.#options.readNow() - call.startedAt,
     });
     const spec = request.facts.stages[stage];
+    this.#recordCallEvent("stage_finished", call, { stage: spec?.name ?? "" });
     if (spec && !spec.repeatable) {
       request.context.claimant?.finish(answer.output);
     }
@@ -324,14 +327,29 @@
     const spec = request.facts.stages[stage];
     if (spec && !spec.repeatable) request.context.claimant?.fail(reason);
     this.#options.metrics.countCallError(request.facts, stage, error.kind);
-    this.#options.timeline.record("call_failed", {
-      requestId: request.facts.requestId,
-      endpointId: endpoint.endpointId,
-      ...(request.context.keyId && { key: request.context.keyId.key }),
-    }, { stage, reason, message: error.message });
+    const { message } = error;
+    const name = spec?.name ?? "";
+    this.#recordCallEvent("stage_failed", call, {
+      stage: name,
+      reason,
+      message,
+    });
     if (!call.isCancelled) this.#failCall(callId, reason);
   }
 
+  #recordCallEvent(
+    name: string,
+    { request, endpoint }: RunningCall,
+    detail: timeline.TimelineEvent["detail"],
+  ): void {
+    const { facts, context } = request;
+    this.#options.timeline.record(name, {
+      requestId: facts.requestId,
+      endpointId: endpoint.endpointId,
+      ...(context.keyId && { key: context.keyId.key }),
+    }, detail);
+  }
+
   #failCall(callId: string, reason: decisions.CallFailureKind): void {
     this.apply({ kind: "call_failed", ...this.#readMoment(), callId, reason });
   }
--- a/packages/entry/src/request_service.ts
+++ b/packages/entry/src/request_service.ts
@@ -58,6 +58,11 @@
     if (!site) return refuseWithoutConfiguration(incoming);
     const context = createContext(incoming, site, { callerGone, sink });
     this.#running += 1;
+    const { requestId, key, pipeline } = incoming;
+    this.#options.timeline.record("request_arrived", {
+      requestId,
+      ...(key !== undefined && { key }),
+    }, { pipeline });
     try {
       const answer = tellOfKey(
         context,
