--- a/packages/claims/src/claim_table.ts
+++ b/packages/claims/src/claim_table.ts
@@ -145,6 +145,22 @@
     }
   }
 
+  /**
+   * Tells how far back the log can be read; needed when a page has no records,
+   * or a new reader of an emptied log would call old keys free.
+   *
+   * @param reach The oldest offset that the log keeps, and the log's time.
+   */
+  updateReach(
+    reach: { readonly firstOffset: number; readonly time: number },
+  ): void {
+    const { firstOffset, time } = reach;
+    this.#latestTime = Math.max(this.#latestTime, time);
+    if (firstOffset <= this.#readThrough + 1) return;
+    this.#recordGap({ offset: firstOffset, time }, firstOffset);
+    this.#readThrough = firstOffset - 1;
+  }
+
   /**
    * Status of a key as far as the log was read.
    *
@@ -155,10 +171,8 @@
     const parsed = parseKey(keyId.key);
     if (parsed.isErr()) return { kind: "expired" };
     if (parsed.value.kind === "minted") return this.#minted.getStatus(keyId);
-    const entry = this.#findEntry(keyId);
-    const status = entry?.claims.getStatus() ?? { kind: "free" };
-    if (status.kind !== "free") return status;
-    return this.#isExpired(parsed.value.time) ? { kind: "expired" } : status;
+    const status = this.#findEntry(keyId)?.claims.getStatus();
+    return this.#checkFree(status ?? { kind: "free" }, parsed.value.time);
   }
 
   /**
@@ -169,9 +183,9 @@
    */
   findByKey(key: string): FoundKey[] {
     const entries = this.#keys.get(key)?.values() ?? [];
-    const found = [...entries].map(({ keyId, claims }) => ({
+    const found = [...entries].map(({ keyId, claims, time }) => ({
       keyId,
-      status: claims.getStatus(),
+      status: this.#checkFree(claims.getStatus(), time),
     }));
     return [...found, ...this.#minted.findByKey(key)];
   }
@@ -255,7 +269,7 @@
       return false;
     }
     const claims = this.#getEntry(record.keyId, keyTime).claims;
-    const isCovered = keyTime - this.#options.futureSkewMs >= this.#coveredFrom;
+    const isCovered = this.#isCovered(keyTime);
     return match(record)
       .with(
         { kind: "claim" },
@@ -286,6 +300,18 @@
     this.#refused.delete(oldest);
   }
 
+  /** Says `free` only where a claim of the key could not have been missed. */
+  #checkFree(status: KeyStatus, keyTime: number): KeyStatus {
+    if (status.kind !== "free") return status;
+    const isSure = this.#isCovered(keyTime) && !this.#isExpired(keyTime);
+    return isSure ? status : { kind: "expired" };
+  }
+
+  /** Whether every claim of the key that may count was read. */
+  #isCovered(keyTime: number): boolean {
+    return keyTime - this.#options.futureSkewMs >= this.#coveredFrom;
+  }
+
   #isExpired(keyTime: number): boolean {
     const { keyWindowMs } = this.#options;
     if (keyTime < this.#prunedThrough) return true;
--- a/packages/configuration/src/acceptance_history.ts
+++ b/packages/configuration/src/acceptance_history.ts
@@ -33,6 +33,8 @@
   readonly time: number;
   readonly record: Extract<ConfigurationRecord, { kind: "publish" }>;
   readonly judgement: PublishJudgement;
+  /** Whether no earlier copy of the record can have been judged otherwise. */
+  readonly isCertain: boolean;
 }
 
 /** Some months of changes; operators look at the newest few. */
@@ -54,7 +56,7 @@
    * A publish whose answer was lost may be sent twice. Its first copy may be
    * accepted and the second then loses to it: `accepted` stays the answer.
    */
-  add({ offset, time, record, judgement }: JudgedRecord): void {
+  add({ offset, time, record, judgement, isCertain }: JudgedRecord): void {
     const { recordId, author, note, base } = record;
     const version = judgement.kind === "accepted"
       ? judgement.version
@@ -69,7 +71,7 @@
       version,
     });
     if (this.#entries.length > MAX_ENTRIES) this.#entries.shift();
-    this.#setJudgement(recordId, judgement);
+    if (isCertain) this.#setJudgement(recordId, judgement);
   }
 
   /** How the record of that name stands. */
--- a/packages/configuration/src/configuration_fold.ts
+++ b/packages/configuration/src/configuration_fold.ts
@@ -93,6 +93,8 @@
   readonly #buffer = new ReadBuffer();
   /** Undefined until the state at some offset is known without a gap. */
   #judged: JudgedState | undefined;
+  /** The version that judging started from; older ones were not seen. */
+  #startVersion = 0;
   #adopted: VersionedConfiguration | undefined;
   #readThrough = STREAM_START - 1;
   #bad = 0;
@@ -230,6 +232,7 @@
     if (!replay) return;
     const { renewal, records, anchorTime } = replay;
     const { version, author, note, configuration } = renewal;
+    this.#startVersion = version;
     this.#judged = { version, author, note, configuration, anchorTime };
     for (const record of records) this.#applyJudged(record);
   }
@@ -248,7 +251,10 @@
     const judged = this.#judged;
     if (!judged) return;
     const judgement = this.#judgePublish(record, judged);
-    this.#history.add({ offset, time, record, judgement });
+    // A first copy of this record may have been accepted before the version
+    // that this reader starts from; to its publisher nothing is said then.
+    const isCertain = record.base >= this.#startVersion;
+    this.#history.add({ offset, time, record, judgement, isCertain });
     if (judgement.kind !== "accepted") return;
     const { author, note, configuration } = record;
     this.#judged = {
