--- a/packages/spec/src/mod.ts
+++ b/packages/spec/src/mod.ts
@@ -3,5 +3,5 @@
  *
  * @module
  */
-
-export {};
+export * from "./explore.ts";
+export * from "./run_spec.ts";
