--- /dev/null
+++ b/packages/configuration/src/configuration_fold_test.ts
@@ -0,0 +1,191 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { Err, Ok } from "ts-results-es";
+import { ConfigurationFold } from "./configuration_fold.ts";
+import type { ConfigurationRecord } from "./record.ts";
+
+const DAY_MS = 86_400_000;
+
+function createFold(): ConfigurationFold {
+  return new ConfigurationFold({
+    check: (value) => value === "broken" ? Err(["it is broken"]) : Ok(value),
+  });
+}
+
+function buildPublish(
+  recordId: string,
+  base: number,
+  configuration: unknown = recordId,
+): ConfigurationRecord {
+  const author = `author-${recordId}`;
+  return {
+    kind: "publish",
+    recordId,
+    base,
+    author,
+    note: "",
+    configuration,
+  };
+}
+
+function buildRenewal(
+  version: number,
+  seenThrough: number,
+): ConfigurationRecord {
+  return {
+    kind: "renewal",
+    version,
+    author: "renewed",
+    note: "",
+    configuration: `version-${version}`,
+    seenThrough,
+  };
+}
+
+/** Applies the records from an offset on, as a reader that starts there. */
+function applyFrom(
+  fold: ConfigurationFold,
+  first: number,
+  log: readonly ConfigurationRecord[],
+): void {
+  log.slice(first).forEach((value, index) => {
+    const offset = first + index;
+    fold.apply({ offset, time: offset, value }, first);
+  });
+}
+
+describe("ConfigurationFold", () => {
+  // Two operators change the same version at the same moment; one of them must
+  // hear that it lost, and to whom.
+  it("accepts the first of two racing records", () => {
+    const fold = createFold();
+    applyFrom(fold, 0, [buildPublish("a", 0), buildPublish("b", 0)]);
+    expect(fold.judge("a")).to.deep.equal({ kind: "accepted", version: 1 });
+    expect(fold.judge("b"))
+      .to.deep.equal({ kind: "lost", inForce: 1, author: "author-a" });
+    expect(fold.current?.configuration).to.equal("a");
+  });
+
+  // An append's answer is lost and the record is sent again: the operator must
+  // not hear that it lost to itself.
+  it("keeps accepted for a record that stands in the log twice", () => {
+    const fold = createFold();
+    applyFrom(fold, 0, [buildPublish("a", 0), buildPublish("a", 0)]);
+    expect(fold.judge("a").kind).to.equal("accepted");
+    expect(fold.current?.version).to.equal(1);
+  });
+
+  it("rejects what the check finds wrong and counts what has no shape", () => {
+    const fold = createFold();
+    applyFrom(fold, 0, [buildPublish("a", 0, "broken")]);
+    fold.apply({ offset: 1, time: 1, value: "noise" }, 0);
+    expect(fold.judge("a"))
+      .to.deep.equal({ kind: "invalid", faults: ["it is broken"] });
+    expect(fold.current).to.equal(undefined);
+    expect(fold.badCount).to.equal(1);
+  });
+
+  const raced = [
+    buildPublish("a", 0),
+    buildPublish("b", 1),
+    buildPublish("late", 1),
+    buildRenewal(2, 1),
+    buildPublish("c", 2),
+  ];
+
+  // A VM starts after the winner's record expired and sees only the loser's:
+  // the loser must not come in force there.
+  it("judges from a renewal that leaves no gap, and not before", () => {
+    const fold = createFold();
+    applyFrom(fold, 2, raced.slice(0, 3));
+    expect(fold.isJudging).to.equal(false);
+    expect(fold.judge("late").kind).to.equal("unseen");
+    applyFrom(fold, 2, raced);
+    expect(fold.current).to.deep.include({ version: 3, configuration: "c" });
+    expect(fold.judge("c")).to.deep.equal({ kind: "accepted", version: 3 });
+  });
+
+  // A process read the log, was frozen, and appends its renewal after another
+  // publish has expired: building on it would bring an old version back.
+  it("passes over a renewal with a gap behind it", () => {
+    const fold = createFold();
+    applyFrom(fold, 3, [...raced.slice(0, 3), buildRenewal(1, 0)]);
+    expect(fold.isJudging).to.equal(false);
+    expect(fold.current).to.equal(undefined);
+  });
+
+  // A control was cut off while records expired: what was in force stays, but
+  // nothing is judged on a guess.
+  it("stops judging at a gap and keeps what is in force", () => {
+    const fold = createFold();
+    applyFrom(fold, 0, raced.slice(0, 1));
+    fold.apply({ offset: 4, time: 4, value: raced[4] }, 4);
+    expect(fold.isJudging).to.equal(false);
+    expect(fold.current).to.deep.include({ version: 1, configuration: "a" });
+  });
+
+  // A neighbour is ahead; the record that made its version is read later and
+  // must be judged as the neighbour did.
+  it("judges alike whether or not a version was adopted", () => {
+    const fold = createFold();
+    const log = [buildPublish("a", 0), buildPublish("b", 1)];
+    applyFrom(fold, 0, log.slice(0, 1));
+    const ahead = { author: "author-c", note: "", configuration: "c" };
+    expect(fold.adopt({ version: 3, ...ahead })).to.equal(true);
+    expect(fold.adopt({ version: 2, ...ahead })).to.equal(false);
+    applyFrom(fold, 0, log);
+    expect(fold.judge("b")).to.deep.equal({ kind: "accepted", version: 2 });
+    expect(fold.current?.version).to.equal(3);
+  });
+
+  it("plans a renewal only near the end of the kept time", () => {
+    const fold = createFold();
+    applyFrom(fold, 0, raced.slice(0, 1));
+    const plan = (share: number, random: number) =>
+      fold.planRenewal({ now: share * DAY_MS, retentionMs: DAY_MS, random });
+    expect(plan(0.49, 0)).to.equal(undefined);
+    expect(plan(0.6, 0.99)).to.equal(undefined);
+    expect(plan(0.8, 0.99)).to.deep.include({ version: 1, seenThrough: 0 });
+  });
+
+  // Two VMs that started at different times disagree for good about what is in
+  // force, if the place where a reader starts could change a judgement.
+  it("judges every record alike from any start", () => {
+    const publish = fc.nat({ max: 4 });
+    fc.assert(
+      fc.property(
+        fc.array(publish, { minLength: 2, maxLength: 12 }),
+        fc.nat({ max: 11 }),
+        fc.nat({ max: 3 }),
+        (bases, start, lag) => {
+          const whole = createFold();
+          const log: ConfigurationRecord[] = [];
+          bases.forEach((base, index) => {
+            log.push(buildPublish(`${index}`, base));
+            applyFrom(whole, 0, log);
+            if (index !== start) return;
+            const seenThrough = Math.max(0, log.length - 1 - lag);
+            const reader = createFold();
+            applyFrom(reader, 0, log.slice(0, seenThrough + 1));
+            const version = reader.current?.version ?? 0;
+            log.push(buildRenewal(version, seenThrough));
+            applyFrom(whole, 0, log);
+          });
+          for (let first = 0; first < log.length; first += 1) {
+            const fresh = createFold();
+            applyFrom(fresh, first, log);
+            if (!fresh.isJudging) continue;
+            const version = fresh.current?.version ?? 0;
+            expect(version).to.equal(whole.current?.version ?? 0);
+            for (const { recordId } of fresh.history) {
+              const judgement = fresh.judge(recordId).kind;
+              if (judgement === "unseen") continue;
+              expect(judgement).to.equal(whole.judge(recordId).kind);
+            }
+          }
+        },
+      ),
+      { seed: 20_261_202, numRuns: 300 },
+    );
+  });
+});
