--- a/packages/spec/src/run_spec.ts
+++ b/packages/spec/src/run_spec.ts
@@ -20,9 +20,24 @@
   type ConfigurationModelOptions,
 } from "./configuration_model.ts";
 import { type Exploration, exploreModel } from "./explore.ts";
+import {
+  buildFencingModel,
+  FENCING_MECHANISM,
+  type FencingMechanism,
+  type FencingModelOptions,
+} from "./fencing_model.ts";
+import {
+  buildMintModel,
+  MINT_MECHANISM,
+  type MintMechanism,
+} from "./mint_model.ts";
 
 /** A guard that {@link runSpec} can drop. */
-export type MechanismName = ClaimMechanism | ConfigurationMechanism;
+export type MechanismName =
+  | ClaimMechanism
+  | MintMechanism
+  | ConfigurationMechanism
+  | FencingMechanism;
 
 const CLAIM_MECHANISMS: readonly ClaimMechanism[] = [
   ...Object.values(ATTEMPT_MECHANISM),
@@ -31,15 +46,28 @@
 const CONFIGURATION_MECHANISMS: readonly ConfigurationMechanism[] = Object
   .values(CONFIGURATION_MECHANISM);
 
+const MINT_MECHANISMS: readonly MintMechanism[] = Object.values(MINT_MECHANISM);
+const FENCING_MECHANISMS: readonly FencingMechanism[] = Object.values(
+  FENCING_MECHANISM,
+);
+
 /** Every guard that {@link runSpec} can drop. */
 export const MECHANISM_NAMES: readonly MechanismName[] = [
   ...CLAIM_MECHANISMS,
+  ...MINT_MECHANISMS,
   ...CONFIGURATION_MECHANISMS,
+  ...FENCING_MECHANISMS,
 ];
 
+/** Point number of failures that are listed behind the nine points. */
+export const BESIDES_POINT = 10;
+
 /** What one exploration showed. */
 export interface SpecRow {
-  /** Number of the point in the list of what must always hold. */
+  /**
+   * Number of the point in the list of what must always hold;
+   * {@link BESIDES_POINT} for the failures that are listed behind the nine.
+   */
   readonly point: number;
   readonly name: string;
   readonly states: number;
@@ -117,6 +145,12 @@
     name: "outcomes, the key's window passes, records are trimmed",
     notTried: ["a doubled append together with trimming"],
   }),
+  {
+    point: 8,
+    name: "a minted key, crash, expiry, planned stop and hand-over",
+    notTried: ["two keys", "more than three requests"],
+    explore: () => exploreModel(buildMintModel()),
+  },
   buildConfigurationCase(THREE_OPERATORS, {
     name: "three operators, retention, a late renewal",
     notTried: ["more than four records", "two renewals"],
@@ -129,6 +163,14 @@
     name: "two operators, a control process starts anew",
     notTried: ["two restarts"],
   }),
+  buildFencingCase({ checksFencing: true }, {
+    name: "orders to an engine that checks the fencing number",
+    notTried: ["an engine that restarts and forgets the number"],
+  }),
+  buildFencingCase({ checksFencing: false }, {
+    name: "orders to an engine that ignores the fencing number",
+    notTried: ["that it ends as wanted; only that reading back may follow"],
+  }),
 ];
 
 /**
@@ -169,6 +211,14 @@
   return { point: 9, ...text, explore };
 }
 
+function buildFencingCase(
+  options: FencingModelOptions,
+  text: Omit<CaseText, "point">,
+): SpecCase {
+  const explore = () => exploreModel(buildFencingModel(options));
+  return { point: BESIDES_POINT, ...text, explore };
+}
+
 function buildMutantCase(without: MechanismName): SpecCase {
   const text = { name: `without ${without}`, notTried: [] };
   const claim = CLAIM_MECHANISMS.find((name) => name === without);
@@ -176,6 +226,16 @@
     const options = { ...findClaimSize(claim), without: claim };
     return buildClaimCase(options, { point: 1, ...text });
   }
+  const mint = MINT_MECHANISMS.find((name) => name === without);
+  if (mint) {
+    const explore = () => exploreModel(buildMintModel({ without: mint }));
+    return { point: 8, ...text, explore };
+  }
+  const fencing = FENCING_MECHANISMS.find((name) => name === without);
+  if (fencing) {
+    const options = { checksFencing: true, without: fencing };
+    return buildFencingCase(options, text);
+  }
   const mechanism = CONFIGURATION_MECHANISMS.find((name) => name === without);
   const size = findConfigurationSize(mechanism);
   return buildConfigurationCase({ ...size, without: mechanism }, text);
