--- a/packages/claims/src/attempt_test.ts
+++ b/packages/claims/src/attempt_test.ts
@@ -1,7 +1,8 @@
 import { expectSnapshot } from "@sardinestep/testing";
 import { expect } from "chai";
 import fc from "fast-check";
-import { type AttemptEvent, decideAttempt, openAttempt } from "./attempt.ts";
+import { decideAttempt, openAttempt } from "./attempt.ts";
+import type { AttemptEvent } from "./attempt_state.ts";
 
 const FACTS = {
   id: { instance: "a", sequence: 1 },
--- a/packages/spec/src/fault_pairs_test.ts
+++ b/packages/spec/src/fault_pairs_test.ts
@@ -1,12 +1,12 @@
 import { expect } from "chai";
 import { buildClaimModel } from "./claim_model.ts";
 import type { ClaimMove, ClaimState } from "./claim_state.ts";
-import {
-  buildConfigurationModel,
-  type ConfigurationMove,
-  type ConfigurationState,
-} from "./configuration_model.ts";
 import { readConfiguration } from "./configuration_log.ts";
+import { buildConfigurationModel } from "./configuration_model.ts";
+import type {
+  ConfigurationMove,
+  ConfigurationState,
+} from "./configuration_state.ts";
 import type { Model } from "./explore.ts";
 
 /** Takes moves that must be offered, and checks safety behind each. */
@@ -248,6 +248,9 @@
   },
 ];
 
+// Two faults together make a ticket issued twice, a refusal untrue or a change
+// undone. Each case's story tells the order of events; its moves must be offered
+// by the specification and be safe, one by one.
 describe("fault pairs", () => {
   for (const { moves, pair, runs, story, told } of CLAIM_PAIRS) {
     it(`${pair}: ${story}`, () => {
--- a/packages/spec/src/run_spec.ts
+++ b/packages/spec/src/run_spec.ts
@@ -15,10 +15,8 @@
   CONFIGURATION_MECHANISM,
   type ConfigurationMechanism,
 } from "./configuration_mirror.ts";
-import {
-  buildConfigurationModel,
-  type ConfigurationModelOptions,
-} from "./configuration_model.ts";
+import { buildConfigurationModel } from "./configuration_model.ts";
+import type { ConfigurationModelOptions } from "./configuration_state.ts";
 import { type Exploration, exploreModel } from "./explore.ts";
 import {
   buildFencingModel,
