Judged configuration state handed from neighbour to neighbour

Cause: with the log down for longer than it keeps records and all VMs replaced meanwhile, every process had the version in force but none could judge a publish again, since no usable renewal was left.

Ruled out: judging from an adopted version. It names no offset, so a reader could skip or repeat records that others judged.

Conclusion: shown in the specification and by a unit test. The daemons do not call it yet.

--- a/packages/configuration/src/configuration_fold.ts
+++ b/packages/configuration/src/configuration_fold.ts
@@ -63,6 +63,11 @@
   readonly anchorTime: number;
 }
 
+/** A judged state with the offset at which it holds, for a neighbour. */
+export interface JudgedSnapshot extends JudgedState {
+  readonly seenThrough: Offset;
+}
+
 /** Share of the kept time after which a renewal may be written. */
 const RENEWAL_MAY_START = 0.5;
 /** Share of the kept time from which every process writes one. */
@@ -172,6 +177,37 @@
     return true;
   }
 
+  /** What a neighbour needs in order to judge on from here. */
+  get snapshot(): JudgedSnapshot | undefined {
+    if (!this.#judged || this.#readThrough < STREAM_START) return undefined;
+    return { ...this.#judged, seenThrough: this.#readThrough };
+  }
+
+  /**
+   * Judges on from a neighbour's state, as from a renewal.
+   *
+   * Failure guarded: the log is down for longer than it keeps records while all
+   * VMs are replaced. Each has the version in force from a neighbour, but none
+   * could ever judge again, and no operator could publish. Use it while the log
+   * does not answer, or when reading it has not led to judging: publishes
+   * before the snapshot are not in this reader's history.
+   *
+   * @param snapshot A neighbour's {@link ConfigurationFold.snapshot}.
+   * @returns Whether records are judged from it now.
+   */
+  adoptSnapshot(snapshot: JudgedSnapshot): boolean {
+    if (this.#judged) return false;
+    const { seenThrough, ...judged } = snapshot;
+    if (seenThrough > this.#readThrough) {
+      this.#readThrough = seenThrough;
+      this.#buffer.restart(seenThrough + 1);
+    }
+    const records = this.#buffer.findFrom(seenThrough);
+    if (!records) return false;
+    this.#judgeFrom(judged, records);
+    return true;
+  }
+
   /**
    * Tells how a published record was judged.
    *
@@ -195,16 +231,16 @@
    * @returns The record to append, or undefined.
    */
   planRenewal(options: PlanRenewalOptions): Renewal | undefined {
-    const judged = this.#judged;
-    if (!judged || this.#readThrough < STREAM_START) return undefined;
-    const age = (options.now - judged.anchorTime) / options.retentionMs;
+    const { snapshot } = this;
+    if (!snapshot) return undefined;
+    const age = (options.now - snapshot.anchorTime) / options.retentionMs;
     const span = RENEWAL_MUST_START - RENEWAL_MAY_START;
     const chance = (age - RENEWAL_MAY_START) / span;
     if (options.random >= chance) return undefined;
     return {
       kind: "renewal",
-      ...formatVersioned(judged),
-      seenThrough: this.#readThrough,
+      ...formatVersioned(snapshot),
+      seenThrough: snapshot.seenThrough,
     };
   }
 
@@ -232,8 +268,15 @@
     if (!replay) return;
     const { renewal, records, anchorTime } = replay;
     const { version, author, note, configuration } = renewal;
-    this.#startVersion = version;
-    this.#judged = { version, author, note, configuration, anchorTime };
+    this.#judgeFrom(
+      { version, author, note, configuration, anchorTime },
+      records,
+    );
+  }
+
+  #judgeFrom(state: JudgedState, records: readonly PlacedRecord[]): void {
+    this.#startVersion = state.version;
+    this.#judged = state;
     for (const record of records) this.#applyJudged(record);
   }
 
--- a/packages/configuration/src/configuration_fold_test.ts
+++ b/packages/configuration/src/configuration_fold_test.ts
@@ -138,6 +138,23 @@
     expect(fold.current?.version).to.equal(3);
   });
 
+  // The log is down for longer than it keeps records while all VMs are
+  // replaced: operators could never publish again if none could judge.
+  it("judges on from a neighbour's state, but not across a gap", () => {
+    const whole = createFold();
+    applyFrom(whole, 0, raced.slice(0, 2));
+    const { snapshot } = whole;
+    if (!snapshot) throw new Error("Cannot judge: expected a snapshot");
+    const fresh = createFold();
+    expect(fresh.adoptSnapshot(snapshot)).to.equal(true);
+    applyFrom(fresh, 2, raced);
+    expect(fresh.current).to.deep.include({ version: 3, configuration: "c" });
+    const late = createFold();
+    applyFrom(late, 3, raced.slice(0, 3).concat(raced[4]));
+    expect(late.adoptSnapshot(snapshot)).to.equal(false);
+    expect(late.isJudging).to.equal(false);
+  });
+
   it("plans a renewal only near the end of the kept time", () => {
     const fold = createFold();
     applyFrom(fold, 0, raced.slice(0, 1));
--- a/packages/configuration/src/read_buffer.ts
+++ b/packages/configuration/src/read_buffer.ts
@@ -76,6 +76,12 @@
     return this.#findAfter(record.seenThrough)[0]?.time;
   }
 
+  /** Everything behind an offset, if all of it was read. */
+  findFrom(seenThrough: Offset): readonly PlacedRecord[] | undefined {
+    if (seenThrough + 1 < this.#start) return undefined;
+    return this.#findAfter(seenThrough);
+  }
+
   #isUsable(renewal: Renewal, offset: Offset): boolean {
     const { seenThrough } = renewal;
     return seenThrough + 1 >= this.#start && seenThrough < offset;
--- a/packages/spec/src/configuration_log.ts
+++ b/packages/spec/src/configuration_log.ts
@@ -36,7 +36,13 @@
     /** The oldest offset that the log kept then, where records were missed. */
     readonly first: number;
   }
-  | { readonly kind: "adopt"; readonly version: SpecVersion };
+  | { readonly kind: "adopt"; readonly version: SpecVersion }
+  /** A neighbour's judged state, with the offset at which it holds. */
+  | {
+    readonly kind: "adopt_snapshot";
+    readonly version: SpecVersion;
+    readonly seenThrough: number;
+  };
 
 /** What a reader has come to. */
 export interface ReaderView {
@@ -75,6 +81,12 @@
       fold.adopt(buildVersioned(event.version));
       continue;
     }
+    if (event.kind === "adopt_snapshot") {
+      const { seenThrough, version } = event;
+      const state = buildVersioned(version);
+      fold.adoptSnapshot({ ...state, anchorTime: 0, seenThrough });
+      continue;
+    }
     const { offset, first } = event;
     const value = buildRecord(log[offset]);
     fold.apply({ offset, time: offset, value }, first);
--- a/packages/spec/src/configuration_mirror.ts
+++ b/packages/spec/src/configuration_mirror.ts
@@ -22,6 +22,7 @@
   gapStopsJudging: "gap-stops-judging",
   renewalWithoutGap: "renewal-without-gap",
   replayBehindRenewal: "replay-behind-renewal",
+  snapshotWithoutGap: "snapshot-without-gap",
 } as const;
 export type ConfigurationMechanism =
   (typeof CONFIGURATION_MECHANISM)[keyof typeof CONFIGURATION_MECHANISM];
@@ -84,6 +85,10 @@
     applyAdoption(fold, event.version);
     return;
   }
+  if (event.kind === "adopt_snapshot") {
+    applySnapshot(fold, event);
+    return;
+  }
   const { offset, first } = event;
   updateReach(fold, first);
   fold.readThrough = offset;
@@ -108,6 +113,26 @@
   if (isMixed && fold.judged) fold.judged = version;
 }
 
+function applySnapshot(
+  fold: Fold,
+  { seenThrough, version }: Extract<ReaderEvent, { kind: "adopt_snapshot" }>,
+): void {
+  if (fold.judged) return;
+  if (seenThrough > fold.readThrough) {
+    fold.readThrough = seenThrough;
+    fold.buffer = [];
+    fold.start = seenThrough + 1;
+  }
+  const isAnyUsable =
+    fold.without === CONFIGURATION_MECHANISM.snapshotWithoutGap;
+  if (!isAnyUsable && seenThrough + 1 < fold.start) return;
+  fold.judged = version;
+  fold.startVersion = version.version;
+  for (const placed of fold.buffer) {
+    if (placed.offset > seenThrough) applyJudged(fold, placed);
+  }
+}
+
 function updateReach(fold: Fold, first: number): void {
   if (first <= fold.readThrough + 1) {
     if (fold.readThrough < 0) fold.judged = NO_VERSION;
--- a/packages/spec/src/configuration_model.ts
+++ b/packages/spec/src/configuration_model.ts
@@ -24,6 +24,7 @@
   renewals: 1,
   restarts: 1,
   hasAdoption: true,
+  hasSnapshots: false,
 };
 const READER_COUNT = 2;
 
--- a/packages/spec/src/configuration_rules.ts
+++ b/packages/spec/src/configuration_rules.ts
@@ -66,6 +66,8 @@
         const version = this.#read(state, move.from).current;
         return this.#addEvent(state, move.reader, { kind: "adopt", version });
       }
+      case "adopt_snapshot":
+        return this.#applySnapshot(state, move);
       case "restart":
         return {
           ...state,
@@ -130,6 +132,10 @@
     ) {
       moves.push({ kind: "adopt", reader, from });
     }
+    const hasState = this.#read(state, from).renewal !== undefined;
+    if (this.#limits.hasSnapshots && !view.renewal && hasState) {
+      moves.push({ kind: "adopt_snapshot", reader, from });
+    }
     return moves;
   }
 
@@ -141,11 +147,11 @@
   }
 
   #buildRead(
-    { first, readers }: ConfigurationState,
+    state: ConfigurationState,
     { reader }: { reader: number },
   ): ReaderEvent {
-    const last = readers[reader].events.findLast(({ kind }) => kind === "read");
-    const next = last?.kind === "read" ? last.offset + 1 : 0;
+    const { first } = state;
+    const next = this.#read(state, reader).readThrough + 1;
     const isGap = first > next;
     return {
       kind: "read",
@@ -154,6 +160,23 @@
     };
   }
 
+  #applySnapshot(
+    state: ConfigurationState,
+    { from, reader }: { from: number; reader: number },
+  ): ConfigurationState {
+    const { renewal } = this.#read(state, from);
+    if (renewal?.kind !== "renewal") return state;
+    const { operator, seenThrough, version } = renewal;
+    const event = {
+      kind: "adopt_snapshot",
+      version: { version, operator },
+      seenThrough,
+    } as const;
+    const next = this.#addEvent(state, reader, event);
+    // A refused snapshot leaves no trace.
+    return this.#read(next, reader).renewal ? next : state;
+  }
+
   #applyPublish(
     state: ConfigurationState,
     { operator, reader }: { operator: number; reader: number },
--- a/packages/spec/src/configuration_state.ts
+++ b/packages/spec/src/configuration_state.ts
@@ -35,6 +35,11 @@
   }
   | { readonly kind: "renew" | "read" | "restart"; readonly reader: number }
   | { readonly kind: "adopt"; readonly reader: number; readonly from: number }
+  | {
+    readonly kind: "adopt_snapshot";
+    readonly reader: number;
+    readonly from: number;
+  }
   | { readonly kind: "land" | "copy"; readonly flight: number }
   | { readonly kind: "trim" };
 
@@ -48,6 +53,8 @@
   readonly restarts?: number;
   /** Whether versions come from neighbours, too. */
   readonly hasAdoption?: boolean;
+  /** Whether judged states come from neighbours, too. */
+  readonly hasSnapshots?: boolean;
 }
 
 /** Sizes with nothing left open. */
--- a/packages/spec/src/run_spec.ts
+++ b/packages/spec/src/run_spec.ts
@@ -127,6 +127,17 @@
   restarts: 1,
 };
 
+/** Judged states come from neighbours; a control process starts anew. */
+const SNAPSHOTS: ConfigurationModelOptions = {
+  operators: 3,
+  maxLog: 4,
+  copies: 0,
+  restarts: 1,
+  renewals: 0,
+  hasAdoption: false,
+  hasSnapshots: true,
+};
+
 const CASES: readonly SpecCase[] = [
   buildClaimCase(RACE, {
     point: 1,
@@ -161,6 +172,10 @@
     name: "two operators, a control process starts anew",
     notTried: ["two restarts"],
   }),
+  buildConfigurationCase(SNAPSHOTS, {
+    name: "three operators, retention, judged states from neighbours",
+    notTried: ["snapshots together with renewals"],
+  }),
   buildFencingCase({ checksFencing: true }, {
     name: "orders to an engine that checks the fencing number",
     notTried: ["an engine that restarts and forgets the number"],
@@ -256,6 +271,9 @@
 function findConfigurationSize(
   mechanism?: ConfigurationMechanism,
 ): ConfigurationModelOptions {
+  if (mechanism === CONFIGURATION_MECHANISM.snapshotWithoutGap) {
+    return SNAPSHOTS;
+  }
   const isAboutNeighbours =
     mechanism === CONFIGURATION_MECHANISM.judgedApartFromAdopted ||
     mechanism === CONFIGURATION_MECHANISM.versionsOnlyGrow;
--- a/packages/spec/src/run_spec_test.ts
+++ b/packages/spec/src/run_spec_test.ts
@@ -9,11 +9,15 @@
 import { exploreModel, type Model } from "./explore.ts";
 import { MECHANISM_NAMES, runSpec } from "./run_spec.ts";
 
+/** Ten explorations in one test, on a machine that may be busy. */
+const EXPLORATION_BOUND_MS = 120_000;
+
 describe("runSpec", () => {
   // A caller sees a ticket issued twice, or an operator sees a change undone.
   // Late, doubled and lost appends, crashes, pauses, trimming and restarts come
   // in any order; no reachable state may break a promise.
   it("finds every reachable state safe", function () {
+    this.timeout(EXPLORATION_BOUND_MS);
     const rows = runSpec();
     const broken = rows.filter(({ violations }) => violations.length > 0);
     expect(broken).to.deep.equal([]);
