--- a/packages/claims/src/attempt.ts
+++ b/packages/claims/src/attempt.ts
@@ -80,7 +80,7 @@
       ([dispatched, ending]) =>
         ending.dispatch === dispatched.dispatch
           ? closeDispatch(dispatched, ending)
-          : keepState(dispatched),
+          : buildSameStep(dispatched),
     )
     .with(
       [{ kind: "dispatched", isGivenUp: false }, { kind: "give_up" }],
@@ -93,7 +93,7 @@
       }),
     )
     // Every other pair is an event that came too late or twice.
-    .otherwise(([same]) => keepState(same));
+    .otherwise(([same]) => buildSameStep(same));
 }
 
 /** Whether the attempt has ended, but for a late truth. */
@@ -108,7 +108,7 @@
   { kind: "not_sent" | "refused" | "answered" | "broken" }
 >;
 
-function keepState(state: AttemptState): AttemptStep {
+function buildSameStep(state: AttemptState): AttemptStep {
   return { state, actions: [] };
 }
 
@@ -177,13 +177,13 @@
         buildOutcome(facts, { outcome: "unknown" }),
       ],
     }))
-    .with({ kind: "not_sent" }, () => reopenDispatch(state))
+    .with({ kind: "not_sent" }, () => handleNotSent(state))
     .with({ kind: "refused" }, () => closeRefused(state))
     .exhaustive();
 }
 
 /** Nothing left this process, so another endpoint may be tried. */
-function reopenDispatch(state: DispatchedState): AttemptStep {
+function handleNotSent(state: DispatchedState): AttemptStep {
   const { facts, dispatch } = state;
   if (state.isGivenUp) return closeGivenUp(facts);
   return {
--- a/packages/claims/src/group_planner.ts
+++ b/packages/claims/src/group_planner.ts
@@ -113,7 +113,7 @@
    */
   add(record: ClaimRecord, now: number): AddVerdict {
     if (record.kind === "claim") return this.#addClaim(record, now);
-    const queued = buildQueued(this.#trimAnswer(record), now);
+    const queued = buildQueued(this.#dropAnswer(record), now);
     this.#later.push(queued);
     this.#bytes += queued.bytes;
     if (this.#later.length > this.#options.maxQueued) this.#dropLater();
@@ -176,7 +176,7 @@
   }
 
   /** An answer too large for a group is left out; that it completed is kept. */
-  #trimAnswer(record: ClaimRecord): ClaimRecord {
+  #dropAnswer(record: ClaimRecord): ClaimRecord {
     if (record.kind !== "outcome" || record.answer === undefined) return record;
     if (countBytes(record) <= this.#options.maxBytes) return record;
     const { answer: _dropped, ...rest } = record;
@@ -209,12 +209,12 @@
     const { maxBytes, maxRecords } = this.#options;
     const share = this.#later.length > 0 ? LATER_SHARE : 0;
     const laterRecords = Math.floor(maxRecords * share);
-    const claims = takeWithin(this.#claims, {
+    const claims = removeWithin(this.#claims, {
       records: maxRecords - Math.min(this.#later.length, laterRecords),
       bytes: maxBytes * (1 - share),
       atLeastOne: true,
     });
-    const later = takeWithin(this.#later, {
+    const later = removeWithin(this.#later, {
       records: maxRecords - claims.length,
       bytes: maxBytes - countAll(claims),
       atLeastOne: claims.length === 0,
@@ -245,8 +245,8 @@
   readonly atLeastOne: boolean;
 }
 
-/** Takes records off the front of a queue while they fit. */
-function takeWithin(
+/** Removes records from the front of a queue while they fit. */
+function removeWithin(
   queue: QueuedRecord[],
   budget: GroupBudget,
 ): QueuedRecord[] {
--- a/packages/configuration/src/configuration_fold.ts
+++ b/packages/configuration/src/configuration_fold.ts
@@ -161,7 +161,7 @@
     const placed = { offset, time, record: parsed.value };
     this.#buffer.add(placed);
     if (this.#judged) this.#applyJudged(placed);
-    else this.#replayBuffer();
+    else this.#applyBuffer();
   }
 
   /**
@@ -200,11 +200,11 @@
     const { seenThrough, ...judged } = snapshot;
     if (seenThrough > this.#readThrough) {
       this.#readThrough = seenThrough;
-      this.#buffer.restart(seenThrough + 1);
+      this.#buffer.startFrom(seenThrough + 1);
     }
     const records = this.#buffer.findFrom(seenThrough);
     if (!records) return false;
-    this.#judgeFrom(judged, records);
+    this.#startJudging(judged, records);
     return true;
   }
 
@@ -252,29 +252,29 @@
       if (isAtStart) this.#judged = { ...NO_CONFIGURATION, anchorTime: time };
       return;
     }
-    this.#keepAsAdopted();
+    this.#setAdopted();
     this.#judged = undefined;
-    this.#buffer.restart(firstRetainedOffset);
+    this.#buffer.startFrom(firstRetainedOffset);
   }
 
   /** What was in force stays in force although judging stops. */
-  #keepAsAdopted(): void {
+  #setAdopted(): void {
     const { current } = this;
     if (current) this.#adopted = current;
   }
 
-  #replayBuffer(): void {
+  #applyBuffer(): void {
     const replay = this.#buffer.planReplay();
     if (!replay) return;
     const { renewal, records, anchorTime } = replay;
     const { version, author, note, configuration } = renewal;
-    this.#judgeFrom(
+    this.#startJudging(
       { version, author, note, configuration, anchorTime },
       records,
     );
   }
 
-  #judgeFrom(state: JudgedState, records: readonly PlacedRecord[]): void {
+  #startJudging(state: JudgedState, records: readonly PlacedRecord[]): void {
     this.#startVersion = state.version;
     this.#judged = state;
     for (const record of records) this.#applyJudged(record);
@@ -293,7 +293,7 @@
   ): void {
     const judged = this.#judged;
     if (!judged) return;
-    const judgement = this.#judgePublish(record, judged);
+    const judgement = this.#checkPublish(record, judged);
     // A first copy of this record may have been accepted before the version
     // that this reader starts from; to its publisher nothing is said then.
     const isCertain = record.base >= this.#startVersion;
@@ -309,7 +309,7 @@
     };
   }
 
-  #judgePublish(
+  #checkPublish(
     record: Extract<ConfigurationRecord, { kind: "publish" }>,
     judged: JudgedState,
   ): PublishJudgement {
--- a/packages/configuration/src/read_buffer.ts
+++ b/packages/configuration/src/read_buffer.ts
@@ -35,7 +35,7 @@
   #start: Offset = 0;
 
   /** Starts anew: nothing before `start` can be read any more. */
-  restart(start: Offset): void {
+  startFrom(start: Offset): void {
     this.#records = [];
     this.#start = start;
   }
--- a/packages/spec/src/claim_log_mirror.ts
+++ b/packages/spec/src/claim_log_mirror.ts
@@ -67,7 +67,7 @@
   const isPastWindow = first > 0 || span.some(({ clock }) => clock === 1);
   const reading = { fold, isCovered, isPastWindow };
   const judgements = buildJudgements((attempt) =>
-    judgeAttempt(reading, attempt)
+    getJudgement(reading, attempt)
   );
   return { judgements, status: getStatus(reading) };
 }
@@ -78,7 +78,7 @@
   readonly isPastWindow: boolean;
 }
 
-function judgeAttempt(
+function getJudgement(
   { fold, isCovered, isPastWindow }: Reading,
   attempt: number,
 ): claims.ClaimJudgement {
--- a/packages/spec/src/claim_mutants.ts
+++ b/packages/spec/src/claim_mutants.ts
@@ -28,7 +28,10 @@
     const { facts } = state;
     return { state: { kind: "won", facts, notSent: 0 }, actions: [] };
   }
-  return claims.decideAttempt(state, bendEvent(state, event, { without }));
+  return claims.decideAttempt(
+    state,
+    buildMutantEvent(state, event, { without }),
+  );
 }
 
 function isWonByMutant(
@@ -47,7 +50,7 @@
   }
 }
 
-function bendEvent(
+function buildMutantEvent(
   state: claims.AttemptState,
   event: claims.AttemptEvent,
   { without }: MutantOptions,
--- a/packages/spec/src/configuration_mirror.ts
+++ b/packages/spec/src/configuration_mirror.ts
@@ -95,7 +95,7 @@
   const placed = { offset, record: log[offset] };
   fold.buffer.push(placed);
   if (fold.judged) applyJudged(fold, placed);
-  else replayBuffer(fold);
+  else applyBuffer(fold);
 }
 
 function applyAdoption(fold: Fold, version: SpecVersion): void {
@@ -148,7 +148,7 @@
   fold.start = first;
 }
 
-function replayBuffer(fold: Fold): void {
+function applyBuffer(fold: Fold): void {
   const { buffer, start, without } = fold;
   const isAnyUsable = without === CONFIGURATION_MECHANISM.renewalWithoutGap;
   const found = buffer.find(({ record }) =>
--- a/packages/spec/src/mint_model.ts
+++ b/packages/spec/src/mint_model.ts
@@ -118,7 +118,7 @@
     case "crash":
       return { ...state, isCrashed: true };
     case "hand_over": {
-      const { saysUnused } = replayMint(state, { without });
+      const { saysUnused } = runMint(state, { without });
       return {
         ...state,
         hasAnswers: state.hasAnswers.with(move.to, true),
@@ -137,8 +137,8 @@
     }
     case "begin": {
       const events = [...state.events, move];
-      const before = replayMint(state, { without }).begun;
-      const after = replayMint({ ...state, events }, { without }).begun;
+      const before = runMint(state, { without }).begun;
+      const after = runMint({ ...state, events }, { without }).begun;
       return {
         ...state,
         events,
@@ -165,7 +165,7 @@
   readonly saysUnused: boolean;
 }
 
-function replayMint(
+function runMint(
   { events }: MintState,
   { without }: MintModelOptions,
 ): Replay {
