--- a/packages/configuration/src/read_buffer.ts
+++ b/packages/configuration/src/read_buffer.ts
@@ -35,7 +35,7 @@
   #start: Offset = 0;
 
   /** Starts anew: nothing before `start` can be read any more. */
-  restart(start: Offset): void {
+  startFrom(start: Offset): void {
     this.#records = [];
     this.#start = start;
   }
@@ -76,6 +76,12 @@
     return this.#findAfter(record.seenThrough)[0]?.time;
   }
 
+  /** Everything behind an offset, if all of it was read. */
+  findFrom(seenThrough: Offset): readonly PlacedRecord[] | undefined {
+    if (seenThrough + 1 < this.#start) return undefined;
+    return this.#findAfter(seenThrough);
+  }
+
   #isUsable(renewal: Renewal, offset: Offset): boolean {
     const { seenThrough } = renewal;
     return seenThrough + 1 >= this.#start && seenThrough < offset;
