--- a/packages/bench/src/decisions/outcome.ts
+++ b/packages/bench/src/decisions/outcome.ts
@@ -10,6 +10,9 @@
 import type { Scenario } from "./scenario.ts";
 import type { SimEndpoint } from "./sim_endpoint.ts";
 
+/** Time between ticks of each decider. */
+export const TICK_MS = 20;
+
 /** What became of one request. */
 export interface RequestRecord {
   readonly request: SimRequest;
@@ -29,6 +32,12 @@
   readonly usefulWork: number;
   /** Completed after the deadline. */
   readonly late: number;
+  /**
+   * Of those, requests whose calls could all have been cancelled: more than a
+   * tick after the deadline. A result that comes before the tick that would
+   * have cancelled it is given to the caller, who has no better answer.
+   */
+  readonly lateCancellable: number;
   readonly refused: number;
   /** Refused or failed after the deadline, or never answered. */
   readonly refusedLate: number;
@@ -87,6 +96,11 @@
     usefulWork: attained.reduce((sum, each) => sum + getWorkMs(each), 0) /
       scenario.durationMs,
     late: completed.length - attained.length,
+    lateCancellable:
+      completed.filter((record) =>
+        (record.answer?.at ?? 0) > record.request.facts.deadlineAt + TICK_MS &&
+        record.request.facts.stages.every((stage) => stage.repeatable)
+      ).length,
     refused: refused.length,
     refusedLate: records.length - completed.length -
       refused.filter(isAnsweredInTime).length,
--- a/packages/bench/src/decisions/simulation.ts
+++ b/packages/bench/src/decisions/simulation.ts
@@ -18,6 +18,7 @@
   buildOutcome,
   type RequestRecord,
   type RunOutcome,
+  TICK_MS,
 } from "./outcome.ts";
 import { createRandom } from "./random.ts";
 import type { Fault, Scenario, SimEndpointSpec } from "./scenario.ts";
@@ -32,8 +33,6 @@
   readonly entry: number;
 }
 
-/** Time between ticks of each decider. */
-const TICK_MS = 20;
 /** One way inside a zone and between zones. */
 const NEAR_MS = 0.3;
 const FAR_MS = 1.3;
--- a/packages/decisions/src/slice_plan.ts
+++ b/packages/decisions/src/slice_plan.ts
@@ -31,7 +31,7 @@
  * Part of the capacity that is split evenly whatever the demand: an entry that
  * just got its first request must be able to serve it before the next plan.
  */
-const EVEN_PART = 0.2;
+const EVEN_PART = 0.1;
 
 /**
  * Plans the slices of all entries.
