--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -5,7 +5,6 @@
  */
 import type { CodeName } from "@sardinestep/codes";
 import { REQUEST_CLASS, type RequestFacts } from "@sardinestep/types";
-import { Err, Ok, type Result } from "ts-results-es";
 import type { Pool } from "./pool.ts";
 import { getReturnMs } from "./return_time.ts";
 import { GUARANTEED_SHARE } from "./stage_queue.ts";
@@ -19,7 +18,7 @@
   readonly retryAfterMs: number;
 }
 
-/** What {@link checkAdmission} is given. */
+/** What {@link findRefusal} is given. */
 export interface AdmissionOptions {
   readonly now: number;
   readonly random: number;
@@ -39,27 +38,33 @@
 const MAX_WAITING = 4_000;
 
 /**
- * Checks whether a request would be let in; changes nothing.
+ * Finds why a request can't be let in; changes nothing.
  *
  * Made for saturation, and for a stage late in the pipeline that has become the
  * bottleneck: work that can't be finished in time is refused before anything
  * of it ran. The harm that it prevents is a queue of requests that are all
  * answered too late, and worker time of early stages spent on them.
  *
+ * It gives plain data and no `Result`: an `Err` records a stack trace, which
+ * costs most just when most requests are refused.
+ *
  * @param state Read only.
  * @param facts The request.
  * @param options Moment and random number of the question.
+ * @returns The refusal, undefined when it is let in.
  */
-export function checkAdmission(
+export function findRefusal(
   state: State,
   facts: RequestFacts,
   options: AdmissionOptions,
-): Result<void, AdmissionRefusal> {
+): AdmissionRefusal | undefined {
   const { now, random } = options;
   const pools = facts.stages.slice(facts.firstStage)
     .map((stage) => state.getPool(stage.service));
-  const refuse = (code: CodeName, pool: Pool | undefined, lateMs: number) =>
-    Err({ code, retryAfterMs: getReturnMs(pool, { now, lateMs, random }) });
+  const refuse = (code: CodeName, pool: Pool | undefined, lateMs: number) => ({
+    code,
+    retryAfterMs: getReturnMs(pool, { now, lateMs, random }),
+  });
 
   if (!state.customers.mayAdd(facts.customer)) {
     return refuse("CUSTOMER_LIMIT", pools[0], 0);
@@ -70,13 +75,10 @@
   if (full) return refuse("QUEUE_FULL", full, 0);
   const prediction = predictFinish(state, facts, now);
   const latest = now + USABLE_PART * (facts.deadlineAt - now);
-  if (prediction.finishAt > latest) {
-    const lateMs = prediction.finishAt - latest;
-    const isOut = prediction.slowest?.outage.isOn === true;
-    const code = isOut ? "STAGE_UNAVAILABLE" : "DEADLINE_OUT_OF_REACH";
-    return refuse(code, prediction.slowest, lateMs);
-  }
-  return Ok(undefined);
+  if (prediction.finishAt <= latest) return undefined;
+  const isOut = prediction.slowest?.outage.isOn === true;
+  const code = isOut ? "STAGE_UNAVAILABLE" : "DEADLINE_OUT_OF_REACH";
+  return refuse(code, prediction.slowest, prediction.finishAt - latest);
 }
 
 /**
--- a/packages/decisions/src/decider.ts
+++ b/packages/decisions/src/decider.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import type { RequestFacts } from "@sardinestep/types";
-import type { Result } from "ts-results-es";
+import { Err, Ok, type Result } from "ts-results-es";
 import type { DecisionAction } from "./action.ts";
-import { type AdmissionRefusal, checkAdmission } from "./admission.ts";
+import { type AdmissionRefusal, findRefusal } from "./admission.ts";
 import { handleFailure, handleFinish, handleOverdue } from "./call_life.ts";
 import type { CustomerDemand } from "./demand.ts";
 import { startCalls } from "./dispatch.ts";
@@ -64,8 +64,10 @@
   const state = new State(options);
   return {
     decide: (event) => decideEvent(state, event),
-    checkAdmission: ({ now, random, request }) =>
-      checkAdmission(state, request, { now, random }),
+    checkAdmission: ({ now, random, request }) => {
+      const refusal = findRefusal(state, request, { now, random });
+      return refusal ? Err(refusal) : Ok(undefined);
+    },
     getSummary: () => buildSummary(state),
     getDemand: (now) => state.demand.getAll(now),
   };
--- a/packages/decisions/src/request_life.ts
+++ b/packages/decisions/src/request_life.ts
@@ -5,7 +5,7 @@
  */
 import type { CodeName } from "@sardinestep/codes";
 import type { RequestFacts } from "@sardinestep/types";
-import { checkAdmission } from "./admission.ts";
+import { findRefusal } from "./admission.ts";
 import type { BacklogItem } from "./backlog.ts";
 import { getReturnMs } from "./return_time.ts";
 import type { State } from "./state.ts";
@@ -19,16 +19,14 @@
   random: number,
 ): void {
   recordDemand(state, facts);
-  const admission = checkAdmission(state, facts, { now: state.now, random });
-  if (admission.isErr()) {
+  const refusal = findRefusal(state, facts, { now: state.now, random });
+  if (refusal) {
     recordRefusal(state, facts, facts.firstStage);
     const { requestId } = facts;
-    const { code, retryAfterMs } = admission.error;
     state.actions.push({
       kind: "refuse",
       requestId,
-      code,
-      retryAfterMs,
+      ...refusal,
       anySent: false,
     });
     return;
