Count an endpoint's own news that it leaves; warm another run whatever its facts

Change: both count at once; an empty instance is not yet known and no change; a report from a clock ahead of the reader's counts as measured now.

--- a/packages/decisions/src/decider_test.ts
+++ b/packages/decisions/src/decider_test.ts
@@ -86,6 +86,32 @@
     expect(getStarts(fixture.arrive("r2"))).to.have.lengthOf(1);
   });
 
+  it("sends nothing new to an endpoint whose own report says it leaves", () => {
+    const fixture = new Fixture();
+    fixture.addEndpoints(["d-1"]);
+    const report = {
+      endpointId: "d-1",
+      instance: "run-1",
+      measuredAt: 0,
+      running: 0,
+      waiting: 0,
+    };
+    const tell = (state: "leaving" | "warm") =>
+      fixture.tell({ kind: "load_reported", report: { ...report, state } });
+    tell("leaving");
+    expect(getStarts(fixture.arrive("r1"))).to.have.lengthOf(0);
+    tell("warm");
+    expect(getStarts(fixture.arrive("r2"))).to.have.lengthOf(1);
+  });
+
+  it("warms another run of an endpoint even if it is said to be warm", () => {
+    const fixture = new Fixture();
+    fixture.addEndpoints(["d-1"], {}, 4);
+    fixture.addEndpoints(["d-1"], { instance: "run-2" }, 4);
+    const starts = ["r1", "r2"].flatMap((id) => getStarts(fixture.arrive(id)));
+    expect(starts).to.have.lengthOf(1);
+  });
+
   describe("a call that may not be repeated", () => {
     for (const reason of ["broken", "timeout", "bad_answer"] as const) {
       it(`is not sent again after "${reason}"`, () => {
--- a/packages/decisions/src/endpoint.ts
+++ b/packages/decisions/src/endpoint.ts
@@ -45,6 +45,8 @@
   isTrusted = false;
   readonly #limit = new ConcurrencyLimit();
   readonly #warmUp = new WarmUp();
+  /** Its own report says that it leaves though its facts do not. */
+  isReportedLeaving = false;
   /** Its own report says that it is cold though its facts do not. */
   #isReportedCold = false;
   #changedAt = -Infinity;
@@ -72,7 +74,8 @@
    * whatever their load says. What runs there is finished.
    */
   mayTakeWork(): boolean {
-    return TAKES_WORK[this.facts.state] && !this.isZoneOut;
+    return TAKES_WORK[this.facts.state] && !this.isReportedLeaving &&
+      !this.isZoneOut;
   }
 
   /** Calls at once that this entry allows itself there now. */
@@ -89,16 +92,20 @@
     const before = this.facts;
     this.facts = facts;
     this.slice = slice;
-    if (facts.instance !== before.instance) {
+    const isOtherRun = before.instance !== "" &&
+      facts.instance !== before.instance;
+    if (isOtherRun) {
       this.#changedAt = now;
       this.health.reset();
       this.load.reset();
       this.#limit.reset();
     }
-    if (facts.instance !== before.instance || facts.state !== before.state) {
-      this.#isReportedCold = false;
-      this.#updateWarmUp(before.state);
-    }
+    if (!isOtherRun && facts.state === before.state) return;
+    this.#isReportedCold = false;
+    this.isReportedLeaving = false;
+    this.#updateWarmUp(isOtherRun ? undefined : before.state);
+    // Another run has started cold, whatever its facts say meanwhile.
+    if (isOtherRun) this.#startWarmUp();
   }
 
   /**
@@ -107,15 +114,19 @@
    * Made for an endpoint that turns cold without an announcement: another run
    * or a cold state in its report shrinks its bound at once, before the news
    * comes by way of control. Reports from before the last change of the facts
-   * are late ones of the former run.
+   * are late ones of the former run. A report that it leaves counts as well.
    */
-  applyReport(report: LoadReport): void {
-    if (report.measuredAt < this.#changedAt) return;
-    const isOtherRun = report.instance !== this.facts.instance;
+  applyReport(report: LoadReport, now: number): void {
+    // A clock that is ahead of the reader's must not make a report the last.
+    const measuredAt = Math.min(now, report.measuredAt);
+    if (measuredAt < this.#changedAt) return;
+    const isOtherRun = this.facts.instance !== "" &&
+      report.instance !== this.facts.instance;
     const isCold = report.state === ENDPOINT_STATE.cold &&
       this.facts.state !== ENDPOINT_STATE.cold;
     this.#isReportedCold = isOtherRun || isCold;
-    this.load.apply(report, this.inFlight);
+    this.isReportedLeaving = !isOtherRun && !TAKES_WORK[report.state];
+    this.load.apply({ ...report, measuredAt }, this.inFlight);
   }
 
   /** Takes in a finished call; `ratio` is its time relative to the expected. */
@@ -157,8 +168,12 @@
     }
   }
 
+  /** From this entry's part of the cold bound, but for its only warmer. */
   #startWarmUp(): void {
-    this.#warmUp.start(Math.max(1, this.facts.coldConcurrency));
+    const { coldConcurrency, warmConcurrency, state } = this.facts;
+    const isShared = state === ENDPOINT_STATE.warm;
+    const part = isShared ? this.slice / warmConcurrency : 1;
+    this.#warmUp.start(Math.max(1, Math.floor(coldConcurrency * part)));
   }
 
   #stopWarmUp(): void {
--- a/packages/decisions/src/fleet.ts
+++ b/packages/decisions/src/fleet.ts
@@ -59,7 +59,7 @@
 export function handleReport(state: State, report: LoadReport): void {
   const endpoint = state.endpoints.get(report.endpointId);
   if (!endpoint) return;
-  endpoint.applyReport(report);
+  endpoint.applyReport(report, state.now);
   state.getPool(endpoint.facts.service).refresh(endpoint, state.now);
 }
 
