Charge a customer's share when its request is served

Cause: a request that was passed over and queued again was charged twice. Change: the queue hands out a request uncharged; dispatch charges it.

--- a/packages/decisions/src/class_queue.ts
+++ b/packages/decisions/src/class_queue.ts
@@ -103,7 +103,7 @@
     this.#length -= 1;
   }
 
-  /** Takes the request that goes next. */
+  /** Takes the request that goes next; it is charged when it is served. */
   pop(): QueueItem | undefined {
     const first = this.#findEarliest();
     if (!first) return undefined;
@@ -113,6 +113,14 @@
     return this.#takeFrom(isFair ? first : poorest);
   }
 
+  /** Counts a request that is served to its customer's share. */
+  charge(item: QueueItem): void {
+    const gap = item.workMs - this.#meanWorkMs;
+    this.#meanWorkMs += this.#meanWorkMs === 0 ? gap : SMOOTHING * gap;
+    const lane = this.#lanes.get(item.request.facts.customer);
+    if (lane) lane.served += item.workMs / lane.weight;
+  }
+
   #takeFrom(lane: Lane): QueueItem | undefined {
     dropStale(lane);
     const item = lane.items.pop();
@@ -120,12 +128,6 @@
     lane.waiting -= 1;
     this.#length -= 1;
     this.#level = Math.max(this.#level, this.#findLeastServed()?.served ?? 0);
-    lane.served += item.workMs / lane.weight;
-    const gap = item.workMs - this.#meanWorkMs;
-    this.#meanWorkMs += this.#meanWorkMs === 0 ? gap : SMOOTHING * gap;
-    if (lane.waiting === 0 && lane.served <= this.#level && !lane.isListed) {
-      this.#lanes.delete(lane.customer);
-    }
     return item;
   }
 
--- a/packages/decisions/src/dispatch.ts
+++ b/packages/decisions/src/dispatch.ts
@@ -34,8 +34,10 @@
       continue;
     }
     const endpoint = pickEndpoint(state, pool, item.request);
-    if (endpoint) startCall(state, item.request, { endpoint, isHedge: false });
-    else passedOver.push(item.request);
+    if (endpoint) {
+      pool.queue.charge(item);
+      startCall(state, item.request, { endpoint, isHedge: false });
+    } else passedOver.push(item.request);
   }
   for (const request of passedOver) queueStage(state, request);
   if (passedOver.length > 0) state.changedPools.delete(pool);
--- a/packages/decisions/src/stage_queue.ts
+++ b/packages/decisions/src/stage_queue.ts
@@ -84,17 +84,23 @@
     this.#classes[requestClass].countRemoved(customer);
   }
 
-  /** Takes the request that goes next. */
+  /** Takes the request that goes next; it is charged when it is served. */
   pop(): QueueItem | undefined {
     const requestClass = this.#pickClass();
     if (!requestClass) return undefined;
     const item = this.#classes[requestClass].pop();
     if (!item) return undefined;
     item.request.isQueued = false;
-    this.#countServed(requestClass, item.workMs);
     return item;
   }
 
+  /** Counts a request that is served to its customer and class. */
+  charge(item: QueueItem): void {
+    const { requestClass } = item.request.facts;
+    this.#classes[requestClass].charge(item);
+    this.#countServed(requestClass, item.workMs);
+  }
+
   #pickClass(): RequestClass | undefined {
     const waiting = BY_URGENCY.filter((each) => this.#classes[each].length > 0);
     const claimant = waiting.find((each) => this.#creditMs[each] > 0);
--- a/packages/decisions/src/stage_queue_test.ts
+++ b/packages/decisions/src/stage_queue_test.ts
@@ -41,7 +41,11 @@
 function popAll(queue: StageQueue, count: number): string[] {
   return Array.from(
     { length: count },
-    () => queue.pop()?.request.facts.requestId ?? "none",
+    () => {
+      const item = queue.pop();
+      if (item) queue.charge(item);
+      return item?.request.facts.requestId ?? "none";
+    },
   );
 }
 
