--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -28,8 +28,6 @@
   reranker: false,
   service: false,
 };
-/** Endpoints that a prefix may be cached at. */
-const PREFIX_CANDIDATES = 3;
 /** Load of an endpoint relative to the mean of the pool that prefixes may cause. */
 const PREFIX_LOAD_FACTOR = 1.25;
 /** While a pool is nearly idle, that much load is no matter. */
@@ -61,13 +59,13 @@
  * what is above the bound, so that a popular prefix is cached in as many
  * places as it needs.
  */
-function pickByPrefix(
+export function pickByPrefix(
   pool: Pool,
   request: TrackedRequest,
 ): Endpoint | undefined {
   const { prefixHash } = request.facts;
   if (prefixHash === undefined || !HAS_CACHE[pool.role]) return undefined;
-  return pool.ring.getOrder(prefixHash, PREFIX_CANDIDATES).find((endpoint) =>
+  return pool.ring.getOrder(prefixHash).find((endpoint) =>
     endpoint.openIndex >= 0 && isSuitable(endpoint, pool, request) &&
     endpoint.totalLoad < getPrefixBound(pool, endpoint)
   );
--- a/packages/decisions/src/prefix_ring.ts
+++ b/packages/decisions/src/prefix_ring.ts
@@ -12,6 +12,11 @@
  */
 const POINTS = 16;
 
+/** Endpoints that a prefix may be cached at. */
+const PREFIX_CANDIDATES = 3;
+/** Prefixes whose order is remembered; beyond that all are forgotten. */
+const MAX_ORDERS = 2_000;
+
 interface Point {
   readonly hash: number;
   readonly endpoint: Endpoint;
@@ -23,6 +28,7 @@
  */
 export class PrefixRing {
   #points: Point[] | undefined;
+  readonly #orders = new Map<number, readonly Endpoint[]>();
   readonly #endpoints: ReadonlySet<Endpoint>;
 
   constructor(endpoints: ReadonlySet<Endpoint>) {
@@ -32,10 +38,20 @@
   /** Has the ring built anew before its next use. */
   reset(): void {
     this.#points = undefined;
+    this.#orders.clear();
+  }
+
+  /** Gives the first endpoints in the order of a prefix. */
+  getOrder(prefixHash: number): readonly Endpoint[] {
+    const known = this.#orders.get(prefixHash);
+    if (known) return known;
+    if (this.#orders.size >= MAX_ORDERS) this.#orders.clear();
+    const order = this.#buildOrder(prefixHash);
+    this.#orders.set(prefixHash, order);
+    return order;
   }
 
-  /** Gives up to `count` different endpoints in the order of a prefix. */
-  getOrder(prefixHash: number, count: number): Endpoint[] {
+  #buildOrder(prefixHash: number): readonly Endpoint[] {
     const points = this.#getPoints();
     const order: Endpoint[] = [];
     const hash = murmurhash.v3(String(prefixHash));
@@ -44,7 +60,7 @@
       const endpoint = points[(start + step) % points.length]?.endpoint;
       if (!endpoint || order.includes(endpoint)) continue;
       order.push(endpoint);
-      if (order.length === count) break;
+      if (order.length === PREFIX_CANDIDATES) break;
     }
     return order;
   }
