--- a/packages/prove/src/run_proofs.ts
+++ b/packages/prove/src/run_proofs.ts
@@ -49,9 +49,10 @@
     printScenarios(point, results);
   }
   printModels(spec.BESIDES_POINT, shown);
-  const broken =
-    [...shown, ...results.values()].flatMap((result) => result.violations)
-      .length;
+  const broken = [...shown, ...results.values()].reduce(
+    (sum, { violations }) => sum + violations.length,
+    0,
+  );
   const tried = `${shown.length} models, ${results.size} scenarios`;
   console.log(`${tried}, ${broken} violations`);
   return broken === 0 ? 0 : 1;
