Entries' slices follow demand

Cause: each entry had an equal part of a customer's limit and of each endpoint; a customer whose requests all come in by one entry got a third of its share with three entries. Change: entries tell their demand with the question for the view, controls pass it on with gossip, entries plan their slices (decisions.planSlices).

--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -17,6 +17,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { ClaimController } from "./claim_controller.ts";
 import { ConfigurationController } from "./configuration_controller.ts";
+import { DemandTable } from "./demand_table.ts";
 import { EndpointController } from "./endpoint_controller.ts";
 import { EntryFeed } from "./entry_feed.ts";
 import { MembershipController } from "./membership_controller.ts";
@@ -39,6 +40,7 @@
   readonly #endpointPort;
   readonly #peers = new rpc.Peers();
   readonly #feed = new EntryFeed();
+  readonly #demands = new DemandTable();
   readonly #claims: ClaimController;
   readonly #configuration: ConfigurationController;
   readonly #membership: MembershipController;
@@ -200,11 +202,13 @@
         configVersion: this.#configuration.current?.version ?? 0,
         isJudging: this.#configuration.isJudging,
         endpoints: this.#endpoints.getNews(),
+        demands: this.#demands.getDirect(performance.now()),
       }),
       onReply: (reply) => {
         if (reply.configuration) this.#configuration.adopt(reply.configuration);
         if (reply.snapshot) this.#configuration.adoptSnapshot(reply.snapshot);
         this.#endpoints.applyGossip(reply.endpoints);
+        this.#demands.applyGossip(reply.demands, performance.now());
       },
       onList: (list, askedAt) => this.#endpoints.applyList(list, askedAt),
       onMembers: () => this.#sendMembers(),
@@ -247,10 +251,7 @@
         this.#endpoints.applyNews(news);
         return {};
       },
-      readView: () => ({
-        isFresh: this.#membership.isViewFresh(),
-        members: this.#membership.getMembers(),
-      }),
+      readView: (question) => this.#answerView(question),
       gossip: (message) => this.#answerGossip(message),
       configuration: () => this.#configuration.current ?? null,
       history: () => this.#configuration.getHistory(),
@@ -290,6 +291,7 @@
   #answerGossip(message: rpc.GossipMessage): rpc.GossipReply {
     this.#membership.applyGossip(message);
     this.#endpoints.applyGossip(message.endpoints);
+    this.#demands.applyGossip(message.demands, performance.now());
     const current = this.#configuration.current;
     const isNewer = (current?.version ?? 0) > message.configVersion;
     return {
@@ -299,6 +301,17 @@
       configVersion: current?.version ?? 0,
       members: this.#membership.getGossip(),
       endpoints: this.#endpoints.getNews(),
+      demands: this.#demands.getDirect(performance.now()),
+    };
+  }
+
+  #answerView(question: rpc.ViewQuestion): rpc.ViewAnswer {
+    const now = performance.now();
+    this.#demands.setDirect(question, now);
+    return {
+      isFresh: this.#membership.isViewFresh(),
+      members: this.#membership.getMembers(),
+      otherDemands: this.#demands.getOthers(question.vmId, now),
     };
   }
 
--- a/packages/control/src/membership_controller.ts
+++ b/packages/control/src/membership_controller.ts
@@ -34,7 +34,7 @@
   /** Builds what is told to other controls beside the members. */
   readonly buildNews: () => Pick<
     rpc.GossipMessage,
-    "configVersion" | "isJudging" | "endpoints"
+    "configVersion" | "isJudging" | "endpoints" | "demands"
   >;
   /** Told what another control answered to gossip. */
   readonly onReply: (reply: rpc.GossipReply) => void;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -361,9 +361,13 @@
 
   async #confirmView(): Promise<void> {
     const askedAt = readMonotonic();
-    const view = await this.#link.call("readView", {}, VIEW_TIMEOUT_MS);
+    const { vmId } = this.#settings;
+    const demand = this.#decider.getDemand(askedAt);
+    const question = { vmId, demand };
+    const view = await this.#link.call("readView", question, VIEW_TIMEOUT_MS);
     if (view) {
-      const { members, isFresh } = view;
+      const { members, isFresh, otherDemands } = view;
+      this.#site.applyDemands(demand, otherDemands);
       this.#site.confirmView({
         members,
         viewAt: isFresh ? askedAt : undefined,
--- a/packages/entry/src/site_state.ts
+++ b/packages/entry/src/site_state.ts
@@ -5,12 +5,13 @@
  * @module
  */
 import type * as configuration from "@sardinestep/configuration";
-import type * as decisions from "@sardinestep/decisions";
+import * as decisions from "@sardinestep/decisions";
 import * as membership from "@sardinestep/membership";
 import type * as rpc from "@sardinestep/rpc";
 import * as settings from "@sardinestep/settings";
 import {
   type CustomerId,
+  type CustomerSpec,
   ENDPOINT_STATE,
   type EndpointFacts,
   type EndpointId,
@@ -62,6 +63,10 @@
   #site: SiteState | undefined;
   #members: readonly MemberFacts[] = [];
   #customers: readonly settings.SiteCustomer[] = [];
+  /** This entry's slice by demand; undefined before the first plan. */
+  #slice: decisions.EntrySlice | undefined;
+  /** What the decisions were told last of customers. */
+  #toldCustomers = "";
   #configuredAt = Infinity;
   #isServing = false;
 
@@ -117,6 +122,31 @@
     this.#options.guard.applyView(view, this.#options.readNow());
   }
 
+  /**
+   * Plans this entry's slices anew by what customers ask for here and elsewhere.
+   *
+   * @param own Demand at this entry.
+   * @param others Demand at other entries; entries not heard of count as idle.
+   */
+  applyDemands(
+    own: readonly decisions.CustomerDemand[],
+    others: readonly rpc.EntryDemand[],
+  ): void {
+    const idle = countLive(this.#members) - 1 - others.length;
+    const demands = [
+      own,
+      ...others.map((other) => other.demand),
+      ...Array.from({ length: Math.max(0, idle) }, () => []),
+    ];
+    const [slice] = decisions.planSlices({
+      customers: this.#customers,
+      demands,
+      capacities: this.#getCapacities(),
+    });
+    this.#slice = slice;
+    this.#tellCustomers();
+  }
+
   /** Drops the proof of the view, after this process was paused. */
   handlePause(): void {
     this.#options.guard.handlePause();
@@ -207,6 +237,7 @@
     const { version } = versioned;
     this.#site = { version, pipelines, customers };
     this.#customers = [...customers.values()];
+    this.#slice = undefined;
     this.#configuredAt = Math.min(this.#configuredAt, this.#options.readNow());
     this.#options.apply({
       kind: "zones_changed",
@@ -239,18 +270,31 @@
     if (countLive(members) !== before) this.#tellCustomers();
   }
 
-  /**
-   * Gives each entry an equal part of a customer's limit, rounded up, since the
-   * platform's balancer spreads callers evenly over entries.
-   */
+  /** Before any plan, each entry has an equal part, rounded up. */
   #tellCustomers(): void {
+    const customers = this.#slice?.customers ?? this.#getEvenCustomers();
+    const text = JSON.stringify(customers);
+    if (text === this.#toldCustomers) return;
+    this.#toldCustomers = text;
+    const now = this.#options.readNow();
+    this.#options.apply({ kind: "customers_changed", now, customers });
+  }
+
+  #getEvenCustomers(): CustomerSpec[] {
     const entries = Math.max(1, countLive(this.#members));
-    const customers = this.#customers.map((customer) => ({
+    return this.#customers.map((customer) => ({
       ...customer,
       maxConcurrency: Math.ceil(customer.maxConcurrency / entries),
     }));
-    const now = this.#options.readNow();
-    this.#options.apply({ kind: "customers_changed", now, customers });
+  }
+
+  /** Calls at once that each service bears when warm. */
+  #getCapacities(): Record<string, number> {
+    const capacities: Record<string, number> = {};
+    for (const { service, warmConcurrency } of this.#endpoints.values()) {
+      capacities[service] = (capacities[service] ?? 0) + warmConcurrency;
+    }
+    return capacities;
   }
 
   #applyEndpoint(facts: EndpointFacts): void {
@@ -283,16 +327,18 @@
   }
 
   /**
-   * Every entry may have one call at a warm endpoint even where its share is less
-   * than one: callers come to all entries, and a warm endpoint queues a few. An
-   * entry whose own VM is not counted as live yet takes an equal share too.
+   * The slice of a warm endpoint follows demand; of any other one the guard's
+   * word counts alone. Every entry may have one call at a warm endpoint even where
+   * its part is less: callers come to all entries, and a warm endpoint queues a few.
    */
   #getSlice(facts: EndpointFacts): number {
-    const { guard, readNow } = this.#options;
-    const slice = guard.getSlice(facts.endpointId, readNow());
-    if (facts.state !== ENDPOINT_STATE.warm || slice > 0) return slice;
-    const others = countLive(this.#members);
-    return Math.max(1, Math.floor(facts.warmConcurrency / (others + 1)));
+    if (facts.state !== ENDPOINT_STATE.warm) {
+      const { guard, readNow } = this.#options;
+      return guard.getSlice(facts.endpointId, readNow());
+    }
+    const even = 1 / Math.max(1, countLive(this.#members));
+    const part = this.#slice?.parts[facts.service] ?? even;
+    return Math.max(1, Math.ceil(facts.warmConcurrency * part));
   }
 }
 
--- a/packages/rpc/src/methods.ts
+++ b/packages/rpc/src/methods.ts
@@ -16,6 +16,7 @@
   JudgedSnapshot,
   VersionedConfiguration,
 } from "@sardinestep/configuration";
+import type { CustomerDemand } from "@sardinestep/decisions";
 import type { TimelineEvent, TimelineFilter } from "@sardinestep/timeline";
 import type {
   Address,
@@ -66,10 +67,25 @@
   readonly logReachable: boolean;
 }
 
+/** What an entry tells with its question for the view. */
+export interface ViewQuestion {
+  readonly vmId: VmId;
+  /** What customers ask for at this entry. */
+  readonly demand: readonly CustomerDemand[];
+}
+
 /** What control answers about its view of the members. */
 export interface ViewAnswer {
   readonly isFresh: boolean;
   readonly members: readonly MemberFacts[];
+  /** What customers ask for at other entries; those not heard of are missing. */
+  readonly otherDemands: readonly EntryDemand[];
+}
+
+/** What customers ask for at one entry. */
+export interface EntryDemand {
+  readonly vmId: VmId;
+  readonly demand: readonly CustomerDemand[];
 }
 
 /** What became of a claim that an entry asked control to append. */
@@ -142,6 +158,8 @@
   readonly isJudging: boolean;
   /** Endpoints with news that not every reader may have. */
   readonly endpoints: readonly EndpointFacts[];
+  /** Demand at entries that are connected to the asking side. */
+  readonly demands: readonly EntryDemand[];
 }
 
 /** What a control process answers to gossip. */
@@ -154,6 +172,8 @@
   readonly configVersion: number;
   readonly members: readonly MemberFacts[];
   readonly endpoints: readonly EndpointFacts[];
+  /** Demand at entries that are connected to the answering side. */
+  readonly demands: readonly EntryDemand[];
 }
 
 /** Parameters and results of every method, by its name. */
@@ -190,7 +210,7 @@
    * Control, from entries: the members, and whether control's view of them is
    * fresh. The answer proves it as of the moment the call was sent.
    */
-  readView: { params: Record<never, never>; result: ViewAnswer };
+  readView: { params: ViewQuestion; result: ViewAnswer };
   /** Control, from control: gossip. */
   gossip: { params: GossipMessage; result: GossipReply };
 
