--- a/packages/bench/src/decisions/simulation.ts
+++ b/packages/bench/src/decisions/simulation.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import type { CodeName } from "@sardinestep/codes";
-import * as decisions from "@sardinestep/decisions";
 import type {
   CallFailureKind,
   Decider,
@@ -21,8 +20,9 @@
   TICK_MS,
 } from "./outcome.ts";
 import { createRandom } from "./random.ts";
-import type { Fault, Scenario, SimEndpointSpec } from "./scenario.ts";
-import { type SimCall, SimEndpoint } from "./sim_endpoint.ts";
+import type { Scenario } from "./scenario.ts";
+import type { SimCall, SimEndpoint } from "./sim_endpoint.ts";
+import { DRAIN_MS, SimFleet } from "./sim_fleet.ts";
 
 /** Makes the decider of one entry. */
 export type PolicyFactory = (options: PolicyOptions) => Decider;
@@ -36,21 +36,10 @@
 /** One way inside a zone and between zones. */
 const NEAR_MS = 0.3;
 const FAR_MS = 1.3;
-/** How long news of an endpoint's state takes to all entries. */
-const ANNOUNCE_LAG_MS = 200;
-/** How long it takes when the endpoint itself says nothing. */
-const UNANNOUNCED_LAG_MS = 1_000;
-/** How long an endpoint that fell over is down. */
-const RESTART_MS = 3_000;
 /** A stalled call takes so many times its time. */
 const STALL_FACTOR = 10;
 /** Share of a streamed call after which its first part arrives. */
 const FIRST_PART = 0.2;
-/** Time between plans of slices. */
-const SLICE_PLAN_MS = 1_000;
-const GOLDEN_RATIO = 0.618033988749895;
-/** The run goes on after the last arrival until everything is answered. */
-const DRAIN_MS = 60_000;
 
 interface OpenCall {
   readonly call: SimCall;
@@ -77,12 +66,10 @@
   readonly #queue = new EventQueue();
   readonly #random;
   readonly #deciders: Decider[];
-  readonly #endpoints = new Map<string, SimEndpoint>();
+  readonly #fleet: SimFleet;
   readonly #records = new Map<string, RequestRecord>();
   readonly #calls = new Map<string, OpenCall>();
   readonly #costByStage = new Map<string, number>();
-  #zonesOut: string[] = [];
-  #slices: readonly decisions.EntrySlice[] | undefined;
   #callCount = 0;
 
   constructor(scenario: Scenario, createPolicy: PolicyFactory) {
@@ -92,22 +79,28 @@
       { length: scenario.entries },
       (_, entry) => createPolicy({ entry, zone: this.#getZone(entry) }),
     );
+    this.#fleet = new SimFleet({
+      scenario,
+      queue: this.#queue,
+      random: this.#random,
+      tell: (entry, event) => this.#tell(entry, event),
+      breakCall: (call, endpoint) => this.#failCall(call, endpoint, "broken"),
+      getDemands: (now) => this.#deciders.map((each) => each.getDemand(now)),
+    });
   }
 
   run(): RunOutcome {
-    this.#addEndpoints();
+    this.#fleet.addEndpoints();
     this.#addCustomers();
     const arrivals = buildArrivals(this.#scenario);
     for (const request of arrivals) this.#addArrival(request);
-    for (const fault of this.#scenario.faults) {
-      this.#queue.add(fault.at, () => this.#applyFault(fault));
-    }
+    this.#fleet.addFaults();
     this.#addTicks();
-    if (this.#scenario.isSlicedByDemand) this.#addSlicePlans();
+    if (this.#scenario.isSlicedByDemand) this.#fleet.addSlicePlans();
     this.#queue.runUntil(this.#scenario.durationMs + DRAIN_MS);
     return buildOutcome(this.#scenario, {
       records: [...this.#records.values()],
-      endpoints: this.#endpoints.values(),
+      endpoints: this.#fleet.endpoints.values(),
       costByStage: this.#costByStage,
       calls: this.#callCount,
     });
@@ -118,15 +111,6 @@
     return zones[entry % zones.length] ?? "";
   }
 
-  #addEndpoints(): void {
-    for (const spec of this.#scenario.endpoints) {
-      const endpoint = new SimEndpoint(spec);
-      this.#endpoints.set(spec.endpointId, endpoint);
-      this.#announce(endpoint, 0);
-      this.#addReports(endpoint);
-    }
-  }
-
   #addCustomers(): void {
     const { entries } = this.#scenario;
     const customers = this.#scenario.customers.map((each) => ({
@@ -170,73 +154,6 @@
     });
   }
 
-  /** Plans slices by demand each second, as control would from gossip. */
-  #addSlicePlans(): void {
-    const { entries, endpoints, customers, durationMs } = this.#scenario;
-    const capacities: Record<string, number> = {};
-    for (const { service, concurrency } of endpoints) {
-      capacities[service] = (capacities[service] ?? 0) + concurrency;
-    }
-    const plan = () => {
-      const { now } = this.#queue;
-      const demands = this.#deciders.map((each) => each.getDemand(now));
-      this.#slices = decisions.planSlices({ customers, demands, capacities });
-      for (let entry = 0; entry < entries; entry++) {
-        this.#tell(entry, {
-          kind: "customers_changed",
-          now,
-          customers: this.#slices[entry]?.customers ?? [],
-        });
-      }
-      for (const each of this.#endpoints.values()) this.#announce(each, 0);
-      if (now < durationMs) this.#queue.add(now + SLICE_PLAN_MS, plan);
-    };
-    this.#queue.add(SLICE_PLAN_MS, plan);
-  }
-
-  /** An entry's whole number of calls; remainders are spread over endpoints. */
-  #getSlice(spec: SimEndpointSpec, entry: number): number {
-    const { entries, endpoints } = this.#scenario;
-    const part = this.#slices?.[entry]?.parts[spec.service];
-    if (part === undefined) return Math.ceil(spec.concurrency / entries);
-    const offset = endpoints.indexOf(spec) * GOLDEN_RATIO % 1;
-    return Math.max(1, Math.floor(spec.concurrency * part + offset));
-  }
-
-  #addReports(endpoint: SimEndpoint): void {
-    const { reportIntervalMs, reportLagMs, reportLoss, durationMs } =
-      this.#scenario;
-    const send = () => {
-      const { now } = this.#queue;
-      const report = {
-        endpointId: endpoint.spec.endpointId,
-        instance: endpoint.instance,
-        state: endpoint.state,
-        measuredAt: now,
-        running: endpoint.running.size,
-        waiting: endpoint.waiting.length,
-      };
-      const isLost = this.#random.getUniform() < reportLoss;
-      const isSilent = endpoint.isDown || endpoint.failure === "unreachable";
-      if (!isLost && !isSilent) {
-        this.#queue.add(now + reportLagMs, () =>
-          this.#tellAll({
-            kind: "load_reported",
-            now: this.#queue.now,
-            report,
-          }));
-      }
-      if (now < durationMs + DRAIN_MS) {
-        this.#queue.add(now + reportIntervalMs, send);
-      }
-    };
-    this.#queue.add(this.#random.getUniform() * reportIntervalMs, send);
-  }
-
-  #tellAll(event: DecisionEvent): void {
-    this.#deciders.forEach((_, entry) => this.#tell(entry, event));
-  }
-
   #tell(entry: number, event: DecisionEvent): void {
     const actions = this.#deciders[entry]?.decide(event) ?? [];
     for (const action of actions) this.#carryOut(entry, action);
@@ -270,7 +187,7 @@
     start: Extract<DecisionAction, { kind: "start_call" }>,
   ): void {
     const record = this.#records.get(start.requestId);
-    const endpoint = this.#endpoints.get(start.endpointId);
+    const endpoint = this.#fleet.endpoints.get(start.endpointId);
     if (!record || !endpoint) throw new Error("Call of unknown request");
     this.#callCount += 1;
     const { facts, workMs } = record.request;
@@ -312,7 +229,7 @@
     }
     call.state = "waiting";
     endpoint.waiting.push(call);
-    if (endpoint.isOverwhelmed()) this.#fallOver(endpoint);
+    if (endpoint.isOverwhelmed()) this.#fleet.fallOver(endpoint);
     else this.#startWaiting(endpoint);
   }
 
@@ -362,7 +279,7 @@
     call.hasProgressed = true;
     const stateBefore = endpoint.state;
     endpoint.recordFinish(call);
-    if (endpoint.state !== stateBefore) this.#announce(endpoint);
+    if (endpoint.state !== stateBefore) this.#fleet.announce(endpoint);
     this.#startWaiting(endpoint);
     const delay = this.#getDelay(call.entry, endpoint);
     this.#queue.add(this.#queue.now + delay, () => {
@@ -434,112 +351,4 @@
     this.#calls.delete(callId);
     if (!open.endpoint.isDown) this.#startWaiting(open.endpoint);
   }
-
-  #fallOver(endpoint: SimEndpoint): void {
-    endpoint.fallOvers += 1;
-    this.#restart(endpoint, RESTART_MS);
-  }
-
-  #restart(endpoint: SimEndpoint, downMs: number): void {
-    endpoint.isDown = downMs > 0;
-    endpoint.turnCold();
-    for (const call of [...endpoint.running, ...endpoint.waiting]) {
-      this.#failCall(call, endpoint, "broken");
-    }
-    if (downMs === 0) return;
-    this.#queue.add(this.#queue.now + downMs, () => {
-      endpoint.isDown = false;
-      this.#announce(endpoint);
-    });
-  }
-
-  /** Tells all entries of an endpoint's state; a cold one has one warmer. */
-  #announce(endpoint: SimEndpoint, lagMs = ANNOUNCE_LAG_MS): void {
-    const { spec, state, instance } = endpoint;
-    const { entries, endpoints } = this.#scenario;
-    const warmer = endpoints.indexOf(spec) % entries;
-    this.#queue.add(this.#queue.now + lagMs, () => {
-      this.#deciders.forEach((_, entry) => {
-        const isShared = state === "warm";
-        const share = isShared ? this.#getSlice(spec, entry) : 0;
-        const whole = state === "cold"
-          ? spec.coldConcurrency
-          : spec.concurrency;
-        this.#tell(entry, {
-          kind: "endpoint_changed",
-          now: this.#queue.now,
-          random: this.#random.getUniform(),
-          endpoint: {
-            endpointId: spec.endpointId,
-            service: spec.service,
-            role: spec.role,
-            zone: spec.zone,
-            address: spec.endpointId,
-            instance,
-            state,
-            coldConcurrency: spec.coldConcurrency,
-            warmConcurrency: spec.concurrency,
-          },
-          slice: !isShared && entry === warmer ? whole : share,
-        });
-      });
-    });
-  }
-
-  #applyFault(fault: Fault): void {
-    match(fault)
-      .with({ kind: "set_slowness" }, ({ endpointIds, factor }) => {
-        for (const endpoint of this.#getEndpoints(endpointIds)) {
-          endpoint.slowness = factor;
-        }
-      })
-      .with({ kind: "set_failure" }, ({ endpointIds, mode }) => {
-        for (const endpoint of this.#getEndpoints(endpointIds)) {
-          const wasHanging = endpoint.failure === "hanging";
-          endpoint.failure = mode;
-          if (wasHanging) this.#restart(endpoint, 0);
-        }
-      })
-      .with({ kind: "turn_cold" }, ({ endpointIds }) => {
-        for (const endpoint of this.#getEndpoints(endpointIds)) {
-          this.#restart(endpoint, 0);
-          this.#announce(endpoint, UNANNOUNCED_LAG_MS);
-        }
-      })
-      .with({ kind: "zone_out" }, ({ zone }) => {
-        this.#zonesOut = [...this.#zonesOut, zone];
-        this.#announceZones();
-      })
-      .with({ kind: "zone_in" }, ({ zone }) => {
-        this.#zonesOut = this.#zonesOut.filter((each) => each !== zone);
-        this.#restartZone(zone);
-        this.#announceZones();
-      })
-      .exhaustive();
-  }
-
-  #getEndpoints(endpointIds: readonly string[]): SimEndpoint[] {
-    return endpointIds.flatMap((id) => this.#endpoints.get(id) ?? []);
-  }
-
-  #announceZones(): void {
-    const zonesOut = this.#zonesOut;
-    this.#queue.add(this.#queue.now + ANNOUNCE_LAG_MS, () => {
-      this.#tellAll({
-        kind: "zones_changed",
-        now: this.#queue.now,
-        random: this.#random.getUniform(),
-        zonesOut,
-      });
-    });
-  }
-
-  /** Endpoints of a zone that comes back have just started. */
-  #restartZone(zone: string): void {
-    for (const endpoint of this.#endpoints.values()) {
-      if (endpoint.spec.zone !== zone) continue;
-      this.#restart(endpoint, 0);
-      this.#announce(endpoint, 0);
-    }
-  }
 }
--- a/packages/decisions/src/request_life.ts
+++ b/packages/decisions/src/request_life.ts
@@ -6,7 +6,12 @@
 import type { CodeName } from "@sardinestep/codes";
 import type { RequestFacts } from "@sardinestep/types";
 import { findRefusal } from "./admission.ts";
-import type { BacklogItem } from "./backlog.ts";
+import {
+  changeBacklog,
+  getExpectedMs,
+  recordDemand,
+  recordRefusal,
+} from "./request_work.ts";
 import { getReturnMs } from "./return_time.ts";
 import type { State } from "./state.ts";
 import { releaseCall } from "./call_life.ts";
@@ -207,50 +212,3 @@
   state.requests.delete(facts.requestId);
   state.customers.count(facts.customer, -1);
 }
-
-function changeBacklog(
-  state: State,
-  request: TrackedRequest,
-  options: { readonly stage: number; readonly change: "add" | "remove" },
-): void {
-  const { facts, workMs } = request;
-  const spec = facts.stages[options.stage];
-  if (!spec) return;
-  const item: BacklogItem = {
-    requestClass: facts.requestClass,
-    customer: facts.customer,
-    deadlineAt: facts.deadlineAt,
-    workMs: workMs[options.stage] ?? 0,
-  };
-  state.getPool(spec.service).backlog[options.change](item);
-}
-
-function recordDemand(state: State, facts: RequestFacts): void {
-  for (let index = facts.firstStage; index < facts.stages.length; index++) {
-    const stage = facts.stages[index];
-    if (!stage) return;
-    const workMs = getExpectedMs(state, facts, index);
-    const { service } = stage;
-    const { customer } = facts;
-    state.demand.record(workMs, { service, customer, now: state.now });
-  }
-}
-
-function recordRefusal(
-  state: State,
-  facts: RequestFacts,
-  fromStage: number,
-): void {
-  for (let index = fromStage; index < facts.stages.length; index++) {
-    const stage = facts.stages[index];
-    if (!stage) return;
-    const workMs = getExpectedMs(state, facts, index);
-    state.getPool(stage.service).refusals.record(workMs, state.now);
-  }
-}
-
-function getExpectedMs(state: State, facts: RequestFacts, index: number) {
-  const stage = facts.stages[index];
-  if (!stage) return 0;
-  return state.latency.getStage(stage).getExpected(getStageSize(facts, index));
-}
