--- a/packages/bench/src/decisions/scenario.ts
+++ b/packages/bench/src/decisions/scenario.ts
@@ -21,6 +21,8 @@
   readonly zone: ZoneId;
   /** Calls that run at once; more wait inside the endpoint. */
   readonly concurrency: number;
+  /** What its facts say instead; the same without it. */
+  readonly statedConcurrency?: number;
   readonly coldConcurrency: number;
   /** Calls that must finish before its cold bound begins to grow. */
   readonly warmCalls: number;
--- a/packages/bench/src/decisions/scenarios.ts
+++ b/packages/bench/src/decisions/scenarios.ts
@@ -18,6 +18,7 @@
 /** Long enough for several thousand requests. */
 const DURATION_MS = 30_000;
 const ZONE = "sudurland-3";
+const OVERSTATED = ["drafting-2", "drafting-5", "drafting-9"];
 const SLOW_ENDPOINT = "drafting-1";
 
 interface Options {
@@ -73,6 +74,18 @@
   return 0.4 + 0.9 * Math.sin(Math.PI * (hour - 6) / 14) ** 2;
 }
 
+/** Some engines bear a quarter of the calls that their facts name. */
+function overstate(deployment: Deployment): Deployment {
+  return {
+    ...deployment,
+    endpoints: deployment.endpoints.map((each) =>
+      OVERSTATED.includes(each.endpointId)
+        ? { ...each, concurrency: 2, statedConcurrency: each.concurrency }
+        : each
+    ),
+  };
+}
+
 function without(deployment: Deployment, endpointId: string): Deployment {
   return {
     ...deployment,
@@ -249,6 +262,10 @@
       load: 0.9,
       deployment: buildLongAndShort(),
     }),
+    buildScenario("overstated engines", {
+      load: 2,
+      deployment: overstate(buildHraunvidur()),
+    }),
     buildScenario("stalls", { load: 0.6, changes: { stallShare: 0.02 } }),
     buildSaturation(1),
     buildSaturation(1.5),
--- a/packages/bench/src/decisions/sim_fleet.ts
+++ b/packages/bench/src/decisions/sim_fleet.ts
@@ -96,10 +96,11 @@
   /** An entry's whole number of calls; remainders are spread over endpoints. */
   #getSlice(spec: SimEndpointSpec, entry: number): number {
     const { entries, endpoints } = this.#scenario;
+    const concurrency = spec.statedConcurrency ?? spec.concurrency;
     const part = this.#slices?.[entry]?.parts[spec.service];
-    if (part === undefined) return Math.ceil(spec.concurrency / entries);
+    if (part === undefined) return Math.ceil(concurrency / entries);
     const offset = endpoints.indexOf(spec) * GOLDEN_RATIO % 1;
-    return Math.max(1, Math.floor(spec.concurrency * part + offset));
+    return Math.max(1, Math.floor(concurrency * part + offset));
   }
 
   #addReports(endpoint: SimEndpoint): void {
@@ -182,7 +183,7 @@
             instance,
             state,
             coldConcurrency: spec.coldConcurrency,
-            warmConcurrency: spec.concurrency,
+            warmConcurrency: spec.statedConcurrency ?? spec.concurrency,
           },
           slice: !isShared && entry === warmer ? whole : share,
         });
