Bring endpoints back that nothing could prove to work again

Cause: found by reading and shown by four tests that failed first: after an outage longer than every deadline nobody was let in to probe; a fresh endpoint did not end an outage; an endpoint whose overdue call was cancelled stayed shut out; a pool with single calls only never tried a failed endpoint again. Change: a request alone may probe, a trusted endpoint ends an outage, the last overdue call counts as a failure when cancelled, single calls probe after 10 s.

--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -160,6 +160,8 @@
   const slots = pool.outage.isOn ? pool.outage.slotsBefore : pool.slots;
   const hasRoom = isFirst && pool.queue.length === 0 && pool.inFlight < slots;
   const { requestClass, customer, deadlineAt } = facts;
+  // Without anything under way the request itself finds out whether it is over.
+  if (hasRoom && pool.slots > 0 && pool.inFlight === 0) return 0;
   const outageMs = pool.outage.getRestMs(now);
   if (hasRoom) return outageMs;
   const ahead = pool.backlog.getAhead(requestClass, deadlineAt);
--- a/packages/decisions/src/call_life.ts
+++ b/packages/decisions/src/call_life.ts
@@ -100,6 +100,23 @@
   state.changedPools.add(pool);
 }
 
+/**
+ * Cancels a call.
+ *
+ * The last overdue call of an endpoint counts as a failure: it leaves no result
+ * that could show whether the endpoint works, and without a probe the endpoint
+ * would stay shut out for good.
+ */
+export function cancelCall(state: State, call: TrackedCall): void {
+  const { endpoint, callId } = call;
+  endpoint.calls.delete(call);
+  if (endpoint.health.isOverdue && endpoint.inFlight === 0) {
+    endpoint.health.recordFailure("timeout", state.now);
+  }
+  releaseCall(state, call);
+  state.actions.push({ kind: "cancel_call", callId });
+}
+
 /** Takes in the result of a call. */
 export function handleFinish(state: State, call: TrackedCall): void {
   const { request } = call;
@@ -110,16 +127,14 @@
   if (!call.endpoint.health.isSlow) latency.record(size, elapsedMs);
   call.endpoint.recordFinish(ratio, { elapsedMs, now: state.now });
   checkSlowness(state, call.endpoint);
-  releaseCall(state, call);
   const pool = state.getPool(call.endpoint.facts.service);
-  if (pool.outage.isOn) {
+  const wasOut = pool.outage.isOn;
+  releaseCall(state, call);
+  if (wasOut) {
     pool.outage.end();
     pool.endPauses(state.now);
   }
-  for (const other of [...request.calls]) {
-    releaseCall(state, other);
-    state.actions.push({ kind: "cancel_call", callId: other.callId });
-  }
+  for (const other of [...request.calls]) cancelCall(state, other);
   completeStage(state, request);
 }
 
--- a/packages/decisions/src/decider_test.ts
+++ b/packages/decisions/src/decider_test.ts
@@ -232,6 +232,74 @@
     });
   });
 
+  it("finds out that a pool works again after a long outage", () => {
+    // Callers would be refused for good: the outage has lasted longer than any
+    // deadline, so nobody is let in to wait for its end, and without a request
+    // there is no call that could show that the endpoint works again.
+    const fixture = new Fixture();
+    fixture.addEndpoints(["d-1"]);
+    fixture.arrive("r");
+    const fail = (callId: string) =>
+      fixture.tell({ kind: "call_failed", callId, reason: "not_sent" });
+    fail("call-1");
+    for (let count = 0; count < 1_000; count++) {
+      for (const { callId } of getStarts(fixture.tickAfter(100))) fail(callId);
+    }
+    const [probe] = getStarts(fixture.arrive("r2"));
+    expect(fixture.arrive("r3")[0]).to.include({ code: "STAGE_UNAVAILABLE" });
+    fixture.tell({
+      kind: "call_finished",
+      callId: probe?.callId ?? "",
+      workerMs: 100,
+      outputTokens: 0,
+    });
+    expect(getStarts(fixture.arrive("r4"))).to.have.lengthOf(1);
+  });
+
+  it("tries an endpoint again after its overdue call was cancelled", () => {
+    // A pool would shrink with every stall: the endpoint is shut out while its
+    // call is overdue, the call is cancelled at the deadline, and no result
+    // ever comes that would open it again.
+    const fixture = new Fixture();
+    fixture.addEndpoints(["d-1", "d-2", "d-3"], {}, 1);
+    const [first] = getStarts(fixture.arrive("r", {
+      stages: [buildStage({ billable: true })],
+    }));
+    for (let count = 0; count < 100; count++) fixture.tickAfter(100);
+    const starts = ["r1", "r2", "r3"].flatMap((id) =>
+      getStarts(fixture.arrive(id))
+    );
+    expect(starts.map((start) => start.endpointId))
+      .to.include(first?.endpointId);
+  });
+
+  it("tries an endpoint that broke a single call again after a while", () => {
+    const fixture = new Fixture();
+    fixture.addEndpoints(["d-1", "d-2"], {}, 1);
+    fixture.arrive("r", { stages: [TICKET] });
+    fixture.tell({ kind: "call_failed", callId: "call-1", reason: "broken" });
+    const arriveTwo = (name: string) =>
+      [`${name}1`, `${name}2`].flatMap((id) =>
+        getStarts(fixture.arrive(id, { stages: [TICKET] }))
+      );
+    fixture.tickAfter(2_000);
+    expect(arriveTwo("early")).to.have.lengthOf(1);
+    fixture.tickAfter(20_000);
+    expect(getStarts(fixture.arrive("late", { stages: [TICKET] })))
+      .to.have.lengthOf(1);
+  });
+
+  it("uses a fresh endpoint at once although the pool was out", () => {
+    const fixture = new Fixture();
+    fixture.addEndpoints(["d-1"]);
+    fixture.arrive("r");
+    fixture.tell({ kind: "call_failed", callId: "call-1", reason: "broken" });
+    fixture.tickAfter(60_000);
+    fixture.addEndpoints(["d-2"]);
+    expect(getStarts(fixture.arrive("r2"))).to.have.lengthOf(1);
+    expect(getStarts(fixture.arrive("r3"))).to.have.lengthOf(1);
+  });
+
   it("looks at admission without changing anything", () => {
     const fixture = new Fixture();
     fixture.addEndpoints(["d-1"], {}, 1);
--- a/packages/decisions/src/dispatch.ts
+++ b/packages/decisions/src/dispatch.ts
@@ -61,13 +61,15 @@
 function takeNext(state: State, pool: Pool): QueueItem | undefined {
   const first = pool.queue.pop();
   if (!first || !isPatient(state, first)) return first;
-  if (pickByPrefix(pool, first.request)) return first;
+  if (pickByPrefix(pool, first.request, state.now)) return first;
   const looked = [first];
   let found: QueueItem | undefined;
   while (looked.length < MAX_LOOKED_AT && !found) {
     const item = pool.queue.pop();
     if (!item) break;
-    if (isSameClass(item, first) && pickByPrefix(pool, item.request)) {
+    if (
+      isSameClass(item, first) && pickByPrefix(pool, item.request, state.now)
+    ) {
       found = item;
     } else looked.push(item);
   }
--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -32,6 +32,11 @@
 const PREFIX_LOAD_FACTOR = 1.25;
 /** While a pool is nearly idle, that much load is no matter. */
 const PREFIX_FREE_FILL = 0.15;
+/**
+ * An endpoint that failed is tried with a call that may not be repeated only
+ * so long after its pause; what broke it has usually been seen to by then.
+ */
+const SINGLE_PROBE_MS = 10_000;
 /** Cost of calls that would wait inside the endpoint. */
 const OVERFULL_FACTOR = 3;
 
@@ -47,7 +52,8 @@
   pool: Pool,
   request: TrackedRequest,
 ): Endpoint | undefined {
-  return pickByPrefix(pool, request) ?? pickByCost(state, pool, request);
+  return pickByPrefix(pool, request, state.now) ??
+    pickByCost(state, pool, request);
 }
 
 /**
@@ -62,11 +68,12 @@
 export function pickByPrefix(
   pool: Pool,
   request: TrackedRequest,
+  now: number,
 ): Endpoint | undefined {
   const { prefixHash } = request.facts;
   if (prefixHash === undefined || !HAS_CACHE[pool.role]) return undefined;
   return pool.ring.getOrder(prefixHash).find((endpoint) =>
-    endpoint.openIndex >= 0 && isSuitable(endpoint, pool, request) &&
+    endpoint.openIndex >= 0 && isSuitable(endpoint, pool, { request, now }) &&
     endpoint.totalLoad < getPrefixBound(pool, endpoint)
   );
 }
@@ -90,7 +97,9 @@
   let bestCost = Infinity;
   for (let index = 0; index < count; index++) {
     const endpoint = open[(offset + index) % open.length];
-    if (!endpoint || !isSuitable(endpoint, pool, request)) continue;
+    if (!endpoint || !isSuitable(endpoint, pool, { request, now: state.now })) {
+      continue;
+    }
     const cost = getCost(state, endpoint);
     if (cost >= bestCost) continue;
     best = endpoint;
@@ -104,17 +113,20 @@
  *
  * Made for calls that may not be repeated: a failure of such a call is an
  * unknown outcome, so an endpoint that is on probation gets repeatable calls
- * until it has answered one, unless there is no other.
+ * until it has answered one. Where none of those come, as in a pool of payments,
+ * it is tried after a longer time, or it would be lost for good.
  */
 export function isSuitable(
   endpoint: Endpoint,
   pool: Pool,
-  request: TrackedRequest,
+  options: { readonly request: TrackedRequest; readonly now: number },
 ): boolean {
+  const { request, now } = options;
   if (request.tried.includes(endpoint.facts.endpointId)) return false;
   if (request.calls.some((call) => call.endpoint === endpoint)) return false;
-  if (!endpoint.health.isProbed) return true;
-  return getStage(request).repeatable || pool.trusted === 0;
+  const { health } = endpoint;
+  if (!health.isProbed || getStage(request).repeatable) return true;
+  return pool.trusted === 0 || now - health.pausedUntil > SINGLE_PROBE_MS;
 }
 
 /** Expected time there relative to an empty endpoint of the own zone. */
--- a/packages/decisions/src/pool.ts
+++ b/packages/decisions/src/pool.ts
@@ -130,6 +130,7 @@
     const isTrusted = slots > 0 && !endpoint.health.isProbed;
     if (isTrusted !== endpoint.isTrusted) this.trusted += isTrusted ? 1 : -1;
     endpoint.isTrusted = isTrusted;
+    if (isTrusted) this.outage.end();
     this.slots += slots - endpoint.slots;
     endpoint.slots = slots;
   }
--- a/packages/decisions/src/request_life.ts
+++ b/packages/decisions/src/request_life.ts
@@ -14,7 +14,7 @@
 } from "./request_work.ts";
 import { getReturnMs } from "./return_time.ts";
 import type { State } from "./state.ts";
-import { releaseCall } from "./call_life.ts";
+import { cancelCall } from "./call_life.ts";
 import { getStage, getStageSize, type TrackedRequest } from "./tracked.ts";
 
 /** Lets a request in and queues its first stage, or refuses it. */
@@ -202,10 +202,7 @@
   if (request.isQueued) {
     state.getPool(getStage(request).service).queue.remove(request);
   }
-  for (const call of [...request.calls]) {
-    releaseCall(state, call);
-    state.actions.push({ kind: "cancel_call", callId: call.callId });
-  }
+  for (const call of [...request.calls]) cancelCall(state, call);
   for (let stage = request.stage; stage < facts.stages.length; stage++) {
     changeBacklog(state, request, { stage, change: "remove" });
   }
