--- a/packages/decisions/src/call_life.ts
+++ b/packages/decisions/src/call_life.ts
@@ -103,15 +103,14 @@
 /**
  * Cancels a call.
  *
- * The last overdue call of an endpoint counts as a failure: it leaves no result
- * that could show whether the endpoint works, and without a probe the endpoint
- * would stay shut out for good.
+ * The last overdue call of an endpoint leaves no result that could show whether
+ * it works; unless the endpoint is tried again it would stay shut out for good.
  */
 export function cancelCall(state: State, call: TrackedCall): void {
   const { endpoint, callId } = call;
   endpoint.calls.delete(call);
   if (endpoint.health.isOverdue && endpoint.inFlight === 0) {
-    endpoint.health.recordFailure("timeout", state.now);
+    endpoint.health.recordOverdueCancel(state.now);
   }
   releaseCall(state, call);
   state.actions.push({ kind: "cancel_call", callId });
--- a/packages/decisions/src/endpoint_health.ts
+++ b/packages/decisions/src/endpoint_health.ts
@@ -33,6 +33,8 @@
  * healthy endpoint; three in a row do not happen by chance.
  */
 const SLOW_STREAK = 3;
+/** Overdue calls in a row, cancelled without a result, that make a failure. */
+const CANCEL_STREAK = 2;
 /** It counts as recovered below that, so that it does not flap. */
 const RECOVERED_RATIO = 1.8;
 
@@ -46,6 +48,7 @@
   slowness = 1;
   isSlow = false;
   #slowStreak = 0;
+  #cancelStreak = 0;
   /** A call runs far too long and nothing has finished meanwhile. */
   isOverdue = false;
   lastFinishAt = 0;
@@ -65,6 +68,7 @@
     this.slowness += SMOOTHING * (Math.min(MAX_RATIO, ratio) - this.slowness);
     this.failures = 0;
     this.isOverdue = false;
+    this.#cancelStreak = 0;
     this.#slowStreak = ratio >= SLOW_RATIO ? this.#slowStreak + 1 : 0;
     if (this.#slowStreak === 0) this.lastFinishAt = now;
     if (this.isSlow && ratio < RECOVERED_RATIO) this.#setRecovered();
@@ -86,6 +90,17 @@
     this.pausedUntil = now + Math.min(MAX_PAUSE_MS, pauseMs);
   }
 
+  /**
+   * Takes in that its last overdue call was cancelled, so that no result will
+   * tell whether it works. The first time it may have been a single stall; a
+   * second one in a row counts as a failure.
+   */
+  recordOverdueCancel(now: number): void {
+    this.#cancelStreak += 1;
+    this.isOverdue = false;
+    if (this.#cancelStreak >= CANCEL_STREAK) this.recordFailure("timeout", now);
+  }
+
   /** Ends a pause that failures have caused; it is probed at once. */
   endPause(now: number): void {
     if (!this.isSlow) this.pausedUntil = Math.min(this.pausedUntil, now);
