Load reports reach the decisions by their own clock

Cause: control dates reports by the wall clock and the decisions count in monotonic time, so every report counted as measured at its arrival and its lag was lost. Change: the entry turns the age into its own time.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -206,6 +206,7 @@
         viewFreshMs: membership.VIEW_FRESH_MS,
       }),
       readNow: readMonotonic,
+      readWallMs: Date.now,
       drawRandom: Math.random,
       apply: (event) => this.#dispatcher.apply(event),
       onConfiguration: (version) => this.#handleConfiguration(version),
--- a/packages/entry/src/site_slices_test.ts
+++ b/packages/entry/src/site_slices_test.ts
@@ -71,6 +71,7 @@
       viewFreshMs: 10,
     }),
     readNow: () => 0,
+    readWallMs: () => 0,
     drawRandom: () => 0,
     apply: (event) => events.push(event),
     onConfiguration: () => {},
--- a/packages/entry/src/site_state.ts
+++ b/packages/entry/src/site_state.ts
@@ -34,7 +34,10 @@
   readonly vmId: string;
   readonly site: string;
   readonly guard: membership.WarmupGuard;
+  /** Monotonic milliseconds. */
   readonly readNow: () => number;
+  /** Wall clock in milliseconds since the Unix epoch. */
+  readonly readWallMs: () => number;
   readonly drawRandom: () => number;
   /** Tells the decisions. */
   readonly apply: (event: decisions.DecisionEvent) => void;
@@ -112,7 +115,10 @@
     for (const facts of news.endpoints ?? []) this.#applyEndpoint(facts);
     const now = this.#options.readNow();
     for (const report of news.loads ?? []) {
-      this.#options.apply({ kind: "load_reported", now, report });
+      // Control dates reports by the wall clock; the decisions have another one.
+      const ageMs = Math.max(0, this.#options.readWallMs() - report.measuredAt);
+      const dated = { ...report, measuredAt: now - ageMs };
+      this.#options.apply({ kind: "load_reported", now, report: dated });
     }
   }
 
