--- a/packages/demo/src/demo.ts
+++ b/packages/demo/src/demo.ts
@@ -45,7 +45,10 @@
     ...formatAttainment(load.results),
   );
   lines.push(...await formatTimeLine(deployment, load.results));
-  const violations = await audit(deployment, [...single, ...load.results]);
+  const violations = await deployment.audit([
+    ...single,
+    ...load.results,
+  ]);
   const stops = await stopAll(deployment, load.killed);
   return { lines, violations: [...violations, ...stops] };
 }
@@ -82,19 +85,6 @@
   return ["", title, ...lines.map((line) => `  ${line}`), `  ${dead}`];
 }
 
-async function audit(
-  deployment: testbed.Deployment,
-  results: readonly testbed.CallerResult[],
-): Promise<testbed.Violation[]> {
-  return testbed.findViolations({
-    results,
-    runs: await deployment.readRuns(),
-    workers: await deployment.readWorkers(),
-    singleOperations: deployment.getSingleOperations(),
-    coldConcurrency: deployment.getColdConcurrency(),
-  });
-}
-
 /** A planned stop must end every process by itself, with exit code 0. */
 async function stopAll(
   deployment: testbed.Deployment,
--- a/packages/prove/src/judge.ts
+++ b/packages/prove/src/judge.ts
@@ -3,27 +3,7 @@
  *
  * @module
  */
-import * as testbed from "@sardinestep/testbed";
-
-/**
- * Audits a deployment against what its callers were told.
- *
- * @param deployment The deployment, with its stand-ins still running.
- * @param results What callers were told.
- * @returns Every broken promise.
- */
-export async function auditDeployment(
-  deployment: testbed.Deployment,
-  results: readonly testbed.CallerResult[],
-): Promise<testbed.Violation[]> {
-  return testbed.findViolations({
-    results,
-    runs: await deployment.readRuns(),
-    workers: await deployment.readWorkers(),
-    singleOperations: deployment.getSingleOperations(),
-    coldConcurrency: deployment.getColdConcurrency(),
-  });
-}
+import type * as testbed from "@sardinestep/testbed";
 
 /**
  * Finds results that did not complete.
--- a/packages/prove/src/scenarios/at_most_once.ts
+++ b/packages/prove/src/scenarios/at_most_once.ts
@@ -5,12 +5,7 @@
  */
 import * as testbed from "@sardinestep/testbed";
 import { setTimeout as sleep } from "node:timers/promises";
-import {
-  auditDeployment,
-  countOutcomes,
-  describeResult,
-  expectCompleted,
-} from "../judge.ts";
+import { countOutcomes, describeResult, expectCompleted } from "../judge.ts";
 import type { Scenario } from "../scenario.ts";
 import {
   buildRequest,
@@ -50,7 +45,7 @@
       });
       const results = await Promise.all(sends);
       const violations = [
-        ...await auditDeployment(deployment, results),
+        ...await deployment.audit(results),
         ...expectCompleted(results, "a duplicate gets the first one's answer"),
       ];
       const seen = countOutcomes(results);
@@ -71,7 +66,7 @@
         await sleep(250);
         await testbed.stopProgram(victim.entry, "SIGKILL");
       });
-      const violations = await auditDeployment(deployment, results);
+      const violations = await deployment.audit(results);
       const seen = countOutcomes(results);
       return { cases: results.length, violations, seen };
     },
@@ -95,7 +90,7 @@
         victim.entry.process.kill("SIGCONT");
         await sleep(1_500);
       }, 1_000);
-      const violations = await auditDeployment(deployment, results);
+      const violations = await deployment.audit(results);
       const seen = countOutcomes(results);
       return { cases: results.length, violations, seen };
     },
@@ -115,7 +110,7 @@
       await deployment.setLogFaults({ loseAnswers: 12 });
       const results = await sendAll(deployment, "issue", KEYS);
       const violations = [
-        ...await auditDeployment(deployment, results),
+        ...await deployment.audit(results),
         ...expectCompleted(results, "lost answers of the log delay only"),
       ];
       const seen = countOutcomes(results);
@@ -159,7 +154,7 @@
           promise: "an expired key is refused",
           detail: describeResult(result),
         }));
-      const audit = await auditDeployment(deployment, results);
+      const audit = await deployment.audit(results);
       const seen = countOutcomes(results);
       return { cases: results.length, violations: [...audit, ...wrong], seen };
     },
@@ -246,7 +241,7 @@
   );
   const slow = bare.filter((result) => result.tookMs > 1_000);
   const violations = [
-    ...await auditDeployment(deployment, [...issued, ...again]),
+    ...await deployment.audit([...issued, ...again]),
     ...expectCompleted(issued, "minted keys issue during an outage"),
     ...expectCompleted(others, "lookups and drafts go on during an outage"),
     ...expectCompleted(again, "bare keys run after the outage"),
--- a/packages/prove/src/scenarios/endpoints.ts
+++ b/packages/prove/src/scenarios/endpoints.ts
@@ -5,7 +5,7 @@
  */
 import * as testbed from "@sardinestep/testbed";
 import { setTimeout as sleep } from "node:timers/promises";
-import { auditDeployment, countOutcomes, expectCompleted } from "../judge.ts";
+import { countOutcomes, expectCompleted } from "../judge.ts";
 import type { Scenario } from "../scenario.ts";
 import {
   buildRequest,
@@ -64,7 +64,7 @@
   await testbed.stopProgram(deployment.vms[0]!.entry, "SIGKILL");
   const results = await load;
   const workers = await deployment.readWorkers();
-  const violations = await auditDeployment(deployment, results);
+  const violations = await deployment.audit(results);
   const peaks = workers.map((worker) => worker.maxConcurrentWhileCold);
   const seen = `${countOutcomes(results)}; peak on a cold worker ` +
     `${Math.max(...peaks)} of 2, calls over all ${
--- a/packages/prove/src/scenarios/planned_stop.ts
+++ b/packages/prove/src/scenarios/planned_stop.ts
@@ -5,7 +5,7 @@
  */
 import * as testbed from "@sardinestep/testbed";
 import { setTimeout as sleep } from "node:timers/promises";
-import { auditDeployment, countOutcomes, expectCompleted } from "../judge.ts";
+import { countOutcomes, expectCompleted } from "../judge.ts";
 import type { Scenario } from "../scenario.ts";
 import {
   buildRequest,
@@ -66,7 +66,7 @@
   const results = await load;
   const violations = [
     ...exits,
-    ...await auditDeployment(deployment, results),
+    ...await deployment.audit(results),
     ...expectCompleted(results, "a planned stop cuts off no request"),
   ];
   const seen = `${countOutcomes(results)} while ${deployment.vms.length} VMs ` +
--- a/packages/prove/src/scenarios/results.ts
+++ b/packages/prove/src/scenarios/results.ts
@@ -5,12 +5,7 @@
  */
 import * as testbed from "@sardinestep/testbed";
 import { setTimeout as sleep } from "node:timers/promises";
-import {
-  auditDeployment,
-  countOutcomes,
-  describeResult,
-  expectCompleted,
-} from "../judge.ts";
+import { countOutcomes, describeResult, expectCompleted } from "../judge.ts";
 import type { Scenario } from "../scenario.ts";
 import {
   buildRequest,
@@ -67,8 +62,8 @@
       await testbed.stopProgram(victim.entry, "SIGKILL");
       await setDrafterFaults(deployment, { slowFactor: 1 });
       const results = await Promise.all(sends);
-      const encoded = await deployment.countRunsAt("encoders");
-      const drafted = await deployment.countRunsAt("drafters");
+      const encoded = await deployment.countRunsOf("encoders");
+      const drafted = await deployment.countRunsOf("drafters");
       const violations = [
         ...expectCompleted(results, "a repeat completes"),
         ...findRunTwice("encoder", encoded),
@@ -107,8 +102,8 @@
       const results = await Promise.all(sends);
       const violations = [
         ...expectCompleted(results, "a duplicate gets the first one's answer"),
-        ...findRunTwice("encoder", await deployment.countRunsAt("encoders")),
-        ...findRunTwice("drafter", await deployment.countRunsAt("drafters")),
+        ...findRunTwice("encoder", await deployment.countRunsOf("encoders")),
+        ...findRunTwice("drafter", await deployment.countRunsOf("drafters")),
       ];
       const seen = countOutcomes(results);
       return { cases: results.length, violations, seen };
@@ -154,7 +149,7 @@
       const after = await sendDrafts(deployment);
       const violations = [
         ...expectCompleted([...before, ...after], "a draft completes"),
-        ...await auditDeployment(deployment, [...before, ...after]),
+        ...await deployment.audit([...before, ...after]),
       ];
       const seen = countOutcomes(after);
       return { cases: before.length + after.length, violations, seen };
--- a/packages/prove/src/scenarios/truthful_refusal.ts
+++ b/packages/prove/src/scenarios/truthful_refusal.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as testbed from "@sardinestep/testbed";
-import { auditDeployment, countOutcomes, describeResult } from "../judge.ts";
+import { countOutcomes, describeResult } from "../judge.ts";
 import type { Scenario } from "../scenario.ts";
 import {
   buildRequest,
@@ -33,7 +33,7 @@
       await setTicketFaults(deployment, { loseAnswer: KEYS });
       const results = await sendOnceEach(deployment);
       const violations = [
-        ...await auditDeployment(deployment, results),
+        ...await deployment.audit(results),
         ...expectOutcome(results, "unknown"),
       ];
       const seen = countOutcomes(results);
@@ -55,7 +55,7 @@
       const results = await sendOnceEach(deployment, 700);
       const late = results.filter((result) => result.tookMs > 1_200);
       const violations = [
-        ...await auditDeployment(deployment, results),
+        ...await deployment.audit(results),
         ...late.map((result) => ({
           promise: "an answer by the deadline",
           detail: describeResult(result),
@@ -78,7 +78,7 @@
       );
       await setTicketFaults(deployment, { refuse: KEYS });
       const results = await sendOnceEach(deployment);
-      const violations = await auditDeployment(deployment, results);
+      const violations = await deployment.audit(results);
       const seen = countOutcomes(results);
       return { cases: results.length, violations, seen };
     },
--- a/packages/testbed/src/audit.ts
+++ b/packages/testbed/src/audit.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { CallerResult } from "./caller.ts";
-import type { KeyRuns, WorkerCounters } from "./deployment.ts";
+import type { KeyRuns, WorkerCounters } from "./stand_ins.ts";
 
 /** A promise of the brief that was broken. */
 export interface Violation {
--- a/packages/testbed/src/deployment.ts
+++ b/packages/testbed/src/deployment.ts
@@ -5,8 +5,20 @@
  * @module
  */
 import * as rpc from "@sardinestep/rpc";
-import type { EndpointRole, SiteId, VmId, ZoneId } from "@sardinestep/types";
 import { randomUUID } from "node:crypto";
+import { findViolations, type Violation } from "./audit.ts";
+import type { CallerResult } from "./caller.ts";
+import {
+  buildControlSettings,
+  buildEntrySettings,
+  buildFakesSettings,
+  buildPlacement,
+  countPorts,
+  type DeploymentPlan,
+  listSingleOperations,
+  type PlacedVm,
+  type Placement,
+} from "./deployment_plan.ts";
 import {
   type Bench,
   findFreePorts,
@@ -14,132 +26,47 @@
   stopProgram,
   waitForOutput,
 } from "./program.ts";
+import { StandIns } from "./stand_ins.ts";
 import { waitFor } from "./wait.ts";
 
-/** A VM of the system. */
-export interface PlannedVm {
-  readonly vmId: VmId;
-  readonly zone: ZoneId;
-  readonly site: SiteId;
-}
-
-/** A worker, played by a stand-in. */
-export interface PlannedWorker {
-  readonly endpointId: string;
-  readonly service: string;
-  readonly role: EndpointRole;
-  readonly zone: ZoneId;
-  readonly coldConcurrency: number;
-  readonly warmConcurrency: number;
-  /** Further settings of the stand-in, such as `serviceMs`. */
-  readonly [setting: string]: unknown;
-}
-
-/** What a deployment consists of. */
-export interface DeploymentPlan {
-  readonly vms: readonly PlannedVm[];
-  readonly workers: readonly PlannedWorker[];
-  /** Published once the controls answer. */
-  readonly configuration: unknown;
-  readonly entrySettings?: Readonly<Record<string, unknown>>;
-  readonly controlSettings?: Readonly<Record<string, unknown>>;
-  readonly logSettings?: Readonly<Record<string, unknown>>;
-  readonly vmListLagMs?: number;
-}
-
 /** A VM with its two processes. */
-export interface RunningVm extends PlannedVm {
-  readonly url: string;
-  readonly entryRpc: string;
-  readonly controlRpc: string;
+export interface RunningVm extends PlacedVm {
   entry: Program;
   control: Program;
 }
 
-/** What a worker's stand-in counts; see the stand-in's own type. */
-export interface WorkerCounters {
-  readonly address: string;
-  readonly service: string;
-  readonly zone: ZoneId;
-  readonly calls: number;
-  readonly fellOver: number;
-  readonly maxConcurrentWhileCold: number;
-  readonly [counter: string]: unknown;
+/** How a deployment is started. */
+export interface StartDeploymentOptions {
+  /** Fixed ports from there on, entries first; free ones by default. */
+  readonly firstPort?: number;
 }
 
-/** What ran under one key, in order. */
-export interface KeyRuns {
-  readonly count: number;
-  /** Operation of each run; empty for model stages. */
-  readonly operations: readonly string[];
-  /** Hash of the input of each run. */
-  readonly digests: readonly string[];
-}
-
-/** The part of a configuration that an audit reads. */
-interface PlannedConfiguration {
-  readonly base: {
-    readonly pipelines: Readonly<
-      Record<string, { readonly stages: readonly PlannedStage[] }>
-    >;
-  };
-}
-
-interface PlannedStage {
-  readonly repeatable: boolean;
-  readonly operation?: string;
-}
-
-type KeyRunsByKey = Readonly<Record<string, KeyRuns>>;
-
-const LOOPBACK = "127.0.0.1";
-const PORTS_A_VM = 3;
-const PORTS_OF_PLATFORM = 4;
 const READY_BOUND_MS = 30_000;
-const ADMIN_TIMEOUT_MS = 5_000;
 
-/** A running deployment. */
-export class Deployment {
+/** A running deployment; its stand-ins' faults and counts are methods as well. */
+export class Deployment extends StandIns {
   readonly #bench: Bench;
   readonly #plan: DeploymentPlan;
-  readonly vms: RunningVm[] = [];
-  readonly logUrl: string;
-  readonly vmListUrl: string;
-  readonly storeUrl: string;
-  /** Reaches all stand-ins' admin paths, also during their outages. */
-  readonly adminUrl: string;
-  /** Address of each worker. */
-  readonly workerAddresses: ReadonlyMap<string, string>;
-  fakes: Program | undefined;
+  readonly #placement: Placement;
+  readonly vms: readonly RunningVm[];
+  readonly fakes: Program;
 
   private constructor(
     bench: Bench,
     plan: DeploymentPlan,
-    ports: readonly number[],
+    placement: Placement,
   ) {
+    super(placement);
     this.#bench = bench;
     this.#plan = plan;
-    const addresses = ports.map((port) => `${LOOPBACK}:${port}`);
-    const take = () => addresses.shift() ?? "";
-    const placed = plan.vms.map((vm) => ({
+    this.#placement = placement;
+    const settings = buildFakesSettings(plan, placement);
+    this.fakes = bench.start("sardinestep-fakes", { settings });
+    this.vms = placement.vms.map((vm) => ({
       ...vm,
-      url: `http://${take()}`,
-      entryRpc: take(),
-      controlRpc: take(),
+      control: this.#startControl(vm),
+      entry: this.#startEntry(vm),
     }));
-    this.logUrl = `http://${take()}`;
-    this.vmListUrl = `http://${take()}`;
-    this.storeUrl = `http://${take()}`;
-    this.adminUrl = `http://${take()}`;
-    this.workerAddresses = new Map(
-      plan.workers.map((worker) => [worker.endpointId, take()]),
-    );
-    this.fakes = this.#startFakes(placed);
-    for (const vm of placed) {
-      const control = this.#startControl(vm, placed);
-      const entry = this.#startEntry(vm, placed);
-      this.vms.push({ ...vm, control, entry });
-    }
   }
 
   /**
@@ -147,20 +74,17 @@
    *
    * @param bench Starts and later ends the processes.
    * @param plan What the deployment consists of.
-   * @param options `firstPort`: fixed ports from there on, entries first.
+   * @param options Fixed ports.
    * @returns The running deployment.
    */
   static async start(
     bench: Bench,
     plan: DeploymentPlan,
-    options: { readonly firstPort?: number } = {},
+    options: StartDeploymentOptions = {},
   ): Promise<Deployment> {
-    const count = PORTS_OF_PLATFORM + plan.workers.length +
-      plan.vms.length * PORTS_A_VM;
-    const ports = options.firstPort === undefined
-      ? await findFreePorts(count)
-      : Array.from({ length: count }, (_, i) => options.firstPort! + i);
-    const deployment = new Deployment(bench, plan, ports);
+    const ports = await pickPorts(countPorts(plan), options.firstPort);
+    const placement = buildPlacement(plan, ports);
+    const deployment = new Deployment(bench, plan, placement);
     await deployment.#waitForControls();
     const verdict = await deployment.publish(plan.configuration, 0);
     if (verdict.kind !== "accepted") {
@@ -170,6 +94,26 @@
     return deployment;
   }
 
+  /** Where the log's stand-in answers. */
+  get logUrl(): string {
+    return this.#placement.logUrl;
+  }
+
+  /** Where the VM list's stand-in answers. */
+  get vmListUrl(): string {
+    return this.#placement.vmListUrl;
+  }
+
+  /** Where all stand-ins' admin paths are reached. */
+  get adminUrl(): string {
+    return this.#placement.adminUrl;
+  }
+
+  /** Address of each worker. */
+  get workerAddresses(): ReadonlyMap<string, string> {
+    return this.#placement.workers;
+  }
+
   /** Publishes a configuration through the first control that answers. */
   async publish(
     configuration: unknown,
@@ -184,25 +128,20 @@
       note: "",
       configuration,
     } as const;
-    for (const vm of this.vms) {
-      const limit = { timeoutMs: READY_BOUND_MS };
-      const answer = await rpc.callOnce(
-        vm.controlRpc,
-        "publish",
-        record,
-        limit,
-      );
+    const limit = { timeoutMs: READY_BOUND_MS };
+    for (const { controlRpc } of this.vms) {
+      const answer = await rpc.callOnce(controlRpc, "publish", record, limit);
       if (answer.isOk()) return answer.value;
     }
     return { kind: "unknown" };
   }
 
-  /** Waits until each running entry says that it is ready. */
+  /** Waits until each entry says that it is ready. */
   async waitUntilReady(): Promise<void> {
     await Promise.all(this.vms.map((vm) => this.waitForEntry(vm)));
   }
 
-  /** Waits until one entry serves and sees all warm endpoints. */
+  /** Waits until one entry says that it is ready. */
   async waitForEntry(vm: RunningVm): Promise<void> {
     await waitFor(async () => {
       const answer = await fetch(`${vm.url}/readyz`);
@@ -224,38 +163,41 @@
 
   /** Starts the two processes of a VM again, at the same addresses. */
   restartVm(vm: RunningVm): void {
-    vm.control = this.#startControl(vm, this.vms);
-    vm.entry = this.#startEntry(vm, this.vms);
+    vm.control = this.#startControl(vm);
+    vm.entry = this.#startEntry(vm);
   }
 
   /** Starts a VM's entry again. */
   restartEntry(vm: RunningVm): void {
-    vm.entry = this.#startEntry(vm, this.vms);
-  }
-
-  /** Sets faults of the log's stand-in. */
-  async setLogFaults(faults: unknown): Promise<void> {
-    await this.#callStandIn(stripScheme(this.logUrl), "faults", faults);
+    vm.entry = this.#startEntry(vm);
   }
 
-  /** Sets faults of the VM list's stand-in. */
-  async setVmListFaults(faults: unknown): Promise<void> {
-    await this.#callStandIn(stripScheme(this.vmListUrl), "faults", faults);
-  }
-
-  /** Calls another admin path of the VM list's stand-in, such as `changes`. */
-  async changeVmList(path: string, body: unknown): Promise<unknown> {
-    return await this.#callStandIn(stripScheme(this.vmListUrl), path, body);
+  /** Counts how often each key ran at the workers of one service. */
+  async countRunsOf(service: string): Promise<ReadonlyMap<string, number>> {
+    const workers = this.#plan.workers.filter((worker) =>
+      worker.service === service
+    );
+    return await this.countRunsAt(workers.map((worker) => worker.endpointId));
   }
 
-  /** Sets faults of a worker's stand-in. */
-  async setWorkerFaults(endpointId: string, faults: unknown): Promise<void> {
-    const address = this.workerAddresses.get(endpointId) ?? "";
-    await this.#callStandIn(address, "faults", faults);
+  /**
+   * Compares what callers were told with what the workers ran.
+   *
+   * @param results What callers were told.
+   * @returns Every broken promise.
+   */
+  async audit(results: readonly CallerResult[]): Promise<Violation[]> {
+    return findViolations({
+      results,
+      runs: await this.readRuns(),
+      workers: await this.readWorkers(),
+      singleOperations: listSingleOperations(this.#plan.configuration),
+      coldConcurrency: this.#getColdConcurrency(),
+    });
   }
 
   /** How many calls a cold worker bears, by address. */
-  getColdConcurrency(): ReadonlyMap<string, number> {
+  #getColdConcurrency(): ReadonlyMap<string, number> {
     return new Map(
       this.#plan.workers.map((worker) => [
         this.workerAddresses.get(worker.endpointId) ?? "",
@@ -264,161 +206,29 @@
     );
   }
 
-  /** Operations of the published configuration that may not be repeated. */
-  getSingleOperations(): ReadonlySet<string> {
-    const { base } = this.#plan.configuration as PlannedConfiguration;
-    const stages = Object.values(base.pipelines).flatMap((one) => one.stages);
-    return new Set(
-      stages.filter((stage) => !stage.repeatable).map((stage) =>
-        stage.operation ?? ""
-      ),
-    );
-  }
-
-  /** Reads the counters of the log's stand-in. */
-  async readLogCounters(): Promise<Record<string, number>> {
-    const address = stripScheme(this.logUrl);
-    const counters = await this.#callStandIn(address, "counters");
-    return counters as Record<string, number>;
-  }
-
-  /** Reads the counters of every worker's stand-in. */
-  async readWorkers(): Promise<readonly WorkerCounters[]> {
-    const workers = await callAdmin(`${this.adminUrl}/admin/endpoints`);
-    return workers as readonly WorkerCounters[];
-  }
-
-  /** Reads what ran under which key, over all workers. */
-  async readRuns(): Promise<KeyRunsByKey> {
-    const runs = await callAdmin(`${this.adminUrl}/admin/runs`);
-    return runs as KeyRunsByKey;
-  }
-
-  /** Reads how often each key ran at the workers of one service. */
-  async countRunsAt(service: string): Promise<ReadonlyMap<string, number>> {
-    const counts = new Map<string, number>();
-    for (const worker of this.#plan.workers) {
-      if (worker.service !== service) continue;
-      const address = this.workerAddresses.get(worker.endpointId) ?? "";
-      const runs = await this.#callStandIn(address, "runs");
-      for (const [key, { count }] of Object.entries(runs as KeyRunsByKey)) {
-        counts.set(key, (counts.get(key) ?? 0) + count);
-      }
-    }
-    return counts;
-  }
-
-  async #callStandIn(
-    address: string,
-    action: string,
-    body?: unknown,
-  ): Promise<unknown> {
-    return await callAdmin(
-      `${this.adminUrl}/admin/at/${address}/${action}`,
-      body,
-    );
-  }
-
   async #waitForControls(): Promise<void> {
+    const options = { boundMs: READY_BOUND_MS };
     await Promise.all(
-      this.vms.map((vm) =>
-        waitForOutput(vm.control, "ready", { boundMs: READY_BOUND_MS })
-      ),
+      this.vms.map(({ control }) => waitForOutput(control, "ready", options)),
     );
   }
 
-  #startFakes(vms: readonly Omit<RunningVm, "entry" | "control">[]): Program {
-    const { workers, logSettings, vmListLagMs } = this.#plan;
-    const settings = {
-      adminListen: stripScheme(this.adminUrl),
-      logs: [{ listen: stripScheme(this.logUrl), ...logSettings }],
-      vmLists: [{
-        listen: stripScheme(this.vmListUrl),
-        lagMs: vmListLagMs ?? 0,
-        vms: vms.map((vm) => ({
-          vmId: vm.vmId,
-          zone: vm.zone,
-          site: vm.site,
-          entryRpc: vm.entryRpc,
-          controlRpc: vm.controlRpc,
-          state: "live",
-        })),
-        endpoints: workers.map((worker) => ({
-          endpointId: worker.endpointId,
-          service: worker.service,
-          role: worker.role,
-          zone: worker.zone,
-          address: this.workerAddresses.get(worker.endpointId),
-          coldConcurrency: worker.coldConcurrency,
-          warmConcurrency: worker.warmConcurrency,
-          state: "live",
-        })),
-      }],
-      stores: [{ listen: stripScheme(this.storeUrl) }],
-      endpoints: workers.map((worker) => ({
-        ...worker,
-        listen: this.workerAddresses.get(worker.endpointId),
-      })),
-    };
-    return this.#bench.start("sardinestep-fakes", { settings });
-  }
-
-  #startControl(vm: Place, all: readonly Place[]): Program {
-    const { vmId, zone, site, controlRpc } = vm;
-    const neighbours = all
-      .filter((other) => other.vmId !== vmId)
-      .map((other) => other.controlRpc);
-    const settings = {
-      vmId,
-      zone,
-      site,
-      listenRpc: controlRpc,
-      logUrl: this.logUrl,
-      vmListUrl: this.vmListUrl,
-      neighbours,
-      ...this.#plan.controlSettings,
-    };
+  #startControl(vm: PlacedVm): Program {
     return this.#bench.start("sardinestep-control", {
-      name: `control-${vmId}`,
-      settings,
+      name: `control-${vm.vmId}`,
+      settings: buildControlSettings(vm, this.#plan, this.#placement),
     });
   }
 
-  #startEntry(vm: Place, all: readonly Place[]): Program {
-    const { vmId, zone, site, url, entryRpc, controlRpc } = vm;
-    const others = all
-      .filter((other) => other.vmId !== vmId)
-      .map((other) => other.controlRpc);
-    const settings = {
-      vmId,
-      zone,
-      site,
-      listenHttp: stripScheme(url),
-      listenRpc: entryRpc,
-      controls: [controlRpc, ...others],
-      ...this.#plan.entrySettings,
-    };
+  #startEntry(vm: PlacedVm): Program {
     return this.#bench.start("sardinestep-entry", {
-      name: `entry-${vmId}`,
-      settings,
+      name: `entry-${vm.vmId}`,
+      settings: buildEntrySettings(vm, this.#plan, this.#placement),
     });
   }
 }
 
-async function callAdmin(url: string, body?: unknown): Promise<unknown> {
-  const answer = await fetch(url, {
-    method: body === undefined ? "GET" : "POST",
-    body: body === undefined ? undefined : JSON.stringify(body),
-    headers: { "content-type": "application/json" },
-    signal: AbortSignal.timeout(ADMIN_TIMEOUT_MS),
-  });
-  const text = await answer.text();
-  if (!answer.ok) throw new Error(`Cannot call "${url}": ${text}`);
-  return text === "" ? undefined : JSON.parse(text);
-}
-
-type Place = Omit<RunningVm, "entry" | "control">;
-
-function stripScheme(url: string): string {
-  return url.replace(/^http:\/\//, "");
+async function pickPorts(count: number, firstPort?: number): Promise<number[]> {
+  if (firstPort === undefined) return await findFreePorts(count);
+  return Array.from({ length: count }, (_, index) => firstPort + index);
 }
--- a/packages/testbed/src/mod.ts
+++ b/packages/testbed/src/mod.ts
@@ -7,5 +7,7 @@
 export * from "./audit.ts";
 export * from "./caller.ts";
 export * from "./deployment.ts";
+export * from "./deployment_plan.ts";
 export * from "./program.ts";
+export * from "./stand_ins.ts";
 export * from "./wait.ts";
--- /dev/null
+++ b/packages/testbed/src/stand_ins.ts
@@ -0,0 +1,115 @@
+/**
+ * The stand-ins of a running deployment: their faults and counts.
+ *
+ * @module
+ */
+import type { ZoneId } from "@sardinestep/types";
+import { type Placement, stripScheme } from "./deployment_plan.ts";
+
+/** What a worker's stand-in counts; see the stand-in's own type. */
+export interface WorkerCounters {
+  readonly address: string;
+  readonly service: string;
+  readonly zone: ZoneId;
+  readonly calls: number;
+  readonly fellOver: number;
+  readonly maxConcurrentWhileCold: number;
+  readonly [counter: string]: unknown;
+}
+
+/** What ran under one key, in order. */
+export interface KeyRuns {
+  readonly count: number;
+  /** Operation of each run; empty for model stages. */
+  readonly operations: readonly string[];
+  /** Hash of the input of each run. */
+  readonly digests: readonly string[];
+}
+
+type KeyRunsByKey = Readonly<Record<string, KeyRuns>>;
+
+const ADMIN_TIMEOUT_MS = 5_000;
+
+/** Calls the admin paths of stand-ins; see docs/PROTOCOLS.md. */
+export class StandIns {
+  readonly #placement: Placement;
+
+  constructor(placement: Placement) {
+    this.#placement = placement;
+  }
+
+  /** Sets faults of the log. */
+  async setLogFaults(faults: unknown): Promise<void> {
+    await this.#call(stripScheme(this.#placement.logUrl), "faults", faults);
+  }
+
+  /** Sets faults of the VM list. */
+  async setVmListFaults(faults: unknown): Promise<void> {
+    await this.#call(stripScheme(this.#placement.vmListUrl), "faults", faults);
+  }
+
+  /** Sets faults of a worker. */
+  async setWorkerFaults(endpointId: string, faults: unknown): Promise<void> {
+    await this.#call(this.#getAddress(endpointId), "faults", faults);
+  }
+
+  /** Reads the counters of the log. */
+  async readLogCounters(): Promise<Record<string, number>> {
+    const address = stripScheme(this.#placement.logUrl);
+    return await this.#call(address, "counters") as Record<string, number>;
+  }
+
+  /** Reads the counters of every worker. */
+  async readWorkers(): Promise<readonly WorkerCounters[]> {
+    const { adminUrl } = this.#placement;
+    const workers = await callAdmin(`${adminUrl}/admin/endpoints`);
+    return workers as readonly WorkerCounters[];
+  }
+
+  /** Reads what ran under which key, over all workers. */
+  async readRuns(): Promise<KeyRunsByKey> {
+    const runs = await callAdmin(`${this.#placement.adminUrl}/admin/runs`);
+    return runs as KeyRunsByKey;
+  }
+
+  /** Counts how often each key ran at some workers. */
+  async countRunsAt(
+    endpointIds: readonly string[],
+  ): Promise<ReadonlyMap<string, number>> {
+    const counts = new Map<string, number>();
+    for (const endpointId of endpointIds) {
+      const runs = await this.#call(this.#getAddress(endpointId), "runs");
+      for (const [key, { count }] of Object.entries(runs as KeyRunsByKey)) {
+        counts.set(key, (counts.get(key) ?? 0) + count);
+      }
+    }
+    return counts;
+  }
+
+  #getAddress(endpointId: string): string {
+    const address = this.#placement.workers.get(endpointId);
+    if (!address) throw new Error(`Cannot find worker "${endpointId}"`);
+    return address;
+  }
+
+  async #call(
+    address: string,
+    action: string,
+    body?: unknown,
+  ): Promise<unknown> {
+    const { adminUrl } = this.#placement;
+    return await callAdmin(`${adminUrl}/admin/at/${address}/${action}`, body);
+  }
+}
+
+async function callAdmin(url: string, body?: unknown): Promise<unknown> {
+  const answer = await fetch(url, {
+    method: body === undefined ? "GET" : "POST",
+    body: body === undefined ? undefined : JSON.stringify(body),
+    headers: { "content-type": "application/json" },
+    signal: AbortSignal.timeout(ADMIN_TIMEOUT_MS),
+  });
+  const text = await answer.text();
+  if (!answer.ok) throw new Error(`Cannot call "${url}": ${text}`);
+  return text === "" ? undefined : JSON.parse(text);
+}
