A hedged call takes no stream over from its middle

Cause: parts of a hedged call were dropped while another call owned the stream; when the owner failed, the next part of the hedged call took the stream, and the caller read its text without the beginning, closed by an end event. Ruled out: the assembly of parts in endpoint_http (each call's parts are in order and whole).

--- a/packages/entry/src/stream_relay.ts
+++ b/packages/entry/src/stream_relay.ts
@@ -16,6 +16,8 @@
   readonly #sink: PartSink;
   #owner: CallId | undefined;
   #hasSent = false;
+  /** Calls whose first parts did not reach the caller. */
+  readonly #incomplete = new Set<CallId>();
   /** Parts that came from a call other than the owner. */
   droppedParts = 0;
 
@@ -23,10 +25,18 @@
     this.#sink = sink;
   }
 
-  /** Relays a part if its call owns the stream; the first to come takes it. */
+  /**
+   * Relays a part if its call owns the stream; the first to come takes it.
+   *
+   * A call that has lost parts to another owner never takes the stream: the
+   * caller would read its text without the beginning. It sends the whole text
+   * when it has finished.
+   */
   handlePart(callId: CallId, part: OutputPart): void {
-    this.#owner ??= callId;
+    const mayOwn = !this.#incomplete.has(callId);
+    if (mayOwn) this.#owner ??= callId;
     if (this.#owner !== callId) {
+      this.#incomplete.add(callId);
       this.droppedParts += 1;
       return;
     }
