A key whose attempt threw is free again

Cause: the registry noted the end of an attempt only when its promise was fulfilled; after an exception the key stayed running under a rejected promise, which every repeat joined, and the rejection was unhandled. Ruled out: a second run of a single call: claim and mint keep it single. Change: a rejection drops the note. Conclusion: one fault in one request stays with that request.

--- a/packages/entry/src/key_registry.ts
+++ b/packages/entry/src/key_registry.ts
@@ -73,7 +73,11 @@
     };
     const name = formatKey(keyId);
     this.#keys.set(name, record);
-    void answer.then((final) => this.#settle(name, record, final));
+    answer.then(
+      (final) => this.#settle(name, record, final),
+      // A fault of this entry: the claim or the mint keeps a single call single.
+      () => this.#drop(name, record),
+    );
   }
 
   /** Notes a completion that came after its request had been given up. */
@@ -101,6 +105,10 @@
     return { kind: "completed", body: state.answer.output };
   }
 
+  #drop(name: string, record: KeyRecord): void {
+    if (this.#keys.get(name) === record) this.#keys.delete(name);
+  }
+
   #settle(name: string, record: KeyRecord, answer: RequestAnswer): void {
     if (this.#keys.get(name) !== record) return;
     if (answer.kind === "completed") {
