A repeat is not kept from what others know by a note of its entry

Cause: an entry notes 'unknown' of a request whose deadline passed, and answered every repeat from that note. A minted key that completed late never gave its answer (mint and log had it), a draft was not run again behind its kept stages, and a repeat that had joined an attempt was refused as cancelled when the first caller had gone. Ruled out: claims and mint: both had the right state in the failing tests. Change: behind 'unknown' a repeatable request runs again and a minted key is asked of its mint; a late completion under a minted key reaches the registry; a repeat that joined a cancelled attempt runs; the lookup of a key asks the minter also where the own note says unknown. Conclusion: the registry spares work and decides nothing of a key.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -264,6 +264,7 @@
       peers: this.#peers,
       findMember: (run) => this.#site.findMember(run),
       recordLater: (record) => this.#link.recordLater([record]),
+      onCompleted: (...completion) => this.#registry.complete(...completion),
       createClaimId: () => this.#createClaimId(),
       lookUpKey: (keyId) => this.#lookUpKey(keyId, VIEW_TIMEOUT_MS),
       readNow: readMonotonic,
--- a/packages/entry/src/filters/join_duplicate.ts
+++ b/packages/entry/src/filters/join_duplicate.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import * as claims from "@sardinestep/claims";
 import { match } from "ts-pattern";
 import { createRefusal, type RequestAnswer } from "../answer.ts";
 import type { Filter, RequestContext } from "../context.ts";
@@ -26,17 +27,41 @@
   registry: KeyRegistry,
   readNow: () => number,
 ): Filter {
-  return async (context, next) => {
+  const joinDuplicate: Filter = async (context, next) => {
     const { keyId, fingerprint } = context;
     if (!keyId) return await next();
     const relation = registry.getRelation(keyId, fingerprint);
-    if (relation.kind !== "new") {
-      return await answerRepeat(relation, context, readNow());
+    if (relation.kind === "new" || mayGoOn(relation, context)) {
+      const answer = next();
+      registry.track(keyId, fingerprint, answer);
+      return await answer;
     }
-    const answer = next();
-    registry.track(keyId, fingerprint, answer);
-    return await answer;
+    const answer = await answerRepeat(relation, context, readNow());
+    return isCancelled(answer) ? await joinDuplicate(context, next) : answer;
   };
+  return joinDuplicate;
+}
+
+/**
+ * Tells whether a repeat goes on behind an attempt whose outcome is unknown.
+ *
+ * Guards against a note "unknown" that keeps a repeat from what others know
+ * better: a request that may be repeated resumes behind its kept stages, and the
+ * mint knows whether a call under its key has completed since.
+ */
+function mayGoOn(relation: KeyRelation, context: RequestContext): boolean {
+  if (relation.kind !== "unknown") return false;
+  if (!context.isSingle) return true;
+  const parsed = claims.parseKey(context.keyId?.key ?? "");
+  return parsed.isOk() && parsed.value.kind === "minted";
+}
+
+/**
+ * Guards against a repeat that ends with its first attempt, whose caller has gone:
+ * a caller whose connection broke repeats before its entry has noticed.
+ */
+function isCancelled(answer: RequestAnswer): boolean {
+  return answer.kind === "refused" && answer.failure.code === "PORT_CANCELLED";
 }
 
 function answerRepeat(
--- a/packages/entry/src/key_desk.ts
+++ b/packages/entry/src/key_desk.ts
@@ -91,12 +91,22 @@
 
   async #askEntries(keyId: claims.KeyId): Promise<KeyReport | undefined> {
     const here = await this.#options.registry.waitForStatus(keyId, 0);
-    const status = here.kind === "none" ? await this.#askMinter(keyId) : here;
+    const status = await this.#askFurther(keyId, here);
     if (status.kind === "none") return undefined;
     const outcome = buildOutcome(status);
     return { key: keyId.key, outcome, state: status.kind, source: "entry" };
   }
 
+  /** An entry that forwarded a request may not have heard how it ended. */
+  async #askFurther(
+    keyId: claims.KeyId,
+    here: rpc.AnswerStatus,
+  ): Promise<rpc.AnswerStatus> {
+    if (here.kind !== "none" && here.kind !== "unknown") return here;
+    const there = await this.#askMinter(keyId);
+    return there.kind === "none" ? here : there;
+  }
+
   async #askMinter(keyId: claims.KeyId): Promise<rpc.AnswerStatus> {
     const own = this.#options.minted.findStatus(keyId);
     const parsed = claims.parseKey(keyId.key);
--- a/packages/entry/src/minted_keys.ts
+++ b/packages/entry/src/minted_keys.ts
@@ -34,6 +34,12 @@
   readonly findMember: (instance: InstanceId) => MemberFacts | undefined;
   /** Hands an outcome to the log, when it allows. */
   readonly recordLater: (record: claims.ClaimRecord) => void;
+  /** Told of a completion, also where its caller was told "unknown" before. */
+  readonly onCompleted: (
+    keyId: claims.KeyId,
+    fingerprint: string,
+    answer: unknown,
+  ) => void;
   readonly createClaimId: () => claims.ClaimId;
   /** What the log says of a key, if it can be asked. */
   readonly lookUpKey: (
@@ -140,7 +146,10 @@
       },
       onState: (state, answer) => {
         const ending = buildEnding(state, answer);
-        if (ending) this.#options.mint.finish(keyId, { attempt, ending });
+        if (!ending) return;
+        this.#options.mint.finish(keyId, { attempt, ending });
+        if (ending.kind !== "completed") return;
+        this.#options.onCompleted(keyId, fingerprint, answer);
       },
     });
   }
--- /dev/null
+++ b/packages/entry/src/minted_keys_test.ts
@@ -0,0 +1,308 @@
+import * as claims from "@sardinestep/claims";
+import type { MemberFacts } from "@sardinestep/types";
+import { expect } from "chai";
+import { createRefusal, type RequestAnswer } from "./answer.ts";
+import { createClaimKey } from "./filters/claim_key.ts";
+import { createJoinDuplicate } from "./filters/join_duplicate.ts";
+import { type Filter, type RequestContext, runChain } from "./context.ts";
+import type { HolderLookup } from "./holder_lookup.ts";
+import { KeyRegistry } from "./key_registry.ts";
+import { MintedKeys, type MintedKeysOptions } from "./minted_keys.ts";
+import {
+  buildContext,
+  buildMember,
+  buildRpcAnswer,
+  buildRpcError,
+  COMPLETION,
+  createNext,
+  createPeers,
+  CUSTOMER,
+  issueTicket,
+  NOW,
+  type PeerAnswer,
+  summarize,
+} from "./_test_fixtures.ts";
+
+const HERE = "0197a000-0000-4000-8000-000000000001";
+const THERE = "0197a000-0000-4000-8000-000000000002";
+const TTL_MS = 600_000;
+const THERE_VM = buildMember("vm-2", { entryInstance: THERE });
+
+interface MintedParts {
+  readonly instance?: string;
+  readonly members?: readonly MemberFacts[];
+  readonly answer?: PeerAnswer;
+  readonly options?: Partial<MintedKeysOptions>;
+}
+
+function openMinted(parts: MintedParts = {}) {
+  const { peers, calls } = createPeers(
+    parts.answer ?? (() => buildRpcError("not_sent")),
+  );
+  const instance = parts.instance ?? HERE;
+  const records: claims.ClaimRecord[] = [];
+  const time = { now: NOW };
+  const minted = new MintedKeys({
+    instance,
+    mint: new claims.KeyMint({
+      instance,
+      ttlMs: TTL_MS,
+      maxUsed: 2,
+      secret: new Uint8Array(32),
+    }),
+    peers,
+    findMember: (run) =>
+      parts.members?.find((member) => member.entryInstance === run),
+    recordLater: (record) => records.push(record),
+    onCompleted: () => {},
+    createClaimId: () => ({ instance, sequence: 1 }),
+    lookUpKey: () => Promise.resolve(undefined),
+    readNow: () => time.now,
+    ...parts.options,
+  });
+  return { minted, calls, records, time };
+}
+
+function mintOne(minted: MintedKeys, customer = CUSTOMER): string {
+  return minted.mint(customer, 1)?.[0] ?? "";
+}
+
+async function run(
+  minted: MintedKeys,
+  key: string,
+  parts: { readonly fingerprint?: string; readonly next?: RunNext } = {},
+) {
+  const parsed = claims.parseKey(key).unwrap();
+  if (parsed.kind !== "minted") throw new Error("Cannot use a bare key");
+  const fingerprint = parts.fingerprint ?? "f-1";
+  const context = buildContext({ incoming: { key }, fingerprint });
+  const next = parts.next ?? issueTicket;
+  const answer = await minted.run(context, parsed, () => next(context));
+  return summarize(answer);
+}
+
+type RunNext = (context: RequestContext) => Promise<RequestAnswer>;
+
+describe("MintedKeys at the minter", () => {
+  it("runs a key once and answers its repeat", async () => {
+    const { minted } = openMinted();
+    const key = mintOne(minted);
+    const first = createNext(issueTicket);
+    const second = createNext(issueTicket);
+    await run(minted, key, { next: first.next });
+    await run(minted, key, { next: second.next });
+    expect([first.count(), second.count()]).to.deep.equal([1, 0]);
+  });
+
+  it("lets a key begin again after an attempt that did not run", async () => {
+    const { minted } = openMinted();
+    const key = mintOne(minted);
+    const refused = createNext(() =>
+      Promise.resolve(createRefusal("QUEUE_FULL", "Full"))
+    );
+    const again = createNext(issueTicket);
+    await run(minted, key, { next: refused.next });
+    await run(minted, key, { next: again.next });
+    expect(again.count()).to.equal(1);
+  });
+
+  const refusals = [
+    {
+      title: "reused with another body",
+      name: "KEY_REUSED",
+      prepare: async () => {
+        const { minted } = openMinted();
+        const key = mintOne(minted);
+        await run(minted, key);
+        return { minted, key, fingerprint: "f-2" };
+      },
+    },
+    {
+      title: "of another customer",
+      name: "KEY_INVALID",
+      prepare: () => {
+        const { minted } = openMinted();
+        return { minted, key: mintOne(minted, "rival") };
+      },
+    },
+    {
+      title: "expired",
+      name: "KEY_EXPIRED",
+      prepare: () => {
+        const { minted, time } = openMinted();
+        const key = mintOne(minted);
+        time.now += TTL_MS + 1;
+        return { minted, key };
+      },
+    },
+    {
+      title: "unused, at an entry that is leaving",
+      name: "KEY_CLOSED",
+      prepare: () => {
+        const { minted } = openMinted();
+        const key = mintOne(minted);
+        minted.close();
+        return { minted, key };
+      },
+    },
+    {
+      title: "one more than a customer may have in use",
+      name: "CUSTOMER_LIMIT",
+      prepare: async () => {
+        const { minted } = openMinted();
+        await run(minted, mintOne(minted));
+        await run(minted, mintOne(minted));
+        return { minted, key: mintOne(minted) };
+      },
+    },
+  ];
+
+  for (const { title, name, prepare } of refusals) {
+    it(`refuses a key ${title} and runs nothing`, async () => {
+      const prepared = await prepare();
+      const { minted, key } = prepared;
+      const next = createNext();
+      const fingerprint = "fingerprint" in prepared
+        ? String(prepared.fingerprint)
+        : "f-1";
+      const answer = await run(minted, key, { next: next.next, fingerprint });
+      expect(answer).to.include({ name, attempt: "not run" });
+      expect(next.count()).to.equal(0);
+    });
+  }
+});
+
+describe("MintedKeys at another entry", () => {
+  const key = `${openMinted({ instance: THERE }).minted.mint(CUSTOMER, 1)}`;
+
+  const cases = [
+    {
+      title: "gives the minter's answer",
+      members: [THERE_VM],
+      answer: () => buildRpcAnswer(COMPLETION),
+      expected: { name: "OK", outcome: "completed", attempt: "completed" },
+    },
+    {
+      title: "says not run where the minter was not reached",
+      members: [THERE_VM],
+      answer: () => buildRpcError("not_sent"),
+      expected: { name: "MINTER_GONE", outcome: "unknown", attempt: "not run" },
+    },
+    {
+      title: "says unknown where the minter took it and fell silent",
+      members: [THERE_VM],
+      answer: () => buildRpcError("lost"),
+      expected: {
+        name: "HELD_ELSEWHERE",
+        outcome: "unknown",
+        attempt: "unknown",
+      },
+    },
+    {
+      title: "says unknown where the minter did not answer in time",
+      members: [THERE_VM],
+      answer: () => buildRpcError("timeout"),
+      expected: {
+        name: "HELD_ELSEWHERE",
+        outcome: "unknown",
+        attempt: "unknown",
+      },
+    },
+    {
+      title: "runs nothing where the minter is no member",
+      members: [],
+      answer: () => buildRpcError("not_sent"),
+      expected: { name: "MINTER_GONE", outcome: "unknown", attempt: "not run" },
+    },
+  ];
+
+  for (const { title, members, answer, expected } of cases) {
+    it(title, async () => {
+      const { minted } = openMinted({ members, answer });
+      const next = createNext();
+      const told = await run(minted, key, { next: next.next });
+      expect(told).to.deep.include(expected);
+      expect(next.count()).to.equal(0);
+    });
+  }
+
+  const handedOver = [
+    { status: { kind: "completed", body: 1 }, name: "OK" },
+    { status: { kind: "running" }, name: "HELD_ELSEWHERE" },
+    { status: { kind: "unknown" }, name: "OUTCOME_UNKNOWN" },
+    { status: { kind: "closed" }, name: "KEY_CLOSED" },
+  ] as const;
+
+  for (const { status, name } of handedOver) {
+    it(`answers ${status.kind} for a minter that left`, async () => {
+      const { minted } = openMinted();
+      const keyId = { customer: CUSTOMER, key };
+      minted.acceptHandOver({
+        instance: THERE,
+        answers: [{ keyId, status }],
+        unusedClosedFromMs: Infinity,
+      });
+      expect((await run(minted, key)).name).to.equal(name);
+    });
+  }
+
+  it("closes an unused key that the leaving minter did not list", async () => {
+    const { minted } = openMinted();
+    const answers = [] as const;
+    minted.acceptHandOver({ instance: THERE, answers, unusedClosedFromMs: 0 });
+    expect(await run(minted, key)).to.deep.equal({
+      name: "KEY_CLOSED",
+      outcome: "not run",
+      attempt: "not run",
+    });
+  });
+
+  it("gives the answer that the log has of a minter that died", async () => {
+    const completed = {
+      kind: "completed",
+      holder: { instance: THERE, sequence: 1 },
+      fingerprint: "",
+      answer: 1,
+    } as const;
+    const lookUpKey = () => Promise.resolve(completed);
+    const { minted } = openMinted({ options: { lookUpKey } });
+    expect(await run(minted, key)).to.include({ name: "OK", replayed: true });
+  });
+});
+
+describe("a minted key whose answer came after the deadline", () => {
+  // The gate is told that its ticket's outcome is unknown and asks again, as it
+  // should; for two minutes it hears "unknown", though the ticket was issued
+  // right after the deadline. The entry noted "unknown" of its own request, and
+  // that note answered before the mint, which had the ticket, was asked.
+  it("is answered to the repeat", async () => {
+    const registry = new KeyRegistry({ keepMs: TTL_MS, maxKeys: 10 });
+    const { minted, time } = openMinted();
+    const key = mintOne(minted);
+    const send = (next: RunNext, deadlineAt: number) => {
+      const filters: Filter[] = [
+        createJoinDuplicate(registry, () => time.now),
+        createClaimKey({
+          openClaimant: () => expect.fail("claims a minted key"),
+          claim: () => expect.fail("claims a minted key"),
+          runMinted: (context, parsed, then) =>
+            minted.run(context, parsed, then),
+          lookup: undefined as unknown as HolderLookup,
+          readNow: () => time.now,
+        }),
+        next,
+      ];
+      return runChain(filters, buildContext({ incoming: { key }, deadlineAt }));
+    };
+    let finish = () => {};
+    const late = await send((context) => {
+      context.claimant?.mayDispatch(time.now);
+      finish = () => context.claimant?.finish(COMPLETION.output);
+      return new Promise(() => {});
+    }, time.now + 20);
+    expect(summarize(late).name).to.equal("DEADLINE_EXCEEDED");
+    finish();
+    const repeat = await send(issueTicket, time.now + 1_000);
+    expect(summarize(repeat)).to.include({ name: "OK", replayed: true });
+  });
+});
