--- a/packages/entry/src/http_routes.ts
+++ b/packages/entry/src/http_routes.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { HttpBindings } from "@hono/node-server";
+import type { Outcome } from "@sardinestep/types";
 import { type Context, Hono } from "hono";
 import { streamSSE } from "hono/streaming";
 import type { ContentfulStatusCode } from "hono/utils/http-status";
@@ -35,13 +36,24 @@
   ) => Promise<RequestAnswer>;
   /** Mints keys for the customer of a request. */
   readonly mintKeys: (incoming: IncomingRequest) => MintedBatch | RequestAnswer;
-  /** Tells what is known of a key. */
-  readonly lookUpKey: (incoming: IncomingRequest) => Promise<unknown>;
+  /** Tells what is known of a key, or why it does not tell. */
+  readonly lookUpKey: (
+    incoming: IncomingRequest,
+  ) => Promise<KeyReport | RequestAnswer>;
   readonly countRefusal: (name: string) => void;
   readonly formatMetrics: () => string;
   readonly isReady: () => boolean;
 }
 
+/** What is known of a key, and who says so. */
+export interface KeyReport {
+  readonly kind: "report";
+  readonly key: string;
+  readonly outcome: Outcome;
+  readonly state: string;
+  readonly source: "entry" | "log" | "none";
+}
+
 /** Keys taken beforehand. */
 export interface MintedBatch {
   readonly kind: "minted";
@@ -173,8 +185,12 @@
     ...buildIncoming(http, { requestId, arrivedAt, bodyText: "" }),
     key: http.req.param("key"),
   };
-  const status = await options.lookUpKey(incoming);
-  return http.json(status as Record<string, unknown>);
+  const told = await options.lookUpKey(incoming);
+  if (told.kind === "report") {
+    const { kind: _kind, ...report } = told;
+    return http.json(report);
+  }
+  return sendAnswer(http, buildHttpAnswer(requestId, told), options);
 }
 
 function answerReadiness(
--- a/packages/entry/src/key_desk.ts
+++ b/packages/entry/src/key_desk.ts
@@ -8,15 +8,10 @@
 import type { Outcome } from "@sardinestep/types";
 import { match, P } from "ts-pattern";
 import * as z from "zod";
-import {
-  buildHttpAnswer,
-  createRefusal,
-  type HttpAnswer,
-  type RequestAnswer,
-} from "./answer.ts";
+import { createRefusal, type RequestAnswer } from "./answer.ts";
 import type { IncomingRequest } from "./context.ts";
 import { hasCredential } from "./filters/identify_customer.ts";
-import type { MintedBatch } from "./http_routes.ts";
+import type { KeyReport, MintedBatch } from "./http_routes.ts";
 import type { KeyRegistry } from "./key_registry.ts";
 import type { MintedKeys } from "./minted_keys.ts";
 import type { SiteController } from "./site_state.ts";
@@ -41,14 +36,6 @@
   ) => Promise<claims.KeyStatus | undefined>;
 }
 
-/** What is known of a key, and who says so. */
-export interface KeyReport {
-  readonly key: string;
-  readonly outcome: Outcome;
-  readonly state: string;
-  readonly source: "entry" | "log" | "none";
-}
-
 /** Serves the routes about keys. */
 export class KeyDesk {
   readonly #options: KeyDeskOptions;
@@ -72,11 +59,9 @@
   }
 
   /** Tells what is known of a key of the customer. */
-  async lookUp(incoming: IncomingRequest): Promise<HttpAnswer | KeyReport> {
+  async lookUp(incoming: IncomingRequest): Promise<KeyReport | RequestAnswer> {
     const customer = this.#identify(incoming);
-    if (!customer) {
-      return buildHttpAnswer(incoming.requestId, refuseCredential());
-    }
+    if (!customer) return refuseCredential();
     const keyId = { customer, key: incoming.key ?? "" };
     return await this.#askEntries(keyId) ?? await this.#askLog(keyId);
   }
@@ -94,7 +79,9 @@
     const status = await this.#askFurther(keyId, here);
     if (status.kind === "none") return undefined;
     const outcome = buildOutcome(status);
-    return { key: keyId.key, outcome, state: status.kind, source: "entry" };
+    const { key } = keyId;
+    const kind = "report";
+    return { kind, key, outcome, state: status.kind, source: "entry" };
   }
 
   /** An entry that forwarded a request may not have heard how it ended. */
@@ -127,10 +114,12 @@
     const status = await this.#options.lookUpKey(keyId);
     const { key } = keyId;
     if (!status) {
-      return { key, outcome: "unknown", state: "unreachable", source: "none" };
+      const state = "unreachable";
+      return { kind: "report", key, outcome: "unknown", state, source: "none" };
     }
     const outcome = status.kind === "completed" ? "completed" : "unknown";
-    return { key, outcome, state: status.kind, source: "log" };
+    const state = status.kind;
+    return { kind: "report", key, outcome, state, source: "log" };
   }
 }
 
