--- a/packages/control/src/claim_controller.ts
+++ b/packages/control/src/claim_controller.ts
@@ -54,6 +54,8 @@
   readonly #pruneTimer: NodeJS.Timeout;
   #pumpTimer: NodeJS.Timeout | undefined;
   #logTime = 0;
+  /** No append before; what comes meanwhile waits, however much it is. */
+  #pausedUntil = 0;
 
   constructor(options: ClaimControllerOptions) {
     this.#options = options;
@@ -237,16 +239,22 @@
     clearTimeout(this.#pumpTimer);
     if (!this.#tail.isReachable) return;
     const now = performance.now();
+    if (now < this.#pausedUntil) return this.#pumpAt(this.#pausedUntil, now);
     const plan = this.#planner.planNext(now);
     match(plan)
       .with({ kind: "append" }, ({ records }) => void this.#append(records))
       .with({ kind: "wait", untilMs: Infinity }, () => {})
-      .with({ kind: "wait", untilMs: P.number }, ({ untilMs }) => {
-        this.#pumpTimer = setTimeout(() => this.#pump(), untilMs - now);
-      })
+      .with(
+        { kind: "wait", untilMs: P.number },
+        ({ untilMs }) => this.#pumpAt(untilMs, now),
+      )
       .exhaustive();
   }
 
+  #pumpAt(untilMs: number, now: number): void {
+    this.#pumpTimer = setTimeout(() => this.#pump(), untilMs - now);
+  }
+
   async #append(records: readonly claims.ClaimRecord[]): Promise<void> {
     const group: claims.ClaimGroup = { kind: "group", records };
     this.#options.count("appends_total");
@@ -264,7 +272,8 @@
     this.#options.count("append_errors_total");
     this.#requeue(records);
     const pauseMs = receipt.error.retryAfterMs ?? RETRY_PAUSE_MS;
-    this.#pumpTimer = setTimeout(() => this.#pump(), pauseMs);
+    this.#pausedUntil = performance.now() + pauseMs;
+    this.#pump();
   }
 
   /**
