--- a/packages/prove/src/run_proofs.ts
+++ b/packages/prove/src/run_proofs.ts
@@ -5,15 +5,21 @@
  */
 import { buildMutant, readMutants } from "./mutants.ts";
 import {
+  CROSS_POINTS,
   POINTS,
   runScenario,
   type Scenario,
   type ScenarioResult,
+  type ScenarioRow,
 } from "./scenario.ts";
 import { SCENARIOS } from "./scenario_list.ts";
 
 /** Scenarios at once; each has about ten processes. */
 const PARALLEL = 3;
+const ALL_POINTS: Readonly<Record<number, string>> = {
+  ...POINTS,
+  ...CROSS_POINTS,
+};
 /** Violations printed for each scenario. */
 const SHOWN_VIOLATIONS = 4;
 
@@ -40,7 +46,7 @@
     scenario.name.includes(options.only ?? "")
   );
   const results = await runAll(scenarios, binaries);
-  for (const point of Object.keys(POINTS)) {
+  for (const point of Object.keys(ALL_POINTS)) {
     printPoint(Number(point), results);
   }
   const broken = [...results.values()].flatMap((result) => result.violations);
@@ -90,12 +96,19 @@
     if (scenario.point !== point) continue;
     const { cases, violations, seen } = result;
     const verdict = violations.length === 0 ? "held" : "BROKEN";
-    const head = `${point}. ${POINTS[point]}: ${scenario.name}`;
+    const head = `${point}. ${ALL_POINTS[point]}: ${scenario.name}`;
     console.log(
       `${head}: ${cases} cases, ${violations.length} violations, ${verdict} (${seen})`,
     );
+    for (const row of result.rows ?? []) printRow(row);
     for (const { promise, detail } of violations.slice(0, SHOWN_VIOLATIONS)) {
       console.log(`     ${promise}: ${detail}`);
     }
   }
 }
+
+function printRow({ name, cases, violations, seen }: ScenarioRow): void {
+  console.log(
+    `     ${name}: ${cases} cases, ${violations} violations (${seen})`,
+  );
+}
--- a/packages/prove/src/scenario.ts
+++ b/packages/prove/src/scenario.ts
@@ -18,6 +18,22 @@
   9: "configuration",
 };
 
+/** What is tried across the nine points. */
+export const CROSS_POINTS: Readonly<Record<number, string>> = {
+  10: "two faults together",
+  11: "callers that go silent or read slowly",
+  12: "silent connections between processes",
+};
+
+/** One of several cases of a scenario that is printed on a line of its own. */
+export interface ScenarioRow {
+  readonly name: string;
+  readonly cases: number;
+  readonly violations: number;
+  /** What callers saw, for people. */
+  readonly seen: string;
+}
+
 /** What a scenario tried and found. */
 export interface ScenarioResult {
   /** Requests, publishes or stops that were tried. */
@@ -25,6 +41,8 @@
   readonly violations: readonly testbed.Violation[];
   /** What the scenario saw, for people. */
   readonly seen: string;
+  /** Cases that a reader wants to see apart. */
+  readonly rows?: readonly ScenarioRow[];
 }
 
 /** One failure story with real processes. */
--- a/packages/prove/src/scenario_list.ts
+++ b/packages/prove/src/scenario_list.ts
@@ -7,6 +7,7 @@
 import { AT_MOST_ONCE } from "./scenarios/at_most_once.ts";
 import { CONFIGURATION_PROOFS } from "./scenarios/configuration.ts";
 import { ENDPOINTS } from "./scenarios/endpoints.ts";
+import { FAULT_PAIRS } from "./scenarios/fault_pairs.ts";
 import { PLANNED_STOP } from "./scenarios/planned_stop.ts";
 import { RESULTS } from "./scenarios/results.ts";
 import { TRUTHFUL_REFUSAL } from "./scenarios/truthful_refusal.ts";
@@ -19,4 +20,5 @@
   ...ENDPOINTS,
   ...PLANNED_STOP,
   ...CONFIGURATION_PROOFS,
+  ...FAULT_PAIRS,
 ];
--- a/packages/prove/src/scenarios/configuration.ts
+++ b/packages/prove/src/scenarios/configuration.ts
@@ -10,6 +10,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Scenario } from "../scenario.ts";
 import { buildSmallPlan, CONFIGURATION, ZONES } from "../small_plan.ts";
+import { VersionWatch } from "../version_watch.ts";
 
 const ROUNDS = 8;
 const FEW_SECONDS_MS = 4_000;
@@ -131,43 +132,3 @@
     return status.isOk() ? status.value.configVersion : undefined;
   }));
 }
-
-/** Watches that no process ever goes back to an older version. */
-class VersionWatch {
-  readonly #deployment: testbed.Deployment;
-  readonly #highest = new Map<string, number>();
-  readonly #violations: testbed.Violation[] = [];
-  readonly #timer: NodeJS.Timeout;
-
-  constructor(deployment: testbed.Deployment) {
-    this.#deployment = deployment;
-    this.#timer = setInterval(() => void this.#look(), 50);
-  }
-
-  close(): testbed.Violation[] {
-    clearInterval(this.#timer);
-    return this.#violations;
-  }
-
-  async #look(): Promise<void> {
-    for (const vm of this.#deployment.vms) {
-      for (const address of [vm.entryRpc, vm.controlRpc]) {
-        const status = await rpc.callOnce(address, "status", {}, {
-          timeoutMs: STATUS_TIMEOUT_MS,
-        });
-        if (status.isOk()) this.#compare(status.value);
-      }
-    }
-  }
-
-  #compare(
-    { instance, configVersion, vmId, process }: rpc.ProcessStatus,
-  ): void {
-    const before = this.#highest.get(instance) ?? 0;
-    if (configVersion < before) {
-      const detail = `${process} of ${vmId}: ${before} to ${configVersion}`;
-      this.#violations.push({ promise: "never reverts", detail });
-    }
-    this.#highest.set(instance, Math.max(before, configVersion));
-  }
-}
