--- a/packages/bench/src/decisions/outcome.ts
+++ b/packages/bench/src/decisions/outcome.ts
@@ -10,6 +10,9 @@
 import type { Scenario } from "./scenario.ts";
 import type { SimEndpoint } from "./sim_endpoint.ts";
 
+/** Time between ticks of each decider. */
+export const TICK_MS = 20;
+
 /** What became of one request. */
 export interface RequestRecord {
   readonly request: SimRequest;
@@ -25,8 +28,16 @@
   /** Share finished within the deadline. */
   readonly attainment: number;
   readonly goodputPerSecond: number;
+  /** Worker seconds a second that went into requests answered in time. */
+  readonly usefulWork: number;
   /** Completed after the deadline. */
   readonly late: number;
+  /**
+   * Of those, requests whose calls could all have been cancelled: more than a
+   * tick after the deadline. A result that comes before the tick that would
+   * have cancelled it is given to the caller, who has no better answer.
+   */
+  readonly lateCancellable: number;
   readonly refused: number;
   /** Refused or failed after the deadline, or never answered. */
   readonly refusedLate: number;
@@ -82,7 +93,14 @@
     arrived: records.length,
     attainment: attained.length / Math.max(1, records.length),
     goodputPerSecond: attained.length / (scenario.durationMs / 1000),
+    usefulWork: attained.reduce((sum, each) => sum + getWorkMs(each), 0) /
+      scenario.durationMs,
     late: completed.length - attained.length,
+    lateCancellable:
+      completed.filter((record) =>
+        (record.answer?.at ?? 0) > record.request.facts.deadlineAt + TICK_MS &&
+        record.request.facts.stages.every((stage) => stage.repeatable)
+      ).length,
     refused: refused.length,
     refusedLate: records.length - completed.length -
       refused.filter(isAnsweredInTime).length,
@@ -97,6 +115,11 @@
   };
 }
 
+/** True work of a request on a warm endpoint without a cached prefix. */
+function getWorkMs(record: RequestRecord): number {
+  return record.request.workMs.reduce((sum, each) => sum + each, 0);
+}
+
 function isAnsweredInTime(record: RequestRecord): boolean {
   return (record.answer?.at ?? Infinity) <= record.request.facts.deadlineAt + 1;
 }
@@ -165,7 +188,7 @@
   let total = 0;
   for (const record of records) {
     const { customer } = record.request.facts;
-    const work = record.request.workMs.reduce((sum, each) => sum + each, 0);
+    const work = getWorkMs(record);
     demand.set(customer, (demand.get(customer) ?? 0) + work);
     if (!isAttained(record)) continue;
     got.set(customer, (got.get(customer) ?? 0) + work);
--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -5,7 +5,6 @@
  */
 import type { CodeName } from "@sardinestep/codes";
 import { REQUEST_CLASS, type RequestFacts } from "@sardinestep/types";
-import { Err, Ok, type Result } from "ts-results-es";
 import type { Pool } from "./pool.ts";
 import { getReturnMs } from "./return_time.ts";
 import { GUARANTEED_SHARE } from "./stage_queue.ts";
@@ -19,7 +18,7 @@
   readonly retryAfterMs: number;
 }
 
-/** What {@link checkAdmission} is given. */
+/** What {@link findRefusal} is given. */
 export interface AdmissionOptions {
   readonly now: number;
   readonly random: number;
@@ -31,7 +30,7 @@
  * deadlines and more urgent classes. A queue that is filled to the last moment
  * serves everyone just too late.
  */
-const USABLE_PART = 0.85;
+const USABLE_PART = 0.75;
 /**
  * Requests that may wait for one pool. Waiting time bounds the queue long
  * before; this is for memory while nothing at all moves.
@@ -39,27 +38,33 @@
 const MAX_WAITING = 4_000;
 
 /**
- * Checks whether a request would be let in; changes nothing.
+ * Finds why a request can't be let in; changes nothing.
  *
  * Made for saturation, and for a stage late in the pipeline that has become the
  * bottleneck: work that can't be finished in time is refused before anything
  * of it ran. The harm that it prevents is a queue of requests that are all
  * answered too late, and worker time of early stages spent on them.
  *
+ * It gives plain data and no `Result`: an `Err` records a stack trace, which
+ * costs most just when most requests are refused.
+ *
  * @param state Read only.
  * @param facts The request.
  * @param options Moment and random number of the question.
+ * @returns The refusal, undefined when it is let in.
  */
-export function checkAdmission(
+export function findRefusal(
   state: State,
   facts: RequestFacts,
   options: AdmissionOptions,
-): Result<void, AdmissionRefusal> {
+): AdmissionRefusal | undefined {
   const { now, random } = options;
   const pools = facts.stages.slice(facts.firstStage)
     .map((stage) => state.getPool(stage.service));
-  const refuse = (code: CodeName, pool: Pool | undefined, lateMs: number) =>
-    Err({ code, retryAfterMs: getReturnMs(pool, { now, lateMs, random }) });
+  const refuse = (code: CodeName, pool: Pool | undefined, lateMs: number) => ({
+    code,
+    retryAfterMs: getReturnMs(pool, { now, lateMs, random }),
+  });
 
   if (!state.customers.mayAdd(facts.customer)) {
     return refuse("CUSTOMER_LIMIT", pools[0], 0);
@@ -70,13 +75,10 @@
   if (full) return refuse("QUEUE_FULL", full, 0);
   const prediction = predictFinish(state, facts, now);
   const latest = now + USABLE_PART * (facts.deadlineAt - now);
-  if (prediction.finishAt > latest) {
-    const lateMs = prediction.finishAt - latest;
-    const isOut = prediction.slowest?.outage.isOn === true;
-    const code = isOut ? "STAGE_UNAVAILABLE" : "DEADLINE_OUT_OF_REACH";
-    return refuse(code, prediction.slowest, lateMs);
-  }
-  return Ok(undefined);
+  if (prediction.finishAt <= latest) return undefined;
+  const isOut = prediction.slowest?.outage.isOn === true;
+  const code = isOut ? "STAGE_UNAVAILABLE" : "DEADLINE_OUT_OF_REACH";
+  return refuse(code, prediction.slowest, prediction.finishAt - latest);
 }
 
 /**
@@ -119,8 +121,12 @@
     const stage = facts.stages[index];
     if (!stage) break;
     const pool = state.getPool(stage.service);
+    const isFirst = index === facts.firstStage;
     // What is ahead is worked off while the request is in earlier stages.
-    const wait = Math.max(0, now + getWaitMs(pool, facts, now) - at);
+    const wait = Math.max(
+      0,
+      now + getWaitMs(pool, facts, { now, isFirst }) - at,
+    );
     if (wait > longestWait) {
       longestWait = wait;
       slowest = pool;
@@ -131,19 +137,34 @@
   return { finishAt: at, slowest };
 }
 
+interface WaitOptions {
+  readonly now: number;
+  /**
+   * Whether the request would come there at once. Room that is free now says
+   * nothing of a later stage: others are already on their way to it.
+   */
+  readonly isFirst: boolean;
+}
+
 /**
  * Predicted wait for a free slot in milliseconds: the shortest of three views.
  * What goes before by class and deadline; what is ahead in the own class at the
  * class's guaranteed share; the customer's own work at its fair share.
  */
-function getWaitMs(pool: Pool, facts: RequestFacts, now: number): number {
+function getWaitMs(
+  pool: Pool,
+  facts: RequestFacts,
+  options: WaitOptions,
+): number {
+  const { now, isFirst } = options;
   const slots = pool.outage.isOn ? pool.outage.slotsBefore : pool.slots;
-  const hasRoom = pool.queue.length === 0 && pool.inFlight < slots;
+  const hasRoom = isFirst && pool.queue.length === 0 && pool.inFlight < slots;
   const { requestClass, customer, deadlineAt } = facts;
   const outageMs = pool.outage.getRestMs(now);
   if (hasRoom) return outageMs;
   const ahead = pool.backlog.getAhead(requestClass, deadlineAt);
-  const wholeMs = ahead / slots;
+  // What runs is on average half done.
+  const wholeMs = Math.max(0, ahead - pool.runningMs / 2) / slots;
   if (requestClass === REQUEST_CLASS.single) return outageMs + wholeMs;
   const classMs = pool.backlog.getOwnClassAhead(requestClass, deadlineAt) /
     (slots * GUARANTEED_SHARE[requestClass]);
--- a/packages/rpc/src/methods.ts
+++ b/packages/rpc/src/methods.ts
@@ -13,6 +13,7 @@
 import type { Failure } from "@sardinestep/codes";
 import type {
   ConfigurationRecord,
+  JudgedSnapshot,
   VersionedConfiguration,
 } from "@sardinestep/configuration";
 import type { TimelineEvent, TimelineFilter } from "@sardinestep/timeline";
@@ -30,6 +31,22 @@
   ZoneId,
 } from "@sardinestep/types";
 
+/** Who asks for results, in order to run what is missing. */
+export interface FindResultsParams {
+  readonly keyId: KeyId;
+  /** The entry process that asks. */
+  readonly runner: InstanceId;
+  /** How long it may run; after that it counts no longer. */
+  readonly runInMs: number;
+}
+
+/** What a holder knows of a key. */
+export interface FoundResults {
+  readonly results: readonly StageResult[];
+  /** Another entry process that runs the key at this moment. */
+  readonly runningAt?: InstanceId;
+}
+
 /** Who speaks, sent with the first call on a connection. */
 export interface Identity {
   readonly process: "entry" | "control";
@@ -121,6 +138,8 @@
   readonly identity: Identity;
   readonly members: readonly MemberFacts[];
   readonly configVersion: number;
+  /** Whether the asking side judges records; otherwise it needs a snapshot. */
+  readonly isJudging: boolean;
   /** Endpoints with news that not every reader may have. */
   readonly endpoints: readonly EndpointFacts[];
 }
@@ -130,6 +149,8 @@
   readonly identity: Identity;
   /** Set when the answering side has a higher version than the asking one. */
   readonly configuration?: VersionedConfiguration;
+  /** Set when the asking side does not judge records and this side does. */
+  readonly snapshot?: JudgedSnapshot;
   readonly configVersion: number;
   readonly members: readonly MemberFacts[];
   readonly endpoints: readonly EndpointFacts[];
@@ -205,8 +226,16 @@
     };
     result: Record<never, never>;
   };
-  /** Entry, from entries: stage results kept under a key. */
-  findResults: { params: KeyId; result: readonly StageResult[] };
+  /**
+   * Entry, from entries: stage results kept under a key, and who runs it. The
+   * asker counts as running it from then on, unless another one does.
+   */
+  findResults: { params: FindResultsParams; result: FoundResults };
+  /** Entry, from entries: the asker runs the key no longer. */
+  endRun: {
+    params: { readonly keyId: KeyId; readonly runner: InstanceId };
+    result: Record<never, never>;
+  };
   /** Entry, from entries: what this entry did under a key that it holds. */
   findAnswer: {
     params: {
