A ticket that was never sent stays unknown no longer for an earlier stage

Cause: a single pipeline that is shed behind a finished encoding answers SHED_AFTER_START, whose outcome is unknown; the entry noted the key as unknown and refused the repeat that it had asked for, though its claim was released. Ruled out: the claim (released, so that another entry ran the repeat). Change: an attempt whose claimant proves that its one call was not sent leaves no note. Conclusion: a repeat that an entry asks for is served by it too.

--- a/packages/entry/src/filters/join_duplicate.ts
+++ b/packages/entry/src/filters/join_duplicate.ts
@@ -34,7 +34,9 @@
     if (relation.kind === "new" || mayGoOn(relation, context)) {
       const answer = next();
       registry.track(keyId, fingerprint, answer);
-      return await answer;
+      const final = await answer;
+      if (isProvedUnsent(context)) registry.dropUnknown(keyId);
+      return final;
     }
     const answer = await answerRepeat(relation, context, readNow());
     return isCancelled(answer) ? await joinDuplicate(context, next) : answer;
@@ -42,6 +44,14 @@
   return joinDuplicate;
 }
 
+/**
+ * Guards against a ticket that stays unknown for an earlier stage's sake: the
+ * attempt has ended, and its one call was not sent and never will be.
+ */
+function isProvedUnsent({ claimant }: RequestContext): boolean {
+  return claimant !== undefined && !claimant.mayHaveRun;
+}
+
 /**
  * Tells whether a repeat goes on behind an attempt whose outcome is unknown.
  *
--- a/packages/entry/src/filters/join_duplicate_test.ts
+++ b/packages/entry/src/filters/join_duplicate_test.ts
@@ -1,12 +1,15 @@
 import { expect } from "chai";
 import { createRefusal, type RequestAnswer } from "../answer.ts";
+import { Claimant } from "../claimant.ts";
 import type { RequestContext } from "../context.ts";
 import { KeyRegistry } from "../key_registry.ts";
 import {
   buildContext,
   COMPLETION,
   createNext,
+  CUSTOMER,
   DRAFT,
+  HOLDER,
   NOW,
   summarize,
 } from "../_test_fixtures.ts";
@@ -25,6 +28,18 @@
     summarize(await join(buildContext({ keyId, ...parts, ...more }), run));
 }
 
+function openClaimant(): Claimant {
+  const keyId = { customer: CUSTOMER, key: "k" };
+  const facts = { id: HOLDER, keyId, fingerprint: "f", deadlineAt: NOW + 1 };
+  const claimant = new Claimant({
+    facts,
+    recordLater: () => {},
+    onState: () => {},
+  });
+  claimant.applyVerdict({ kind: "won" });
+  return claimant;
+}
+
 const DRAFT_PARTS = { pipeline: DRAFT, isSingle: false };
 const UNKNOWN = createRefusal("DEADLINE_EXCEEDED", "Late");
 const CANCELLED = createRefusal("PORT_CANCELLED", "The caller has gone");
@@ -60,6 +75,29 @@
     expect(told).to.include({ name: "OUTCOME_UNKNOWN", attempt: "not run" });
   });
 
+  // The gate is refused for load behind an encoding and told to come back; it
+  // does, and hears "unknown" for two minutes of a ticket that was never sent. The
+  // refusal could not say "not run" of the encoding, and the entry took that for
+  // the ticket.
+  it("goes on where the one call is proved not to have been sent", async () => {
+    const shed = createRefusal("SHED_AFTER_START", "Shed");
+    const claimant = openClaimant();
+    claimant.giveUp("cancelled");
+    const send = createSender({ claimant });
+    await send(() => Promise.resolve(shed));
+    const told = await send(() => Promise.resolve(COMPLETION));
+    expect(told.name).to.equal("OK");
+  });
+
+  it("goes no further where the one call was sent", async () => {
+    const claimant = openClaimant();
+    claimant.mayDispatch(NOW);
+    const send = createSender({ claimant });
+    await send(() => Promise.resolve(UNKNOWN));
+    const told = await send(() => expect.fail());
+    expect(told.name).to.equal("OUTCOME_UNKNOWN");
+  });
+
   // A panel leader's draft missed its deadline. She asks again under its key, as
   // told, and hears "unknown" for two minutes: the entry answers from its note of
   // the first attempt in place of resuming behind the finished stages.
--- a/packages/entry/src/key_registry.ts
+++ b/packages/entry/src/key_registry.ts
@@ -90,6 +90,12 @@
     });
   }
 
+  /** Forgets that a key is unknown, once its attempt is proved not to have run. */
+  dropUnknown(keyId: claims.KeyId): void {
+    const name = formatKey(keyId);
+    if (this.#keys.get(name)?.state.kind === "unknown") this.#keys.delete(name);
+  }
+
   /** Gives the state of a key, waiting a bounded time for a running one. */
   async waitForStatus(
     keyId: claims.KeyId,
