Proofs of silent callers, unread streams, silent log and control

Cause: connections between own processes, to the log and of callers were not tried with real processes. Change: scenarios/callers.ts and scenarios/silence.ts behind the silent relay.

--- a/packages/prove/src/scenario_list.ts
+++ b/packages/prove/src/scenario_list.ts
@@ -5,11 +5,13 @@
  */
 import type { Scenario } from "./scenario.ts";
 import { AT_MOST_ONCE } from "./scenarios/at_most_once.ts";
+import { CALLERS } from "./scenarios/callers.ts";
 import { CONFIGURATION_PROOFS } from "./scenarios/configuration.ts";
 import { ENDPOINTS } from "./scenarios/endpoints.ts";
 import { FAULT_PAIRS } from "./scenarios/fault_pairs.ts";
 import { PLANNED_STOP } from "./scenarios/planned_stop.ts";
 import { RESULTS } from "./scenarios/results.ts";
+import { SILENCE } from "./scenarios/silence.ts";
 import { TRUTHFUL_REFUSAL } from "./scenarios/truthful_refusal.ts";
 
 /** Every scenario, by point. */
@@ -21,4 +23,6 @@
   ...PLANNED_STOP,
   ...CONFIGURATION_PROOFS,
   ...FAULT_PAIRS,
+  ...CALLERS,
+  ...SILENCE,
 ];
