What is no HTTP request is refused with a code too

Cause: headers beyond Node.js's bound and malformed requests got the parser's bare 431 and 400 without a body. Ruled out: nothing of them reaches a route, so nothing ran before either. Change: a handler of clientError answers with code 1002 (1011 where the request came too slowly), outcome and attempt, and counts it. Conclusion: every refusal of the callers' port is typed.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -17,6 +17,7 @@
 import type { Server } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Claimant } from "./claimant.ts";
+import { handleClientErrors } from "./client_error.ts";
 import type { RequestContext } from "./context.ts";
 import { ControlLink } from "./control_link.ts";
 import { Dispatcher } from "./dispatcher.ts";
@@ -390,6 +391,10 @@
     });
     const { host, port } = rpc.parseAddress(this.#settings.listenHttp);
     this.#httpServer = createAdaptorServer({ fetch: app.fetch });
+    handleClientErrors(
+      this.#httpServer as Server,
+      (name) => this.#metrics.countEarlyRefusal(name),
+    );
     this.#httpServer.listen(port, host);
     await once(this.#httpServer, "listening");
   }
--- a/packages/prove/src/callers_contract_test.ts
+++ b/packages/prove/src/callers_contract_test.ts
@@ -306,10 +306,23 @@
     expect(unused).to.include({ status: 200, outcome: "unknown" });
   });
 
-  it("refuses headers beyond the bound", async () => {
-    const socket = await openRequest(["X-Huge: " + "x".repeat(40_000)]);
-    expect(await readStatus(socket)).to.equal(431);
-  });
+  const unreadable = [
+    {
+      title: "headers beyond the bound",
+      header: "x".repeat(40_000),
+      status: 431,
+    },
+    { title: "a header that is none", header: "\u0000", status: 400 },
+  ];
+  for (const { title, header, status } of unreadable) {
+    it(`refuses ${title}`, async () => {
+      const before = await countCalls();
+      const socket = await openRequest([`X-Bad: ${header}`]);
+      const told = await readAnswer(socket);
+      expect(told).to.include({ status, code: 1002, ...NOT_RUN });
+      expect(await countCalls()).to.equal(before);
+    });
+  }
 
   it("refuses a body that comes too slowly, and ends the connection", async () => {
     const before = await countCalls();
@@ -483,12 +496,18 @@
   return Object.fromEntries(set) as Record<string, string>;
 }
 
-/** Reads the status line; resolves to 0 when the connection ends without. */
-async function readStatus(socket: Socket): Promise<number> {
+/** Reads an answer whole; its status is 0 when the connection ends without. */
+async function readAnswer(socket: Socket): Promise<Told> {
   let text = "";
   socket.on("data", (chunk) => text += String(chunk));
   await new Promise((resolve) => socket.once("close", resolve));
-  return Number(/^HTTP\/1\.1 (\d+)/.exec(text)?.[1] ?? 0);
+  const [head = "", body = ""] = text.split("\r\n\r\n");
+  const status = Number(/^HTTP\/1\.1 (\d+)/.exec(head)?.[1] ?? 0);
+  return { ...(body.startsWith("{") ? JSON.parse(body) : {}), status };
+}
+
+async function readStatus(socket: Socket): Promise<number> {
+  return (await readAnswer(socket)).status;
 }
 
 /** Sends until the other side has ended the connection, or all is sent. */
