Fault pairs: load in bursts; a log that refuses besides one that hangs

Cause: at an even 50 requests a second no worker had three calls at once, so a build without the warm-up guard passed the pairs with a cold endpoint; an outage of the kind 'hang' is shorter in a pair than the timeouts that notice it. Change: bursts of 20 every 250 ms; 'refuse' where the outage comes first.

--- a/packages/prove/src/scenarios/_faults.ts
+++ b/packages/prove/src/scenarios/_faults.ts
@@ -38,8 +38,10 @@
       await deployment.waitForEntry(victim);
     });
   },
-  "log down": async ({ deployment }) => {
-    await deployment.setLogFaults({ outage: "hang" });
+  // One kind is noticed at once, the other one only by timeouts.
+  "log down": async ({ deployment }, turn) => {
+    const outage = turn === 0 ? "refuse" : "hang";
+    await deployment.setLogFaults({ outage });
     return () => deployment.setLogFaults({ outage: "none" });
   },
   "log answer lost": async ({ deployment }) => {
--- a/packages/prove/src/scenarios/_mixed_load.ts
+++ b/packages/prove/src/scenarios/_mixed_load.ts
@@ -12,7 +12,9 @@
   type SmallPipeline,
 } from "../small_plan.ts";
 
-const REQUEST_INTERVAL_MS = 20;
+/** Requests come in bursts, so that a cold worker could get too many at once. */
+const BURST = 20;
+const BURST_INTERVAL_MS = 250;
 const MAX_ATTEMPTS = 6;
 /** A caller comes back after half a second at the latest. */
 const MAX_WAIT_MS = 500;
@@ -54,9 +56,11 @@
   const sends: Promise<testbed.CallerResult>[] = [];
   let isOpen = true;
   const sendAll = async () => {
-    for (let turn = 0; isOpen; turn += 1) {
-      sends.push(...sendOne(deployment, turn, keys));
-      await sleep(REQUEST_INTERVAL_MS);
+    for (let first = 0; isOpen; first += BURST) {
+      for (let turn = first; turn < first + BURST; turn += 1) {
+        sends.push(...sendOne(deployment, turn, keys));
+      }
+      await sleep(BURST_INTERVAL_MS);
     }
   };
   const sending = sendAll();
--- a/packages/prove/src/scenarios/fault_pairs.ts
+++ b/packages/prove/src/scenarios/fault_pairs.ts
@@ -24,7 +24,7 @@
 const FEW_SECONDS_MS = 3_000;
 const WATCH_MS = 700;
 const TAIL_MS = 500;
-const MINTED_AN_ENTRY = 20;
+const MINTED_AN_ENTRY = 40;
 /** A worker bears little for so long after its start. */
 const COLD_MS = 1_200;
 /** Every worker must have left its cold start before pairs begin. */
