Entries keep a connection open to every endpoint that they may call

Cause: an unannounced restart shows by a connection that breaks; single calls use fresh connections and idle ones are closed after seconds, so no entry had one to a quiet ticket service, and each sent a warm endpoint's share: three calls at a worker that bears two. Ruled out: the guard itself (specified and property-tested): it was not told. Change: each entry reads every endpoint it may call each 2 s, within the keep-alive time of usual servers, so that a pooled connection is open.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -40,6 +40,8 @@
 const VIEW_TIMEOUT_MS = 500;
 /** An endpoint that does not report within it counts as silent. */
 const REPORT_TIMEOUT_MS = 500;
+/** Well within the keep-alive time of usual HTTP servers, which is 5 s. */
+const ENDPOINT_READ_INTERVAL_MS = 2_000;
 /** A gap in the tick as long as this is a pause of the process. */
 const PAUSE_GAP_MS = 1_000;
 /** Begun minted keys that are remembered for each customer. */
@@ -142,6 +144,7 @@
     this.#timers.push(
       setInterval(() => this.#tick(), TICK_MS),
       setInterval(() => void this.#confirmView(), VIEW_INTERVAL_MS),
+      setInterval(() => this.#site.readEndpoints(), ENDPOINT_READ_INTERVAL_MS),
     );
     await this.#listenHttp();
     this.#state = "ready";
--- a/packages/entry/src/site_state.ts
+++ b/packages/entry/src/site_state.ts
@@ -163,10 +163,21 @@
    */
   recordDisconnect(address: string): void {
     for (const facts of this.#endpoints.values()) {
-      const isUsed = facts.state === ENDPOINT_STATE.cold ||
-        facts.state === ENDPOINT_STATE.warming ||
-        facts.state === ENDPOINT_STATE.warm;
-      if (facts.address === address && isUsed) void this.#probe(facts);
+      if (facts.address === address && isUsed(facts)) void this.#probe(facts);
+    }
+  }
+
+  /**
+   * Reads every endpoint that may be called, for the sake of the connection.
+   *
+   * Guards against a restart that no entry hears of: {@link recordDisconnect}
+   * needs an open connection that breaks, and a service of single calls, each on
+   * a fresh connection, or one that was idle for some seconds has none. A read
+   * within each server's keep-alive time leaves one open.
+   */
+  readEndpoints(): void {
+    for (const facts of this.#endpoints.values()) {
+      if (isUsed(facts)) void this.#options.readReport(facts);
     }
   }
 
@@ -296,6 +307,11 @@
   }
 }
 
+function isUsed({ state }: EndpointFacts): boolean {
+  return state === ENDPOINT_STATE.cold || state === ENDPOINT_STATE.warming ||
+    state === ENDPOINT_STATE.warm;
+}
+
 function countLive(members: readonly MemberFacts[]): number {
   return members.filter((member) => member.state === "live").length;
 }
--- a/packages/entry/src/site_state_test.ts
+++ b/packages/entry/src/site_state_test.ts
@@ -63,7 +63,9 @@
   return { version, configuration, author, recordId: `r-${version}` } as never;
 }
 
-function openSite(report?: () => Promise<LoadReport | undefined>) {
+function openSite(
+  report?: (facts: EndpointFacts) => Promise<LoadReport | undefined>,
+) {
   const events: decisions.DecisionEvent[] = [];
   const news: membership.EndpointNews[] = [];
   const versions: number[] = [];
@@ -207,6 +209,25 @@
     expect(news).to.have.length(0);
   });
 
+  // The ticket service falls over in the morning: it was restarted in a quiet
+  // minute, when no entry had a connection to it that could break.
+  it("has an open one, since what may be called is read again and again", () => {
+    const read: string[] = [];
+    const { site } = openSite((facts) => {
+      read.push(facts.endpointId);
+      return Promise.resolve(undefined);
+    });
+    const states = ["cold", "warming", "warm", "silent", "leaving"] as const;
+    const endpoints = states.map((state) => ({
+      ...FACTS,
+      endpointId: state,
+      state,
+    }));
+    site.applyNews({ members: MEMBERS, endpoints });
+    site.readEndpoints();
+    expect(read).to.deep.equal(["cold", "warming", "warm"]);
+  });
+
   it("leaves endpoints at other addresses alone", () => {
     const { site } = openSite();
     site.applyNews({ members: MEMBERS, endpoints: [FACTS] });
