--- a/packages/prove/src/scenario_list.ts
+++ b/packages/prove/src/scenario_list.ts
@@ -13,6 +13,7 @@
 import { RESULTS } from "./scenarios/results.ts";
 import { SILENCE } from "./scenarios/silence.ts";
 import { TRUTHFUL_REFUSAL } from "./scenarios/truthful_refusal.ts";
+import { UNHEARD_RESTART } from "./scenarios/unheard_restart.ts";
 
 /** Every scenario, by point. */
 export const SCENARIOS: readonly Scenario[] = [
@@ -20,6 +21,7 @@
   ...TRUTHFUL_REFUSAL,
   ...RESULTS,
   ...ENDPOINTS,
+  ...UNHEARD_RESTART,
   ...PLANNED_STOP,
   ...CONFIGURATION_PROOFS,
   ...FAULT_PAIRS,
