--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -17,6 +17,7 @@
 import type { Server } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Claimant } from "./claimant.ts";
+import { handleClientErrors } from "./client_error.ts";
 import type { RequestContext } from "./context.ts";
 import { ControlLink } from "./control_link.ts";
 import { Dispatcher } from "./dispatcher.ts";
@@ -39,6 +40,8 @@
 const VIEW_TIMEOUT_MS = 500;
 /** An endpoint that does not report within it counts as silent. */
 const REPORT_TIMEOUT_MS = 500;
+/** Well within the keep-alive time of usual HTTP servers, which is 5 s. */
+const ENDPOINT_READ_INTERVAL_MS = 2_000;
 /** A gap in the tick as long as this is a pause of the process. */
 const PAUSE_GAP_MS = 1_000;
 /** Begun minted keys that are remembered for each customer. */
@@ -141,6 +144,7 @@
     this.#timers.push(
       setInterval(() => this.#tick(), TICK_MS),
       setInterval(() => void this.#confirmView(), VIEW_INTERVAL_MS),
+      setInterval(() => this.#site.readEndpoints(), ENDPOINT_READ_INTERVAL_MS),
     );
     await this.#listenHttp();
     this.#state = "ready";
@@ -266,6 +270,7 @@
       peers: this.#peers,
       findMember: (run) => this.#site.findMember(run),
       recordLater: (record) => this.#link.recordLater([record]),
+      onCompleted: (...completion) => this.#registry.complete(...completion),
       createClaimId: () => this.#createClaimId(),
       lookUpKey: (keyId) => this.#lookUpKey(keyId, VIEW_TIMEOUT_MS),
       readNow: readMonotonic,
@@ -394,6 +399,10 @@
     });
     const { host, port } = rpc.parseAddress(this.#settings.listenHttp);
     this.#httpServer = createAdaptorServer({ fetch: app.fetch });
+    handleClientErrors(
+      this.#httpServer as Server,
+      (name) => this.#metrics.countEarlyRefusal(name),
+    );
     this.#httpServer.listen(port, host);
     await once(this.#httpServer, "listening");
   }
--- a/packages/entry/src/key_registry.ts
+++ b/packages/entry/src/key_registry.ts
@@ -73,7 +73,11 @@
     };
     const name = formatKey(keyId);
     this.#keys.set(name, record);
-    void answer.then((final) => this.#settle(name, record, final));
+    answer.then(
+      (final) => this.#settle(name, record, final),
+      // A fault of this entry: the claim or the mint keeps a single call single.
+      () => this.#drop(name, record),
+    );
   }
 
   /** Notes a completion that came after its request had been given up. */
@@ -86,6 +90,12 @@
     });
   }
 
+  /** Forgets that a key is unknown, once its attempt is proved not to have run. */
+  dropUnknown(keyId: claims.KeyId): void {
+    const name = formatKey(keyId);
+    if (this.#keys.get(name)?.state.kind === "unknown") this.#keys.delete(name);
+  }
+
   /** Gives the state of a key, waiting a bounded time for a running one. */
   async waitForStatus(
     keyId: claims.KeyId,
@@ -101,6 +111,10 @@
     return { kind: "completed", body: state.answer.output };
   }
 
+  #drop(name: string, record: KeyRecord): void {
+    if (this.#keys.get(name) === record) this.#keys.delete(name);
+  }
+
   #settle(name: string, record: KeyRecord, answer: RequestAnswer): void {
     if (this.#keys.get(name) !== record) return;
     if (answer.kind === "completed") {
--- a/packages/entry/src/minted_keys.ts
+++ b/packages/entry/src/minted_keys.ts
@@ -34,6 +34,12 @@
   readonly findMember: (instance: InstanceId) => MemberFacts | undefined;
   /** Hands an outcome to the log, when it allows. */
   readonly recordLater: (record: claims.ClaimRecord) => void;
+  /** Told of a completion, also where its caller was told "unknown" before. */
+  readonly onCompleted: (
+    keyId: claims.KeyId,
+    fingerprint: string,
+    answer: unknown,
+  ) => void;
   readonly createClaimId: () => claims.ClaimId;
   /** What the log says of a key, if it can be asked. */
   readonly lookUpKey: (
@@ -69,8 +75,8 @@
       return await this.#runHere(context, next);
     }
     const minter = this.#options.findMember(key.instance);
-    if (minter) return await this.#forward(context, minter);
-    return await this.#answerForGone(context, key);
+    const answer = minter && await this.#forward(context, minter);
+    return answer ?? await this.#answerForGone(context, key);
   }
 
   /** Takes what a leaving entry tells of its keys; for answers only. */
@@ -140,15 +146,19 @@
       },
       onState: (state, answer) => {
         const ending = buildEnding(state, answer);
-        if (ending) this.#options.mint.finish(keyId, { attempt, ending });
+        if (!ending) return;
+        this.#options.mint.finish(keyId, { attempt, ending });
+        if (ending.kind !== "completed") return;
+        this.#options.onCompleted(keyId, fingerprint, answer);
       },
     });
   }
 
+  /** Gives undefined where the minter was not reached: nothing was sent. */
   async #forward(
     context: RequestContext,
     minter: MemberFacts,
-  ): Promise<RequestAnswer> {
+  ): Promise<RequestAnswer | undefined> {
     const { customer, pipeline, incoming } = context;
     const leftMs = context.deadlineAt - this.#options.readNow();
     const params = {
@@ -166,9 +176,7 @@
       { timeoutMs },
     );
     if (answer.isOk()) return answer.value as RequestAnswer;
-    return answer.error.kind === "not_sent"
-      ? refuseGone(context)
-      : refuseUnanswered();
+    return answer.error.kind === "not_sent" ? undefined : refuseUnanswered();
   }
 
   async #answerForGone(
--- a/packages/prove/src/run_proofs.ts
+++ b/packages/prove/src/run_proofs.ts
@@ -11,15 +11,21 @@
 } from "./model_proofs.ts";
 import { buildMutant, readMutants } from "./mutants.ts";
 import {
+  CROSS_POINTS,
   POINTS,
   runScenario,
   type Scenario,
   type ScenarioResult,
+  type ScenarioRow,
 } from "./scenario.ts";
 import { SCENARIOS } from "./scenario_list.ts";
 
 /** Scenarios at once; each has about ten processes. */
 const PARALLEL = 3;
+const ALL_POINTS: Readonly<Record<number, string>> = {
+  ...POINTS,
+  ...CROSS_POINTS,
+};
 /** Violations printed for each scenario. */
 const SHOWN_VIOLATIONS = 4;
 
@@ -44,7 +50,7 @@
   const shown = models.filter(({ name }) => name.includes(only));
   const plan = planScenarios(options, isModel);
   const results = await runAll(plan.scenarios, plan.binaries);
-  for (const point of Object.keys(POINTS).map(Number)) {
+  for (const point of Object.keys(ALL_POINTS).map(Number)) {
     printModels(point, shown);
     printScenarios(point, results);
   }
@@ -127,8 +133,9 @@
     if (ofPoint !== point) continue;
     const { cases, violations, seen } = result;
     const verdict = formatVerdict(violations.length);
-    const head = `${point}. ${POINTS[point]}: ${name}`;
+    const head = `${point}. ${ALL_POINTS[point]}: ${name}`;
     console.log(`${head}: ${cases} cases, ${verdict} (${seen})`);
+    for (const row of result.rows ?? []) printRow(row);
     for (const { promise, detail } of violations.slice(0, SHOWN_VIOLATIONS)) {
       console.log(`     ${promise}: ${detail}`);
     }
@@ -138,3 +145,9 @@
 function formatVerdict(violations: number): string {
   return `${violations} violations, ${violations === 0 ? "held" : "BROKEN"}`;
 }
+
+function printRow({ name, cases, violations, seen }: ScenarioRow): void {
+  console.log(
+    `     ${name}: ${cases} cases, ${violations} violations (${seen})`,
+  );
+}
