--- a/packages/control/src/membership_controller_test.ts
+++ b/packages/control/src/membership_controller_test.ts
@@ -71,7 +71,12 @@
       logger: {
         change: (name: string) => changes.push(name),
       } as unknown as logger.Logger,
-      buildNews: () => ({ configVersion: 1, isJudging: true, endpoints: [] }),
+      buildNews: () => ({
+        configVersion: 1,
+        isJudging: true,
+        endpoints: [],
+        demands: [],
+      }),
       onReply: (reply) => replies.push(reply),
       onList: () => {},
       onMembers: () => {},
--- a/packages/entry/src/site_state_test.ts
+++ b/packages/entry/src/site_state_test.ts
@@ -78,6 +78,7 @@
       quarantineMs: 0,
       viewFreshMs: 1_000,
     }),
+    readWallMs: () => 0,
     readNow: () => time.now,
     drawRandom: () => 0,
     apply: (event) => events.push(event),
--- a/packages/prove/src/scenarios/callers.ts
+++ b/packages/prove/src/scenarios/callers.ts
@@ -7,7 +7,7 @@
 import { SilentRelay } from "@sardinestep/testing/silent_relay";
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
-import { auditDeployment, countOutcomes, expectCompleted } from "../judge.ts";
+import { countOutcomes, expectCompleted } from "../judge.ts";
 import type { Scenario } from "../scenario.ts";
 import {
   buildRequest,
@@ -72,7 +72,7 @@
       ),
     );
     const violations = [
-      ...await auditDeployment(deployment, results),
+      ...await deployment.audit(results),
       ...expectCompleted(results, "the repeat gets the answer"),
     ];
     const heard = (await Promise.all(unheard)).filter(({ answer }) => answer);
@@ -107,7 +107,7 @@
     ),
   );
   const violations = [
-    ...await auditDeployment(deployment, results),
+    ...await deployment.audit(results),
     ...expectCompleted(results, "other callers notice nothing"),
     ...await expectIdle(url),
   ];
--- a/packages/prove/src/scenarios/fault_pairs.ts
+++ b/packages/prove/src/scenarios/fault_pairs.ts
@@ -6,7 +6,7 @@
  */
 import * as testbed from "@sardinestep/testbed";
 import { setTimeout as sleep } from "node:timers/promises";
-import { auditDeployment, countOutcomes } from "../judge.ts";
+import { countOutcomes } from "../judge.ts";
 import type { Scenario, ScenarioResult, ScenarioRow } from "../scenario.ts";
 import { buildSmallPlan, mintKeys } from "../small_plan.ts";
 import { VersionWatch } from "../version_watch.ts";
@@ -154,7 +154,7 @@
   }
 
   async #audit(results: readonly testbed.CallerResult[]): Promise<void> {
-    this.#add(await auditDeployment(this.#deployment, results));
+    this.#add(await this.#deployment.audit(results));
   }
 
   #add(violations: readonly testbed.Violation[]): void {
--- a/packages/prove/src/scenarios/silence.ts
+++ b/packages/prove/src/scenarios/silence.ts
@@ -12,7 +12,7 @@
 import * as testbed from "@sardinestep/testbed";
 import { SilentRelay } from "@sardinestep/testing/silent_relay";
 import { setTimeout as sleep } from "node:timers/promises";
-import { auditDeployment, countOutcomes, expectCompleted } from "../judge.ts";
+import { countOutcomes, expectCompleted } from "../judge.ts";
 import type { Scenario } from "../scenario.ts";
 import {
   buildRequest,
@@ -103,7 +103,7 @@
   const results = await load.stop();
   const others = results.filter(({ request }) => !request.needsKey);
   violations.push(
-    ...await auditDeployment(deployment, results),
+    ...await deployment.audit(results),
     ...expectCompleted(others, "lookups and drafts notice nothing"),
   );
   if (relay.silenced === 0) {
--- a/packages/prove/src/scenarios/unheard_restart.ts
+++ b/packages/prove/src/scenarios/unheard_restart.ts
@@ -5,7 +5,7 @@
  */
 import * as testbed from "@sardinestep/testbed";
 import { setTimeout as sleep } from "node:timers/promises";
-import { auditDeployment, countOutcomes, expectCompleted } from "../judge.ts";
+import { countOutcomes, expectCompleted } from "../judge.ts";
 import type { Scenario } from "../scenario.ts";
 import {
   buildRequest,
@@ -44,7 +44,7 @@
       }
       const results = [...first, ...await sendBurst(deployment)];
       const violations = [
-        ...await auditDeployment(deployment, results),
+        ...await deployment.audit(results),
         ...expectCompleted(results, "service is back within seconds"),
       ];
       const seen = countOutcomes(results);
