Fault pairs: the domain is watched also while operators race

Cause: the pair of zone out and racing operators began with the race, so the watch of the domain was left out. Change: zone out goes first in each of its pairs. Conclusion: every pair with zone out is judged by it.

--- a/packages/prove/src/scenarios/fault_pairs.ts
+++ b/packages/prove/src/scenarios/fault_pairs.ts
@@ -114,9 +114,7 @@
   async #runFaults(pair: Pair): Promise<void> {
     const tools = { deployment: this.#deployment, operators: this.#operators };
     // A change of configuration must be accepted before the log goes down.
-    const [first, second] = pair.includes("zone out")
-      ? [pair[1], pair[0]]
-      : pair;
+    const [first, second] = pair[1] === "zone out" ? [pair[1], pair[0]] : pair;
     const healFirst = await FAULTS[first](tools, 0);
     await sleep(BETWEEN_FAULTS_MS);
     const healSecond = await FAULTS[second](tools, 1);
