A single call goes only to the run of the endpoint that it is meant for

Single calls have connections of their own, so a restart breaks none of them. Ruled out: the pooled connections, whose break is noticed and probed. Change: the first request on the fresh connection asks which run answers; another run is not sent the call, which counts as not sent. One round trip more for a single call.

--- a/packages/endpoint_http/src/endpoints.ts
+++ b/packages/endpoint_http/src/endpoints.ts
@@ -27,6 +27,8 @@
 import { StreamCall } from "./stream_call.ts";
 
 /** A cancel is only a favour to the endpoint; nobody waits for it. */
+/** A report within a domain takes a millisecond or two; longer is a dead path. */
+const PROOF_TIMEOUT_MS = 500;
 const CANCEL_TIMEOUT_MS = 2_000;
 
 const reportSchema = z.object({
@@ -154,7 +156,11 @@
       signal: options.signal,
     };
     const result = call.freshConnection
-      ? await this.#connections.sendFresh(call.address, request)
+      ? await this.#connections.sendFresh(
+        call.address,
+        request,
+        buildRunProof(call),
+      )
       : await this.#connections.send(call.address, request);
     return http.parseJson(result).andThen((value) =>
       this.#checkAnswer(call, value)
@@ -194,3 +200,31 @@
     `Report is of endpoint "${found}", not of "${wanted}"`,
   );
 }
+
+/**
+ * Guards a cold endpoint against calls that are meant for its run before.
+ *
+ * The failure: a service restarts while no connection is open that could break;
+ * calls with connections of their own go on as to a warm one. The first request on
+ * the new connection asks which run answers; if it ends afterwards, the
+ * connection breaks with it, so the call can't reach yet another run.
+ */
+function buildRunProof(
+  { address, instance }: StageCall,
+): http.ProveConnection | undefined {
+  if (instance === undefined) return undefined;
+  return async (send) => {
+    const asked = await send({
+      method: "GET",
+      path: "/v1/load",
+      timeoutMs: PROOF_TIMEOUT_MS,
+    });
+    const report = http.checkJson(asked, reportSchema);
+    if (report.isErr()) {
+      const message = `No report from "${address}": ${report.error.message}`;
+      return { kind: "not_sent", message };
+    }
+    if (report.value.instance === instance) return undefined;
+    return { kind: "not_sent", message: `Another run answers at "${address}"` };
+  };
+}
--- a/packages/endpoint_http/src/endpoints_test.ts
+++ b/packages/endpoint_http/src/endpoints_test.ts
@@ -109,6 +109,24 @@
     expect(broken).to.deep.equal([world.endpoint.address]);
   });
 
+  // A ticket service falls over in the morning. It was restarted while no entry
+  // had a connection to it; single calls have connections of their own, so
+  // nothing broke, and each entry sent what the warm run before had borne.
+  it("sends a single call to the run that it is meant for alone", async () => {
+    const world = await openTracked("service");
+    const { instance } = world.endpoint;
+    const buildSingle = (id: string) => ({
+      ...world.buildCall(id),
+      freshConnection: true,
+      instance,
+    });
+    (await world.port.call(buildSingle("a"))).unwrap();
+    world.endpoint.startAgain();
+    const second = await world.port.call(buildSingle("b"));
+    expect(second.isErr() && second.error.kind).to.equal("not_sent");
+    expect(world.endpoint.getCounters().calls).to.equal(1);
+  });
+
   // Calls stop one after the other until none gets through: each forgotten
   // connection stays in the pool for good, and the pool is bounded.
   it("replaces a silent connection although the pool is full", async () => {
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -425,6 +425,7 @@
     priority: PRIORITY[facts.requestClass],
     progressTimeoutMs: start.progressTimeoutMs,
     freshConnection: stage ? !stage.repeatable : false,
+    ...(endpoint.instance !== "" && { instance: endpoint.instance }),
   };
 }
 
--- a/packages/ports/src/endpoint.ts
+++ b/packages/ports/src/endpoint.ts
@@ -33,6 +33,11 @@
   readonly progressTimeoutMs: number;
   /** Whether to prove the path with a new connection before sending. */
   readonly freshConnection: boolean;
+  /**
+   * The run that the call is meant for. With a fresh connection it is asked
+   * first which run answers there; another one is `not_sent` the call.
+   */
+  readonly instance?: InstanceId;
 }
 
 /** A part of a streamed output. */
--- a/packages/ports/src/http/connections.ts
+++ b/packages/ports/src/http/connections.ts
@@ -24,6 +24,17 @@
   readonly onDisconnect?: (address: Address) => void;
 }
 
+/** Sends a request on the connection that is to be proved. */
+export type SendOnConnection = (request: HttpRequest) => Promise<HttpResult>;
+
+/**
+ * Asks the other side something on a new connection before the request goes out
+ * on it; gives an error where the request must not be sent.
+ */
+export type ProveConnection = (
+  send: SendOnConnection,
+) => Promise<PortError | undefined>;
+
 /** Sends requests over pooled keep-alive connections or a fresh one. */
 export class HttpConnections {
   readonly #pools = new Map<Address, Pool>();
@@ -47,14 +58,22 @@
    * Sends over a new connection, used for this request alone: a path that has
    * died shows as a failed connect, which proves that nothing ran.
    */
-  async sendFresh(address: Address, request: HttpRequest): Promise<HttpResult> {
+  async sendFresh(
+    address: Address,
+    request: HttpRequest,
+    prove?: ProveConnection,
+  ): Promise<HttpResult> {
     if (this.#isClosed) return Err(CLOSED);
-    const exchange = new Exchange(request);
     const client = new Client(buildOrigin(address), buildClientOptions());
     this.#fresh.add(client);
-    client.dispatch(buildDispatch(request), exchange);
+    const send: SendOnConnection = (one) => {
+      const exchange = new Exchange(one);
+      client.dispatch(buildDispatch(one), exchange);
+      return exchange.result;
+    };
     try {
-      return await exchange.result;
+      const unproved = await prove?.(send);
+      return unproved ? Err(unproved) : await send(request);
     } finally {
       this.#fresh.delete(client);
       await client.destroy();
