Refusals that speak of a key stand in one module

Cause: the same refusals stood in three files with small differences (a joined repeat did not say that its attempt was not run).

--- a/packages/entry/src/filters/claim_key.ts
+++ b/packages/entry/src/filters/claim_key.ts
@@ -10,7 +10,8 @@
 import type { Claimant } from "../claimant.ts";
 import type { Filter, RequestContext } from "../context.ts";
 import { waitAtMost } from "../key_registry.ts";
-import { type HolderLookup, refuseExpired } from "../holder_lookup.ts";
+import type { HolderLookup } from "../holder_lookup.ts";
+import { refuseExpired } from "../key_refusals.ts";
 
 /** A repeat may come back soon: the call may end any moment. */
 const LATE_RETRY_MS = 1_000;
--- a/packages/entry/src/filters/join_duplicate.ts
+++ b/packages/entry/src/filters/join_duplicate.ts
@@ -5,16 +5,14 @@
  */
 import * as claims from "@sardinestep/claims";
 import { match } from "ts-pattern";
-import { createRefusal, type RequestAnswer } from "../answer.ts";
+import type { RequestAnswer } from "../answer.ts";
 import type { Filter, RequestContext } from "../context.ts";
 import {
   type KeyRegistry,
   type KeyRelation,
   waitAtMost,
 } from "../key_registry.ts";
-
-/** A repeat may come back soon: what it waits for is under way. */
-const RETRY_AFTER_MS = 1_000;
+import { refuseReuse, refuseRunning, refuseUnknown } from "../key_refusals.ts";
 
 /**
  * Creates the filter.
@@ -98,28 +96,6 @@
   waitMs: number,
 ): Promise<RequestAnswer> {
   const answer = await waitAtMost(running, waitMs);
-  if (!answer) {
-    return createRefusal(
-      "HELD_ELSEWHERE",
-      "Another attempt under this key is running",
-      { retryAfterMs: RETRY_AFTER_MS },
-    );
-  }
+  if (!answer) return refuseRunning();
   return answer.kind === "completed" ? { ...answer, isReplayed: true } : answer;
 }
-
-/**
- * Refuses a key that came with another body.
- *
- * @param context The request.
- * @returns The refusal: this body was not run.
- */
-export function refuseReuse(context: RequestContext): RequestAnswer {
-  const message = `Cannot use key "${context.keyId?.key}" for another body`;
-  return createRefusal("KEY_REUSED", message);
-}
-
-function refuseUnknown(context: RequestContext): RequestAnswer {
-  const message = `The outcome under key "${context.keyId?.key}" is not known`;
-  return createRefusal("OUTCOME_UNKNOWN", message, { attempt: "not run" });
-}
--- a/packages/entry/src/holder_lookup.ts
+++ b/packages/entry/src/holder_lookup.ts
@@ -7,15 +7,18 @@
 import type * as rpc from "@sardinestep/rpc";
 import type { InstanceId, MemberFacts } from "@sardinestep/types";
 import { match } from "ts-pattern";
-import {
-  createCompletion,
-  createRefusal,
-  type RequestAnswer,
-} from "./answer.ts";
+import { createCompletion, type RequestAnswer } from "./answer.ts";
 import type { RequestContext } from "./context.ts";
-import { refuseReuse } from "./filters/join_duplicate.ts";
+import {
+  refuseExpired,
+  refuseHeld,
+  refuseHolderGone,
+  refuseNotKept,
+  refuseReuse,
+  refuseRunning,
+  refuseUnknown,
+} from "./key_refusals.ts";
 
-const RETRY_AFTER_MS = 1_000;
 /** A lookup that waits for the holder's answer keeps this much of the deadline. */
 const RESERVE_MS = 50;
 /**
@@ -120,7 +123,7 @@
       )
       .with(
         { kind: "running" },
-        () => refuseHeld("Another attempt under this key is running"),
+        () => refuseRunning(),
       )
       .with({ kind: "unknown" }, () => refuseUnknown(context))
       // A holder that knows nothing of the key may not have begun, or has
@@ -130,29 +133,15 @@
   }
 }
 
-function refuseHeld(message: string): RequestAnswer {
-  const options = { attempt: "not run", retryAfterMs: RETRY_AFTER_MS } as const;
-  return createRefusal("HELD_ELSEWHERE", message, options);
-}
-
-function refuseUnknown(context: RequestContext): RequestAnswer {
-  const message = `The outcome under key "${context.keyId?.key}" is not known`;
-  return createRefusal("OUTCOME_UNKNOWN", message, { attempt: "not run" });
-}
-
 function refuseWithoutHolder(
   context: RequestContext,
   status: HeldStatus,
 ): RequestAnswer {
   if (status.kind === "unknown") return refuseUnknown(context);
-  const key = context.keyId?.key;
-  if (status.kind === "completed") {
-    const message = `Completed earlier under key "${key}"; the answer is gone`;
-    return createRefusal("ANSWER_NOT_KEPT", message, { attempt: "not run" });
-  }
-  if (isYoung(key ?? "")) return refuseHeld("The holder is not known here yet");
-  const message = `The holder of key "${key}" is gone without an outcome`;
-  return createRefusal("HOLDER_GONE", message, { attempt: "not run" });
+  if (status.kind === "completed") return refuseNotKept(context);
+  const isYoungKey = isYoung(context.keyId?.key ?? "");
+  if (isYoungKey) return refuseHeld("The holder is not known here yet");
+  return refuseHolderGone(context);
 }
 
 function isYoung(key: string): boolean {
@@ -160,14 +149,3 @@
   if (parsed.isErr() || parsed.value.kind !== "uuidv7") return false;
   return Date.now() - parsed.value.time < HOLDER_SETTLE_MS;
 }
-
-/**
- * Refuses a key that is older than what the log is sure to cover.
- *
- * @param context The request.
- * @returns The refusal: this attempt was not run.
- */
-export function refuseExpired(context: RequestContext): RequestAnswer {
-  const message = `Key "${context.keyId?.key}" is older than the kept window`;
-  return createRefusal("KEY_EXPIRED", message, { attempt: "not run" });
-}
--- a/packages/entry/src/minted_keys.ts
+++ b/packages/entry/src/minted_keys.ts
@@ -7,21 +7,26 @@
 import type * as rpc from "@sardinestep/rpc";
 import type { CustomerId, InstanceId, MemberFacts } from "@sardinestep/types";
 import { match, P } from "ts-pattern";
-import {
-  createCompletion,
-  createRefusal,
-  type RequestAnswer,
-} from "./answer.ts";
+import { createCompletion, type RequestAnswer } from "./answer.ts";
 import { Claimant } from "./claimant.ts";
 import type { RequestContext } from "./context.ts";
 import { runAsHolder } from "./filters/claim_key.ts";
-import { refuseReuse } from "./filters/join_duplicate.ts";
-import { refuseExpired } from "./holder_lookup.ts";
+import {
+  refuseClosed,
+  refuseExpired,
+  refuseForeign,
+  refuseFull,
+  refuseMinterGone,
+  refuseNotKept,
+  refuseReuse,
+  refuseRunning,
+  refuseUnanswered,
+  refuseUnknown,
+} from "./key_refusals.ts";
 
 type MintedKey = Extract<claims.ParsedKey, { kind: "minted" }>;
 
 const NO_COST = { calls: 0, tokens: 0, workerMs: 0 } as const;
-const RETRY_AFTER_MS = 1_000;
 const LOOK_UP_TIMEOUT_MS = 500;
 /** Leaving entries remembered; a rolling replacement of all VMs fits. */
 const MAX_HAND_OVERS = 64;
@@ -193,7 +198,7 @@
         ? refuseNotKept(context)
         : createCompletion(body, { ...NO_COST }, true);
     }
-    return refuseGone(context);
+    return refuseMinterGone(context);
   }
 
   #findHandedOver(
@@ -243,51 +248,3 @@
     .with({ kind: "closed" }, () => refuseClosed(context))
     .exhaustive();
 }
-
-function refuseRunning(): RequestAnswer {
-  const options = { attempt: "not run", retryAfterMs: RETRY_AFTER_MS } as const;
-  const message = "Another attempt under this key is running";
-  return createRefusal("HELD_ELSEWHERE", message, options);
-}
-
-function refuseUnknown(context: RequestContext): RequestAnswer {
-  const message = `The outcome under key "${context.keyId?.key}" is not known`;
-  return createRefusal("OUTCOME_UNKNOWN", message, { attempt: "not run" });
-}
-
-function refuseForeign(context: RequestContext): RequestAnswer {
-  const message =
-    `Key "${context.keyId?.key}" was not minted for this customer`;
-  return createRefusal("KEY_INVALID", message);
-}
-
-function refuseFull(retryAfterMs: number): RequestAnswer {
-  const message = "The customer has too many minted keys in use";
-  return createRefusal("CUSTOMER_LIMIT", message, { retryAfterMs });
-}
-
-function refuseClosed(context: RequestContext): RequestAnswer {
-  context.isKeySettled = true;
-  const message = `Key "${context.keyId?.key}" was closed unused`;
-  return createRefusal("KEY_CLOSED", message);
-}
-
-function refuseNotKept(context: RequestContext): RequestAnswer {
-  const message =
-    `Completed earlier under key "${context.keyId?.key}"; the answer is gone`;
-  return createRefusal("ANSWER_NOT_KEPT", message, { attempt: "not run" });
-}
-
-function refuseGone(context: RequestContext): RequestAnswer {
-  const message =
-    `The entry that minted key "${context.keyId?.key}" is out of reach`;
-  const options = { attempt: "not run", retryAfterMs: RETRY_AFTER_MS } as const;
-  return createRefusal("MINTER_GONE", message, options);
-}
-
-function refuseUnanswered(): RequestAnswer {
-  const options = { attempt: "unknown", retryAfterMs: RETRY_AFTER_MS } as const;
-  const message =
-    "The entry that minted the key took the request and fell silent";
-  return createRefusal("HELD_ELSEWHERE", message, options);
-}
