--- /dev/null
+++ b/packages/bench/src/run_load.ts
@@ -0,0 +1,94 @@
+/**
+ * Runs load generators as processes and puts their reports together.
+ *
+ * @module
+ */
+import * as testbed from "@sardinestep/testbed";
+import {
+  build,
+  decodeFromCompressedBase64,
+  type Histogram,
+  initWebAssembly,
+} from "hdr-histogram-js";
+import {
+  type LoadReport,
+  type LoadSettings,
+  REPORT_MARK,
+} from "./load_settings.ts";
+
+const MICROSECONDS_PER_MS = 1_000;
+/** Start of a process, and answers after the end of the load. */
+const GRACE_MS = 30_000;
+
+/** What all generators of a load measured together. */
+export interface LoadResult {
+  readonly perSecond: number;
+  readonly completed: number;
+  readonly others: Readonly<Record<string, number>>;
+  readonly skipped: number;
+  /** Latencies of completed requests, in milliseconds. */
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+}
+
+/** Reports of load generators are decoded by WebAssembly; call it once. */
+export const initDecoder = initWebAssembly;
+
+/**
+ * Runs a load and waits for its end.
+ *
+ * @param bench Starts the generators.
+ * @param load What each generator does.
+ * @param generators Processes; rate and concurrency are split between them.
+ * @returns What they measured together.
+ */
+export async function runLoad(
+  bench: testbed.Bench,
+  load: LoadSettings,
+  generators = 1,
+): Promise<LoadResult> {
+  const { concurrency, ratePerSecond } = load;
+  const settings: LoadSettings = {
+    ...load,
+    concurrency: Math.ceil(concurrency / generators),
+    ratePerSecond: ratePerSecond && ratePerSecond / generators,
+  };
+  const boundMs = load.warmUpMs + load.durationMs + GRACE_MS;
+  const reports = Array.from({ length: generators }, async () => {
+    const program = bench.start("bench_load", { settings });
+    await testbed.waitForOutput(program, REPORT_MARK, { boundMs });
+    await testbed.stopProgram(program);
+    return parseReport(program.output());
+  });
+  return mergeReports(await Promise.all(reports));
+}
+
+function parseReport(output: string): LoadReport {
+  const [, json] = output.split(REPORT_MARK);
+  return JSON.parse(json);
+}
+
+function mergeReports(reports: readonly LoadReport[]): LoadResult {
+  const all: Histogram = build({ numberOfSignificantValueDigits: 3 });
+  const others: Record<string, number> = {};
+  for (const report of reports) {
+    all.add(decodeFromCompressedBase64(report.histogram));
+    for (const [name, count] of Object.entries(report.others)) {
+      others[name] = (others[name] ?? 0) + count;
+    }
+  }
+  const getMs = (percent: number) =>
+    all.getValueAtPercentile(percent) / MICROSECONDS_PER_MS;
+  return {
+    perSecond: sum(reports.map((one) => one.completed / one.seconds)),
+    completed: sum(reports.map((one) => one.completed)),
+    skipped: sum(reports.map((one) => one.skipped)),
+    others,
+    p50Ms: getMs(50),
+    p99Ms: getMs(99),
+  };
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -20,6 +20,9 @@
   ...DAEMONS,
   "sardinestep": "packages/cli/src/main.ts",
   "bench_decisions": "packages/bench/src/bench_decisions.ts",
+  "bench_entry": "packages/bench/src/bench_entry.ts",
+  "bench_baseline": "packages/bench/src/bench_baseline.ts",
+  "bench_load": "packages/bench/src/bench_load.ts",
   "demo": "packages/demo/src/main.ts",
   "prove": "packages/prove/src/main.ts",
 };
