--- a/packages/claims/src/claim_table.ts
+++ b/packages/claims/src/claim_table.ts
@@ -6,6 +6,13 @@
  *
  * @module
  */
+import type {
+  ApplyGroupOptions,
+  ClaimTableOptions,
+  ClaimTableSizes,
+  FoundKey,
+  Placement,
+} from "./claim_table_options.ts";
 import { match } from "ts-pattern";
 import { type ClaimJudgement, formatClaimId, KeyClaims } from "./key_claims.ts";
 import { type ParsedKey, parseKey } from "./key.ts";
@@ -13,49 +20,6 @@
 import { parseGroup } from "./record_schema.ts";
 import type { ClaimId, ClaimRecord, KeyId, KeyStatus } from "./record.ts";
 
-/** Limits of a {@link ClaimTable}, in milliseconds. */
-export interface ClaimTableOptions {
-  /** A claim counts if it is appended this long after its key's own time. */
-  readonly keyWindowMs: number;
-  /** How far a caller's clock may run ahead of the log's. */
-  readonly futureSkewMs: number;
-  /**
-   * How long a key is remembered after its window, so that its outcome can be
-   * looked up; as long as the window itself when not given.
-   */
-  readonly keepMs?: number;
-}
-
-/** Where and when the log placed a record. */
-export interface Placement {
-  readonly offset: number;
-  readonly time: number;
-}
-
-/** What else is known of the record that is applied. */
-export interface ApplyGroupOptions {
-  /** The oldest offset that the log still kept when the record was read. */
-  readonly firstOffset?: number;
-}
-
-/** Sizes and counts for operators. */
-export interface ClaimTableSizes {
-  readonly keys: number;
-  readonly mintedKeys: number;
-  /** Records without a known shape or key. */
-  readonly bad: number;
-  /** Well-formed records that change nothing by the rules. */
-  readonly ignored: number;
-  /** How often records were trimmed before they were read. */
-  readonly gaps: number;
-}
-
-/** A key with its status. */
-export interface FoundKey {
-  readonly keyId: KeyId;
-  readonly status: KeyStatus;
-}
-
 interface KeyEntry {
   readonly keyId: KeyId;
   readonly time: number;
@@ -145,6 +109,22 @@
     }
   }
 
+  /**
+   * Tells how far back the log can be read; needed when a page has no records,
+   * or a new reader of an emptied log would call old keys free.
+   *
+   * @param reach The oldest offset that the log keeps, and the log's time.
+   */
+  updateReach(
+    reach: { readonly firstOffset: number; readonly time: number },
+  ): void {
+    const { firstOffset, time } = reach;
+    this.#latestTime = Math.max(this.#latestTime, time);
+    if (firstOffset <= this.#readThrough + 1) return;
+    this.#recordGap({ offset: firstOffset, time }, firstOffset);
+    this.#readThrough = firstOffset - 1;
+  }
+
   /**
    * Status of a key as far as the log was read.
    *
@@ -155,10 +135,8 @@
     const parsed = parseKey(keyId.key);
     if (parsed.isErr()) return { kind: "expired" };
     if (parsed.value.kind === "minted") return this.#minted.getStatus(keyId);
-    const entry = this.#findEntry(keyId);
-    const status = entry?.claims.getStatus() ?? { kind: "free" };
-    if (status.kind !== "free") return status;
-    return this.#isExpired(parsed.value.time) ? { kind: "expired" } : status;
+    const status = this.#findEntry(keyId)?.claims.getStatus();
+    return this.#checkFree(status ?? { kind: "free" }, parsed.value.time);
   }
 
   /**
@@ -169,9 +147,9 @@
    */
   findByKey(key: string): FoundKey[] {
     const entries = this.#keys.get(key)?.values() ?? [];
-    const found = [...entries].map(({ keyId, claims }) => ({
+    const found = [...entries].map(({ keyId, claims, time }) => ({
       keyId,
-      status: claims.getStatus(),
+      status: this.#checkFree(claims.getStatus(), time),
     }));
     return [...found, ...this.#minted.findByKey(key)];
   }
@@ -255,7 +233,7 @@
       return false;
     }
     const claims = this.#getEntry(record.keyId, keyTime).claims;
-    const isCovered = keyTime - this.#options.futureSkewMs >= this.#coveredFrom;
+    const isCovered = this.#isCovered(keyTime);
     return match(record)
       .with(
         { kind: "claim" },
@@ -286,6 +264,18 @@
     this.#refused.delete(oldest);
   }
 
+  /** Says `free` only where a claim of the key could not have been missed. */
+  #checkFree(status: KeyStatus, keyTime: number): KeyStatus {
+    if (status.kind !== "free") return status;
+    const isSure = this.#isCovered(keyTime) && !this.#isExpired(keyTime);
+    return isSure ? status : { kind: "expired" };
+  }
+
+  /** Whether every claim of the key that may count was read. */
+  #isCovered(keyTime: number): boolean {
+    return keyTime - this.#options.futureSkewMs >= this.#coveredFrom;
+  }
+
   #isExpired(keyTime: number): boolean {
     const { keyWindowMs } = this.#options;
     if (keyTime < this.#prunedThrough) return true;
--- a/packages/configuration/src/configuration_fold.ts
+++ b/packages/configuration/src/configuration_fold.ts
@@ -63,6 +63,11 @@
   readonly anchorTime: number;
 }
 
+/** A judged state with the offset at which it holds, for a neighbour. */
+export interface JudgedSnapshot extends JudgedState {
+  readonly seenThrough: Offset;
+}
+
 /** Share of the kept time after which a renewal may be written. */
 const RENEWAL_MAY_START = 0.5;
 /** Share of the kept time from which every process writes one. */
@@ -93,6 +98,8 @@
   readonly #buffer = new ReadBuffer();
   /** Undefined until the state at some offset is known without a gap. */
   #judged: JudgedState | undefined;
+  /** The version that judging started from; older ones were not seen. */
+  #startVersion = 0;
   #adopted: VersionedConfiguration | undefined;
   #readThrough = STREAM_START - 1;
   #bad = 0;
@@ -154,7 +161,7 @@
     const placed = { offset, time, record: parsed.value };
     this.#buffer.add(placed);
     if (this.#judged) this.#applyJudged(placed);
-    else this.#replayBuffer();
+    else this.#applyBuffer();
   }
 
   /**
@@ -170,6 +177,37 @@
     return true;
   }
 
+  /** What a neighbour needs in order to judge on from here. */
+  get snapshot(): JudgedSnapshot | undefined {
+    if (!this.#judged || this.#readThrough < STREAM_START) return undefined;
+    return { ...this.#judged, seenThrough: this.#readThrough };
+  }
+
+  /**
+   * Judges on from a neighbour's state, as from a renewal.
+   *
+   * Failure guarded: the log is down for longer than it keeps records while all
+   * VMs are replaced. Each has the version in force from a neighbour, but none
+   * could ever judge again, and no operator could publish. Use it while the log
+   * does not answer, or when reading it has not led to judging: publishes
+   * before the snapshot are not in this reader's history.
+   *
+   * @param snapshot A neighbour's {@link ConfigurationFold.snapshot}.
+   * @returns Whether records are judged from it now.
+   */
+  adoptSnapshot(snapshot: JudgedSnapshot): boolean {
+    if (this.#judged) return false;
+    const { seenThrough, ...judged } = snapshot;
+    if (seenThrough > this.#readThrough) {
+      this.#readThrough = seenThrough;
+      this.#buffer.startFrom(seenThrough + 1);
+    }
+    const records = this.#buffer.findFrom(seenThrough);
+    if (!records) return false;
+    this.#startJudging(judged, records);
+    return true;
+  }
+
   /**
    * Tells how a published record was judged.
    *
@@ -193,16 +231,16 @@
    * @returns The record to append, or undefined.
    */
   planRenewal(options: PlanRenewalOptions): Renewal | undefined {
-    const judged = this.#judged;
-    if (!judged || this.#readThrough < STREAM_START) return undefined;
-    const age = (options.now - judged.anchorTime) / options.retentionMs;
+    const { snapshot } = this;
+    if (!snapshot) return undefined;
+    const age = (options.now - snapshot.anchorTime) / options.retentionMs;
     const span = RENEWAL_MUST_START - RENEWAL_MAY_START;
     const chance = (age - RENEWAL_MAY_START) / span;
     if (options.random >= chance) return undefined;
     return {
       kind: "renewal",
-      ...formatVersioned(judged),
-      seenThrough: this.#readThrough,
+      ...formatVersioned(snapshot),
+      seenThrough: snapshot.seenThrough,
     };
   }
 
@@ -214,23 +252,31 @@
       if (isAtStart) this.#judged = { ...NO_CONFIGURATION, anchorTime: time };
       return;
     }
-    this.#keepAsAdopted();
+    this.#setAdopted();
     this.#judged = undefined;
-    this.#buffer.restart(firstRetainedOffset);
+    this.#buffer.startFrom(firstRetainedOffset);
   }
 
   /** What was in force stays in force although judging stops. */
-  #keepAsAdopted(): void {
+  #setAdopted(): void {
     const { current } = this;
     if (current) this.#adopted = current;
   }
 
-  #replayBuffer(): void {
+  #applyBuffer(): void {
     const replay = this.#buffer.planReplay();
     if (!replay) return;
     const { renewal, records, anchorTime } = replay;
     const { version, author, note, configuration } = renewal;
-    this.#judged = { version, author, note, configuration, anchorTime };
+    this.#startJudging(
+      { version, author, note, configuration, anchorTime },
+      records,
+    );
+  }
+
+  #startJudging(state: JudgedState, records: readonly PlacedRecord[]): void {
+    this.#startVersion = state.version;
+    this.#judged = state;
     for (const record of records) this.#applyJudged(record);
   }
 
@@ -247,8 +293,11 @@
   ): void {
     const judged = this.#judged;
     if (!judged) return;
-    const judgement = this.#judgePublish(record, judged);
-    this.#history.add({ offset, time, record, judgement });
+    const judgement = this.#checkPublish(record, judged);
+    // A first copy of this record may have been accepted before the version
+    // that this reader starts from; to its publisher nothing is said then.
+    const isCertain = record.base >= this.#startVersion;
+    this.#history.add({ offset, time, record, judgement, isCertain });
     if (judgement.kind !== "accepted") return;
     const { author, note, configuration } = record;
     this.#judged = {
@@ -260,7 +309,7 @@
     };
   }
 
-  #judgePublish(
+  #checkPublish(
     record: Extract<ConfigurationRecord, { kind: "publish" }>,
     judged: JudgedState,
   ): PublishJudgement {
--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -31,7 +31,7 @@
  * deadlines and more urgent classes. A queue that is filled to the last moment
  * serves everyone just too late.
  */
-const USABLE_PART = 0.85;
+const USABLE_PART = 0.75;
 /**
  * Requests that may wait for one pool. Waiting time bounds the queue long
  * before; this is for memory while nothing at all moves.
@@ -119,8 +119,12 @@
     const stage = facts.stages[index];
     if (!stage) break;
     const pool = state.getPool(stage.service);
+    const isFirst = index === facts.firstStage;
     // What is ahead is worked off while the request is in earlier stages.
-    const wait = Math.max(0, now + getWaitMs(pool, facts, now) - at);
+    const wait = Math.max(
+      0,
+      now + getWaitMs(pool, facts, { now, isFirst }) - at,
+    );
     if (wait > longestWait) {
       longestWait = wait;
       slowest = pool;
@@ -131,19 +135,34 @@
   return { finishAt: at, slowest };
 }
 
+interface WaitOptions {
+  readonly now: number;
+  /**
+   * Whether the request would come there at once. Room that is free now says
+   * nothing of a later stage: others are already on their way to it.
+   */
+  readonly isFirst: boolean;
+}
+
 /**
  * Predicted wait for a free slot in milliseconds: the shortest of three views.
  * What goes before by class and deadline; what is ahead in the own class at the
  * class's guaranteed share; the customer's own work at its fair share.
  */
-function getWaitMs(pool: Pool, facts: RequestFacts, now: number): number {
+function getWaitMs(
+  pool: Pool,
+  facts: RequestFacts,
+  options: WaitOptions,
+): number {
+  const { now, isFirst } = options;
   const slots = pool.outage.isOn ? pool.outage.slotsBefore : pool.slots;
-  const hasRoom = pool.queue.length === 0 && pool.inFlight < slots;
+  const hasRoom = isFirst && pool.queue.length === 0 && pool.inFlight < slots;
   const { requestClass, customer, deadlineAt } = facts;
   const outageMs = pool.outage.getRestMs(now);
   if (hasRoom) return outageMs;
   const ahead = pool.backlog.getAhead(requestClass, deadlineAt);
-  const wholeMs = ahead / slots;
+  // What runs is on average half done.
+  const wholeMs = Math.max(0, ahead - pool.runningMs / 2) / slots;
   if (requestClass === REQUEST_CLASS.single) return outageMs + wholeMs;
   const classMs = pool.backlog.getOwnClassAhead(requestClass, deadlineAt) /
     (slots * GUARANTEED_SHARE[requestClass]);
