Entry: a cancelled hedge is no news of its endpoint; bench takes a service time

Cause: a hedge that was cancelled while it waited for a connection gave not_sent, which the dispatcher took for an endpoint that is down: it was set silent and probed, 30 times a second at 3000 requests/s.

--- a/packages/bench/src/bench_entry.ts
+++ b/packages/bench/src/bench_entry.ts
@@ -6,6 +6,7 @@
  */
 import * as testbed from "@sardinestep/testbed";
 import { loadavg } from "node:os";
+import { parseArgs } from "node:util";
 import type { LoadSettings } from "./load_settings.ts";
 import { initDecoder, type LoadResult, runLoad } from "./run_load.ts";
 import { startSite } from "./site/bench_site.ts";
@@ -15,7 +16,6 @@
 
 const ENDPOINTS = 6;
 const ENDPOINT_PROCESSES = 3;
-const SERVICE_MS = 0;
 const WARM_CONCURRENCY = 256;
 const CONCURRENCY_STEPS = [1, 8, 32, 128];
 const RATE_STEPS = [500, 1_000, 2_000];
@@ -53,6 +53,14 @@
   durationMs: DURATION_MS,
 };
 
+const { values: options } = parseArgs({
+  options: {
+    /** Service time of the endpoints, in milliseconds. */
+    "service-ms": { type: "string", default: "0" },
+  },
+});
+const serviceMs = Number(options["service-ms"]);
+
 const bench = new testbed.Bench();
 try {
   await runBench();
@@ -63,7 +71,7 @@
 async function runBench(): Promise<void> {
   await initDecoder();
   const [bare, entry] = await startServers();
-  console.log(`load average before: ${formatLoad()}`);
+  console.log(`endpoints serve in ${serviceMs} ms; load ${formatLoad()}`);
   const closed = await runSteps(
     [bare, entry],
     CONCURRENCY_STEPS.map((step) => ({
@@ -89,7 +97,7 @@
     vms: 1,
     endpoints: ENDPOINTS,
     endpointProcesses: ENDPOINT_PROCESSES,
-    serviceMs: SERVICE_MS,
+    serviceMs,
     warmConcurrency: WARM_CONCURRENCY,
   });
   const [port] = await testbed.findFreePorts(1);
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -319,8 +319,9 @@
     const { request, stage, endpoint } = call;
     const reason = classifyError(error);
     this.#options.site.recordFailure(endpoint.endpointId);
-    // No new connection can be made: the endpoint is down or restarts.
-    if (reason === "not_sent") {
+    // No new connection can be made: the endpoint is down or restarts. A hedge
+    // that was cancelled while it waited for a connection says nothing of that.
+    if (reason === "not_sent" && !call.isCancelled) {
       this.#options.site.recordDisconnect(endpoint.address);
     }
     request.relay?.handleFailed(callId);
