--- a/packages/bench/src/bench_entry.ts
+++ b/packages/bench/src/bench_entry.ts
@@ -89,6 +89,7 @@
   );
   printPairs("Latency at equal rates", open);
   printAims(closed, open);
+  await printCallErrors(entry);
   console.log(`load average after: ${formatLoad()}`);
 }
 
@@ -215,6 +216,15 @@
   );
 }
 
+/** Refusals have a cause; the entry's own counters tell it. */
+async function printCallErrors(server: Server): Promise<void> {
+  const answer = await fetch(`${server.url}/metrics`);
+  const lines = (await answer.text()).split("\n").filter((line) =>
+    /_(call_errors|refusals)_total\{/.test(line)
+  );
+  console.log(`errors that the entry counted:\n  ${lines.join("\n  ")}`);
+}
+
 function formatLoad(): string {
   return loadavg().map((value) => value.toFixed(1)).join(" ");
 }
