Entry: callers are watched without an AbortSignal; actions by a plain switch

Cause: abort controllers and their events took 5% of a saturated entry's processor time, ts-pattern closures 1%.

--- a/packages/entry/src/context.ts
+++ b/packages/entry/src/context.ts
@@ -46,6 +46,15 @@
   sendRestart(): void;
 }
 
+/**
+ * Tells when a caller has gone before its answer. Not an AbortSignal: its
+ * creation and its listener showed in the profile of the hot path.
+ */
+export interface CallerWatch {
+  /** The handler is called once at most. */
+  addGoneHandler(handler: () => void): void;
+}
+
 /**
  * One request on its way through the filters. A filter sets the fields that its
  * doc comment names; later filters rely on them.
@@ -53,8 +62,8 @@
 export interface RequestContext {
   readonly incoming: IncomingRequest;
   readonly site: SiteState;
-  /** Aborted when the caller has gone. */
-  readonly callerGone: AbortSignal;
+  /** Tells of a caller that has gone. */
+  readonly callerGone: CallerWatch;
   readonly sink?: PartSink;
   customer: CustomerId;
   pipeline: PipelineSpec;
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -149,7 +149,7 @@
     const { callerGone } = request.context;
     // A call that may not be repeated goes on for the answer of a later repeat.
     if (request.context.isSingle) return;
-    callerGone.addEventListener("abort", () => {
+    callerGone.addGoneHandler(() => {
       const { requestId } = request.facts;
       if (!this.#requests.has(requestId)) return;
       this.apply({ kind: "caller_gone", ...this.#readMoment(), requestId });
@@ -157,17 +157,23 @@
         requestId,
         createRefusal("PORT_CANCELLED", "The caller has gone"),
       );
-    }, { once: true });
+    });
   }
 
   #carryOut(action: decisions.DecisionAction): void {
-    // One `match` an action is cheap next to the call that it starts.
-    match(action)
-      .with({ kind: "start_call" }, (start) => void this.#startCall(start))
-      .with({ kind: "cancel_call" }, ({ callId }) => this.#cancelCall(callId))
-      .with({ kind: "complete" }, ({ requestId }) => this.#complete(requestId))
-      .with({ kind: "refuse" }, (refuse) => this.#refuse(refuse))
-      .exhaustive();
+    // A plain switch: this is the hot path, and ts-pattern allocates per match.
+    switch (action.kind) {
+      case "start_call":
+        return void this.#startCall(action);
+      case "cancel_call":
+        return this.#cancelCall(action.callId);
+      case "complete":
+        return this.#complete(action.requestId);
+      case "refuse":
+        return this.#refuse(action);
+      default:
+        action satisfies never;
+    }
   }
 
   async #startCall(start: StartCall): Promise<void> {
--- a/packages/entry/src/http_routes.ts
+++ b/packages/entry/src/http_routes.ts
@@ -16,7 +16,7 @@
   tellOfUnsettledKey,
 } from "./answer.ts";
 import { type BodyFault, type BodyLimits, readBody } from "./body_reader.ts";
-import type { IncomingRequest, PartSink } from "./context.ts";
+import type { CallerWatch, IncomingRequest, PartSink } from "./context.ts";
 import { SseSink } from "./sse_sink.ts";
 
 type Bindings = { Bindings: HttpBindings };
@@ -30,7 +30,7 @@
   /** Runs a request to its one final answer. */
   readonly serve: (
     incoming: IncomingRequest,
-    callerGone: AbortSignal,
+    callerGone: CallerWatch,
     sink?: PartSink,
   ) => Promise<RequestAnswer>;
   /** Mints keys for the customer of a request. */
@@ -112,14 +112,16 @@
   };
 }
 
-/** Aborts when the caller closes its connection before the answer is written. */
-function watchCaller(http: HttpContext): AbortSignal {
-  const abort = new AbortController();
+/** A caller has gone when its connection closes before the answer is written. */
+function watchCaller(http: HttpContext): CallerWatch {
   const { outgoing } = http.env;
-  outgoing.once("close", () => {
-    if (!outgoing.writableFinished) abort.abort();
-  });
-  return abort.signal;
+  return {
+    addGoneHandler: (handler) => {
+      outgoing.once("close", () => {
+        if (!outgoing.writableFinished) handler();
+      });
+    },
+  };
 }
 
 function streamAnswer(
@@ -127,11 +129,12 @@
   incoming: IncomingRequest,
   options: HttpRoutesOptions,
 ): Response {
-  const abort = new AbortController();
   return streamSSE(http, async (stream) => {
-    stream.onAbort(() => abort.abort());
+    const callerGone: CallerWatch = {
+      addGoneHandler: (handler) => stream.onAbort(handler),
+    };
     const sink = new SseSink(stream);
-    const answer = await options.serve(incoming, abort.signal, sink);
+    const answer = await options.serve(incoming, callerGone, sink);
     const { body } = buildHttpAnswer(incoming.requestId, answer);
     if (answer.kind === "refused") return await sink.sendLast("refusal", body);
     if (!sink.hasSentPart) sink.sendPart(0, formatOutput(answer.output));
--- a/packages/entry/src/request_service.ts
+++ b/packages/entry/src/request_service.ts
@@ -11,6 +11,7 @@
   tellOfUnsettledKey,
 } from "./answer.ts";
 import {
+  type CallerWatch,
   type Filter,
   type IncomingRequest,
   type PartSink,
@@ -51,7 +52,7 @@
   /** Serves one request to its final answer. */
   async serve(
     incoming: IncomingRequest,
-    callerGone: AbortSignal,
+    callerGone: CallerWatch,
     sink?: PartSink,
   ): Promise<RequestAnswer> {
     const site = this.#options.getSite();
--- a/packages/entry/src/rpc_handlers.ts
+++ b/packages/entry/src/rpc_handlers.ts
@@ -71,6 +71,6 @@
     arrivedAt: options.readNow(),
     isForwarded: true,
   };
-  const neverGone = new AbortController().signal;
+  const neverGone = { addGoneHandler: () => {} };
   return await options.service.serve(incoming, neverGone);
 }
