--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -4,7 +4,8 @@
  *
  * `--without MECHANISM` bundles the daemons with one mechanism taken out, into
  * dist/without-MECHANISM/. Such a build is for proofs only: it shows the violation
- * that the mechanism prevents. The mutants stand in packages/prove/mutants.json.
+ * that the mechanism prevents, or what a bench compares with. The mutants stand in
+ * the files named below.
  */
 import { build } from "esbuild";
 import { chmod, readFile } from "node:fs/promises";
@@ -22,11 +23,15 @@
   "bench_decisions": "packages/bench/src/bench_decisions.ts",
   "bench_entry": "packages/bench/src/bench_entry.ts",
   "bench_baseline": "packages/bench/src/bench_baseline.ts",
+  "bench_claims": "packages/bench/src/bench_claims.ts",
   "bench_load": "packages/bench/src/bench_load.ts",
   "demo": "packages/demo/src/main.ts",
   "prove": "packages/prove/src/main.ts",
 };
-const MUTANTS_FILE = "packages/prove/mutants.json";
+const MUTANTS_FILES = [
+  "packages/prove/mutants.json",
+  "packages/bench/mutants.json",
+];
 
 const { values } = parseArgs({ options: { without: { type: "string" } } });
 const isMutant = values.without !== undefined;
@@ -57,7 +62,10 @@
 }
 
 async function findMutant(name) {
-  const mutants = JSON.parse(await readFile(MUTANTS_FILE, "utf8"));
+  const texts = await Promise.all(
+    MUTANTS_FILES.map((file) => readFile(file, "utf8")),
+  );
+  const mutants = texts.flatMap((text) => JSON.parse(text));
   const mutant = mutants.find((one) => one.mechanism === name);
   if (!mutant) throw new Error(`Cannot find mechanism "${name}"`);
   return mutant;
