--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -24,6 +24,7 @@
   "bench_entry": "packages/bench/src/bench_entry.ts",
   "bench_baseline": "packages/bench/src/bench_baseline.ts",
   "bench_claims": "packages/bench/src/bench_claims.ts",
+  "capacity": "packages/bench/src/capacity/main.ts",
   "bench_load": "packages/bench/src/bench_load.ts",
   "demo": "packages/demo/src/main.ts",
   "prove": "packages/prove/src/main.ts",
