Claims: outcomes wait up to 100 ms for a claim to go with

Cause: an outcome waited as short as a claim (4 ms), so that at moderate rates it went alone and took the one append of 33 ms that the next claim needed. Change: a wait of its own for releases and outcomes. Harm weighed: an entry's control that dies loses up to 100 ms of outcomes, which callers are told as unknown.

--- a/packages/claims/src/group_planner.ts
+++ b/packages/claims/src/group_planner.ts
@@ -15,6 +15,11 @@
 export interface GroupPlannerOptions {
   /** How long a record waits for company, in milliseconds. */
   readonly lingerMs: number;
+  /**
+   * How long releases and outcomes wait for a claim to go with, in milliseconds;
+   * by default as long as claims. Each append of their own makes claims wait.
+   */
+  readonly laterLingerMs?: number;
   /** This process's share of the appends that the log takes. */
   readonly appendsPerSecond: number;
   /** Records in one append; four at least, so that a part is free for outcomes. */
@@ -82,6 +87,7 @@
     this.#options = {
       maxQueued: DEFAULT_MAX_QUEUED,
       maxOutstanding: DEFAULT_MAX_OUTSTANDING,
+      laterLingerMs: options.lingerMs,
       ...options,
     };
   }
@@ -193,11 +199,11 @@
 
   #findDueAt(): number {
     if (this.#isGroupFull()) return Number.NEGATIVE_INFINITY;
-    const oldest = Math.min(
-      this.#claims[0]?.addedAt ?? Infinity,
-      this.#later[0]?.addedAt ?? Infinity,
+    const { laterLingerMs, lingerMs } = this.#options;
+    return Math.min(
+      (this.#claims[0]?.addedAt ?? Infinity) + lingerMs,
+      (this.#later[0]?.addedAt ?? Infinity) + laterLingerMs,
     );
-    return oldest + this.#options.lingerMs;
   }
 
   #isGroupFull(): boolean {
--- a/packages/claims/src/group_planner_test.ts
+++ b/packages/claims/src/group_planner_test.ts
@@ -83,4 +83,17 @@
     planner.add(buildRecord("completed", 9), 0);
     expect(planSequences(planner, 0)).to.deep.equal([1, 2, 3, 9]);
   });
+
+  // A ticket's caller waits longer than need be: the outcome of the call before
+  // goes alone and uses up the append that the next claim could have had.
+  it("lets outcomes wait for a claim to go with, but not for ever", () => {
+    const planner = new GroupPlanner({ ...OPTIONS, laterLingerMs: 50 });
+    planner.add(buildRecord("completed", 1), 0);
+    expect(planner.planNext(5)).to.deep.equal({ kind: "wait", untilMs: 50 });
+    planner.add(buildRecord("claim", 2), 20);
+    expect(planSequences(planner, 25)).to.deep.equal([2, 1]);
+    planner.handleAppended();
+    planner.add(buildRecord("completed", 2), 30);
+    expect(planSequences(planner, 80)).to.deep.equal([2]);
+  });
 });
--- a/packages/control/src/claim_controller.ts
+++ b/packages/control/src/claim_controller.ts
@@ -14,6 +14,11 @@
 /** Records in one append: a few hundred bytes each. */
 const MAX_RECORDS_AN_APPEND = 500;
 const MAX_BYTES_AN_APPEND = 256 * 1_024;
+/**
+ * Outcomes go with the next claim where one comes within this time. Longer would
+ * lose more outcomes with a control that dies.
+ */
+const LATER_LINGER_MS = 100;
 /** An append that takes longer counts as lost; what it carried is sent again. */
 const APPEND_TIMEOUT_MS = 2_000;
 /** Pause after a failed append, so that a log in trouble is not pressed. */
@@ -63,6 +68,7 @@
     });
     this.#planner = new claims.GroupPlanner({
       lingerMs: options.lingerMs,
+      laterLingerMs: LATER_LINGER_MS,
       appendsPerSecond: options.appendsPerSecond,
       maxRecords: MAX_RECORDS_AN_APPEND,
       maxBytes: MAX_BYTES_AN_APPEND,
