--- a/packages/entry/src/_test_fixtures.ts
+++ b/packages/entry/src/_test_fixtures.ts
@@ -17,7 +17,7 @@
 import * as uuid from "uuid";
 import type { AnswerBody, RequestAnswer } from "./answer.ts";
 import { buildHttpAnswer, createCompletion } from "./answer.ts";
-import type { RequestContext } from "./context.ts";
+import type { CallerWatch, RequestContext } from "./context.ts";
 
 export const CUSTOMER = "sawmill";
 export const CREDENTIAL = "right";
@@ -81,7 +81,7 @@
       pipelines: new Map([["issue", ISSUE], ["draft", DRAFT]]),
       customers: new Map([[CUSTOMER, SPEC]]),
     },
-    callerGone: new AbortController().signal,
+    callerGone: { addGoneHandler: () => {} },
     customer: CUSTOMER,
     pipeline: ISSUE,
     body: { input: 1, size: 1 },
@@ -196,3 +196,12 @@
     count: () => count,
   };
 }
+
+/** A caller that the test lets go. */
+export function createCaller(): { leave(): void; watch: CallerWatch } {
+  let leave = () => {};
+  const watch = {
+    addGoneHandler: (handler: () => void) => void (leave = handler),
+  };
+  return { watch, leave: () => leave() };
+}
--- a/packages/entry/src/dispatcher_test.ts
+++ b/packages/entry/src/dispatcher_test.ts
@@ -11,6 +11,7 @@
 import type { SiteController } from "./site_state.ts";
 import {
   buildContext,
+  createCaller,
   CUSTOMER,
   DEADLINE_AT,
   DRAFT,
@@ -190,12 +191,12 @@
   });
 
   it("goes on when its caller has gone", () => {
-    const gone = new AbortController();
+    const gone = createCaller();
     const { dispatcher, sent, perform } = openDispatcher();
-    const parts = { claimant: openWinner(), callerGone: gone.signal };
+    const parts = { claimant: openWinner(), callerGone: gone.watch };
     void dispatcher.run(buildContext(parts));
     perform(START);
-    gone.abort();
+    gone.leave();
     expect(dispatcher.runningRequests).to.equal(1);
     expect(sent[0]?.signal?.aborted).to.equal(false);
   });
@@ -273,10 +274,10 @@
   });
 
   it("gives up for a caller that has gone", async () => {
-    const gone = new AbortController();
+    const gone = createCaller();
     const { dispatcher, events } = openDispatcher();
-    const answer = dispatcher.run(buildDraft({ callerGone: gone.signal }));
-    gone.abort();
+    const answer = dispatcher.run(buildDraft({ callerGone: gone.watch }));
+    gone.leave();
     expect(summarize(await answer).name).to.equal("PORT_CANCELLED");
     expect(events.map(({ kind }) => kind)).to.include("caller_gone");
   });
