An endpoint that a call under way has proved well is open again

Cause: under fast load a pause of the entry made three calls slow, the endpoint was shut out for two seconds; calls under way then ended in time, so it no longer counted as shut out and stayed shut; the next one followed, until every lookup was refused with STAGE_UNAVAILABLE. Change: the pause ends with the proof; a call below 20 ms is never slow; no hedge before 25 ms (a cancelled hedge costs its connection).

--- a/packages/decisions/src/endpoint.ts
+++ b/packages/decisions/src/endpoint.ts
@@ -135,7 +135,7 @@
     options: { elapsedMs: number; now: number },
   ): void {
     const wasProbed = this.health.failures > 0;
-    this.health.recordFinish(ratio, options.now);
+    this.health.recordFinish(ratio, options);
     this.#limit.recordFinish(ratio, this.slice);
     this.#warmUp.recordFinish();
     // What failed may have started again, and then it is cold.
--- a/packages/decisions/src/endpoint_health.ts
+++ b/packages/decisions/src/endpoint_health.ts
@@ -28,6 +28,11 @@
  * explain a factor of two; a straggler is at three and above.
  */
 const SLOW_RATIO = 3;
+/**
+ * No call is slow below, in milliseconds: event loops and networks pause for as
+ * long at times, and three calls of a millisecond may fall into one pause.
+ */
+const MIN_SLOW_MS = 20;
 /**
  * Slow calls in a row that make a straggler. One in fifty calls stalls on a
  * healthy endpoint; three in a row do not happen by chance.
@@ -63,15 +68,29 @@
     return now >= this.pausedUntil && !this.isOverdue;
   }
 
-  /** Takes in a result; `ratio` is its time relative to what was expected. */
-  recordFinish(ratio: number, now: number): void {
+  /**
+   * Takes in a result; `ratio` is its time relative to what was expected.
+   *
+   * A call that was under way when the endpoint was shut out for being slow may
+   * prove it well: then its pause ends too. Otherwise it would stay shut without
+   * counting among those that are, and soon all endpoints of a pool would be.
+   */
+  recordFinish(
+    ratio: number,
+    { elapsedMs, now }: { elapsedMs: number; now: number },
+  ): void {
     this.slowness += SMOOTHING * (Math.min(MAX_RATIO, ratio) - this.slowness);
     this.failures = 0;
     this.isOverdue = false;
     this.#cancelStreak = 0;
-    this.#slowStreak = ratio >= SLOW_RATIO ? this.#slowStreak + 1 : 0;
+    const isSlowCall = ratio >= SLOW_RATIO && elapsedMs >= MIN_SLOW_MS;
+    this.#slowStreak = isSlowCall ? this.#slowStreak + 1 : 0;
     if (this.#slowStreak === 0) this.lastFinishAt = now;
-    if (this.isSlow && ratio < RECOVERED_RATIO) this.#setRecovered();
+    const isWell = ratio < RECOVERED_RATIO || elapsedMs < MIN_SLOW_MS;
+    if (this.isSlow && isWell) {
+      this.#setRecovered();
+      this.pausedUntil = Math.min(this.pausedUntil, now);
+    }
     if (this.isSlow) this.pausedUntil = now + SLOW_PAUSE_MS;
   }
 
--- a/packages/decisions/src/hedging.ts
+++ b/packages/decisions/src/hedging.ts
@@ -11,6 +11,12 @@
 
 /** Beyond the time that 95% of calls stay under, so that few are hedged. */
 const DELAY_FACTOR = 1.3;
+/**
+ * No hedge sooner, in milliseconds. With calls of a millisecond, 95% and 99% lie
+ * closer together than the pauses of an event loop, and a hedge that is cancelled
+ * costs its connection.
+ */
+const MIN_DELAY_MS = 25;
 /** Hedges need room: in a full pool they would slow down everybody. */
 const MAX_FILL = 0.85;
 
@@ -20,7 +26,8 @@
   // A billable call must not be finished twice; a single one not sent twice.
   if (!stage.repeatable || stage.billable) return;
   const size = getStageSize(call.request.facts, call.request.stage);
-  const delayMs = DELAY_FACTOR * state.latency.getStage(stage).getSafe(size);
+  const safeMs = state.latency.getStage(stage).getSafe(size);
+  const delayMs = Math.max(MIN_DELAY_MS, DELAY_FACTOR * safeMs);
   state.timers.add({ kind: "hedge", at: call.startedAt + delayMs, call });
 }
 
--- a/packages/decisions/src/learning_test.ts
+++ b/packages/decisions/src/learning_test.ts
@@ -29,9 +29,12 @@
 describe("endpoint health", () => {
   it("sees a straggler after three slow calls in a row", () => {
     const health = new EndpointHealth();
-    for (const ratio of [10, 10, 1, 10, 10]) health.recordFinish(ratio, 0);
+    // Calls that are expected to take 100 ms.
+    const record = (ratio: number) =>
+      health.recordFinish(ratio, { elapsedMs: 100 * ratio, now: 0 });
+    for (const ratio of [10, 10, 1, 10, 10]) record(ratio);
     expect(health.hasBecomeSlow()).to.equal(false);
-    health.recordFinish(10, 0);
+    record(10);
     expect(health.hasBecomeSlow()).to.equal(true);
   });
 
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -196,20 +196,20 @@
     const endpoint = this.#options.site.findEndpoint(start.endpointId);
     const stage = request?.facts.stages[start.stage];
     if (!request || !endpoint || !stage) {
-      return this.#failUnsent(start.callId, "not_sent");
+      return this.#failUnsent(start.callId, "not_sent", "gone");
     }
     // Guard against a cold endpoint that falls over: the slice may have changed
     // since the decision, for instance because this process was frozen.
     const running = this.#runningAt.get(start.endpointId) ?? 0;
     if (!this.#options.site.mayCall(start.endpointId, running)) {
-      return this.#failUnsent(start.callId, "refused");
+      return this.#failUnsent(start.callId, "refused", "slice");
     }
     // Guard against a dispatch after the deadline or after giving up, as by an
     // entry that was frozen between claim and dispatch.
     const { claimant } = request.context;
     const now = this.#options.readNow();
     if (!stage.repeatable && !claimant?.mayDispatch(now)) {
-      return this.#failUnsent(start.callId, "refused");
+      return this.#failUnsent(start.callId, "refused", "claim");
     }
     const call: RunningCall = {
       request,
@@ -226,10 +226,13 @@
     return call;
   }
 
+  /** A call that the last checks kept back; `check` says which one. */
   #failUnsent(
     callId: string,
     reason: decisions.CallFailureKind,
+    check: "gone" | "slice" | "claim",
   ): undefined {
+    this.#options.metrics.countUnsent(check);
     this.#failCall(callId, reason);
   }
 
--- a/packages/entry/src/entry_metrics.ts
+++ b/packages/entry/src/entry_metrics.ts
@@ -40,6 +40,11 @@
     this.metrics.count("call_errors_total", { stage: name, kind });
   }
 
+  /** Counts a call that the last checks before sending kept back. */
+  countUnsent(check: string): void {
+    this.metrics.count("calls_unsent_total", { check });
+  }
+
   /** Records the time to the first part of a generated text. */
   recordFirstPart(facts: RequestFacts, now: number): void {
     const tookMs = now - facts.arrivedAt;
