--- a/packages/prove/src/mutants_test.ts
+++ b/packages/prove/src/mutants_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { readFileSync } from "node:fs";
-import { readMutants } from "./mutants.ts";
+import { buildMutant, readMutants } from "./mutants.ts";
 import { POINTS } from "./scenario.ts";
 import { SCENARIOS } from "./scenario_list.ts";
 
@@ -11,6 +11,12 @@
       expect(source.split(mutant.find)).to.have.length(2);
     });
 
+    // A renamed function in its replacement would show only when someone runs it.
+    it(`without ${mutant.mechanism}: the daemons build`, () => {
+      const folder = buildMutant(mutant.mechanism);
+      expect(folder).to.equal(`dist/without-${mutant.mechanism}`);
+    });
+
     it(`without ${mutant.mechanism}: a scenario is meant to show it`, () => {
       const scenario = SCENARIOS.find(({ name }) =>
         name.includes(mutant.scenario)
