--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -9,14 +9,10 @@
 import type * as timeline from "@sardinestep/timeline";
 import {
   type EndpointFacts,
-  REQUEST_CLASS,
-  type RequestClass,
   type RequestFacts,
   type RequestId,
   type StageResult,
 } from "@sardinestep/types";
-import murmurhash from "murmurhash";
-import { match } from "ts-pattern";
 import type { Result } from "ts-results-es";
 import {
   createCompletion,
@@ -27,15 +23,9 @@
 import { getResultKey, type RequestContext } from "./context.ts";
 import type { EntryMetrics } from "./entry_metrics.ts";
 import type { SiteController } from "./site_state.ts";
+import { buildFacts, buildStageCall, classifyError } from "./stage_call.ts";
 import { StreamRelay } from "./stream_relay.ts";
 
-/** Engines that honour priorities run a lower number first. */
-const PRIORITY: Readonly<Record<RequestClass, number>> = {
-  [REQUEST_CLASS.single]: 0,
-  [REQUEST_CLASS.lookup]: 1,
-  [REQUEST_CLASS.draft]: 2,
-};
-
 /** What the dispatcher works with. */
 export interface DispatcherOptions {
   readonly decider: decisions.Decider;
@@ -181,10 +171,19 @@
     const call = this.#openCall(start);
     if (!call) return;
     const { endpoints } = this.#options;
-    const result = await endpoints.call(buildStageCall(start, call), {
-      signal: call.abort.signal,
-      ...this.#buildPartHandler(start, call),
-    });
+    const result = await endpoints.call(
+      buildStageCall({
+        start,
+        context: call.request.context,
+        facts: call.request.facts,
+        endpoint: call.endpoint,
+        previous: call.request.outputs[start.stage - 1],
+      }),
+      {
+        signal: call.abort.signal,
+        ...this.#buildPartHandler(start, call),
+      },
+    );
     this.#closeCall(start.callId, call);
     if (result.isOk()) this.#handleAnswer(start.callId, call, result.value);
     else this.#handleError(start.callId, call, result.error);
@@ -396,60 +395,3 @@
     request.resolve(answer);
   }
 }
-
-function buildFacts(context: RequestContext): RequestFacts {
-  const { pipeline, body, incoming } = context;
-  return {
-    requestId: incoming.requestId,
-    customer: context.customer,
-    pipeline: pipeline.pipelineId,
-    requestClass: pipeline.requestClass,
-    stages: pipeline.stages,
-    arrivedAt: incoming.arrivedAt,
-    deadlineAt: context.deadlineAt,
-    stageSizes: pipeline.stages.map(() => body.size),
-    ...(body.prefix === undefined
-      ? {}
-      : { prefixHash: hashPrefix(body.prefix) }),
-    firstStage: context.priorResults.length,
-  };
-}
-
-function buildStageCall(start: StartCall, call: RunningCall): ports.StageCall {
-  const { request, endpoint } = call;
-  const { context, facts } = request;
-  const stage = facts.stages[start.stage];
-  return {
-    endpointId: endpoint.endpointId,
-    role: endpoint.role,
-    address: endpoint.address,
-    callId: start.callId,
-    operation: stage?.operation ?? "",
-    ...(context.keyId && { key: context.keyId.key }),
-    input: {
-      stage: stage?.name ?? "",
-      size: context.body.size,
-      request: context.body.input,
-      previous: request.outputs[start.stage - 1] ?? null,
-      ...(context.body.prefix !== undefined && { prefix: context.body.prefix }),
-    },
-    priority: PRIORITY[facts.requestClass],
-    progressTimeoutMs: start.progressTimeoutMs,
-    freshConnection: stage ? !stage.repeatable : false,
-    ...(endpoint.instance !== "" && { instance: endpoint.instance }),
-  };
-}
-
-function classifyError(error: ports.PortError): decisions.CallFailureKind {
-  return match(error.kind)
-    .with("not_sent", () => "not_sent" as const)
-    .with("refused", "rate_limited", () => "refused" as const)
-    .with("answer_lost", "cancelled", () => "broken" as const)
-    .with("timeout", () => "timeout" as const)
-    .with("bad_answer", () => "bad_answer" as const)
-    .exhaustive();
-}
-
-function hashPrefix(prefix: string): number {
-  return murmurhash.v3(prefix);
-}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { createAdaptorServer, type ServerType } from "@hono/node-server";
 import * as claims from "@sardinestep/claims";
 import * as decisions from "@sardinestep/decisions";
 import * as endpointHttp from "@sardinestep/endpoint_http";
@@ -13,18 +12,15 @@
 import type * as settings from "@sardinestep/settings";
 import * as timeline from "@sardinestep/timeline";
 import { randomBytes, randomUUID } from "node:crypto";
-import { once } from "node:events";
-import type { Server } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { CallersServer } from "./callers_server.ts";
 import { Claimant } from "./claimant.ts";
-import { handleClientErrors } from "./client_error.ts";
 import type { RequestContext } from "./context.ts";
 import { ControlLink } from "./control_link.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import { EntryMetrics } from "./entry_metrics.ts";
 import { buildFilters } from "./filter_list.ts";
 import { HolderLookup } from "./holder_lookup.ts";
-import { createHttpRoutes } from "./http_routes.ts";
 import { KeyDesk } from "./key_desk.ts";
 import { KeyRegistry } from "./key_registry.ts";
 import { MintedKeys } from "./minted_keys.ts";
@@ -71,9 +67,9 @@
   readonly #minted: MintedKeys;
   readonly #service: RequestService;
   readonly #desk: KeyDesk;
+  readonly #server: CallersServer;
   readonly #timers: NodeJS.Timeout[] = [];
   #rpcServer: rpc.RpcServer | undefined;
-  #httpServer: ServerType | undefined;
   #claimSequence = 0;
   #state: rpc.ProcessStatus["state"] = "starting";
   #refusesNew = false;
@@ -124,6 +120,7 @@
       ttlMs: options.mintedKeyTtlMs,
       lookUpKey: (keyId) => this.#lookUpKey(keyId, VIEW_TIMEOUT_MS),
     });
+    this.#server = this.#createServer();
   }
 
   /** Listens, connects to control and begins to serve. */
@@ -146,7 +143,7 @@
       setInterval(() => void this.#confirmView(), VIEW_INTERVAL_MS),
       setInterval(() => this.#site.readEndpoints(), ENDPOINT_READ_INTERVAL_MS),
     );
-    await this.#listenHttp();
+    await this.#server.listen(this.#settings.listenHttp);
     this.#state = "ready";
     this.#logger.change("started", `Serving "${this.#settings.listenHttp}"`);
   }
@@ -180,7 +177,7 @@
     this.#link.close();
     this.#peers.close();
     await this.#rpcServer?.close();
-    await this.#closeHttp();
+    await this.#server.close();
     await this.#endpointPort.close();
   }
 
@@ -382,8 +379,8 @@
     this.#site.refreshSlices();
   }
 
-  async #listenHttp(): Promise<void> {
-    const app = createHttpRoutes({
+  #createServer(): CallersServer {
+    return new CallersServer({
       limits: {
         maxBytes: this.#settings.maxBodyBytes,
         timeoutMs: this.#settings.bodyTimeoutMs,
@@ -397,23 +394,6 @@
       formatMetrics: () => this.#formatMetrics(),
       isReady: () => this.#state === "ready" && this.#site.isServing,
     });
-    const { host, port } = rpc.parseAddress(this.#settings.listenHttp);
-    this.#httpServer = createAdaptorServer({ fetch: app.fetch });
-    handleClientErrors(
-      this.#httpServer as Server,
-      (name) => this.#metrics.countEarlyRefusal(name),
-    );
-    this.#httpServer.listen(port, host);
-    await once(this.#httpServer, "listening");
-  }
-
-  async #closeHttp(): Promise<void> {
-    const server = this.#httpServer as Server | undefined;
-    if (!server) return;
-    const closed = once(server, "close");
-    server.close();
-    server.closeAllConnections();
-    await closed;
   }
 
   async #waitForRequests(endAt: number): Promise<void> {
--- a/packages/entry/src/site_state.ts
+++ b/packages/entry/src/site_state.ts
@@ -5,13 +5,12 @@
  * @module
  */
 import type * as configuration from "@sardinestep/configuration";
-import * as decisions from "@sardinestep/decisions";
+import type * as decisions from "@sardinestep/decisions";
 import * as membership from "@sardinestep/membership";
 import type * as rpc from "@sardinestep/rpc";
 import * as settings from "@sardinestep/settings";
 import {
   type CustomerId,
-  type CustomerSpec,
   ENDPOINT_STATE,
   type EndpointFacts,
   type EndpointId,
@@ -21,6 +20,7 @@
   type PipelineId,
   type PipelineSpec,
 } from "@sardinestep/types";
+import { type SliceFacts, SliceKeeper } from "./slice_keeper.ts";
 
 /** What is in force at this site, as requests see it. */
 export interface SiteState {
@@ -62,12 +62,12 @@
 export class SiteController {
   readonly #options: SiteControllerOptions;
   readonly #endpoints = new Map<EndpointId, EndpointFacts>();
-  readonly #slices = new Map<EndpointId, number>();
+  /** What the decisions were told last of each endpoint's slice. */
+  readonly #toldSlices = new Map<EndpointId, number>();
+  readonly #slices = new SliceKeeper();
   #site: SiteState | undefined;
   #members: readonly MemberFacts[] = [];
   #customers: readonly settings.SiteCustomer[] = [];
-  /** This entry's slice by demand; undefined before the first plan. */
-  #slice: decisions.EntrySlice | undefined;
   /** What the decisions were told last of customers. */
   #toldCustomers = "";
   #configuredAt = Infinity;
@@ -132,24 +132,14 @@
    * Plans this entry's slices anew by what customers ask for here and elsewhere.
    *
    * @param own Demand at this entry.
-   * @param others Demand at other entries; entries not heard of count as idle.
+   * @param others Demand at other entries.
    */
   applyDemands(
     own: readonly decisions.CustomerDemand[],
     others: readonly rpc.EntryDemand[],
   ): void {
-    const idle = countLive(this.#members) - 1 - others.length;
-    const demands = [
-      own,
-      ...others.map((other) => other.demand),
-      ...Array.from({ length: Math.max(0, idle) }, () => []),
-    ];
-    const [slice] = decisions.planSlices({
-      customers: this.#customers,
-      demands,
-      capacities: this.#getCapacities(),
-    });
-    this.#slice = slice;
+    const elsewhere = others.map((other) => other.demand);
+    this.#slices.update(own, elsewhere, this.#getSliceFacts());
     this.#tellCustomers();
   }
 
@@ -254,7 +244,7 @@
     const { version } = versioned;
     this.#site = { version, pipelines, customers };
     this.#customers = [...customers.values()];
-    this.#slice = undefined;
+    this.#slices.reset();
     this.#configuredAt = Math.min(this.#configuredAt, this.#options.readNow());
     this.#options.apply({
       kind: "zones_changed",
@@ -287,9 +277,8 @@
     if (countLive(members) !== before) this.#tellCustomers();
   }
 
-  /** Before any plan, each entry has an equal part, rounded up. */
   #tellCustomers(): void {
-    const customers = this.#slice?.customers ?? this.#getEvenCustomers();
+    const customers = this.#slices.getCustomers(this.#getSliceFacts());
     const text = JSON.stringify(customers);
     if (text === this.#toldCustomers) return;
     this.#toldCustomers = text;
@@ -297,21 +286,12 @@
     this.#options.apply({ kind: "customers_changed", now, customers });
   }
 
-  #getEvenCustomers(): CustomerSpec[] {
-    const entries = Math.max(1, countLive(this.#members));
-    return this.#customers.map((customer) => ({
-      ...customer,
-      maxConcurrency: Math.ceil(customer.maxConcurrency / entries),
-    }));
-  }
-
-  /** Calls at once that each service bears when warm. */
-  #getCapacities(): Record<string, number> {
-    const capacities: Record<string, number> = {};
-    for (const { service, warmConcurrency } of this.#endpoints.values()) {
-      capacities[service] = (capacities[service] ?? 0) + warmConcurrency;
-    }
-    return capacities;
+  #getSliceFacts(): SliceFacts {
+    return {
+      customers: this.#customers,
+      endpoints: this.#endpoints.values(),
+      liveEntries: countLive(this.#members),
+    };
   }
 
   #applyEndpoint(facts: EndpointFacts): void {
@@ -319,21 +299,21 @@
     const { endpointId } = facts;
     if (facts.state === ENDPOINT_STATE.gone) {
       this.#endpoints.delete(endpointId);
-      this.#slices.delete(endpointId);
+      this.#toldSlices.delete(endpointId);
       this.#options.guard.removeEndpoint(endpointId);
       this.#options.apply({ kind: "endpoint_removed", now, endpointId });
       return;
     }
     this.#endpoints.set(endpointId, facts);
     this.#options.guard.applyEndpoint(facts, now);
-    this.#slices.delete(endpointId);
+    this.#toldSlices.delete(endpointId);
     this.#tellEndpoint(facts);
   }
 
   #tellEndpoint(endpoint: EndpointFacts): void {
     const slice = this.#getSlice(endpoint);
-    if (this.#slices.get(endpoint.endpointId) === slice) return;
-    this.#slices.set(endpoint.endpointId, slice);
+    if (this.#toldSlices.get(endpoint.endpointId) === slice) return;
+    this.#toldSlices.set(endpoint.endpointId, slice);
     this.#options.apply({
       kind: "endpoint_changed",
       now: this.#options.readNow(),
@@ -345,25 +325,22 @@
 
   /**
    * The slice of a warm endpoint follows demand; of any other one the guard's
-   * word counts alone. Every entry may have one call at a warm endpoint even where
-   * its part is less: callers come to all entries, and a warm endpoint queues a few.
+   * word counts alone.
    */
   #getSlice(facts: EndpointFacts): number {
     if (facts.state !== ENDPOINT_STATE.warm) {
       const { guard, readNow } = this.#options;
       return guard.getSlice(facts.endpointId, readNow());
     }
-    const even = 1 / Math.max(1, countLive(this.#members));
-    const part = this.#slice?.parts[facts.service] ?? even;
-    return Math.max(1, Math.ceil(facts.warmConcurrency * part));
+    return this.#slices.getWarmSlice(facts, countLive(this.#members));
   }
 }
 
+function countLive(members: readonly MemberFacts[]): number {
+  return members.filter((member) => member.state === "live").length;
+}
+
 function isUsed({ state }: EndpointFacts): boolean {
   return state === ENDPOINT_STATE.cold || state === ENDPOINT_STATE.warming ||
     state === ENDPOINT_STATE.warm;
 }
-
-function countLive(members: readonly MemberFacts[]): number {
-  return members.filter((member) => member.state === "live").length;
-}
