Two proofs wait for what they are about

Cause: one run of npm run prove had 8 violations. One, 'never reverts 3 to 2': two overlapping looks of the watch, whose answers after a frozen process may be read in the other order. Change: the kill waits for drafts behind finished encodings; the watch looks one at a time. Conclusion: both checks are as strict as before about what they promise.

--- a/packages/prove/src/scenarios/results.ts
+++ b/packages/prove/src/scenarios/results.ts
@@ -15,6 +15,10 @@
 } from "../small_plan.ts";
 
 const KEYS = 20;
+/** What the entry's first slices of the drafters bear at least. */
+const DRAFTS_AT_ONCE = 15;
+/** An encoding reaches its two holders within milliseconds. */
+const KEEP_MS = 200;
 const STREAM_FAULTS = [
   { cutStreamAfter: 3 },
   { duplicateParts: true },
@@ -58,7 +62,8 @@
             maxAttempts: 4,
           }),
       );
-      await sleep(250);
+      // Encodings that still ran would rightly run again.
+      await waitForDrafts(deployment);
       await testbed.stopProgram(victim.entry, "SIGKILL");
       await setDrafterFaults(deployment, { slowFactor: 1 });
       const results = await Promise.all(sends);
@@ -157,6 +162,16 @@
   },
 ];
 
+/** Waits until nearly all drafts have begun, so that all encodings are kept. */
+async function waitForDrafts(deployment: testbed.Deployment): Promise<void> {
+  await testbed.waitFor(async () => {
+    const encoded = await deployment.countRunsOf("encoders");
+    const drafted = await deployment.countRunsOf("drafters");
+    return encoded.size === KEYS && drafted.size >= DRAFTS_AT_ONCE;
+  }, { what: "drafts behind finished encodings" });
+  await sleep(KEEP_MS);
+}
+
 async function setDrafterFaults(
   deployment: testbed.Deployment,
   faults: unknown,
--- a/packages/prove/src/version_watch.ts
+++ b/packages/prove/src/version_watch.ts
@@ -15,6 +15,7 @@
   readonly #highest = new Map<string, number>();
   readonly #violations: testbed.Violation[] = [];
   readonly #timer: NodeJS.Timeout;
+  #isLooking = false;
 
   constructor(deployment: testbed.Deployment) {
     this.#deployment = deployment;
@@ -27,7 +28,21 @@
     return this.#violations;
   }
 
+  /**
+   * One look at a time: answers of two that overlap may be read in the other
+   * order, as after a process was frozen, and look like a version that went back.
+   */
   async #look(): Promise<void> {
+    if (this.#isLooking) return;
+    this.#isLooking = true;
+    try {
+      await this.#readAll();
+    } finally {
+      this.#isLooking = false;
+    }
+  }
+
+  async #readAll(): Promise<void> {
     for (const vm of this.#deployment.vms) {
       for (const address of [vm.entryRpc, vm.controlRpc]) {
         const status = await rpc.callOnce(address, "status", {}, {
