One refusal of a credential, one name of a key

Cause: the read of the whole change found the refusal of a credential written twice, customer and key joined to a text in three ways, and a type nobody used. Change: the key desk calls the filter's refusal; registry and run table call results.formatKeyId; the type is gone. Behaviour as before.

--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -24,9 +24,6 @@
 
 const DRAIN_POLL_MS = 20;
 
-/** Settings with the address of the entry of the same VM. */
-export type ControlOptions = settings.ControlSettings;
-
 /** A running control process. */
 export class Control {
   readonly #settings: settings.ControlSettings;
--- a/packages/entry/src/filters/identify_customer.ts
+++ b/packages/entry/src/filters/identify_customer.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { createHash, timingSafeEqual } from "node:crypto";
-import { createRefusal } from "../answer.ts";
+import { createRefusal, type RequestAnswer } from "../answer.ts";
 import type { Filter } from "../context.ts";
 
 const BEARER_PREFIX = "Bearer ";
@@ -40,7 +40,8 @@
   return timingSafeEqual(actual, Buffer.from(expectedSha256, "hex"));
 }
 
-function refuseCredential() {
+/** Refuses a credential without telling which customers exist. */
+export function refuseCredential(): RequestAnswer {
   return createRefusal(
     "CREDENTIAL_INVALID",
     "Cannot identify the customer: check X-Customer and the bearer credential",
--- a/packages/entry/src/key_desk.ts
+++ b/packages/entry/src/key_desk.ts
@@ -10,7 +10,10 @@
 import * as z from "zod";
 import { createRefusal, type RequestAnswer } from "./answer.ts";
 import type { IncomingRequest } from "./context.ts";
-import { hasCredential } from "./filters/identify_customer.ts";
+import {
+  hasCredential,
+  refuseCredential,
+} from "./filters/identify_customer.ts";
 import type { KeyReport, MintedBatch } from "./http_routes.ts";
 import type { KeyRegistry } from "./key_registry.ts";
 import type { MintedKeys } from "./minted_keys.ts";
@@ -145,10 +148,3 @@
     `Cannot mint: expected {"count": n} with n from 1 to ${MAX_KEYS_A_BATCH}`;
   return createRefusal("INVALID_REQUEST", message);
 }
-
-function refuseCredential(): RequestAnswer {
-  return createRefusal(
-    "CREDENTIAL_INVALID",
-    "Cannot identify the customer: check X-Customer and the bearer credential",
-  );
-}
--- a/packages/entry/src/key_registry.ts
+++ b/packages/entry/src/key_registry.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as claims from "@sardinestep/claims";
+import * as results from "@sardinestep/results";
 import type * as rpc from "@sardinestep/rpc";
 import { LRUCache } from "lru-cache";
 import {
@@ -55,7 +56,7 @@
 
   /** Tells how a request relates to what is known of its key. */
   getRelation(keyId: claims.KeyId, fingerprint: string): KeyRelation {
-    const known = this.#keys.get(formatKey(keyId));
+    const known = this.#keys.get(results.formatKeyId(keyId));
     if (!known) return { kind: "new" };
     if (known.fingerprint !== fingerprint) return { kind: "reused" };
     return known.state;
@@ -71,7 +72,7 @@
       fingerprint,
       state: { kind: "running", answer },
     };
-    const name = formatKey(keyId);
+    const name = results.formatKeyId(keyId);
     this.#keys.set(name, record);
     answer.then(
       (final) => this.#settle(name, record, final),
@@ -84,7 +85,7 @@
   complete(keyId: claims.KeyId, fingerprint: string, output: unknown): void {
     const cost = { calls: 0, tokens: 0, workerMs: 0 };
     const answer = createCompletion(output, cost, true);
-    this.#keys.set(formatKey(keyId), {
+    this.#keys.set(results.formatKeyId(keyId), {
       fingerprint,
       state: { kind: "completed", answer },
     });
@@ -92,7 +93,7 @@
 
   /** Forgets that a key is unknown, once its attempt is proved not to have run. */
   dropUnknown(keyId: claims.KeyId): void {
-    const name = formatKey(keyId);
+    const name = results.formatKeyId(keyId);
     if (this.#keys.get(name)?.state.kind === "unknown") this.#keys.delete(name);
   }
 
@@ -101,11 +102,11 @@
     keyId: claims.KeyId,
     waitMs: number,
   ): Promise<rpc.AnswerStatus> {
-    const known = this.#keys.get(formatKey(keyId));
+    const known = this.#keys.get(results.formatKeyId(keyId));
     if (known?.state.kind === "running") {
       await waitAtMost(known.state.answer, waitMs);
     }
-    const state = this.#keys.get(formatKey(keyId))?.state;
+    const state = this.#keys.get(results.formatKeyId(keyId))?.state;
     if (!state) return { kind: "none" };
     if (state.kind !== "completed") return { kind: state.kind };
     return { kind: "completed", body: state.answer.output };
@@ -131,10 +132,6 @@
   }
 }
 
-function formatKey(keyId: claims.KeyId): string {
-  return `${keyId.customer}\n${keyId.key}`;
-}
-
 /**
  * Waits for a promise, but no longer than a bound.
  *
--- a/packages/entry/src/run_table.ts
+++ b/packages/entry/src/run_table.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as claims from "@sardinestep/claims";
+import * as results from "@sardinestep/results";
 import type * as rpc from "@sardinestep/rpc";
 import type { InstanceId } from "@sardinestep/types";
 import { LRUCache } from "lru-cache";
@@ -50,7 +51,7 @@
    * @returns The other entry that runs it; undefined when the asker may.
    */
   begin(params: rpc.FindResultsParams): InstanceId | undefined {
-    const name = formatKey(params.keyId);
+    const name = results.formatKeyId(params.keyId);
     const now = this.#readNow();
     const known = this.#runs.get(name);
     const isRunElsewhere = known && known.untilMs > now &&
@@ -63,11 +64,7 @@
 
   /** Notes that an entry runs a key no longer. */
   end(keyId: claims.KeyId, runner: InstanceId): void {
-    const name = formatKey(keyId);
+    const name = results.formatKeyId(keyId);
     if (this.#runs.get(name)?.runner === runner) this.#runs.delete(name);
   }
 }
-
-function formatKey(keyId: claims.KeyId): string {
-  return `${keyId.customer}\n${keyId.key}`;
-}
