--- a/packages/codes/src/table.ts
+++ b/packages/codes/src/table.ts
@@ -109,6 +109,13 @@
     false,
     "There is no such path or method",
   ),
+  HEADERS_TOO_LARGE: row(
+    1013,
+    431,
+    NOT_RUN,
+    false,
+    "The headers exceed the limit",
+  ),
 
   DEADLINE_OUT_OF_REACH: row(
     2001,
--- /dev/null
+++ b/packages/gateway/src/endpoint_book.ts
@@ -0,0 +1,222 @@
+/**
+ * Endpoints with what this VM has seen of them.
+ *
+ * @module
+ */
+import type * as logger from "@sardinestep/logger";
+import * as serving from "@sardinestep/serving";
+import type { EndpointId, ServiceId, ZoneId } from "@sardinestep/types";
+import { EVENT } from "./events.ts";
+import type { EndpointLoad } from "./ports.ts";
+import type { SiteState } from "./site_state.ts";
+
+/** Reports older than this say nothing about the load now, in milliseconds. */
+const LOAD_MAX_AGE_MS = 400;
+
+interface EndpointRuntime {
+  readonly health: serving.EndpointHealth;
+  inFlight: number;
+  load?: EndpointLoad;
+  loadAt: number;
+  coldUntil: number;
+  /** Null until the first record was seen. */
+  bornMs: number | undefined | null;
+}
+
+/** What {@link EndpointBook} needs. */
+export interface EndpointBookOptions {
+  readonly site: SiteState;
+  readonly events: logger.EventLog;
+  readonly vmId: string;
+  readonly coldBound: serving.ColdBound;
+}
+
+/** Knows which endpoints may be sent to now. */
+export class EndpointBook {
+  readonly #options: EndpointBookOptions;
+  readonly #runtimes = new Map<EndpointId, EndpointRuntime>();
+  readonly #coldRate = new serving.ColdRate();
+
+  /** @param options Facts, log and bounds. */
+  constructor(options: EndpointBookOptions) {
+    this.#options = options;
+  }
+
+  /** Endpoints of a service that are neither leaving nor in a zone that is out. */
+  listUsable(service: ServiceId): serving.ServingEndpoint[] {
+    const { site } = this.#options;
+    return site.listEndpoints()
+      .map(({ endpoint }) => endpoint)
+      .filter((one) =>
+        one.service === service && !one.isDraining && !site.isZoneOut(one.zone)
+      );
+  }
+
+  /** Candidates for a request; cold endpoints only within this VM's part. */
+  listCandidates(
+    service: serving.ServiceSpec | undefined,
+    name: ServiceId,
+  ): serving.PlacementCandidate[] {
+    const now = performance.now();
+    return this.listUsable(name)
+      .filter((endpoint) => this.#mayWarm(endpoint, service, now))
+      .map((endpoint) => this.#buildCandidate(endpoint, now));
+  }
+
+  /** Finds an endpoint that isn't gone. */
+  find(id: EndpointId): serving.ServingEndpoint | undefined {
+    return this.#options.site.listEndpoints()
+      .find(({ endpoint }) => endpoint.id === id)?.endpoint;
+  }
+
+  /** Whether this VM's own traffic speaks against an endpoint. */
+  isAvoided(id: EndpointId, now: number): boolean {
+    return this.#runtimes.get(id)?.health.isAvoided(now) ?? false;
+  }
+
+  /** Notes that a request goes to an endpoint. */
+  recordStart(endpoint: serving.ServingEndpoint): void {
+    const runtime = this.#getRuntime(endpoint);
+    runtime.inFlight += 1;
+    if (runtime.coldUntil > performance.now()) {
+      this.#coldRate.record(endpoint.id, performance.now());
+    }
+  }
+
+  /** Notes how a request ended. */
+  recordEnd(
+    endpoint: serving.ServingEndpoint,
+    evidence: serving.Evidence | undefined,
+  ): void {
+    const runtime = this.#getRuntime(endpoint);
+    runtime.inFlight -= 1;
+    if (evidence !== undefined) this.recordEvidence(endpoint, evidence);
+  }
+
+  /** Notes what an answer tells of its endpoint. */
+  recordEvidence(
+    endpoint: serving.ServingEndpoint,
+    evidence: serving.Evidence,
+  ): void {
+    const runtime = this.#getRuntime(endpoint);
+    const now = performance.now();
+    const wasAvoided = runtime.health.isAvoided(now);
+    runtime.health.record(evidence, now);
+    if (evidence === serving.EVIDENCE.broken) this.#suspectCold(endpoint, now);
+    if (wasAvoided || !runtime.health.isAvoided(now)) return;
+    this.#options.events.write(EVENT.endpointAvoided, {
+      endpointId: endpoint.id,
+      service: endpoint.service,
+      evidence,
+      failedShare: runtime.health.failedShare,
+    });
+  }
+
+  /** Notes the load that an endpoint told. */
+  recordLoad(endpoint: serving.ServingEndpoint, load: EndpointLoad): void {
+    const runtime = this.#getRuntime(endpoint);
+    runtime.load = load;
+    runtime.loadAt = performance.now();
+  }
+
+  /** Notes that an endpoint is cold for some time yet. */
+  recordCold(endpoint: serving.ServingEndpoint, coldMs: number): void {
+    if (coldMs <= 0) return;
+    const runtime = this.#getRuntime(endpoint);
+    const until = performance.now() + coldMs;
+    if (runtime.coldUntil < performance.now()) {
+      this.#options.events.write(EVENT.endpointCold, {
+        endpointId: endpoint.id,
+        service: endpoint.service,
+        coldMs: Math.round(coldMs),
+      });
+    }
+    runtime.coldUntil = Math.max(runtime.coldUntil, until);
+  }
+
+  /** Forgets endpoints that are gone and learns of starts. */
+  update(): void {
+    const listed = this.#options.site.listEndpoints();
+    const ids = new Set(listed.map(({ endpoint }) => endpoint.id));
+    for (const [id, runtime] of this.#runtimes) {
+      if (!ids.has(id) && runtime.inFlight <= 0) this.#runtimes.delete(id);
+    }
+    for (const { endpoint, ageMs } of listed) {
+      const runtime = this.#getRuntime(endpoint);
+      if (runtime.bornMs !== endpoint.bornMs) {
+        runtime.bornMs = endpoint.bornMs;
+        this.recordCold(endpoint, endpoint.coldMs - ageMs);
+      }
+    }
+  }
+
+  /**
+   * Guards against a crash that no record tells yet: an endpoint that was broken
+   * may come back cold at any moment, and counts as cold for its usual time.
+   */
+  #suspectCold(endpoint: serving.ServingEndpoint, now: number): void {
+    const spec = this.#options.site.table?.services.get(endpoint.service);
+    if (spec === undefined || spec.coldStartMs <= 0) return;
+    const runtime = this.#getRuntime(endpoint);
+    runtime.coldUntil = Math.max(runtime.coldUntil, now + spec.coldStartMs);
+  }
+
+  #mayWarm(
+    endpoint: serving.ServingEndpoint,
+    service: serving.ServiceSpec | undefined,
+    now: number,
+  ): boolean {
+    if (service === undefined || service.coldPerSecond <= 0) return true;
+    const { site, vmId, coldBound } = this.#options;
+    const runtime = this.#getRuntime(endpoint);
+    const isCold = runtime.coldUntil > now ||
+      site.isZoneFresh(endpoint.zone, now);
+    if (!isCold) return true;
+    const part = serving.planColdPart({
+      endpointId: endpoint.id,
+      vmId,
+      members: site.members.map((member) => member.vmId),
+      perSecond: service.coldPerSecond,
+      bound: coldBound,
+    });
+    return this.#coldRate.mayRecord(endpoint.id, now, part);
+  }
+
+  #buildCandidate(
+    endpoint: serving.ServingEndpoint,
+    now: number,
+  ): serving.PlacementCandidate {
+    const runtime = this.#getRuntime(endpoint);
+    const isFresh = now - runtime.loadAt < LOAD_MAX_AGE_MS;
+    const load = isFresh ? runtime.load : undefined;
+    return {
+      id: endpoint.id,
+      zone: endpoint.zone,
+      slots: endpoint.slots,
+      inFlight: runtime.inFlight,
+      reported: load === undefined ? undefined : load.running + load.waiting,
+      isAvoided: runtime.health.isAvoided(now),
+    };
+  }
+
+  #getRuntime(endpoint: serving.ServingEndpoint): EndpointRuntime {
+    const known = this.#runtimes.get(endpoint.id);
+    if (known !== undefined) return known;
+    const runtime: EndpointRuntime = {
+      health: new serving.EndpointHealth(),
+      inFlight: 0,
+      loadAt: -Infinity,
+      coldUntil: -Infinity,
+      bornMs: null,
+    };
+    this.#runtimes.set(endpoint.id, runtime);
+    return runtime;
+  }
+}
+
+/** Zones in which a service has endpoints that may be used. */
+export function getZones(
+  endpoints: readonly serving.ServingEndpoint[],
+): ReadonlySet<ZoneId> {
+  return new Set(endpoints.map((one) => one.zone));
+}
--- /dev/null
+++ b/packages/gateway/src/events.ts
@@ -0,0 +1,38 @@
+/**
+ * Names of the events that the gateway writes.
+ *
+ * @module
+ */
+
+/** Every event; docs/LOGS.md explains the fields. */
+export const EVENT = {
+  processStarted: "process_started",
+  processReady: "process_ready",
+  processStopping: "process_stopping",
+  processStopped: "process_stopped",
+  settingsReloaded: "settings_reloaded",
+  dependencyLost: "dependency_lost",
+  dependencyBack: "dependency_back",
+  configurationApplied: "configuration_applied",
+  zoneChanged: "zone_changed",
+  endpointChanged: "endpoint_changed",
+  endpointAvoided: "endpoint_avoided",
+  endpointCold: "endpoint_cold",
+  memberChanged: "member_changed",
+  leaderChanged: "leader_changed",
+  recordIgnored: "record_ignored",
+  requestAdmitted: "request_admitted",
+  requestRefused: "request_refused",
+  requestSent: "request_sent",
+  requestRepeated: "request_repeated",
+  streamResumed: "stream_resumed",
+  requestAnswered: "request_answered",
+  requestCancelled: "request_cancelled",
+  stageQueued: "stage_queued",
+  stageDone: "stage_done",
+  callStarted: "call_started",
+  callEnded: "call_ended",
+  clockPaused: "clock_paused",
+} as const;
+/** A value of {@link EVENT}. */
+export type EventName = typeof EVENT[keyof typeof EVENT];
--- /dev/null
+++ b/packages/gateway/src/forward.ts
@@ -0,0 +1,316 @@
+/**
+ * Sends a request to endpoints until one has answered it, within its limits.
+ *
+ * @module
+ */
+import * as codes from "@sardinestep/codes";
+import * as serving from "@sardinestep/serving";
+import { match } from "ts-pattern";
+import type { WholeAnswer } from "./answer_writer.ts";
+import { type AttemptOutcome, runAttempt } from "./attempt.ts";
+import { EventCutter } from "./event_cutter.ts";
+import { EVENT } from "./events.ts";
+import type { FlowParts, RoutedRequest } from "./request_flow.ts";
+
+/** How forwarding ended. */
+export type ForwardResult =
+  | { readonly kind: "answered"; readonly answer: WholeAnswer }
+  | { readonly kind: "streamed" }
+  /** A stream that began and can't be finished. */
+  | { readonly kind: "brokenOff"; readonly reason: string }
+  | { readonly kind: "failure"; readonly failure: codes.Failure }
+  | { readonly kind: "ended"; readonly mayHaveRun: boolean };
+
+/** Inputs of the request and what to do with them. */
+export interface ForwardOptions {
+  readonly inputs: readonly string[];
+  readonly handleFirstEvent: () => void;
+  /** Has lost results made again; undefined when that fails. */
+  readonly remakeInputs: () => Promise<readonly string[] | undefined>;
+}
+
+/**
+ * Longest idle time of a connection that carries what may run only once, in
+ * milliseconds. An endpoint may drop an idle connection while the request is on
+ * its way, and then nobody knows whether it ran.
+ */
+const FRESH_IDLE_MS = 300;
+/** The same for what may be sent again: it costs a repeat only. */
+const KEPT_IDLE_MS = 3_500;
+/** Connections that one request tries when endpoints can't be reached. */
+const MAX_UNSENT = 4;
+/** Endpoints that one request is offered to when they say that they are full. */
+const MAX_NOT_RUN = 3;
+/** Times that lost results are made again. */
+const MAX_REMADE = 1;
+/**
+ * Silence after which what may be repeated is sent to another endpoint, as a
+ * multiple of the objective; an answer that comes later would be late anyway.
+ */
+const SILENCE_OBJECTIVES = 2;
+/**
+ * Silence in a resumable stream after which it goes on elsewhere, in ms. Callers
+ * leave after two seconds; sound endpoints pause for less than half a second.
+ */
+const STREAM_SILENCE_MS = 1_200;
+/** What callers wait when no endpoint can take a request, in milliseconds. */
+const RETRY_AFTER_MS = 500;
+/** An endpoint's status for results that it could not fetch. */
+const STATUS_CONFLICT = 409;
+const STATUS_FAILURE_MIN = 500;
+
+/** Sends a request to one endpoint after the other, as far as that is allowed. */
+export async function forwardRequest(
+  parts: FlowParts,
+  request: RoutedRequest,
+  options: ForwardOptions,
+): Promise<ForwardResult> {
+  return await new Forwarding(parts, request, options).run();
+}
+
+class Forwarding {
+  readonly #parts: FlowParts;
+  readonly #request: RoutedRequest;
+  readonly #options: ForwardOptions;
+  readonly #tried = new Set<string>();
+  readonly #cutter: EventCutter | undefined;
+  #inputs: readonly string[];
+  /** Sends after which the request may have run. */
+  #sends = 0;
+  #unsent = 0;
+  #notRun = 0;
+  #remade = 0;
+  #mayHaveRun = false;
+  #lastFailure: WholeAnswer | undefined;
+
+  constructor(
+    parts: FlowParts,
+    request: RoutedRequest,
+    options: ForwardOptions,
+  ) {
+    this.#parts = parts;
+    this.#request = request;
+    this.#options = options;
+    this.#inputs = options.inputs;
+    const isStream = request.route.kind === serving.ROUTE_KIND.stream;
+    const isResumable = isStream && request.route.isResumable;
+    this.#cutter = isResumable ? new EventCutter() : undefined;
+  }
+
+  async run(): Promise<ForwardResult> {
+    while (true) {
+      if (this.#request.scope.ended !== undefined) return this.#buildEnded();
+      const endpoint = this.#pickEndpoint();
+      if (endpoint === undefined) return this.#giveUp("No endpoint is usable");
+      const outcome = await this.#send(endpoint);
+      const result = await this.#handleOutcome(endpoint, outcome);
+      if (result !== undefined) return result;
+    }
+  }
+
+  /** Whether the request may run again after it may have run. */
+  get #isRepeatable(): boolean {
+    const { kind, isResumable } = this.#request.route;
+    return match(kind)
+      .with(serving.ROUTE_KIND.idempotent, () => true)
+      .with(serving.ROUTE_KIND.atMostOnce, () => false)
+      .with(serving.ROUTE_KIND.stream, () => isResumable)
+      .exhaustive();
+  }
+
+  #pickEndpoint(): serving.ServingEndpoint | undefined {
+    const { service, table, session } = this.#request;
+    const id = serving.pickEndpoint({
+      candidates: this.#parts.book.listCandidates(
+        table.services.get(service),
+        service,
+      ),
+      session,
+      ownZone: this.#parts.zone,
+      tried: this.#tried,
+    });
+    return id === undefined ? undefined : this.#parts.book.find(id);
+  }
+
+  #send(endpoint: serving.ServingEndpoint): Promise<AttemptOutcome> {
+    const { request } = this;
+    const { scope, route } = request;
+    const leftMs = Math.max(1, Math.floor(request.leftMs - scope.ageMs));
+    this.#tried.add(endpoint.id);
+    this.#parts.events.write(EVENT.requestSent, {
+      requestId: request.requestId,
+      endpointId: endpoint.id,
+      zone: endpoint.zone,
+      leftMs,
+      inputs: this.#inputs.length,
+      send: this.#sends + 1,
+      lastEventId: this.#cutter?.lastEventId,
+    });
+    return runAttempt({
+      request,
+      endpoint,
+      wire: this.#parts.wire,
+      pool: this.#parts.pool,
+      book: this.#parts.book,
+      scope,
+      writer: request.writer,
+      customer: request.customer,
+      inputs: this.#inputs,
+      leftMs,
+      maxIdleMs: this.#isRepeatable ? KEPT_IDLE_MS : FRESH_IDLE_MS,
+      silenceMs: this.#getSilenceMs(),
+      isStream: route.kind === serving.ROUTE_KIND.stream,
+      cutter: this.#cutter,
+      handleFirstEvent: this.#options.handleFirstEvent,
+    });
+  }
+
+  get request(): RoutedRequest {
+    return this.#request;
+  }
+
+  /** Only what may go elsewhere is taken from a silent endpoint. */
+  #getSilenceMs(): number | undefined {
+    const { route } = this.#request;
+    if (!this.#isRepeatable || this.#sends + 1 >= route.maxAttempts) {
+      return undefined;
+    }
+    const bound = route.objectiveMs * SILENCE_OBJECTIVES;
+    const isStream = route.kind === serving.ROUTE_KIND.stream;
+    return isStream ? Math.min(bound, STREAM_SILENCE_MS) : bound;
+  }
+
+  async #handleOutcome(
+    endpoint: serving.ServingEndpoint,
+    outcome: AttemptOutcome,
+  ): Promise<ForwardResult | undefined> {
+    return await match(outcome)
+      .with({ kind: "streamed" }, () => ({ kind: "streamed" as const }))
+      .with({ kind: "ended" }, () => {
+        this.#mayHaveRun = true;
+        return this.#buildEnded();
+      })
+      .with({ kind: "answered" }, ({ answer }) => this.#handleAnswer(answer))
+      .with(
+        { kind: "notRun" },
+        ({ status }) => this.#handleNotRun(endpoint, status),
+      )
+      .with({ kind: "notSent" }, ({ message }) => this.#handleNotSent(message))
+      .with({ kind: "lost" }, ({ message }) => this.#handleLost(message))
+      .exhaustive();
+  }
+
+  #handleAnswer(answer: WholeAnswer): ForwardResult | undefined {
+    this.#mayHaveRun = true;
+    this.#sends += 1;
+    const isFailure = answer.status >= STATUS_FAILURE_MIN;
+    if (this.#request.writer.hasBegun) {
+      return { kind: "brokenOff", reason: `Resumed with ${answer.status}` };
+    }
+    if (!isFailure) return { kind: "answered", answer };
+    this.#lastFailure = answer;
+    if (this.#mayRepeat(`status ${answer.status}`)) return undefined;
+    return { kind: "answered", answer };
+  }
+
+  async #handleNotRun(
+    endpoint: serving.ServingEndpoint,
+    status: number,
+  ): Promise<ForwardResult | undefined> {
+    this.#notRun += 1;
+    if (status === STATUS_CONFLICT && this.#inputs.length > 0) {
+      return await this.#remakeInputs();
+    }
+    this.#tried.add(endpoint.id);
+    if (this.#notRun >= MAX_NOT_RUN || !this.#takeRepeat(`status ${status}`)) {
+      return this.#giveUp(`Endpoints refuse with ${status}`);
+    }
+    return undefined;
+  }
+
+  async #remakeInputs(): Promise<ForwardResult | undefined> {
+    this.#remade += 1;
+    if (this.#remade > MAX_REMADE) return this.#giveUp("Results were lost");
+    const inputs = await this.#options.remakeInputs();
+    if (inputs === undefined) return this.#giveUp("Results can't be remade");
+    this.#inputs = inputs;
+    this.#tried.clear();
+    return this.#takeRepeat("results were lost")
+      ? undefined
+      : this.#giveUp("Results were lost");
+  }
+
+  #handleNotSent(message: string): ForwardResult | undefined {
+    this.#unsent += 1;
+    return this.#unsent < MAX_UNSENT ? undefined : this.#giveUp(message);
+  }
+
+  #handleLost(message: string): ForwardResult | undefined {
+    this.#mayHaveRun = true;
+    this.#sends += 1;
+    this.#cutter?.dropRest();
+    if (this.#mayRepeat(message)) {
+      if (this.#request.writer.hasBegun) this.#recordResume(message);
+      return undefined;
+    }
+    if (this.#request.writer.hasBegun) {
+      return { kind: "brokenOff", reason: message };
+    }
+    return this.#giveUp(message);
+  }
+
+  #recordResume(message: string): void {
+    this.#parts.events.write(EVENT.streamResumed, {
+      requestId: this.#request.requestId,
+      lastEventId: this.#cutter?.lastEventId,
+      reason: message,
+    });
+  }
+
+  /** Whether the request may go to one more endpoint after it may have run. */
+  #mayRepeat(reason: string): boolean {
+    const { route } = this.#request;
+    if (!this.#isRepeatable || this.#sends >= route.maxAttempts) return false;
+    return this.#takeRepeat(reason);
+  }
+
+  /** Takes one repeat out of the budget. */
+  #takeRepeat(reason: string): boolean {
+    const { service, requestId } = this.#request;
+    const { repeats, mesh, events } = this.#parts;
+    const now = performance.now();
+    const isAllowed = repeats.mayRepeat(service, now, mesh.countMembers());
+    if (isAllowed) repeats.recordRepeat(service, now);
+    events.write(EVENT.requestRepeated, {
+      requestId,
+      service,
+      reason,
+      isAllowed,
+      sends: this.#sends,
+    });
+    return isAllowed;
+  }
+
+  #buildEnded(): ForwardResult {
+    return { kind: "ended", mayHaveRun: this.#mayHaveRun };
+  }
+
+  /** The final answer when no endpoint will give one. */
+  #giveUp(message: string): ForwardResult {
+    if (this.#request.writer.hasBegun) {
+      return { kind: "brokenOff", reason: message };
+    }
+    if (this.#lastFailure !== undefined) {
+      return { kind: "answered", answer: this.#lastFailure };
+    }
+    const failure = this.#mayHaveRun
+      ? codes.createFailure(
+        this.#isRepeatable ? "STAGE_FAILED" : "OUTCOME_UNKNOWN",
+        message,
+      )
+      : codes.createFailure("STAGE_UNAVAILABLE", message, {
+        retryAfterMs: RETRY_AFTER_MS,
+      });
+    return { kind: "failure", failure };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,302 @@
+/**
+ * One gateway process: everything of a VM in one event loop.
+ *
+ * @module
+ */
+import type * as logger from "@sardinestep/logger";
+import * as metrics from "@sardinestep/metrics";
+import * as rpc from "@sardinestep/rpc";
+import * as serving from "@sardinestep/serving";
+import type { Address, ServiceId } from "@sardinestep/types";
+import { setTimeout as wait } from "node:timers/promises";
+import { EndpointBook } from "./endpoint_book.ts";
+import { EVENT } from "./events.ts";
+import { HttpPool } from "./http_pool.ts";
+import { Ingress } from "./ingress.ts";
+import { openOwnServer, type OwnServer } from "./own_server.ts";
+import { PeerMesh } from "./peer_mesh.ts";
+import { PieceLeader } from "./piece_leader.ts";
+import { PieceRouter } from "./piece_router.ts";
+import type { ServingWire } from "./ports.ts";
+import { type FlowParts, runRequest } from "./request_flow.ts";
+import { SiteState } from "./site_state.ts";
+
+/** Bounds that the operator sets for all VMs. */
+export interface GatewayBounds {
+  readonly repeatRatio: number;
+  readonly repeatExtra: number;
+  readonly repeatWindowMs: number;
+  readonly cold: serving.ColdBound;
+  /** Time from a stop signal to the kill, in milliseconds. */
+  readonly graceMs: number;
+}
+
+/** Where a gateway listens. */
+export interface GatewayListen {
+  readonly callers: Address;
+  readonly ready: Address;
+  readonly rpc: Address;
+  readonly metrics: Address;
+}
+
+/** How a gateway runs. */
+export interface GatewayOptions {
+  readonly vmId: string;
+  readonly zone: string;
+  readonly listen: GatewayListen;
+  /** JSON-RPC addresses of VMs that may be there. */
+  readonly seeds: readonly Address[];
+  readonly bounds: GatewayBounds;
+  readonly readyPath: string;
+  readonly createWire: (pool: HttpPool) => ServingWire;
+  readonly events: logger.EventLog;
+}
+
+/** How often endpoints and gauges are looked at, in milliseconds. */
+const UPDATE_MS = 100;
+/**
+ * How long callers' connections still arrive after the VM says that it isn't
+ * ready: two looks a second apart, and one more.
+ */
+const DRAIN_MS = 3_000;
+/** Kept of the grace for the last answers and the exit, in milliseconds. */
+const EXIT_SLACK_MS = 700;
+/** How often the end of the last requests is looked for, in milliseconds. */
+const DRAIN_CHECK_MS = 50;
+/** A gap of the update timer that shows a freeze, in milliseconds. */
+const PAUSE_MS = 1_000;
+
+/** A VM of the system. */
+export class Gateway {
+  readonly site: SiteState;
+  readonly mesh: PeerMesh;
+  readonly metrics = new metrics.Metrics({ prefix: "sardinestep" });
+  readonly pool = new HttpPool();
+  readonly book: EndpointBook;
+  readonly #options: GatewayOptions;
+  readonly #wire: ServingWire;
+  readonly #leaders = new Map<ServiceId, PieceLeader>();
+  readonly #ingress: Ingress;
+  #rpcServer: rpc.RpcServer | undefined;
+  #ownServers: OwnServer[] = [];
+  #updateTimer: NodeJS.Timeout | undefined;
+  #updatedAt = performance.now();
+  #isStopping = false;
+  #wasReady = false;
+
+  /** @param options Names, addresses, bounds and the adapter's wire. */
+  constructor(options: GatewayOptions) {
+    this.#options = options;
+    const { events, vmId, zone, bounds } = options;
+    this.#wire = options.createWire(this.pool);
+    this.site = new SiteState(events);
+    this.book = new EndpointBook({
+      site: this.site,
+      events,
+      vmId,
+      coldBound: bounds.cold,
+    });
+    this.mesh = new PeerMesh({
+      member: { vmId, zone, rpc: options.listen.rpc },
+      seeds: options.seeds,
+      site: this.site,
+      events,
+      getLoads: () => this.#getLoads(),
+    });
+    const parts = this.#buildParts();
+    this.#ingress = new Ingress({
+      wire: this.#wire,
+      site: this.site,
+      events,
+      runRequest: (request) => runRequest(parts, request),
+    });
+  }
+
+  /** Whether callers should be sent here. */
+  get isReady(): boolean {
+    return !this.#isStopping && this.site.isComplete;
+  }
+
+  /** Begins to listen everywhere. */
+  async start(): Promise<void> {
+    const { listen, readyPath } = this.#options;
+    this.#rpcServer = await rpc.openServer(listen.rpc, {
+      handlers: this.#buildHandlers(),
+    });
+    this.#ownServers = [
+      await openOwnServer(listen.ready, {
+        [readyPath]: () => this.#answerReady(),
+      }),
+      await openOwnServer(listen.metrics, {
+        "/metrics": () => this.#answerMetrics(),
+      }),
+    ];
+    const callers = rpc.parseAddress(listen.callers);
+    await this.#ingress.start(callers.host, callers.port);
+    this.mesh.start();
+    this.#updateTimer = setInterval(() => this.#update(), UPDATE_MS);
+  }
+
+  /**
+   * Stops without cutting an answer: no longer ready at once, then new callers
+   * go elsewhere, then running requests end, within the grace.
+   */
+  async stop(): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    const { events, bounds } = this.#options;
+    events.write(EVENT.processStopping, { active: this.#ingress.active });
+    this.mesh.setLeaving();
+    this.#ingress.setLeaving();
+    const stoppedAt = performance.now();
+    const latest = stoppedAt + bounds.graceMs - EXIT_SLACK_MS;
+    await wait(Math.min(DRAIN_MS, bounds.graceMs - EXIT_SLACK_MS));
+    while (this.#isBusy() && performance.now() < latest) {
+      await wait(DRAIN_CHECK_MS);
+    }
+    events.write(EVENT.processStopped, {
+      active: this.#ingress.active,
+      tookMs: Math.round(performance.now() - stoppedAt),
+    });
+    this.close();
+  }
+
+  /** Ends everything at once. */
+  close(): void {
+    clearInterval(this.#updateTimer);
+    this.#ingress.destroy();
+    for (const leader of this.#leaders.values()) leader.close();
+    this.mesh.close();
+    this.pool.close();
+    void this.#rpcServer?.close();
+    for (const server of this.#ownServers) server.close();
+  }
+
+  #isBusy(): boolean {
+    const pieces = [...this.#leaders.values()]
+      .reduce((sum, leader) => sum + leader.size, 0);
+    return this.#ingress.active > 0 || pieces > 0;
+  }
+
+  #buildParts(): FlowParts {
+    const { vmId, zone, events, bounds } = this.#options;
+    return {
+      vmId,
+      zone,
+      site: this.site,
+      book: this.book,
+      pool: this.pool,
+      wire: this.#wire,
+      mesh: this.mesh,
+      repeats: new serving.RepeatBudget({
+        ratio: bounds.repeatRatio,
+        extra: bounds.repeatExtra,
+        windowMs: bounds.repeatWindowMs,
+      }),
+      router: new PieceRouter({
+        vmId,
+        mesh: this.mesh,
+        wire: this.#wire,
+        events,
+        getLeader: (service) => this.#getLeader(service),
+      }),
+      events,
+      metrics: this.metrics,
+    };
+  }
+
+  #buildHandlers(): rpc.Handlers {
+    return {
+      exchangeViews: (view) => this.mesh.handleExchange(view),
+      getSiteFacts: () => this.site.getFacts(),
+      runPieces: ({ service, dueInMs, expiresInMs, ...group }) => {
+        if (this.#isStopping) {
+          return { kind: "unavailable", reason: "leaving" };
+        }
+        const now = performance.now();
+        return this.#getLeader(service).submit({
+          ...group,
+          dueAt: now + dueInMs,
+          expiresAt: now + expiresInMs,
+        });
+      },
+      cancelPieces: ({ service, requestId }) => {
+        this.#getLeader(service).cancel(requestId);
+        return true;
+      },
+      releaseResults: ({ service, handles }) => {
+        this.#getLeader(service).release(handles);
+        return true;
+      },
+    };
+  }
+
+  #getLeader(service: ServiceId): PieceLeader {
+    const known = this.#leaders.get(service);
+    if (known !== undefined) return known;
+    const leader = new PieceLeader({
+      service,
+      getPool: () => this.site.table?.services.get(service)?.pool,
+      book: this.book,
+      wire: this.#wire,
+      events: this.#options.events,
+      metrics: this.metrics,
+    });
+    this.#leaders.set(service, leader);
+    return leader;
+  }
+
+  #getLoads(): Record<ServiceId, serving.PoolLoad> {
+    return Object.fromEntries(
+      [...this.#leaders].map(([service, leader]) => [
+        service,
+        leader.getLoad(),
+      ]),
+    );
+  }
+
+  #update(): void {
+    const now = performance.now();
+    const gapMs = now - this.#updatedAt;
+    this.#updatedAt = now;
+    if (gapMs > PAUSE_MS) {
+      this.#options.events.write(EVENT.clockPaused, {
+        gapMs: Math.round(gapMs),
+      });
+    }
+    this.book.update();
+    if (this.isReady === this.#wasReady) return;
+    this.#wasReady = this.isReady;
+    if (!this.isReady) return;
+    this.#options.events.write(EVENT.processReady, {
+      configuration: this.site.table?.version,
+      endpoints: this.site.listEndpoints().length,
+      members: this.site.members.length,
+      afterStartMs: Math.round(now),
+    });
+  }
+
+  #answerReady(): { status: number; text: string } {
+    return this.isReady
+      ? { status: 200, text: "ready\n" }
+      : { status: 503, text: "not ready\n" };
+  }
+
+  #answerMetrics(): { status: number; text: string } {
+    const now = performance.now();
+    const gauges: Record<string, number> = {
+      requests_active: this.#ingress.active,
+      held_body_bytes: this.#ingress.heldBytes,
+      memory_rss_bytes: process.memoryUsage.rss(),
+      configuration_version: this.site.table?.version ?? 0,
+      configuration_age_seconds: (now - this.site.configuredAt) / 1_000,
+      endpoint_connections_opened_total: this.pool.openedTotal,
+      log_lines_dropped_total: this.#options.events.droppedTotal,
+      members: this.site.members.length,
+    };
+    for (const [name, value] of Object.entries(gauges)) {
+      if (Number.isFinite(value)) this.metrics.setGauge(name, {}, value);
+    }
+    return { status: 200, text: this.metrics.formatPrometheus() };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/http_pool.ts
@@ -0,0 +1,264 @@
+/**
+ * Requests to endpoints, one at a time on each connection.
+ *
+ * @module
+ */
+import type { Address } from "@sardinestep/types";
+import type { Socket } from "node:net";
+import { buildConnector, Client, type Dispatcher } from "undici";
+
+/** A request to an endpoint. */
+export interface PoolRequest {
+  readonly address: Address;
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body?: Uint8Array;
+  /** A kept connection that was idle for longer is not used, in milliseconds. */
+  readonly maxIdleMs: number;
+}
+
+/** Why there is no whole answer. */
+export interface PoolFailure {
+  /** `notSent`: the connection provably carried nothing of the request. */
+  readonly kind: "notSent" | "lost";
+  readonly message: string;
+}
+
+/** Receives an answer as it comes. */
+export interface AnswerSink {
+  handleHead(status: number, headers: ReadonlyMap<string, string>): void;
+  handleData(chunk: Uint8Array): void;
+  handleEnd(): void;
+  handleFailure(failure: PoolFailure): void;
+}
+
+/** A request that is under way. */
+export interface PoolCall {
+  /** Ends it; the connection is closed, so the endpoint notices. */
+  cancel(): void;
+  /** Stops reading until {@link resume}, so that a slow reader holds it back. */
+  pause(): void;
+  resume(): void;
+}
+
+/**
+ * Longest handshake, in milliseconds. Zones are under 3 ms apart; after a lost
+ * packet the next try of the kernel comes after a second, too late for a caller.
+ */
+const CONNECT_TIMEOUT_MS = 300;
+/** How long an idle connection is kept, in milliseconds. */
+const KEEP_IDLE_MS = 4_000;
+/** Idle connections to one address; an endpoint accepts some hundred in all. */
+const MAX_IDLE_PER_ADDRESS = 8;
+
+/** A connection and what has happened on it. */
+class PoolConnection {
+  readonly client: Client;
+  idleSince = 0;
+  isBroken = false;
+  #socketFailed = false;
+
+  constructor(address: Address) {
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    this.client = new Client(`http://${address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: KEEP_IDLE_MS,
+      connect: (options, callback) =>
+        connect(options, (...result) => {
+          if (result[1] !== null) this.#watchSocket(result[1]);
+          callback(...result);
+        }),
+    });
+    this.client.on("disconnect", () => this.close());
+  }
+
+  /** Whether the socket reported an error, such as a reset. */
+  get socketFailed(): boolean {
+    return this.#socketFailed;
+  }
+
+  close(): void {
+    this.isBroken = true;
+    if (!this.client.destroyed) void this.client.destroy();
+  }
+
+  /**
+   * The library takes a reset for the end of an answer without length. This
+   * listener stands before the library's own, so the reset is known by then.
+   */
+  #watchSocket(socket: Socket): void {
+    socket.setNoDelay(true);
+    socket.on("error", () => {
+      this.#socketFailed = true;
+    });
+  }
+}
+
+/**
+ * Keeps connections to endpoints.
+ *
+ * Guards against answers that belong to another request: each connection carries
+ * one request at a time, and one on which anything unexpected happened (bytes
+ * without a request, an answer that was cut, a reset) is closed and never used
+ * again. A late second answer that arrives in place of the next one is told by
+ * the id that it echoes; the caller of this class compares it.
+ */
+export class HttpPool {
+  readonly #idle = new Map<Address, PoolConnection[]>();
+  #opened = 0;
+
+  /** Connections opened since the start. */
+  get openedTotal(): number {
+    return this.#opened;
+  }
+
+  /** Sends a request; the sink gets exactly one end or failure. */
+  send(request: PoolRequest, sink: AnswerSink): PoolCall {
+    const connection = this.#takeConnection(request);
+    const exchange = new PoolExchange(connection, sink, () => {
+      this.#keepConnection(request.address, connection);
+    });
+    try {
+      connection.client.dispatch({
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.path,
+        headers: [...request.headers],
+        body: request.body === undefined ? null : Buffer.from(
+          request.body.buffer,
+          request.body.byteOffset,
+          request.body.byteLength,
+        ),
+      }, exchange);
+    } catch (error) {
+      exchange.onError(error as Error);
+    }
+    return exchange;
+  }
+
+  /** Closes every idle connection. */
+  close(): void {
+    for (const kept of this.#idle.values()) {
+      for (const connection of kept) connection.close();
+    }
+    this.#idle.clear();
+  }
+
+  #takeConnection(request: PoolRequest): PoolConnection {
+    const kept = this.#idle.get(request.address) ?? [];
+    const now = performance.now();
+    while (kept.length > 0) {
+      const newest = kept.at(-1)!;
+      if (!newest.isBroken && now - newest.idleSince > request.maxIdleMs) break;
+      kept.pop();
+      if (!newest.isBroken) return newest;
+    }
+    this.#opened += 1;
+    return new PoolConnection(request.address);
+  }
+
+  #keepConnection(address: Address, connection: PoolConnection): void {
+    if (connection.isBroken) return;
+    const kept = (this.#idle.get(address) ?? []).filter((one) => !one.isBroken);
+    connection.idleSince = performance.now();
+    kept.push(connection);
+    if (kept.length > MAX_IDLE_PER_ADDRESS) kept.shift()!.close();
+    this.#idle.set(address, kept);
+  }
+}
+
+/** Hands one answer from the library to a sink. */
+class PoolExchange implements Dispatcher.DispatchHandlers, PoolCall {
+  readonly #connection: PoolConnection;
+  readonly #sink: AnswerSink;
+  readonly #keep: () => void;
+  #isSent = false;
+  #isOver = false;
+  #isPaused = false;
+  #hasLength = false;
+  #resume: () => void = () => {};
+
+  constructor(
+    connection: PoolConnection,
+    sink: AnswerSink,
+    keep: () => void,
+  ) {
+    this.#connection = connection;
+    this.#sink = sink;
+    this.#keep = keep;
+  }
+
+  cancel(): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    this.#connection.close();
+  }
+
+  pause(): void {
+    this.#isPaused = true;
+  }
+
+  resume(): void {
+    if (!this.#isPaused) return;
+    this.#isPaused = false;
+    this.#resume();
+  }
+
+  onConnect(abort: (error?: Error) => void): void {
+    if (this.#isOver) return abort();
+    this.#isSent = true;
+  }
+
+  onHeaders(status: number, raw: Buffer[], resume: () => void): boolean {
+    if (this.#isOver || status < 200) return true;
+    this.#resume = resume;
+    const headers = buildHeaderMap(raw);
+    this.#hasLength = headers.has("content-length") ||
+      headers.has("transfer-encoding");
+    this.#sink.handleHead(status, headers);
+    return !this.#isPaused;
+  }
+
+  onData(chunk: Buffer): boolean {
+    if (!this.#isOver) this.#sink.handleData(chunk);
+    return !this.#isPaused;
+  }
+
+  onComplete(): void {
+    if (this.#isOver) return;
+    if (!this.#hasLength && this.#connection.socketFailed) {
+      return this.#fail("Connection reset in an answer without length");
+    }
+    this.#isOver = true;
+    this.#keep();
+    this.#sink.handleEnd();
+  }
+
+  onError(error: Error): void {
+    if (!this.#isOver) this.#fail(error.message);
+  }
+
+  #fail(message: string): void {
+    this.#isOver = true;
+    this.#connection.close();
+    this.#sink.handleFailure({
+      kind: this.#isSent ? "lost" : "notSent",
+      message,
+    });
+  }
+}
+
+/** Names in lower case; values of a repeated header are joined by commas. */
+function buildHeaderMap(raw: readonly Buffer[]): Map<string, string> {
+  const headers = new Map<string, string>();
+  for (let i = 0; i + 1 < raw.length; i += 2) {
+    const name = raw[i]!.toString("latin1").toLowerCase();
+    const value = raw[i + 1]!.toString("latin1");
+    const before = headers.get(name);
+    headers.set(name, before === undefined ? value : `${before}, ${value}`);
+  }
+  return headers;
+}
--- /dev/null
+++ b/packages/gateway/src/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Serves opaque requests.
+ *
+ * @module
+ */
+export * from "./events.ts";
+export * from "./gateway.ts";
+export * from "./http_pool.ts";
+export * from "./ports.ts";
+export * from "./site_state.ts";
--- /dev/null
+++ b/packages/gateway/src/piece_leader.ts
@@ -0,0 +1,445 @@
+/**
+ * Composes and makes the calls of one pool.
+ *
+ * @module
+ */
+import type * as logger from "@sardinestep/logger";
+import type * as metrics from "@sardinestep/metrics";
+import * as serving from "@sardinestep/serving";
+import type { EndpointId, ServiceId } from "@sardinestep/types";
+import { match } from "ts-pattern";
+import { type EndpointBook, getZones } from "./endpoint_book.ts";
+import { EVENT } from "./events.ts";
+import type { PieceAnswer, PieceCallResult, ServingWire } from "./ports.ts";
+import { ResultReleases } from "./result_releases.ts";
+import { ResultRoom } from "./result_room.ts";
+
+/** How often the queue is looked at when nothing else happens, in milliseconds. */
+const SWEEP_MS = 25;
+/**
+ * How long the next call waits after a group arrived, in milliseconds: groups
+ * that one earlier call made possible arrive within it.
+ */
+const GATHER_MS = 4;
+/** Times that one piece may fail at endpoints before its group is given up. */
+const MAX_PIECE_FAILURES = 3;
+/** An endpoint that said it was full or had no room is left alone so long. */
+const BACK_OFF_MS = 60;
+/** A call may take this many times its expected time before it is given up. */
+const CALL_PATIENCE = 3;
+/** Added to that: links, a new connection, and the wait behind a foreign call. */
+const CALL_SLACK_MS = 500;
+/** Ratio of measured to expected time above which an endpoint counts as slow. */
+const SLOW_RATIO = 2.2;
+/** Weight of the newest call in an endpoint's ratio. */
+const RATIO_WEIGHT = 0.5;
+/** A slow endpoint gets a small call this often, to see whether it still is. */
+const TRIAL_EVERY_MS = 1_500;
+/** Pieces of such a call: few, since they will be late. */
+const TRIAL_PIECES = 2;
+
+interface LeaderEndpoint {
+  isBusy: boolean;
+  blockedUntil: number;
+  /** Measured over expected time of its calls. */
+  ratio: number;
+  lastCallAt: number;
+}
+
+interface LeaderGroup extends serving.QueuedGroup {
+  readonly results: (serving.PieceResult | undefined)[];
+  readonly failures: number[];
+  isOver: boolean;
+  readonly finish: (outcome: serving.PieceOutcome) => void;
+}
+
+/** What {@link PieceLeader} needs. */
+export interface PieceLeaderOptions {
+  readonly service: ServiceId;
+  readonly getPool: () => serving.PoolSpec | undefined;
+  readonly book: EndpointBook;
+  readonly wire: ServingWire;
+  readonly events: logger.EventLog;
+  readonly metrics: metrics.Metrics;
+}
+
+/**
+ * Holds the queue of one pool and keeps one call running at each endpoint.
+ *
+ * The next call is composed at the moment an endpoint is free, so it is as full
+ * and as well ordered as it can be.
+ */
+export class PieceLeader {
+  readonly #options: PieceLeaderOptions;
+  readonly #endpoints = new Map<EndpointId, LeaderEndpoint>();
+  readonly #room = new ResultRoom();
+  readonly #releases: ResultReleases;
+  readonly #timer: NodeJS.Timeout;
+  #queue: LeaderGroup[] = [];
+  #pumpTimer: NodeJS.Timeout | undefined;
+  readonly #running = new Set<LeaderGroup>();
+
+  /** @param options The pool and where its calls go. */
+  constructor(options: PieceLeaderOptions) {
+    this.#options = options;
+    this.#releases = new ResultReleases(options.wire, (handles) => {
+      for (const handle of handles) this.#room.release(handle);
+      if (this.#queue.length > 0) this.#pump();
+    });
+    this.#timer = setInterval(() => this.#sweep(), SWEEP_MS);
+    this.#timer.unref();
+  }
+
+  /** Groups that wait or run. */
+  get size(): number {
+    return this.#queue.length + this.#running.size;
+  }
+
+  /** Has the pieces of a stage made. */
+  submit(group: serving.PieceGroup): Promise<serving.PieceOutcome> {
+    return new Promise((resolve) => {
+      this.#queue.push(this.#createGroup(group, resolve));
+      this.#pumpTimer ??= setTimeout(() => this.#pump(), GATHER_MS);
+    });
+  }
+
+  /** Drops what waits of a request and gives up what was made of it. */
+  cancel(requestId: string): void {
+    const groups = [...this.#queue, ...this.#running]
+      .filter(({ group }) => group.requestId === requestId);
+    for (const group of groups) {
+      this.#finish(group, { kind: "unavailable", reason: serving.CANCELLED });
+    }
+  }
+
+  /** Gives up results that nobody will read any more. */
+  release(handles: readonly string[]): void {
+    this.#releases.add(handles);
+  }
+
+  /** Gives the load for the other VMs. */
+  getLoad(): serving.PoolLoad {
+    const pool = this.#options.getPool();
+    if (pool === undefined) return { waitMs: [0], endpoints: 0 };
+    const endpoints =
+      this.#listEndpoints().filter((one) =>
+        !this.#isSlow(this.#getState(one.id))
+      ).length;
+    return serving.estimateLoad({
+      queue: this.#queue,
+      pool,
+      endpoints,
+      now: performance.now(),
+    });
+  }
+
+  /** Ends every group; waits of callers fail over to another leader. */
+  close(): void {
+    clearInterval(this.#timer);
+    clearTimeout(this.#pumpTimer);
+    for (const group of [...this.#queue, ...this.#running]) {
+      this.#finish(group, { kind: "unavailable", reason: "leader stopped" });
+    }
+  }
+
+  #createGroup(
+    group: serving.PieceGroup,
+    finish: (outcome: serving.PieceOutcome) => void,
+  ): LeaderGroup {
+    return {
+      group,
+      queuedAt: performance.now(),
+      waiting: Array.from({ length: group.pieces }, (_, piece) => piece),
+      results: Array.from({ length: group.pieces }),
+      failures: Array.from({ length: group.pieces }, () => 0),
+      isOver: false,
+      finish,
+    };
+  }
+
+  #sweep(): void {
+    if (this.#queue.length > 0) this.#pump();
+  }
+
+  #pump(): void {
+    clearTimeout(this.#pumpTimer);
+    this.#pumpTimer = undefined;
+    this.#dropExpired();
+    const pool = this.#options.getPool();
+    if (pool === undefined || this.#queue.length === 0) return;
+    const now = performance.now();
+    const usable = this.#listEndpoints();
+    const zones = getZones(usable);
+    const free = usable
+      .filter((one) => this.#isFree(one, now))
+      .sort((a, b) => this.#compareFree(a.id, b.id));
+    for (const endpoint of free) {
+      const state = this.#getState(endpoint.id);
+      const plan = serving.planCall({
+        queue: this.#queue,
+        pool,
+        room: {
+          zone: endpoint.zone,
+          freeBytes: this.#room.getFree(endpoint.id, pool, now),
+          maxPieces: this.#isSlow(state) ? TRIAL_PIECES : pool.batchSize,
+        },
+        poolZones: zones,
+        now,
+      });
+      if (plan.length > 0) void this.#runCall(endpoint, pool, plan);
+    }
+  }
+
+  #listEndpoints(): serving.ServingEndpoint[] {
+    return this.#options.book.listUsable(this.#options.service);
+  }
+
+  #isFree(endpoint: serving.ServingEndpoint, now: number): boolean {
+    const state = this.#getState(endpoint.id);
+    if (state.isBusy || state.blockedUntil > now) return false;
+    if (this.#options.book.isAvoided(endpoint.id, now)) return false;
+    return !this.#isSlow(state) || now - state.lastCallAt > TRIAL_EVERY_MS;
+  }
+
+  #isSlow(state: LeaderEndpoint): boolean {
+    return state.ratio > SLOW_RATIO;
+  }
+
+  /** Quick endpoints first; of equal ones the one that was idle for longest. */
+  #compareFree(a: EndpointId, b: EndpointId): number {
+    const left = this.#getState(a);
+    const right = this.#getState(b);
+    const byRatio = Math.round(left.ratio * 4) - Math.round(right.ratio * 4);
+    return byRatio === 0 ? left.lastCallAt - right.lastCallAt : byRatio;
+  }
+
+  async #runCall(
+    endpoint: serving.ServingEndpoint,
+    pool: serving.PoolSpec,
+    plan: readonly serving.PlannedPieces[],
+  ): Promise<void> {
+    const state = this.#getState(endpoint.id);
+    const startedAt = performance.now();
+    const pieces = plan.flatMap(({ queued, pieces }) =>
+      pieces.map((piece) => ({ queued: queued as LeaderGroup, piece }))
+    );
+    this.#takePieces(plan);
+    state.isBusy = true;
+    const bytes = pieces.reduce(
+      (sum, one) => sum + one.queued.group.resultBytes,
+      0,
+    );
+    this.#room.reserve(endpoint.id, bytes);
+    const expectedMs = pool.callMs + pieces.length * pool.pieceMs;
+    this.#recordStart(endpoint, pool, plan, pieces.length);
+    const result = await this.#options.wire.runPieces({
+      endpointId: endpoint.id,
+      address: endpoint.address,
+      pieces: pieces.map(({ queued: { group }, piece }) => ({
+        requestId: group.requestId,
+        stage: group.stage,
+        piece,
+        leftMs: Math.max(1, Math.round(group.expiresAt - startedAt)),
+        key: group.key,
+        inputs: group.inputs,
+      })),
+      timeoutMs: expectedMs * CALL_PATIENCE + CALL_SLACK_MS,
+    });
+    const tookMs = performance.now() - startedAt;
+    this.#room.unreserve(endpoint.id, bytes);
+    state.isBusy = false;
+    state.lastCallAt = performance.now();
+    this.#recordEnd(endpoint, pieces.length, result, tookMs, expectedMs);
+    this.#handleResult({ endpoint, state, pieces, result, tookMs, expectedMs });
+    this.#pump();
+  }
+
+  #takePieces(plan: readonly serving.PlannedPieces[]): void {
+    for (const { queued, pieces } of plan) {
+      queued.waiting.splice(0, pieces.length);
+      if (queued.waiting.length > 0) continue;
+      this.#queue = this.#queue.filter((one) => one !== queued);
+      this.#running.add(queued as LeaderGroup);
+    }
+  }
+
+  #handleResult(call: {
+    readonly endpoint: serving.ServingEndpoint;
+    readonly state: LeaderEndpoint;
+    readonly pieces: readonly { queued: LeaderGroup; piece: number }[];
+    readonly result: PieceCallResult;
+    readonly tookMs: number;
+    readonly expectedMs: number;
+  }): void {
+    const { endpoint, state, pieces, result } = call;
+    const { book } = this.#options;
+    match(result)
+      .with({ kind: "done" }, (done) => {
+        const ratio = call.tookMs / call.expectedMs;
+        state.ratio += RATIO_WEIGHT * (ratio - state.ratio);
+        book.recordEvidence(endpoint, serving.EVIDENCE.good);
+        pieces.forEach(({ queued, piece }, index) => {
+          const answer = done.pieces[index] ?? { kind: "failed" as const };
+          this.#handlePiece(endpoint, state, queued, piece, answer);
+        });
+      })
+      .with({ kind: "notRun" }, () => {
+        state.blockedUntil = performance.now() + BACK_OFF_MS;
+        for (const { queued, piece } of pieces) this.#requeue(queued, piece);
+      })
+      .with({ kind: "broken" }, () => {
+        book.recordEvidence(endpoint, serving.EVIDENCE.broken);
+        for (const { queued, piece } of pieces) this.#fail(queued, piece);
+      })
+      .exhaustive();
+  }
+
+  #handlePiece(
+    endpoint: serving.ServingEndpoint,
+    state: LeaderEndpoint,
+    queued: LeaderGroup,
+    piece: number,
+    answer: PieceAnswer,
+  ): void {
+    match(answer)
+      .with({ kind: "made" }, ({ handle }) => {
+        const bytes = queued.group.resultBytes;
+        this.#room.keep(endpoint, handle, bytes, this.#options.getPool());
+        if (queued.isOver) return this.release([handle]);
+        queued.results[piece] = { handle, zone: endpoint.zone };
+        this.#checkMade(queued);
+      })
+      .with({ kind: "noRoom" }, () => {
+        state.blockedUntil = performance.now() + BACK_OFF_MS;
+        this.#requeue(queued, piece);
+      })
+      .with({ kind: "failed" }, () => this.#fail(queued, piece))
+      .with({ kind: "late" }, () => this.#finishLate(queued))
+      .with(
+        { kind: "inputGone" },
+        () => this.#finish(queued, { kind: "inputGone" }),
+      )
+      .exhaustive();
+  }
+
+  #checkMade(queued: LeaderGroup): void {
+    const results = queued.results.filter((one) => one !== undefined);
+    if (results.length < queued.group.pieces) return;
+    this.#finish(queued, { kind: "made", results });
+  }
+
+  #fail(queued: LeaderGroup, piece: number): void {
+    queued.failures[piece]! += 1;
+    if (queued.failures[piece]! < MAX_PIECE_FAILURES) {
+      return this.#requeue(queued, piece);
+    }
+    const reason = "a piece failed at several endpoints";
+    this.#finish(queued, { kind: "unavailable", reason });
+  }
+
+  #requeue(queued: LeaderGroup, piece: number): void {
+    if (queued.isOver) return;
+    queued.waiting.push(piece);
+    if (!this.#running.delete(queued)) return;
+    this.#queue.push(queued);
+  }
+
+  #dropExpired(): void {
+    const now = performance.now();
+    for (const queued of this.#queue) {
+      if (queued.group.expiresAt < now) this.#finishLate(queued);
+    }
+  }
+
+  #finishLate(queued: LeaderGroup): void {
+    const waitedMs = Math.round(performance.now() - queued.queuedAt);
+    this.#finish(queued, { kind: "late", waitedMs });
+  }
+
+  /** Ends a group once; what was made of it is given up unless it is whole. */
+  #finish(queued: LeaderGroup, outcome: serving.PieceOutcome): void {
+    if (queued.isOver) return;
+    queued.isOver = true;
+    this.#queue = this.#queue.filter((one) => one !== queued);
+    this.#running.delete(queued);
+    if (outcome.kind !== "made") {
+      this.release(
+        queued.results.flatMap((one) => one === undefined ? [] : [one.handle]),
+      );
+    }
+    queued.finish(outcome);
+  }
+
+  #recordStart(
+    endpoint: serving.ServingEndpoint,
+    pool: serving.PoolSpec,
+    plan: readonly serving.PlannedPieces[],
+    pieces: number,
+  ): void {
+    const now = performance.now();
+    const { service, events, metrics } = this.#options;
+    metrics.recordMs(
+      "call_fill_percent",
+      { service },
+      100 * pieces /
+        pool.batchSize,
+    );
+    for (const { queued } of plan) {
+      metrics.recordMs("stage_wait_ms", { service }, now - queued.queuedAt);
+    }
+    events.write(EVENT.callStarted, {
+      service,
+      endpointId: endpoint.id,
+      pieces,
+      batchSize: pool.batchSize,
+      waiting: this.#queue.length,
+      freeBytes: this.#room.getFree(endpoint.id, pool, now),
+      requests: plan.map(({ queued }) => queued.group.requestId),
+    });
+  }
+
+  #recordEnd(
+    endpoint: serving.ServingEndpoint,
+    pieces: number,
+    result: PieceCallResult,
+    tookMs: number,
+    expectedMs: number,
+  ): void {
+    const { service, events, metrics } = this.#options;
+    metrics.recordMs("call_ms", { service }, tookMs);
+    const answers = result.kind === "done" ? countKinds(result.pieces) : {};
+    for (const [kind, count] of Object.entries(answers)) {
+      metrics.count("pieces_total", { service, result: kind }, count);
+    }
+    events.write(EVENT.callEnded, {
+      service,
+      endpointId: endpoint.id,
+      pieces,
+      result: result.kind,
+      answers,
+      tookMs: Math.round(tookMs),
+      expectedMs: Math.round(expectedMs),
+      message: result.kind === "broken" ? result.message : undefined,
+      status: result.kind === "notRun" ? result.status : undefined,
+    });
+  }
+
+  #getState(id: EndpointId): LeaderEndpoint {
+    const known = this.#endpoints.get(id);
+    if (known !== undefined) return known;
+    const state = {
+      isBusy: false,
+      blockedUntil: -Infinity,
+      ratio: 1,
+      lastCallAt: -Infinity,
+    };
+    this.#endpoints.set(id, state);
+    return state;
+  }
+}
+
+function countKinds(answers: readonly PieceAnswer[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const { kind } of answers) counts[kind] = (counts[kind] ?? 0) + 1;
+  return counts;
+}
--- /dev/null
+++ b/packages/gateway/src/request_flow.ts
@@ -0,0 +1,368 @@
+/**
+ * The chain that every request passes: who it is from, whether it is taken, its
+ * stages, and its endpoint.
+ *
+ * @module
+ */
+import * as codes from "@sardinestep/codes";
+import type * as logger from "@sardinestep/logger";
+import type * as metrics from "@sardinestep/metrics";
+import * as serving from "@sardinestep/serving";
+import type { ServiceId } from "@sardinestep/types";
+import { match } from "ts-pattern";
+import { AnswerWriter } from "./answer_writer.ts";
+import type { EndpointBook } from "./endpoint_book.ts";
+import { EVENT } from "./events.ts";
+import { forwardRequest, type ForwardResult } from "./forward.ts";
+import type { HttpPool } from "./http_pool.ts";
+import type { PeerMesh } from "./peer_mesh.ts";
+import type { PieceRouter } from "./piece_router.ts";
+import type { CallerFacts, ServingWire } from "./ports.ts";
+import { END, RequestScope } from "./request_scope.ts";
+import type { SiteState } from "./site_state.ts";
+import { StageRun, type StageRunOutcome } from "./stage_run.ts";
+
+/** What the chain needs of this VM. */
+export interface FlowParts {
+  readonly vmId: string;
+  readonly zone: string;
+  readonly site: SiteState;
+  readonly book: EndpointBook;
+  readonly pool: HttpPool;
+  readonly wire: ServingWire;
+  readonly router: PieceRouter;
+  readonly mesh: PeerMesh;
+  readonly repeats: serving.RepeatBudget;
+  readonly events: logger.EventLog;
+  readonly metrics: metrics.Metrics;
+}
+
+/** A caller's request after its body was read. */
+export interface ArrivedRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly host: string;
+  readonly rawHeaders: readonly string[];
+  readonly body?: Uint8Array;
+  readonly caller: CallerFacts;
+  readonly scope: RequestScope;
+  readonly writer: AnswerWriter;
+}
+
+/** A request whose route, customer and service are known. */
+export interface RoutedRequest extends ArrivedRequest {
+  readonly requestId: string;
+  readonly table: serving.RouteTable;
+  readonly route: serving.Route;
+  readonly service: ServiceId;
+  readonly customer?: string;
+  readonly priority: number;
+  readonly session?: string;
+  /** Longest time until the final answer, from the arrival, in milliseconds. */
+  readonly leftMs: number;
+}
+
+/**
+ * Time from the last result to a stream's first event, in milliseconds: reading
+ * a usual prompt takes 60 to 190 ms, queues behind other prompts are short.
+ */
+const FIRST_EVENT_MS = 150;
+/** What callers wait before they ask a VM that has just started, in ms. */
+const START_RETRY_AFTER_MS = 1_000;
+/** What callers wait when no endpoint can take a request, in milliseconds. */
+const UNAVAILABLE_RETRY_AFTER_MS = 500;
+
+/** Serves one request to its final answer. */
+export async function runRequest(
+  parts: FlowParts,
+  arrived: ArrivedRequest,
+): Promise<void> {
+  const routed = identifyRequest(parts, arrived);
+  if ("failure" in routed) {
+    return refuseRequest(parts, arrived, routed.failure);
+  }
+  await serveRequest(parts, routed.request);
+}
+
+/** Finds route, customer and service, or says why the request isn't allowed. */
+function identifyRequest(
+  parts: FlowParts,
+  arrived: ArrivedRequest,
+): { request: RoutedRequest } | { failure: codes.Failure } {
+  const { caller } = arrived;
+  const { table } = parts.site;
+  if (table === undefined) {
+    return fail("NO_CONFIGURATION", "No configuration has been read yet", {
+      retryAfterMs: START_RETRY_AFTER_MS,
+    });
+  }
+  const { requestId } = caller;
+  if (requestId === undefined) {
+    return fail("INVALID_REQUEST", "The request has no id");
+  }
+  const route = table.findRoute(arrived.host, arrived.path);
+  if (route === undefined) {
+    return fail("NO_SUCH_ROUTE", `No route for host "${arrived.host}"`);
+  }
+  const customer = table.findCustomer(route, caller.apiKey);
+  if (customer.kind === "unknownKey") {
+    return fail("CREDENTIAL_INVALID", "The API key is missing or unknown");
+  }
+  const session = serving.getSession(caller.prompt);
+  const service = serving.pickService(route, session ?? requestId);
+  if (service === undefined) {
+    return fail("STAGE_UNAVAILABLE", `Route "${route.name}" has no service`, {
+      retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS,
+    });
+  }
+  const deadlineMs = caller.deadlineMs ?? route.timeoutMs;
+  return {
+    request: {
+      ...arrived,
+      requestId,
+      table,
+      route,
+      service,
+      customer: serving.getCustomerId(customer),
+      priority: serving.getPriority(route, customer),
+      session,
+      leftMs: Math.min(deadlineMs, route.timeoutMs),
+    },
+  };
+}
+
+async function serveRequest(
+  parts: FlowParts,
+  request: RoutedRequest,
+): Promise<void> {
+  const { scope, route } = request;
+  parts.repeats.recordRequest(request.service, performance.now());
+  const run = createStageRun(parts, request);
+  const refusal = checkAdmission(parts, request, run);
+  if (refusal !== undefined) return refuseRequest(parts, request, refusal);
+  const timer = setTimeout(
+    () => scope.end(END.timeUp),
+    Math.max(0, request.leftMs - scope.ageMs),
+  );
+  const hasStages = route.stages.length > 0;
+  const staged: StageRunOutcome = hasStages
+    ? await run.run()
+    : { kind: "made", inputs: [] };
+  const result = staged.kind === "made"
+    ? await forwardRequest(parts, request, {
+      inputs: staged.inputs,
+      handleFirstEvent: () => run.release(),
+      remakeInputs: async () => {
+        run.release();
+        const again = await run.run();
+        return again.kind === "made" ? again.inputs : undefined;
+      },
+    })
+    : buildStageResult(staged);
+  clearTimeout(timer);
+  run.release();
+  finishRequest(parts, request, result);
+  scope.end(END.done);
+}
+
+function createStageRun(parts: FlowParts, request: RoutedRequest): StageRun {
+  const { route, session, table, service, caller } = request;
+  const candidates = parts.book.listCandidates(
+    table.services.get(service),
+    service,
+  );
+  const objectiveSpentMs = getSpentMs(request);
+  return new StageRun({
+    requestId: request.requestId,
+    route,
+    services: table.services,
+    pieceCounts: caller.pieceCounts,
+    pieceKey: caller.pieceKey,
+    priority: request.priority,
+    readerZone: session === undefined
+      ? undefined
+      : serving.pickHomeZone(candidates, session),
+    firstEventMs: FIRST_EVENT_MS,
+    objectiveLeftMs: route.objectiveMs - objectiveSpentMs,
+    leftMs: request.leftMs,
+    scope: request.scope,
+    router: parts.router,
+    events: parts.events,
+  });
+}
+
+/** A caller that comes back says by its shorter deadline how long it has waited. */
+function getSpentMs(request: RoutedRequest): number {
+  const { caller, route } = request;
+  if (caller.deadlineMs === undefined) return 0;
+  return Math.max(0, route.timeoutMs - caller.deadlineMs);
+}
+
+function checkAdmission(
+  parts: FlowParts,
+  request: RoutedRequest,
+  run: StageRun,
+): codes.Failure | undefined {
+  const { route, priority, caller } = request;
+  const services = new Set(
+    route.stages
+      .filter((_, stage) => (caller.pieceCounts[stage] ?? 0) > 0)
+      .map((stage) => stage.service),
+  );
+  const loads = [...services].flatMap((service) => {
+    const load = parts.mesh.getLoad(service);
+    return load === undefined ? [] : [load];
+  });
+  const decision = serving.decideAdmission({
+    stagesMs: run.expectedMs,
+    loads,
+    priority,
+    firstEventMs: route.stages.length > 0 ? FIRST_EVENT_MS : 0,
+    objectiveMs: route.objectiveMs - getSpentMs(request),
+    leftMs: request.leftMs,
+  });
+  parts.events.write(EVENT.requestAdmitted, {
+    requestId: request.requestId,
+    route: route.name,
+    service: request.service,
+    customer: request.customer,
+    priority,
+    leftMs: request.leftMs,
+    spentMs: getSpentMs(request),
+    session: request.session,
+    pieces: caller.pieceCounts,
+    decision: decision.kind,
+    expectedMs: Math.round(decision.expectedMs),
+    waits: loads.map((load) => load.waitMs),
+    configuration: request.table.version,
+  });
+  return match(decision)
+    .with({ kind: "admitted" }, () => undefined)
+    .with(
+      { kind: "refused" },
+      ({ reason, expectedMs, retryAfterMs }) =>
+        codes.createFailure(
+          reason === serving.REFUSAL.busy
+            ? "QUEUE_FULL"
+            : "DEADLINE_OUT_OF_REACH",
+          `An answer would take ${Math.round(expectedMs)} ms`,
+          { retryAfterMs },
+        ),
+    )
+    .exhaustive();
+}
+
+function buildStageResult(
+  staged: Exclude<StageRunOutcome, { kind: "made" }>,
+): ForwardResult {
+  return match(staged)
+    .with({ kind: "late" }, ({ stage, waitedMs }) => ({
+      kind: "failure" as const,
+      failure: codes.createFailure(
+        "DEADLINE_OUT_OF_REACH",
+        `Stage ${stage} waited ${waitedMs} ms and can't be done in time`,
+        { retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS },
+      ),
+    }))
+    .with({ kind: "failed" }, ({ stage, reason }) => ({
+      kind: "failure" as const,
+      failure: codes.createFailure(
+        "STAGE_UNAVAILABLE",
+        `Stage ${stage} can't be done: ${reason}`,
+        { retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS },
+      ),
+    }))
+    .with({ kind: "ended" }, () => ({
+      kind: "ended" as const,
+      mayHaveRun: false,
+    }))
+    .exhaustive();
+}
+
+/** Writes the final answer, if none was written yet. */
+function finishRequest(
+  parts: FlowParts,
+  request: RoutedRequest,
+  result: ForwardResult,
+): void {
+  const { writer, scope } = request;
+  match(result)
+    .with({ kind: "answered" }, ({ answer }) => {
+      writer.writeWhole(answer);
+      recordAnswer(parts, request, String(answer.status));
+    })
+    .with({ kind: "streamed" }, () => recordAnswer(parts, request, "streamed"))
+    .with({ kind: "brokenOff" }, ({ reason }) => {
+      writer.breakOff();
+      recordAnswer(parts, request, "brokenOff", reason);
+    })
+    .with({ kind: "failure" }, ({ failure }) => {
+      writer.writeFailure(failure);
+      recordAnswer(parts, request, failure.code, failure.message);
+    })
+    .with({ kind: "ended" }, ({ mayHaveRun }) => {
+      if (scope.ended === END.callerLeft) {
+        parts.events.write(EVENT.requestCancelled, {
+          requestId: request.requestId,
+          afterMs: Math.round(scope.ageMs),
+        });
+        return;
+      }
+      if (writer.hasBegun) return writer.breakOff();
+      const failure = mayHaveRun
+        ? codes.createFailure("DEADLINE_EXCEEDED", "The time ran out")
+        : codes.createFailure("DEADLINE_OUT_OF_REACH", "The time ran out", {
+          retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS,
+        });
+      writer.writeFailure(failure);
+      recordAnswer(parts, request, failure.code, failure.message);
+    })
+    .exhaustive();
+}
+
+function recordAnswer(
+  parts: FlowParts,
+  request: RoutedRequest,
+  outcome: string,
+  reason?: string,
+): void {
+  const { route, scope, requestId } = request;
+  const tookMs = scope.ageMs;
+  parts.metrics.count("requests_total", { route: route.name, outcome });
+  parts.metrics.recordMs("request_ms", { route: route.name }, tookMs);
+  parts.events.write(EVENT.requestAnswered, {
+    requestId,
+    route: route.name,
+    outcome,
+    reason,
+    tookMs: Math.round(tookMs),
+    objectiveMs: route.objectiveMs,
+  });
+}
+
+function refuseRequest(
+  parts: FlowParts,
+  request: ArrivedRequest,
+  failure: codes.Failure,
+): void {
+  request.writer.writeFailure(failure);
+  request.scope.end(END.done);
+  parts.metrics.count("refused_total", { code: failure.code });
+  parts.events.write(EVENT.requestRefused, {
+    requestId: request.caller.requestId,
+    host: request.host,
+    path: request.path,
+    code: failure.code,
+    reason: failure.message,
+    retryAfterMs: failure.retryAfterMs,
+    configuration: parts.site.table?.version,
+  });
+}
+
+function fail(
+  code: codes.CodeName,
+  message: string,
+  options: codes.FailureOptions = {},
+): { failure: codes.Failure } {
+  return { failure: codes.createFailure(code, message, options) };
+}
--- /dev/null
+++ b/packages/gateway/src/stage_run.ts
@@ -0,0 +1,211 @@
+/**
+ * Runs the stages of one request.
+ *
+ * @module
+ */
+import type * as logger from "@sardinestep/logger";
+import * as serving from "@sardinestep/serving";
+import type { ZoneId } from "@sardinestep/types";
+import { match } from "ts-pattern";
+import { EVENT } from "./events.ts";
+import type { PieceRouter } from "./piece_router.ts";
+import type { RequestScope } from "./request_scope.ts";
+
+/** How the stages of a request ended. */
+export type StageRunOutcome =
+  | { readonly kind: "made"; readonly inputs: readonly string[] }
+  | { readonly kind: "late"; readonly stage: number; readonly waitedMs: number }
+  | { readonly kind: "failed"; readonly stage: number; readonly reason: string }
+  | { readonly kind: "ended" };
+
+/** What {@link StageRun} needs. */
+export interface StageRunOptions {
+  readonly requestId: string;
+  readonly route: serving.Route;
+  readonly services: ReadonlyMap<string, serving.ServiceSpec>;
+  readonly pieceCounts: readonly number[];
+  readonly pieceKey?: string;
+  readonly priority: number;
+  /** Where the request itself will probably run. */
+  readonly readerZone?: ZoneId;
+  readonly firstEventMs: number;
+  /** Time left to the objective, in milliseconds. */
+  readonly objectiveLeftMs: number;
+  readonly leftMs: number;
+  readonly scope: RequestScope;
+  readonly router: PieceRouter;
+  readonly events: logger.EventLog;
+}
+
+/** Times that stages are run again after results were lost. */
+const MAX_ROUNDS = 3;
+
+/**
+ * Runs stages as their inputs come and gives results up as early as it can.
+ *
+ * Guards against a failed request where an endpoint that kept results is gone:
+ * the stages run again, as often as time allows.
+ */
+export class StageRun {
+  readonly #options: StageRunOptions;
+  readonly #released = new Set<string>();
+  #graph: serving.StageGraph;
+
+  /** @param options The request and its stages. */
+  constructor(options: StageRunOptions) {
+    this.#options = options;
+    this.#graph = this.#createGraph();
+  }
+
+  /** Expected time of all stages without queues, in milliseconds. */
+  get expectedMs(): number {
+    return this.#graph.expectedMs;
+  }
+
+  /** Runs all stages. */
+  async run(): Promise<StageRunOutcome> {
+    let outcome: StageRunOutcome = { kind: "ended" };
+    for (let round = 0; round < MAX_ROUNDS; round++) {
+      if (round > 0) this.#graph = this.#createGraph();
+      const result = await this.#runGraph();
+      if (result.kind !== "inputGone") return result;
+      this.release();
+      outcome = { kind: "failed", stage: result.stage, reason: "results lost" };
+    }
+    return outcome;
+  }
+
+  /** Gives up every result that is still kept. */
+  release(): void {
+    this.#releaseGraph(this.#graph);
+  }
+
+  #createGraph(): serving.StageGraph {
+    const { route, pieceCounts, services } = this.#options;
+    return new serving.StageGraph({
+      stages: route.stages,
+      pieceCounts,
+      services,
+    });
+  }
+
+  #runGraph(): Promise<
+    StageRunOutcome | { readonly kind: "inputGone"; readonly stage: number }
+  > {
+    const { scope } = this.#options;
+    const graph = this.#graph;
+    return new Promise((resolve) => {
+      let isOver = false;
+      const finish = (outcome: Parameters<typeof resolve>[0]) => {
+        if (isOver) return;
+        isOver = true;
+        removeEnding();
+        resolve(outcome as StageRunOutcome);
+      };
+      const removeEnding = scope.addEnding(() => {
+        this.#cancel();
+        finish({ kind: "ended" });
+      });
+      const advance = () => {
+        if (isOver) return;
+        if (graph.isDone) {
+          const inputs = graph.getFinalResults();
+          return finish({
+            kind: "made",
+            inputs: inputs.map((one) => one.handle),
+          });
+        }
+        for (const start of graph.startStages()) {
+          void this.#runStage(start).then((outcome) =>
+            match(outcome)
+              .with({ kind: "made" }, ({ results }) => {
+                graph.recordResults(start.stage, results);
+                if (isOver) return this.#releaseGraph(graph);
+                this.#releaseHandles(graph, graph.takeFinished(start.stage));
+                advance();
+              })
+              .when(() => isOver, () => {})
+              .with({ kind: "late" }, ({ waitedMs }) => {
+                this.#cancel();
+                finish({ kind: "late", stage: start.stage, waitedMs });
+              })
+              .with({ kind: "inputGone" }, () => {
+                this.#cancel();
+                finish({ kind: "inputGone", stage: start.stage });
+              })
+              .with({ kind: "unavailable" }, ({ reason }) => {
+                this.#cancel();
+                finish({ kind: "failed", stage: start.stage, reason });
+              })
+              .exhaustive()
+          );
+        }
+      };
+      advance();
+    });
+  }
+
+  async #runStage(start: serving.StageStart): Promise<serving.PieceOutcome> {
+    const { route, scope, router, events, requestId } = this.#options;
+    const spec = route.stages[start.stage]!;
+    const now = performance.now();
+    const pool = this.#options.services.get(spec.service)?.pool;
+    const callMs = pool === undefined ? 0 : serving.getExpectedCallMs(pool);
+    const laterMs = callMs + start.laterMs + this.#options.firstEventMs;
+    const dueAt = scope.startedAt + this.#options.objectiveLeftMs - laterMs;
+    const expiresAt = scope.startedAt + this.#options.leftMs - laterMs;
+    events.write(EVENT.stageQueued, {
+      requestId,
+      stage: start.stage,
+      service: spec.service,
+      pieces: start.pieces,
+      dueInMs: Math.round(dueAt - now),
+      expiresInMs: Math.round(expiresAt - now),
+    });
+    const outcome = await router.run(spec.service, {
+      requestId,
+      stage: start.stage,
+      pieces: start.pieces,
+      key: spec.after.length === 0 ? this.#options.pieceKey : undefined,
+      inputs: start.inputs,
+      resultBytes: spec.resultBytes,
+      priority: this.#options.priority,
+      readerZone: this.#options.readerZone,
+      dueAt,
+      expiresAt,
+    });
+    events.write(EVENT.stageDone, {
+      requestId,
+      stage: start.stage,
+      outcome: outcome.kind,
+      reason: outcome.kind === "unavailable" ? outcome.reason : undefined,
+      tookMs: Math.round(performance.now() - now),
+    });
+    return outcome;
+  }
+
+  #cancel(): void {
+    const { route, router, requestId } = this.#options;
+    const services = new Set(route.stages.map((stage) => stage.service));
+    for (const service of services) router.cancel(service, requestId);
+  }
+
+  #releaseGraph(graph: serving.StageGraph): void {
+    this.#releaseHandles(graph, graph.getAllHandles());
+  }
+
+  #releaseHandles(
+    graph: serving.StageGraph,
+    handles: readonly string[],
+  ): void {
+    const { route, router } = this.#options;
+    const wanted = new Set(handles.filter((one) => !this.#released.has(one)));
+    for (const handle of wanted) this.#released.add(handle);
+    const byService = new Map<string, string[]>();
+    route.stages.forEach(({ service }, stage) => {
+      const own = graph.getHandles(stage).filter((one) => wanted.has(one));
+      byService.set(service, [...byService.get(service) ?? [], ...own]);
+    });
+    for (const [service, own] of byService) void router.release(service, own);
+  }
+}
--- a/packages/logger/src/mod.ts
+++ b/packages/logger/src/mod.ts
@@ -3,4 +3,5 @@
  *
  * @module
  */
+export * from "./event_log.ts";
 export * from "./logger.ts";
--- a/packages/rpc/src/methods.ts
+++ b/packages/rpc/src/methods.ts
@@ -17,6 +17,7 @@
   VersionedConfiguration,
 } from "@sardinestep/configuration";
 import type { CustomerDemand } from "@sardinestep/decisions";
+import type * as serving from "@sardinestep/serving";
 import type { TimelineEvent, TimelineFilter } from "@sardinestep/timeline";
 import type {
   Address,
@@ -26,6 +27,7 @@
   InstanceId,
   LoadReport,
   MemberFacts,
+  ServiceId,
   SiteId,
   StageResult,
   VmId,
@@ -182,6 +184,29 @@
   ping: { params: Record<never, never>; result: Identity };
   /** Both: status for operators. */
   status: { params: Record<never, never>; result: ProcessStatus };
+  /** Gateways: what the other side believes and how loaded its pools are. */
+  exchangeViews: { params: serving.MemberView; result: serving.MemberView };
+  /** Gateways: everything that the other side knows of the site. */
+  getSiteFacts: { params: Record<never, never>; result: serving.SiteFacts };
+  /** Gateways: has the leader of a pool make the pieces of a stage. */
+  runPieces: {
+    params: serving.PieceGroupMessage;
+    result: serving.PieceOutcome;
+  };
+  /** Gateways: a request has ended; its waiting pieces are dropped. */
+  cancelPieces: {
+    params: { readonly service: ServiceId; readonly requestId: string };
+    result: true;
+  };
+  /** Gateways: nobody will read these results any more. */
+  releaseResults: {
+    params: {
+      readonly service: ServiceId;
+      readonly handles: readonly string[];
+    };
+    result: true;
+  };
+
   /** Both: events that this process keeps. */
   timeline: { params: TimelineFilter; result: readonly TimelineEvent[] };
 
--- /dev/null
+++ b/packages/serving/src/mod.ts
@@ -0,0 +1,18 @@
+/**
+ * Pure decisions of serving opaque requests.
+ *
+ * @module
+ */
+export * from "./admission.ts";
+export * from "./cold_rate.ts";
+export * from "./endpoint_facts.ts";
+export * from "./endpoint_health.ts";
+export * from "./leaders.ts";
+export * from "./messages.ts";
+export * from "./model.ts";
+export * from "./piece_queue.ts";
+export * from "./placement.ts";
+export * from "./prompt_session.ts";
+export * from "./repeat_budget.ts";
+export * from "./route_table.ts";
+export * from "./stage_graph.ts";
--- /dev/null
+++ b/packages/serving/src/piece_queue.ts
@@ -0,0 +1,177 @@
+/**
+ * Which pieces go into the next call of a pool.
+ *
+ * The load that this answers: a call costs 150 ms however few pieces it carries,
+ * and an endpoint makes one call at a time, so a pool bears its load only when
+ * calls are composed of pieces of many requests; bursts of twice the mean reach
+ * nine tenths of what full calls bear.
+ *
+ * @module
+ */
+import type { ZoneId } from "@sardinestep/types";
+import type { PoolSpec } from "./model.ts";
+
+/** All pieces of one stage of one request. */
+export interface PieceGroup {
+  readonly requestId: string;
+  readonly stage: number;
+  readonly pieces: number;
+  /** What a first stage works on. */
+  readonly key?: string;
+  /** Handles that a later stage reads. */
+  readonly inputs: readonly string[];
+  readonly resultBytes: number;
+  /** Rank of the request; 0 is the most urgent. */
+  readonly priority: number;
+  /** Where the results will be read, if that is known. */
+  readonly readerZone?: ZoneId;
+  /** Latest start with which the request still meets its objective. */
+  readonly dueAt: number;
+  /** Latest start that is of any use to the caller. */
+  readonly expiresAt: number;
+}
+
+/** A group that waits, and the pieces that no call carries yet. */
+export interface QueuedGroup {
+  readonly group: PieceGroup;
+  readonly queuedAt: number;
+  readonly waiting: number[];
+}
+
+/** An endpoint that could take a call now. */
+export interface CallRoom {
+  readonly zone: ZoneId;
+  readonly freeBytes: number;
+  /** Most pieces; below the pool's own for an endpoint on trial. */
+  readonly maxPieces: number;
+}
+
+/** What {@link planCall} chooses from. */
+export interface PlanCallOptions {
+  readonly queue: readonly QueuedGroup[];
+  readonly pool: PoolSpec;
+  readonly room: CallRoom;
+  /** Zones in which the pool has endpoints in use. */
+  readonly poolZones: ReadonlySet<ZoneId>;
+  readonly now: number;
+}
+
+/** Pieces of one group in a planned call. */
+export interface PlannedPieces {
+  readonly queued: QueuedGroup;
+  readonly pieces: readonly number[];
+}
+
+/**
+ * Head start of one rank over the next, in milliseconds. It is half a call: a
+ * more urgent request goes first unless the other would miss a call by that.
+ */
+const RANK_MS = 150;
+/**
+ * Results above this size are made where they will be read, since they cost more
+ * to carry between zones than a short wait costs.
+ */
+const LARGE_RESULT_BYTES = 1_000_000;
+/** A large result waits for its own zone while it has this much time to spare. */
+const ZONE_PATIENCE_MS = 200;
+
+/**
+ * Plans the next call of an endpoint that is free.
+ *
+ * Groups that can still meet their objective go first, earliest due first; the
+ * others fill what is left, since a late answer is worth a part of one in time.
+ * A group may be split over calls: full calls are worth more than whole groups.
+ * Pieces are sent only where their results have room, since an endpoint without
+ * room still spends the call's whole time before it says so.
+ *
+ * @param options Queue, pool, endpoint and time.
+ * @returns The pieces of each group; empty when nothing fits.
+ * @example
+ * ```ts
+ * const call = planCall({ queue, pool, room, poolZones, now: 0 });
+ * ```
+ */
+export function planCall(options: PlanCallOptions): PlannedPieces[] {
+  const { pool, room, now } = options;
+  const ranked = options.queue
+    .filter((queued) => isEligible(queued.group, options))
+    .sort((a, b) => compareGroups(a.group, b.group, now));
+  const plan: PlannedPieces[] = [];
+  let left = Math.min(pool.batchSize, room.maxPieces);
+  let freeBytes = room.freeBytes;
+  for (const queued of ranked) {
+    const bytes = Math.max(1, queued.group.resultBytes);
+    const fitting = Math.min(left, Math.floor(freeBytes / bytes));
+    const pieces = queued.waiting.slice(0, Math.max(0, fitting));
+    if (pieces.length === 0) continue;
+    plan.push({ queued, pieces });
+    left -= pieces.length;
+    freeBytes -= pieces.length * bytes;
+    if (left === 0) break;
+  }
+  return plan;
+}
+
+/** Orders groups, the one to be served first in front. */
+export function compareGroups(
+  a: PieceGroup,
+  b: PieceGroup,
+  now: number,
+): number {
+  const isLateA = a.dueAt < now;
+  const isLateB = b.dueAt < now;
+  if (isLateA !== isLateB) return isLateA ? 1 : -1;
+  if (isLateA && a.priority !== b.priority) return a.priority - b.priority;
+  return getRank(a) - getRank(b);
+}
+
+/** Load of a pool as its leader sees it. */
+export interface PoolLoad {
+  /** Expected wait before a call starts, by priority of the request, in ms. */
+  readonly waitMs: readonly number[];
+  /** Endpoints in use. */
+  readonly endpoints: number;
+}
+
+/** Priorities that {@link estimateLoad} tells apart. */
+const PRIORITIES = [0, 1, 2, 3] as const;
+
+/**
+ * Estimates how long a new group would wait.
+ *
+ * @param options Queue, pool, endpoints and time.
+ * @returns Waits by priority; less urgent ones wait for all before them.
+ */
+export function estimateLoad(options: {
+  readonly queue: readonly QueuedGroup[];
+  readonly pool: PoolSpec;
+  readonly endpoints: number;
+  readonly now: number;
+}): PoolLoad {
+  const { pool, endpoints, queue, now } = options;
+  const perPieceMs = pool.callMs / pool.batchSize + pool.pieceMs;
+  const waitMs = PRIORITIES.map((priority) => {
+    const ahead = queue.filter(({ group }) =>
+      group.priority <= priority && group.dueAt >= now
+    );
+    const pieces = ahead.reduce((sum, one) => sum + one.waiting.length, 0);
+    const backlogMs = pieces * perPieceMs / Math.max(1, endpoints);
+    const oldestMs = Math.max(0, ...ahead.map((one) => now - one.queuedAt));
+    return Math.round(Math.max(backlogMs, oldestMs));
+  });
+  return { waitMs, endpoints };
+}
+
+function isEligible(group: PieceGroup, options: PlanCallOptions): boolean {
+  const { room, now, poolZones } = options;
+  const home = group.readerZone;
+  if (home === undefined || home === room.zone || !poolZones.has(home)) {
+    return true;
+  }
+  if (group.resultBytes < LARGE_RESULT_BYTES) return true;
+  return group.dueAt - now < ZONE_PATIENCE_MS;
+}
+
+function getRank(group: PieceGroup): number {
+  return group.dueAt + group.priority * RANK_MS;
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,6 +1,7 @@
 /**
  * Bundles each program into one file under dist/, so that a VM needs Node.js
- * and that file only.
+ * and that file only. `--platform` bundles what runs on the users' platform into
+ * target/ instead.
  *
  * `--without MECHANISM` bundles the daemons with one mechanism taken out, into
  * dist/without-MECHANISM/. Such a build is for proofs only: it shows the violation
@@ -29,15 +30,19 @@
   "demo": "packages/demo/src/main.ts",
   "prove": "packages/prove/src/main.ts",
 };
+const PLATFORM_PROGRAMS = {
+  "sardinestep-gateway": "platform/src/main.ts",
+};
 const MUTANTS_FILES = [
   "packages/prove/mutants.json",
   "packages/bench/mutants.json",
 ];
 
-const { values } = parseArgs({ options: { without: { type: "string" } } });
+const { values } = parseArgs({
+  options: { without: { type: "string" }, platform: { type: "boolean" } },
+});
 const isMutant = values.without !== undefined;
-const outdir = isMutant ? `dist/without-${values.without}` : "dist";
-const programs = isMutant ? DAEMONS : PROGRAMS;
+const { outdir, programs } = pickPlan();
 
 await build({
   entryPoints: programs,
@@ -47,7 +52,7 @@
   platform: "node",
   target: "node20",
   format: "esm",
-  sourcemap: "linked",
+  sourcemap: values.platform ? false : "linked",
   // Some libraries are CommonJS and call require() for Node's own modules.
   banner: {
     js:
@@ -62,6 +67,12 @@
   await chmod(`${outdir}/${program}.mjs`, 0o755);
 }
 
+function pickPlan() {
+  if (values.platform) return { outdir: "target", programs: PLATFORM_PROGRAMS };
+  if (!isMutant) return { outdir: "dist", programs: PROGRAMS };
+  return { outdir: `dist/without-${values.without}`, programs: DAEMONS };
+}
+
 async function findMutant(name) {
   const texts = await Promise.all(
     MUTANTS_FILES.map((file) => readFile(file, "utf8")),
