Session is the part before the last; pieces are made where what they read lies

Change: session by the last part but one; a group waits for the zone that keeps its inputs while it has time to spare; a split group stays in one zone; a short prompt follows its inputs.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -21,12 +21,18 @@
   | { readonly kind: "failure"; readonly failure: codes.Failure }
   | { readonly kind: "ended"; readonly mayHaveRun: boolean };
 
+/** Results that the request reads, and where they are kept. */
+export interface StagedInputs {
+  readonly inputs: readonly string[];
+  readonly inputBytes: Readonly<Record<string, number>>;
+}
+
 /** Inputs of the request and what to do with them. */
 export interface ForwardOptions {
-  readonly inputs: readonly string[];
+  readonly staged: StagedInputs;
   readonly handleFirstEvent: () => void;
   /** Has lost results made again; undefined when that fails. */
-  readonly remakeInputs: () => Promise<readonly string[] | undefined>;
+  readonly remakeInputs: () => Promise<StagedInputs | undefined>;
 }
 
 /**
@@ -74,7 +80,7 @@
   readonly #options: ForwardOptions;
   readonly #tried = new Set<string>();
   readonly #cutter: EventCutter | undefined;
-  #inputs: readonly string[];
+  #staged: StagedInputs;
   /** Sends after which the request may have run. */
   #sends = 0;
   #unsent = 0;
@@ -91,7 +97,7 @@
     this.#parts = parts;
     this.#request = request;
     this.#options = options;
-    this.#inputs = options.inputs;
+    this.#staged = options.staged;
     const isStream = request.route.kind === serving.ROUTE_KIND.stream;
     const isResumable = isStream && request.route.isResumable;
     this.#cutter = isResumable ? new EventCutter() : undefined;
@@ -126,6 +132,7 @@
         service,
       ),
       session,
+      inputBytes: this.#staged.inputBytes,
       ownZone: this.#parts.zone,
       tried: this.#tried,
     });
@@ -142,7 +149,7 @@
       endpointId: endpoint.id,
       zone: endpoint.zone,
       leftMs,
-      inputs: this.#inputs.length,
+      inputs: this.#staged.inputs.length,
       send: this.#sends + 1,
       lastEventId: this.#cutter?.lastEventId,
     });
@@ -155,7 +162,7 @@
       scope,
       writer: request.writer,
       customer: request.customer,
-      inputs: this.#inputs,
+      inputs: this.#staged.inputs,
       leftMs,
       maxIdleMs: this.#isRepeatable ? KEPT_IDLE_MS : FRESH_IDLE_MS,
       silenceMs: this.#getSilenceMs(),
@@ -218,7 +225,7 @@
     status: number,
   ): Promise<ForwardResult | undefined> {
     this.#notRun += 1;
-    if (status === STATUS_CONFLICT && this.#inputs.length > 0) {
+    if (status === STATUS_CONFLICT && this.#staged.inputs.length > 0) {
       return await this.#remakeInputs();
     }
     this.#tried.add(endpoint.id);
@@ -231,9 +238,9 @@
   async #remakeInputs(): Promise<ForwardResult | undefined> {
     this.#remade += 1;
     if (this.#remade > MAX_REMADE) return this.#giveUp("Results were lost");
-    const inputs = await this.#options.remakeInputs();
-    if (inputs === undefined) return this.#giveUp("Results can't be remade");
-    this.#inputs = inputs;
+    const staged = await this.#options.remakeInputs();
+    if (staged === undefined) return this.#giveUp("Results can't be remade");
+    this.#staged = staged;
     this.#tried.clear();
     return this.#takeRepeat("results were lost")
       ? undefined
--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -223,7 +223,7 @@
     const pieces = plan.flatMap(({ queued, pieces }) =>
       pieces.map((piece) => ({ queued: queued as LeaderGroup, piece }))
     );
-    this.#takePieces(plan);
+    this.#takePieces(plan, endpoint.zone);
     state.isBusy = true;
     const bytes = pieces.reduce(
       (sum, one) => sum + one.queued.group.resultBytes,
@@ -254,8 +254,12 @@
     this.#pump();
   }
 
-  #takePieces(plan: readonly serving.PlannedPieces[]): void {
+  #takePieces(
+    plan: readonly serving.PlannedPieces[],
+    zone: string,
+  ): void {
     for (const { queued, pieces } of plan) {
+      queued.madeIn ??= zone;
       queued.waiting.splice(0, pieces.length);
       if (queued.waiting.length > 0) continue;
       this.#queue = this.#queue.filter((one) => one !== queued);
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -57,7 +57,7 @@
   readonly service: ServiceId;
   readonly customer?: string;
   readonly priority: number;
-  readonly session?: string;
+  readonly session?: serving.PromptPart;
   /** Longest time until the final answer, from the arrival, in milliseconds. */
   readonly leftMs: number;
 }
@@ -67,6 +67,8 @@
  * a usual prompt takes 60 to 190 ms, queues behind other prompts are short.
  */
 const FIRST_EVENT_MS = 150;
+/** Share of a route's time by which the patience of first attempts differs. */
+const PATIENCE_SPREAD = 0.15;
 /** What callers wait before they ask a VM that has just started, in ms. */
 const START_RETRY_AFTER_MS = 1_000;
 /** What callers wait when no endpoint can take a request, in milliseconds. */
@@ -109,7 +111,7 @@
     return fail("CREDENTIAL_INVALID", "The API key is missing or unknown");
   }
   const session = serving.getSession(caller.prompt);
-  const service = serving.pickService(route, session ?? requestId);
+  const service = serving.pickService(route, session?.id ?? requestId);
   if (service === undefined) {
     return fail("STAGE_UNAVAILABLE", `Route "${route.name}" has no service`, {
       retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS,
@@ -147,15 +149,15 @@
   const hasStages = route.stages.length > 0;
   const staged: StageRunOutcome = hasStages
     ? await run.run()
-    : { kind: "made", inputs: [] };
+    : { kind: "made", inputs: [], inputBytes: {} };
   const result = staged.kind === "made"
     ? await forwardRequest(parts, request, {
-      inputs: staged.inputs,
+      staged,
       handleFirstEvent: () => run.release(),
       remakeInputs: async () => {
         run.release();
         const again = await run.run();
-        return again.kind === "made" ? again.inputs : undefined;
+        return again.kind === "made" ? again : undefined;
       },
     })
     : buildStageResult(staged);
@@ -181,7 +183,7 @@
     priority: request.priority,
     readerZone: session === undefined
       ? undefined
-      : serving.pickHomeZone(candidates, session),
+      : serving.pickHomeZone(candidates, session.id),
     firstEventMs: FIRST_EVENT_MS,
     objectiveLeftMs: route.objectiveMs - objectiveSpentMs,
     leftMs: request.leftMs,
@@ -191,11 +193,15 @@
   });
 }
 
-/** A caller that comes back says by its shorter deadline how long it has waited. */
+/**
+ * A caller that comes back says by its shorter deadline how long it has waited,
+ * as far as that is more than callers' patience differs.
+ */
 function getSpentMs(request: RoutedRequest): number {
   const { caller, route } = request;
   if (caller.deadlineMs === undefined) return 0;
-  return Math.max(0, route.timeoutMs - caller.deadlineMs);
+  const usualMs = route.timeoutMs * (1 - PATIENCE_SPREAD);
+  return Math.max(0, usualMs - caller.deadlineMs);
 }
 
 function checkAdmission(
@@ -229,7 +235,7 @@
     priority,
     leftMs: request.leftMs,
     spentMs: getSpentMs(request),
-    session: request.session,
+    session: request.session?.id,
     pieces: caller.pieceCounts,
     decision: decision.kind,
     expectedMs: Math.round(decision.expectedMs),
--- a/packages/gateway/src/stage_run.ts
+++ b/packages/gateway/src/stage_run.ts
@@ -13,7 +13,12 @@
 
 /** How the stages of a request ended. */
 export type StageRunOutcome =
-  | { readonly kind: "made"; readonly inputs: readonly string[] }
+  | {
+    readonly kind: "made";
+    readonly inputs: readonly string[];
+    /** Bytes of the inputs by the zone that keeps them. */
+    readonly inputBytes: Readonly<Record<ZoneId, number>>;
+  }
   | { readonly kind: "late"; readonly stage: number; readonly waitedMs: number }
   | { readonly kind: "failed"; readonly stage: number; readonly reason: string }
   | { readonly kind: "ended" };
@@ -113,6 +118,7 @@
           return finish({
             kind: "made",
             inputs: inputs.map((one) => one.handle),
+            inputBytes: graph.getFinalBytes(),
           });
         }
         for (const start of graph.startStages()) {
@@ -170,7 +176,7 @@
       inputs: start.inputs,
       resultBytes: spec.resultBytes,
       priority: this.#options.priority,
-      readerZone: this.#options.readerZone,
+      localBytes: this.#getLocalBytes(start, spec.resultBytes),
       dueAt,
       expiresAt,
     });
@@ -184,6 +190,21 @@
     return outcome;
   }
 
+  #getLocalBytes(
+    start: serving.StageStart,
+    resultBytes: number,
+  ): Record<ZoneId, number> {
+    const { readerZone } = this.#options;
+    const bytes: Record<ZoneId, number> = {};
+    for (const [zone, each] of Object.entries(start.inputBytes)) {
+      bytes[zone] = each * start.pieces;
+    }
+    if (start.isLast && readerZone !== undefined) {
+      bytes[readerZone] = (bytes[readerZone] ?? 0) + resultBytes * start.pieces;
+    }
+    return bytes;
+  }
+
   #cancel(): void {
     const { route, router, requestId } = this.#options;
     const services = new Set(route.stages.map((stage) => stage.service));
--- a/packages/serving/src/piece_queue.ts
+++ b/packages/serving/src/piece_queue.ts
@@ -23,8 +23,11 @@
   readonly resultBytes: number;
   /** Rank of the request; 0 is the most urgent. */
   readonly priority: number;
-  /** Where the results will be read, if that is known. */
-  readonly readerZone?: ZoneId;
+  /**
+   * Bytes that don't cross zones if the group is made in a zone: inputs that lie
+   * there, for every piece that reads them, and results that are read there.
+   */
+  readonly localBytes: Readonly<Record<ZoneId, number>>;
   /** Latest start with which the request still meets its objective. */
   readonly dueAt: number;
   /** Latest start that is of any use to the caller. */
@@ -36,6 +39,8 @@
   readonly group: PieceGroup;
   readonly queuedAt: number;
   readonly waiting: number[];
+  /** Where the first of its pieces were made. */
+  madeIn?: ZoneId;
 }
 
 /** An endpoint that could take a call now. */
@@ -68,11 +73,12 @@
  */
 const RANK_MS = 150;
 /**
- * Results above this size are made where they will be read, since they cost more
- * to carry between zones than a short wait costs.
+ * A group waits for a zone that saves more bytes between zones than this. What a
+ * later stage reads is read by each of its pieces: 16 pieces of 6 inputs of 60 kB
+ * are 5.8 MB, more than the large results of first stages.
  */
-const LARGE_RESULT_BYTES = 1_000_000;
-/** A large result waits for its own zone while it has this much time to spare. */
+const WORTHWHILE_BYTES = 500_000;
+/** It does so while it has this much time to spare, about one call. */
 const ZONE_PATIENCE_MS = 200;
 
 /**
@@ -94,7 +100,7 @@
 export function planCall(options: PlanCallOptions): PlannedPieces[] {
   const { pool, room, now } = options;
   const ranked = options.queue
-    .filter((queued) => isEligible(queued.group, options))
+    .filter((queued) => isEligible(queued, options))
     .sort((a, b) => compareGroups(a.group, b.group, now));
   const plan: PlannedPieces[] = [];
   let left = Math.min(pool.batchSize, room.maxPieces);
@@ -162,14 +168,19 @@
   return { waitMs, endpoints };
 }
 
-function isEligible(group: PieceGroup, options: PlanCallOptions): boolean {
+function isEligible(queued: QueuedGroup, options: PlanCallOptions): boolean {
+  const { group, madeIn } = queued;
   const { room, now, poolZones } = options;
-  const home = group.readerZone;
-  if (home === undefined || home === room.zone || !poolZones.has(home)) {
-    return true;
+  if (group.dueAt - now < ZONE_PATIENCE_MS) return true;
+  // Results of one stage are read together, so they are made in one zone.
+  if (madeIn !== undefined) {
+    return madeIn === room.zone || !poolZones.has(madeIn);
   }
-  if (group.resultBytes < LARGE_RESULT_BYTES) return true;
-  return group.dueAt - now < ZONE_PATIENCE_MS;
+  const best = Math.max(
+    0,
+    ...[...poolZones].map((zone) => group.localBytes[zone] ?? 0),
+  );
+  return best - (group.localBytes[room.zone] ?? 0) < WORTHWHILE_BYTES;
 }
 
 function getRank(group: PieceGroup): number {
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -5,6 +5,7 @@
  */
 import * as membership from "@sardinestep/membership";
 import type { EndpointId, ZoneId } from "@sardinestep/types";
+import type { PromptPart } from "./prompt_session.ts";
 
 /** An endpoint and what this VM knows of its load. */
 export interface PlacementCandidate {
@@ -23,7 +24,9 @@
 export interface PickEndpointOptions {
   readonly candidates: readonly PlacementCandidate[];
   /** Session whose prompt the endpoint may still keep. */
-  readonly session?: string;
+  readonly session?: PromptPart;
+  /** Bytes that the request reads, by the zone that keeps them. */
+  readonly inputBytes?: Readonly<Record<ZoneId, number>>;
   readonly ownZone: ZoneId;
   /** Endpoints that this request was already sent to. */
   readonly tried: ReadonlySet<EndpointId>;
@@ -36,6 +39,11 @@
 const SESSION_LOAD_LIMIT = 0.8;
 /** Requests of this VM beyond the mean at which a session moves on. */
 const SESSION_EXTRA = 6;
+/**
+ * Bytes carried between zones that weigh as much as one token read again: 1,000
+ * tokens take an engine 20 to 32 ms, and operators pay for 5 MB about as much.
+ */
+const BYTES_PER_TOKEN = 5_000;
 /** Share of slots in use by which another zone's endpoint must be better. */
 const ZONE_GAIN = 0.5;
 
@@ -43,8 +51,9 @@
  * Picks an endpoint.
  *
  * A session goes to the endpoint that rendezvous hashing gives it, so that all
- * VMs send it where its prompt was read before, without any exchange; it moves to
- * its next choice when that one is full or broken. Other requests go to the least
+ * VMs send it where its prompt was read before, without any exchange. It moves
+ * when that one is full or broken, or when its large inputs lie in another zone
+ * and its prompt is short. Other requests go to the least
  * used endpoint, in the own zone unless another is much better.
  *
  * @param options Candidates and the request.
@@ -59,10 +68,10 @@
   if (usable.length === 0) return undefined;
   return options.session === undefined
     ? pickLeastUsed(usable, options.ownZone)
-    : pickForSession(usable, options.session);
+    : pickForSession(usable, options.session, options.inputBytes ?? {});
 }
 
-/** Ranks the endpoints of a session, the preferred one first. */
+/** Gives the zone of a session's preferred endpoint. */
 export function pickHomeZone(
   candidates: readonly PlacementCandidate[],
   session: string,
@@ -72,15 +81,26 @@
 
 function pickForSession(
   usable: readonly PlacementCandidate[],
-  session: string,
+  session: PromptPart,
+  inputBytes: Readonly<Record<ZoneId, number>>,
 ): EndpointId | undefined {
-  const ranked = membership.buildRanking(session, usable, (one) => one.id);
+  const ranked = membership.buildRanking(session.id, usable, (one) => one.id);
   const mean = usable.reduce((sum, one) => sum + one.inFlight, 0) /
     usable.length;
-  const roomy = ranked.find((one) =>
+  const roomy = ranked.filter((one) =>
     getUse(one) < SESSION_LOAD_LIMIT && one.inFlight <= mean + SESSION_EXTRA
   );
-  return (roomy ?? ranked[0])?.id;
+  const choices = roomy.length > 0 ? roomy : ranked;
+  const allBytes = Object.values(inputBytes).reduce((sum, one) => sum + one, 0);
+  const getCost = (one: PlacementCandidate) => {
+    const movedBytes = allBytes - (inputBytes[one.zone] ?? 0);
+    const readTokens = one === ranked[0] ? 0 : session.tokens;
+    return readTokens + movedBytes / BYTES_PER_TOKEN;
+  };
+  return choices.reduce((best, one) =>
+    getCost(one) < getCost(best) ? one : best
+  )
+    .id;
 }
 
 function pickLeastUsed(
--- a/packages/serving/src/prompt_session.ts
+++ b/packages/serving/src/prompt_session.ts
@@ -11,11 +11,13 @@
 }
 
 /**
- * Gives the subject by which requests of one session find each other: the last
- * part that several requests share.
+ * Gives the part by which requests of one session find each other: the last one
+ * that several requests share. The very last part is the request's own.
  *
  * @param parts The prompt's parts in order.
  */
-export function getSession(parts: readonly PromptPart[]): string | undefined {
-  return parts.at(-1)?.id;
+export function getSession(
+  parts: readonly PromptPart[],
+): PromptPart | undefined {
+  return parts.at(-2) ?? parts.at(-1);
 }
--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -24,6 +24,10 @@
   readonly pieces: number;
   /** Handles that each piece reads; empty for a first stage. */
   readonly inputs: readonly string[];
+  /** Bytes of these inputs by the zone that keeps them. */
+  readonly inputBytes: Readonly<Record<string, number>>;
+  /** Whether only the request itself reads the results. */
+  readonly isLast: boolean;
   /** Expected time from this stage's end to the end of all stages, in ms. */
   readonly laterMs: number;
 }
@@ -114,6 +118,13 @@
     );
   }
 
+  /** Gives the bytes that the request itself reads, by zone. */
+  getFinalBytes(): Record<string, number> {
+    const last = this.#options.stages.map((_, stage) => stage)
+      .filter((stage) => !this.#hasReaders(stage));
+    return this.#countBytes(last);
+  }
+
   /** Gives every handle that was made. */
   getAllHandles(): string[] {
     return this.#states.flatMap((_, stage) => this.getHandles(stage));
@@ -130,7 +141,9 @@
       const inputs = spec.after.flatMap((one) => this.getHandles(one));
       const pieces = this.#countPieces(stage);
       const laterMs = this.#branchMs[stage]! - this.#getStageMs(stage);
-      return [{ stage, pieces, inputs, laterMs }];
+      const inputBytes = this.#countBytes(spec.after);
+      const isLast = !this.#hasReaders(stage);
+      return [{ stage, pieces, inputs, inputBytes, isLast, laterMs }];
     });
   }
 
@@ -160,6 +173,17 @@
     return pool === undefined ? UNKNOWN_STAGE_MS : getExpectedCallMs(pool);
   }
 
+  #countBytes(stages: readonly number[]): Record<string, number> {
+    const bytes: Record<string, number> = {};
+    for (const stage of stages) {
+      const { resultBytes } = this.#options.stages[stage]!;
+      for (const { zone } of this.#getResults(stage)) {
+        bytes[zone] = (bytes[zone] ?? 0) + resultBytes;
+      }
+    }
+    return bytes;
+  }
+
   #countPieces(stage: number): number {
     return this.#options.pieceCounts[stage] ?? 0;
   }
