An answer to a caller that is gone no longer ends the process

Cause: a VM that answers a call whose connection has closed rejected a promise that nobody awaits; Node.js ends the process then. Ruled out: callers' connections (all stacks end in the JSON-RPC connection). Test: 'survives an answer to a caller that is gone' failed without the guard.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -32,6 +32,7 @@
   stageDone: "stage_done",
   callStarted: "call_started",
   callEnded: "call_ended",
+  faultMet: "fault_met",
   clockPaused: "clock_paused",
 } as const;
 /** A value of {@link EVENT}. */
--- a/packages/rpc/src/connection.ts
+++ b/packages/rpc/src/connection.ts
@@ -139,7 +139,19 @@
     this.#heardAt = performance.now();
     const message = parseMessage(line);
     if (message === undefined) return this.close("Received malformed JSON");
-    void this.#rpc.receiveAndSend(message);
+    this.#rpc.receiveAndSend(message).catch((error) =>
+      this.#handleUnsent(error)
+    );
+  }
+
+  /**
+   * Guards against the end of the process where the other side is gone before its
+   * call was answered: the answer has nowhere to go, and the library rejects with
+   * what {@link #write} threw. The other side sees its call as lost.
+   */
+  #handleUnsent(error: unknown): void {
+    if (this.#closed) return;
+    this.close(error instanceof Error ? error.message : String(error));
   }
 
   #write(message: unknown): void {
--- a/packages/rpc/src/connection_test.ts
+++ b/packages/rpc/src/connection_test.ts
@@ -14,6 +14,8 @@
   rpc: "127.0.0.1:1",
 };
 const LOOPBACK = "127.0.0.1:0";
+/** Enough turns of the loop for a rejection to be reported, in milliseconds. */
+const SETTLE_MS = 20;
 
 describe("rpc", () => {
   const servers: RpcServer[] = [];
@@ -46,6 +48,39 @@
     expect(answer.unwrapErr().kind).to.equal("not_sent");
   });
 
+  // A VM calls another one and dies while the call runs. When the answer is ready
+  // there is no connection for it, and the library rejects what nobody awaits:
+  // the process that answered ended, and with it every request that it held.
+  it("survives an answer to a caller that is gone", async () => {
+    let noteAnswering = () => {};
+    let release = () => {};
+    const answering = new Promise<void>((done) => noteAnswering = done);
+    const released = new Promise<void>((done) => release = done);
+    const unhandled: unknown[] = [];
+    const note = (error: unknown) => unhandled.push(error);
+    process.on("unhandledRejection", note);
+    const server = await openServer(LOOPBACK, {
+      handlers: {
+        ping: async () => {
+          noteAnswering();
+          await released;
+          return IDENTITY;
+        },
+      },
+    });
+    servers.push(server);
+    const caller = (await openConnection(server.address)).unwrap();
+    const call = caller.call("ping", {}, { timeoutMs: 5_000 });
+    await answering;
+    caller.close();
+    expect((await call).unwrapErr().kind).to.equal("lost");
+    await server.close();
+    release();
+    await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+    process.off("unhandledRejection", note);
+    expect(unhandled).to.deep.equal([]);
+  });
+
   it("gives the error of an unknown method as failed", async () => {
     const server = await openPingServer();
     const answer = await callOnce(server.address, "history", {}, {
