A connection that can't be made no longer ends the process

Cause: the library calls back without a socket when a connection fails; its types say null, it is undefined, and reading it threw outside any promise. Change: the socket is read only if there is one.

--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -69,7 +69,8 @@
       keepAliveTimeout: KEEP_IDLE_MS,
       connect: (options, callback) =>
         connect(options, (...result) => {
-          if (result[1] !== null) this.#watchSocket(result[1]);
+          // A connection that failed has no socket; the types say null only.
+          if (result[1]) this.#watchSocket(result[1]);
           callback(...result);
         }),
     });
