--- /dev/null
+++ b/packages/serving/src/admission_test.ts
@@ -0,0 +1,55 @@
+import { expect } from "chai";
+import { type AdmissionInput, decideAdmission } from "./admission.ts";
+
+const CALM: AdmissionInput = {
+  stagesMs: 800,
+  loads: [{ waitMs: [0, 0, 0, 0], endpoints: 3 }],
+  priority: 1,
+  firstEventMs: 150,
+  objectiveMs: 1_700,
+  leftMs: 8_000,
+};
+
+describe("decideAdmission", () => {
+  it("takes what can be in time", () => {
+    expect(decideAdmission(CALM)).to.deep.equal({
+      kind: "admitted",
+      expectedMs: 950,
+    });
+  });
+
+  // In a burst every request waits for all before it. Taken one and all, each
+  // costs the pools its share and most are late: nobody gains.
+  it("refuses at the door when queues make the answer late", () => {
+    const loads = [{ waitMs: [900, 1_400, 2_000, 2_000], endpoints: 3 }];
+    const decision = decideAdmission({ ...CALM, loads });
+    expect(decision).to.deep.equal({
+      kind: "refused",
+      reason: "busy",
+      expectedMs: 2_350,
+      retryAfterMs: 650,
+    });
+  });
+
+  it("takes a more urgent request where it refuses a less urgent one", () => {
+    const loads = [{ waitMs: [200, 1_400, 2_000, 2_000], endpoints: 3 }];
+    const decide = (priority: number) =>
+      decideAdmission({ ...CALM, loads, priority }).kind;
+    expect([0, 1, 2, 9].map(decide)).to.deep.equal([
+      "admitted",
+      "refused",
+      "refused",
+      "refused",
+    ]);
+  });
+
+  it("refuses what its caller can't wait for, whatever the queues", () => {
+    const decision = decideAdmission({ ...CALM, leftMs: 500 });
+    expect(decision).to.include({ kind: "refused", reason: "noTime" });
+  });
+
+  it("takes a late request where nothing waits: refusing gains nothing", () => {
+    const decision = decideAdmission({ ...CALM, objectiveMs: 100 });
+    expect(decision.kind).to.equal("admitted");
+  });
+});
--- /dev/null
+++ b/packages/serving/src/placement_test.ts
@@ -0,0 +1,187 @@
+import { expect } from "chai";
+import { EndpointHealth } from "./endpoint_health.ts";
+import { EndpointFacts, LAPSE_GRACE_MS } from "./endpoint_facts.ts";
+import type { ServingEndpoint } from "./model.ts";
+import { pickEndpoint, type PlacementCandidate } from "./placement.ts";
+import { planLeaders } from "./leaders.ts";
+import { getSession } from "./prompt_session.ts";
+
+function buildCandidates(count: number): PlacementCandidate[] {
+  return Array.from({ length: count }, (_, i) => ({
+    id: `e${i}`,
+    zone: ["a", "b", "c"][i % 3]!,
+    slots: 64,
+    inFlight: 0,
+    isAvoided: false,
+  }));
+}
+
+function pick(
+  candidates: readonly PlacementCandidate[],
+  more: Partial<Parameters<typeof pickEndpoint>[0]> = {},
+) {
+  return pickEndpoint({ candidates, ownZone: "a", tried: new Set(), ...more });
+}
+
+describe("pickEndpoint", () => {
+  const session = { id: "s1", tokens: 4_000 };
+
+  it("sends a session to the same endpoint from every VM", () => {
+    const candidates = buildCandidates(8);
+    const picks = ["a", "b", "c"].map((ownZone) =>
+      pick([...candidates].reverse(), { session, ownZone })
+    );
+    expect(new Set(picks).size).to.equal(1);
+    expect(pick(candidates, { session })).to.equal(picks[0]);
+  });
+
+  it("moves a session when its endpoint is full, avoided or was tried", () => {
+    const candidates = buildCandidates(8);
+    const home = pick(candidates, { session })!;
+    const change = (more: Partial<PlacementCandidate>) =>
+      candidates.map((one) => one.id === home ? { ...one, ...more } : one);
+    expect(pick(change({ reported: 60 }), { session })).not.to.equal(home);
+    expect(pick(change({ isAvoided: true }), { session })).not.to.equal(home);
+    expect(pick(candidates, { session, tried: new Set([home]) }))
+      .not.to.equal(home);
+  });
+
+  // Three large results cost more to carry to another zone than a prompt of 170
+  // tokens costs to read again; a prompt of thousands costs more than they do.
+  it("follows large inputs with a short prompt, not with a long one", () => {
+    const candidates = buildCandidates(9);
+    const home = candidates.find((one) =>
+      one.id === pick(candidates, { session })
+    )!;
+    const other = ["a", "b", "c"].find((zone) => zone !== home.zone)!;
+    const inputBytes = { [other]: 9_000_000 };
+    const short = pick(candidates, {
+      session: { ...session, tokens: 170 },
+      inputBytes,
+    });
+    expect(candidates.find((one) => one.id === short)?.zone).to.equal(other);
+    expect(pick(candidates, { session, inputBytes })).to.equal(home.id);
+  });
+
+  it("stays in the own zone unless another one is much less used", () => {
+    const candidates = buildCandidates(3);
+    expect(pick(candidates)).to.equal("e0");
+    const busy = candidates.map((one) =>
+      one.zone === "a" ? { ...one, slots: 6, inFlight: 6 } : one
+    );
+    expect(pick(busy)).not.to.equal("e0");
+  });
+
+  it("takes an avoided endpoint rather than none", () => {
+    const [only] = buildCandidates(1);
+    expect(pick([{ ...only!, isAvoided: true }])).to.equal("e0");
+    expect(pick([])).to.equal(undefined);
+  });
+});
+
+describe("getSession", () => {
+  it("takes the last part but one, since the last is the request's own", () => {
+    const parts = ["shared", "session", "own"].map((id) => ({ id, tokens: 1 }));
+    expect(getSession(parts)?.id).to.equal("session");
+    expect(getSession(parts.slice(0, 1))?.id).to.equal("shared");
+    expect(getSession([])).to.equal(undefined);
+  });
+});
+
+describe("EndpointHealth", () => {
+  // A worker fails every second request of one zone's callers while its health
+  // check is good. Only their own answers can tell them.
+  it("avoids an endpoint within a few failed answers", () => {
+    const health = new EndpointHealth();
+    health.record("failed", 0);
+    expect(health.isAvoided(1)).to.equal(false);
+    health.record("failed", 2);
+    expect(health.isAvoided(3)).to.equal(true);
+  });
+
+  it("bears the failures that a service has by itself", () => {
+    const health = new EndpointHealth();
+    for (let i = 0; i < 70; i++) {
+      health.record(i % 7 === 0 ? "failed" : "good", i);
+      expect(health.isAvoided(i)).to.equal(false);
+    }
+  });
+
+  it("avoids a broken one at once, longer each time, and not for good", () => {
+    const health = new EndpointHealth();
+    health.record("broken", 0);
+    expect(health.isAvoided(900)).to.equal(true);
+    expect(health.isAvoided(1_100)).to.equal(false);
+    health.record("broken", 1_100);
+    expect(health.isAvoided(2_900)).to.equal(true);
+    expect(health.isAvoided(4_200)).to.equal(false);
+  });
+});
+
+describe("EndpointFacts", () => {
+  const endpoint: ServingEndpoint = {
+    id: "e1",
+    service: "engine",
+    address: "10.0.0.1:80",
+    zone: "a",
+    slots: 1,
+    isDraining: false,
+    coldMs: 0,
+    bornMs: 1,
+  };
+
+  it("tells additions, restarts and draining", () => {
+    const facts = new EndpointFacts();
+    expect(facts.update(endpoint, 0)).to.equal("added");
+    expect(facts.update(endpoint, 1)).to.equal("none");
+    expect(facts.update({ ...endpoint, bornMs: 2 }, 2)).to.equal("restarted");
+    expect(facts.update({ ...endpoint, bornMs: 2, isDraining: true }, 3))
+      .to.equal("draining");
+  });
+
+  it("removes an endpoint at once in calm times", () => {
+    const facts = new EndpointFacts();
+    facts.update(endpoint, 0);
+    expect(facts.remove("e1", 10)).to.equal("removed");
+    expect(facts.list(10)).to.deep.equal([]);
+  });
+
+  // The registry was away and every record lapsed meanwhile. Its listing is empty
+  // when it comes back, and all services were gone for the VMs for two seconds.
+  it("keeps lapsed endpoints until their records had time to come back", () => {
+    const facts = new EndpointFacts();
+    facts.update(endpoint, 0);
+    facts.update({ ...endpoint, id: "e2" }, 0);
+    facts.handleRegistryReturn(5_000);
+    facts.retain(new Set(), 5_001);
+    expect(facts.list(5_002)).to.have.length(2);
+    facts.update(endpoint, 6_000);
+    expect(facts.dropLapsed(5_000 + LAPSE_GRACE_MS)).to.deep.equal(["e2"]);
+    expect(facts.list(9_000).map((one) => one.endpoint.id)).to.deep.equal([
+      "e1",
+    ]);
+  });
+
+  it("keeps no endpoint that was leaving", () => {
+    const facts = new EndpointFacts();
+    facts.update({ ...endpoint, isDraining: true }, 0);
+    facts.handleRegistryReturn(5_000);
+    expect(facts.remove("e1", 5_001)).to.equal("removed");
+  });
+});
+
+describe("planLeaders", () => {
+  const members = Array.from({ length: 9 }, (_, i) => ({
+    vmId: `vm-${i}`,
+    zone: "a",
+    rpc: `10.0.0.${i}:1`,
+  }));
+
+  it("gives every VM the same order and moves little when one goes", () => {
+    const before = planLeaders("roster", members).map((one) => one.vmId);
+    const reversed = planLeaders("roster", [...members].reverse());
+    expect(reversed.map((one) => one.vmId)).to.deep.equal(before);
+    const rest = members.filter((one) => one.vmId !== before[0]);
+    expect(planLeaders("roster", rest)[0]?.vmId).to.equal(before[1]);
+  });
+});
--- /dev/null
+++ b/packages/serving/src/route_table_test.ts
@@ -0,0 +1,73 @@
+import { expect } from "chai";
+import { buildRoute } from "./_fixtures.ts";
+import type { ServingConfiguration } from "./model.ts";
+import { getPriority, pickService, RouteTable } from "./route_table.ts";
+
+const CONFIGURATION: ServingConfiguration = {
+  version: 7,
+  routes: [
+    buildRoute({ name: "short", pathPrefix: "/x/" }),
+    buildRoute({ name: "long", pathPrefix: "/x/y/" }),
+    buildRoute({ name: "open", host: "b.example", isPublic: true }),
+  ],
+  services: [],
+  limits: {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  },
+  customers: [{ name: "dairy", apiKeys: ["k1", "k2"], priority: 0 }],
+};
+
+describe("RouteTable", () => {
+  const table = new RouteTable(CONFIGURATION);
+
+  it("takes the longest prefix that begins the path", () => {
+    expect(table.findRoute("a.example", "/x/y/z")?.name).to.equal("long");
+    expect(table.findRoute("a.example", "/x/z")?.name).to.equal("short");
+  });
+
+  it("reads neither the query nor half a path segment as the path", () => {
+    expect(table.findRoute("a.example", "/x?y=/x/y/")).to.equal(undefined);
+    expect(table.findRoute("a.example", "/x/yy")?.name).to.equal("short");
+  });
+
+  it("takes hosts without port and in any case", () => {
+    expect(table.findRoute("A.Example:8625", "/x/")?.name).to.equal("short");
+    expect(table.findRoute("c.example", "/x/")).to.equal(undefined);
+  });
+
+  it("finds who holds a key, and asks for none on public routes", () => {
+    const route = buildRoute();
+    expect(table.findCustomer(route, "k2").kind).to.equal("known");
+    expect(table.findCustomer(route, "k3").kind).to.equal("unknownKey");
+    expect(table.findCustomer(route, undefined).kind).to.equal("unknownKey");
+    const open = buildRoute({ isPublic: true });
+    expect(table.findCustomer(open, "k3").kind).to.equal("notAsked");
+  });
+
+  it("takes the customer's rank before the route's", () => {
+    const route = buildRoute({ priority: 2 });
+    const known = table.findCustomer(route, "k1");
+    expect(getPriority(route, known)).to.equal(0);
+    expect(getPriority(route, { kind: "notAsked" })).to.equal(2);
+  });
+
+  it("splits by weight and keeps a session with its service", () => {
+    const route = buildRoute({
+      targets: [{ service: "a", weight: 90 }, { service: "b", weight: 10 }],
+    });
+    const picks = Array.from(
+      { length: 2_000 },
+      (_, i) => pickService(route, `session-${i}`),
+    );
+    const share = picks.filter((one) => one === "b").length / picks.length;
+    expect(share).to.be.within(0.07, 0.13);
+    expect(pickService(route, "session-1")).to.equal(picks[1]);
+  });
+
+  it("gives no service where nothing has a weight", () => {
+    expect(pickService(buildRoute({ targets: [] }), "s")).to.equal(undefined);
+  });
+});
