--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -29,8 +29,12 @@
 const CALL_PATIENCE = 3;
 /** Added to that: links, a new connection, and the wait behind a foreign call. */
 const CALL_SLACK_MS = 500;
-/** Ratio of measured to expected time above which an endpoint counts as slow. */
-const SLOW_RATIO = 2.2;
+/**
+ * How many times slower than the pool's quickest an endpoint is to count as slow.
+ * Endpoints of one pool differ by a third; configured times are approximate, so
+ * they can't be what one is compared with.
+ */
+const SLOW_FACTOR = 2.2;
 /** Weight of the newest call in an endpoint's ratio. */
 const RATIO_WEIGHT = 0.5;
 /** A slow endpoint gets a small call this often, to see whether it still is. */
@@ -121,10 +125,10 @@
   getLoad(): serving.PoolLoad {
     const pool = this.#options.getPool();
     if (pool === undefined) return { waitMs: [0], endpoints: 0 };
-    const endpoints =
-      this.#listEndpoints().filter((one) =>
-        !this.#isSlow(this.#getState(one.id))
-      ).length;
+    const usable = this.#listEndpoints();
+    const slowRatio = this.#getSlowRatio(usable);
+    const endpoints = usable
+      .filter((one) => this.#getState(one.id).ratio <= slowRatio).length;
     return serving.estimateLoad({
       queue: this.#queue,
       pool,
@@ -170,8 +174,9 @@
     const now = performance.now();
     const usable = this.#listEndpoints();
     const zones = getZones(usable);
+    const slowRatio = this.#getSlowRatio(usable);
     const free = usable
-      .filter((one) => this.#isFree(one, now))
+      .filter((one) => this.#isFree(one, slowRatio, now))
       .sort((a, b) => this.#compareFree(a.id, b.id));
     for (const endpoint of free) {
       const state = this.#getState(endpoint.id);
@@ -181,7 +186,7 @@
         room: {
           zone: endpoint.zone,
           freeBytes: this.#room.getFree(endpoint.id, pool, now),
-          maxPieces: this.#isSlow(state) ? TRIAL_PIECES : pool.batchSize,
+          maxPieces: state.ratio > slowRatio ? TRIAL_PIECES : pool.batchSize,
         },
         poolZones: zones,
         now,
@@ -194,15 +199,22 @@
     return this.#options.book.listUsable(this.#options.service);
   }
 
-  #isFree(endpoint: serving.ServingEndpoint, now: number): boolean {
+  #isFree(
+    endpoint: serving.ServingEndpoint,
+    slowRatio: number,
+    now: number,
+  ): boolean {
     const state = this.#getState(endpoint.id);
     if (state.isBusy || state.blockedUntil > now) return false;
     if (this.#options.book.isAvoided(endpoint.id, now)) return false;
-    return !this.#isSlow(state) || now - state.lastCallAt > TRIAL_EVERY_MS;
+    const isSlow = state.ratio > slowRatio;
+    return !isSlow || now - state.lastCallAt > TRIAL_EVERY_MS;
   }
 
-  #isSlow(state: LeaderEndpoint): boolean {
-    return state.ratio > SLOW_RATIO;
+  /** Ratio of measured to expected time above which an endpoint is slow. */
+  #getSlowRatio(usable: readonly serving.ServingEndpoint[]): number {
+    const ratios = usable.map((one) => this.#getState(one.id).ratio);
+    return Math.max(1, Math.min(...ratios)) * SLOW_FACTOR;
   }
 
   /** Quick endpoints first; of equal ones the one that was idle for longest. */
@@ -243,7 +255,8 @@
         key: group.key,
         inputs: group.inputs,
       })),
-      timeoutMs: expectedMs * CALL_PATIENCE + CALL_SLACK_MS,
+      timeoutMs: expectedMs * Math.max(1, state.ratio) * CALL_PATIENCE +
+        CALL_SLACK_MS,
     });
     const tookMs = performance.now() - startedAt;
     this.#room.unreserve(endpoint.id, bytes);
