What was worked for is finished first; a VM that stops takes no long request late

Ruled out: the leader's death (none died), room (the pools were not full at that time). Change: groups of requests that have been worked for go first; new ones are refused 400 ms after they can't be in time; 2.5 s after SIGTERM only what must end before the exit is taken. Tests: of the order, of the time to give up and of the stop.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -81,7 +81,7 @@
   #ownServers: OwnServer[] = [];
   #updateTimer: NodeJS.Timeout | undefined;
   #updatedAt = performance.now();
-  #isStopping = false;
+  #stopAt: number | undefined;
   #wasReady = false;
 
   /** @param options Names, addresses, bounds and the adapter's wire. */
@@ -112,6 +112,10 @@
     });
   }
 
+  get #isStopping(): boolean {
+    return this.#stopAt !== undefined;
+  }
+
   /** Whether callers should be sent here. */
   get isReady(): boolean {
     return !this.#isStopping && this.site.isComplete;
@@ -143,12 +147,12 @@
    */
   async stop(): Promise<void> {
     if (this.#isStopping) return;
-    this.#isStopping = true;
+    const stoppedAt = performance.now();
+    this.#stopAt = stoppedAt;
     const { events, bounds } = this.#options;
     events.write(EVENT.processStopping, { active: this.#ingress.active });
     this.mesh.setLeaving();
     this.#ingress.setLeaving();
-    const stoppedAt = performance.now();
     const latest = stoppedAt + bounds.graceMs - EXIT_SLACK_MS;
     await wait(Math.min(DRAIN_MS, bounds.graceMs - EXIT_SLACK_MS));
     while (this.#isBusy() && performance.now() < latest) {
@@ -202,9 +206,17 @@
       }),
       events,
       metrics: this.metrics,
+      getStop: () => this.#getStop(),
     };
   }
 
+  #getStop(): serving.StopState | undefined {
+    if (this.#stopAt === undefined) return undefined;
+    const sinceMs = performance.now() - this.#stopAt;
+    const graceMs = this.#options.bounds.graceMs - EXIT_SLACK_MS;
+    return { sinceMs, leftMs: graceMs - sinceMs };
+  }
+
   #buildHandlers(): rpc.Handlers {
     return {
       exchangeViews: (view) => this.mesh.handleExchange(view),
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -35,6 +35,8 @@
   readonly repeats: serving.RepeatBudget;
   readonly events: logger.EventLog;
   readonly metrics: metrics.Metrics;
+  /** How far this VM's stop is, if it was told to stop. */
+  readonly getStop: () => serving.StopState | undefined;
 }
 
 /** A caller's request after its body was read. */
@@ -71,6 +73,8 @@
 const PATIENCE_SPREAD = 0.15;
 /** What callers wait before they ask a VM that has just started, in ms. */
 const START_RETRY_AFTER_MS = 1_000;
+/** Another VM serves at once; the caller opens a new connection to it, in ms. */
+const STOP_RETRY_AFTER_MS = 50;
 /** What callers wait when no endpoint can take a request, in milliseconds. */
 const UNAVAILABLE_RETRY_AFTER_MS = 500;
 
@@ -117,7 +121,15 @@
       retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS,
     });
   }
-  const deadlineMs = caller.deadlineMs ?? route.timeoutMs;
+  const leftMs = Math.min(
+    caller.deadlineMs ?? route.timeoutMs,
+    route.timeoutMs,
+  );
+  if (!serving.mayServeWhileStopping(parts.getStop(), leftMs)) {
+    return fail("SHUTTING_DOWN", "This VM stops; another one serves", {
+      retryAfterMs: STOP_RETRY_AFTER_MS,
+    });
+  }
   return {
     request: {
       ...arrived,
@@ -128,7 +140,7 @@
       customer: serving.getCustomerId(customer),
       priority: serving.getPriority(route, customer),
       session,
-      leftMs: Math.min(deadlineMs, route.timeoutMs),
+      leftMs,
     },
   };
 }
--- a/packages/gateway/src/stage_run.ts
+++ b/packages/gateway/src/stage_run.ts
@@ -159,7 +159,9 @@
     const callMs = pool === undefined ? 0 : serving.getExpectedCallMs(pool);
     const laterMs = callMs + start.laterMs + this.#options.firstEventMs;
     const dueAt = scope.startedAt + this.#options.objectiveLeftMs - laterMs;
-    const expiresAt = scope.startedAt + this.#options.leftMs - laterMs;
+    const latestAt = scope.startedAt + this.#options.leftMs - laterMs;
+    const { isInvested } = start;
+    const expiresAt = serving.planExpiry({ isInvested, now, dueAt, latestAt });
     events.write(EVENT.stageQueued, {
       requestId,
       stage: start.stage,
@@ -176,6 +178,7 @@
       inputs: start.inputs,
       resultBytes: spec.resultBytes,
       priority: this.#options.priority,
+      isInvested,
       localBytes: this.#getLocalBytes(start, spec.resultBytes),
       dueAt,
       expiresAt,
--- a/packages/serving/src/_fixtures.ts
+++ b/packages/serving/src/_fixtures.ts
@@ -51,6 +51,7 @@
     resultBytes: 1_000,
     priority: 0,
     localBytes: {},
+    isInvested: false,
     dueAt: 1_000,
     expiresAt: 5_000,
     ...more,
--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -74,6 +74,63 @@
   return { kind: "admitted", expectedMs };
 }
 
+/**
+ * How long a request that no endpoint has worked for waits beyond its latest
+ * start in time, in milliseconds: about one call, in case a queue ends early.
+ */
+const NEW_PATIENCE_MS = 400;
+
+/**
+ * Gives the time at which a waiting group is given up.
+ *
+ * Guards against callers that are held for seconds and then refused: what can't
+ * be in time any more and has cost nothing yet is refused at once, with a time to
+ * come back. What endpoints have worked for is finished while its caller waits.
+ */
+export function planExpiry(options: {
+  readonly isInvested: boolean;
+  readonly now: number;
+  readonly dueAt: number;
+  /** Latest start that is of any use to the caller. */
+  readonly latestAt: number;
+}): number {
+  const { isInvested, now, dueAt, latestAt } = options;
+  if (isInvested) return latestAt;
+  return Math.min(latestAt, Math.max(now, dueAt) + NEW_PATIENCE_MS);
+}
+
+/** A VM that was told to stop. */
+export interface StopState {
+  /** Time since it was told, in milliseconds. */
+  readonly sinceMs: number;
+  /** Time until it exits, in milliseconds. */
+  readonly leftMs: number;
+}
+
+/**
+ * How long a VM that stops takes every request, in milliseconds. Callers on open
+ * connections learn with their next answer that they must go elsewhere, and two
+ * looks a second apart take the VM out for new connections.
+ */
+const STOP_OPEN_MS = 2_500;
+
+/**
+ * Decides whether a VM that stops still takes a request.
+ *
+ * Guards against an answer that is cut by the exit: it shows as a stream that
+ * begins seconds after the stop and breaks off when the VM's grace ends.
+ *
+ * @param stop The stop, if there is one.
+ * @param leftMs Longest time that the request may take.
+ */
+export function mayServeWhileStopping(
+  stop: StopState | undefined,
+  leftMs: number,
+): boolean {
+  if (stop === undefined || stop.sinceMs < STOP_OPEN_MS) return true;
+  return leftMs < stop.leftMs;
+}
+
 function buildRefusal(
   reason: Refusal,
   expectedMs: number,
--- a/packages/serving/src/admission_test.ts
+++ b/packages/serving/src/admission_test.ts
@@ -1,5 +1,10 @@
 import { expect } from "chai";
-import { type AdmissionInput, decideAdmission } from "./admission.ts";
+import {
+  type AdmissionInput,
+  decideAdmission,
+  mayServeWhileStopping,
+  planExpiry,
+} from "./admission.ts";
 
 const CALM: AdmissionInput = {
   stagesMs: 800,
@@ -53,3 +58,33 @@
     expect(decision.kind).to.equal("admitted");
   });
 });
+
+describe("mayServeWhileStopping", () => {
+  // A VM is told to stop. 3.5 s later a caller uses its open connection for a
+  // stream of five seconds; the VM's grace ends in the middle of it and the
+  // caller gets half an answer, although another VM could have served it whole.
+  it("takes late requests only if they must end before the exit", () => {
+    const early = { sinceMs: 100, leftMs: 7_200 };
+    const late = { sinceMs: 3_500, leftMs: 3_800 };
+    expect(mayServeWhileStopping(undefined, 15_000)).to.equal(true);
+    expect(mayServeWhileStopping(early, 15_000)).to.equal(true);
+    expect(mayServeWhileStopping(late, 15_000)).to.equal(false);
+    expect(mayServeWhileStopping(late, 600)).to.equal(true);
+  });
+});
+
+describe("planExpiry", () => {
+  const base = { now: 0, dueAt: 600, latestAt: 7_000 };
+
+  it("gives new requests up soon after they can't be in time", () => {
+    expect(planExpiry({ ...base, isInvested: false })).to.equal(1_000);
+    expect(planExpiry({ ...base, isInvested: false, dueAt: -900 }))
+      .to.equal(400);
+    expect(planExpiry({ ...base, isInvested: false, latestAt: 200 }))
+      .to.equal(200);
+  });
+
+  it("finishes what was worked for while the caller waits", () => {
+    expect(planExpiry({ ...base, isInvested: true })).to.equal(7_000);
+  });
+});
--- a/packages/serving/src/piece_queue.ts
+++ b/packages/serving/src/piece_queue.ts
@@ -28,6 +28,8 @@
    * there, for every piece that reads them, and results that are read there.
    */
   readonly localBytes: Readonly<Record<ZoneId, number>>;
+  /** Whether endpoints have already worked for the request. */
+  readonly isInvested: boolean;
   /** Latest start with which the request still meets its objective. */
   readonly dueAt: number;
   /** Latest start that is of any use to the caller. */
@@ -84,8 +86,9 @@
 /**
  * Plans the next call of an endpoint that is free.
  *
- * Groups that can still meet their objective go first, earliest due first; the
- * others fill what is left, since a late answer is worth a part of one in time.
+ * Groups that can still meet their objective, and those of requests that have
+ * been worked for, go first, earliest due first; the others fill what is left,
+ * since a late answer is worth a part of one in time.
  * A group may be split over calls: full calls are worth more than whole groups.
  * Pieces are sent only where their results have room, since an endpoint without
  * room still spends the call's whole time before it says so.
@@ -124,8 +127,8 @@
   b: PieceGroup,
   now: number,
 ): number {
-  const isLateA = a.dueAt < now;
-  const isLateB = b.dueAt < now;
+  const isLateA = isLateStart(a, now);
+  const isLateB = isLateStart(b, now);
   if (isLateA !== isLateB) return isLateA ? 1 : -1;
   if (isLateA && a.priority !== b.priority) return a.priority - b.priority;
   return getRank(a) - getRank(b);
@@ -183,6 +186,17 @@
   return best - (group.localBytes[room.zone] ?? 0) < WORTHWHILE_BYTES;
 }
 
+/**
+ * Whether a group starts a request that can no longer be in time.
+ *
+ * Guards against work that is thrown away: a request whose other stages are done
+ * keeps results in the room of several pools until it is finished. Left behind
+ * what is new, it waits for seconds and fails with all that was done for it.
+ */
+function isLateStart(group: PieceGroup, now: number): boolean {
+  return !group.isInvested && group.dueAt < now;
+}
+
 function getRank(group: PieceGroup): number {
   return group.dueAt + group.priority * RANK_MS;
 }
--- a/packages/serving/src/piece_queue_test.ts
+++ b/packages/serving/src/piece_queue_test.ts
@@ -34,6 +34,22 @@
     expect(plan(queue)).to.deep.equal([["inTime", 8], ["late", 2]]);
   });
 
+  // All but one stage of a request are done when its objective passes. Its last
+  // pieces waited 5.8 s behind new requests, its results held room in two pools
+  // meanwhile, and its caller left with nothing.
+  it("finishes what was worked for before it starts anything new", () => {
+    const queue = [
+      buildQueued({ requestId: "new", dueAt: 700, pieces: 10 }),
+      buildQueued({
+        requestId: "invested",
+        dueAt: -500,
+        pieces: 3,
+        isInvested: true,
+      }),
+    ];
+    expect(plan(queue)).to.deep.equal([["invested", 3], ["new", 7]]);
+  });
+
   it("gives a more urgent request half a call's head start", () => {
     const queue = [
       buildQueued({ requestId: "lesser", priority: 2, dueAt: 500, pieces: 10 }),
--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -28,6 +28,8 @@
   readonly inputBytes: Readonly<Record<string, number>>;
   /** Whether only the request itself reads the results. */
   readonly isLast: boolean;
+  /** Whether another stage of the request has been done. */
+  readonly isInvested: boolean;
   /** Expected time from this stage's end to the end of all stages, in ms. */
   readonly laterMs: number;
 }
@@ -143,7 +145,15 @@
       const laterMs = this.#branchMs[stage]! - this.#getStageMs(stage);
       const inputBytes = this.#countBytes(spec.after);
       const isLast = !this.#hasReaders(stage);
-      return [{ stage, pieces, inputs, inputBytes, isLast, laterMs }];
+      return [{
+        stage,
+        pieces,
+        inputs,
+        inputBytes,
+        isLast,
+        isInvested: this.#hasResults(),
+        laterMs,
+      }];
     });
   }
 
@@ -194,6 +204,10 @@
     );
   }
 
+  #hasResults(): boolean {
+    return this.#states.some((_, stage) => this.#getResults(stage).length > 0);
+  }
+
   #isFullyRead(stage: number): boolean {
     return this.#options.stages.every((spec, other) =>
       !spec.after.includes(stage) || this.#states[other]!.kind === "made"
