Callers that come back take what others leave; late work is due again 1.5 s later

Cause: what was worked for went before anything new in order of due times, so in a burst each request was served a little late; callers that came back counted as late at once and were refused again. Change: a caller that comes back (its deadline shows it) waits up to a second for calls that others leave; a time to come back is a quarter of the caller's time; late work of a request that has been worked for is due again 1.5 s after it became late.

--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -124,7 +124,7 @@
   /** Gives the load for the other VMs. */
   getLoad(): serving.PoolLoad {
     const pool = this.#options.getPool();
-    if (pool === undefined) return { waitMs: [0], endpoints: 0 };
+    if (pool === undefined) return { waitMs: [0], lateWaitMs: 0, endpoints: 0 };
     const usable = this.#listEndpoints();
     const slowRatio = this.#getSlowRatio(usable);
     const endpoints = usable
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -172,7 +172,7 @@
         return again.kind === "made" ? again : undefined;
       },
     })
-    : buildStageResult(staged);
+    : buildStageResult(staged, request.leftMs - scope.ageMs);
   clearTimeout(timer);
   run.release();
   finishRequest(parts, request, result);
@@ -185,7 +185,6 @@
     table.services.get(service),
     service,
   );
-  const objectiveSpentMs = getSpentMs(request);
   return new StageRun({
     requestId: request.requestId,
     route,
@@ -197,8 +196,9 @@
       ? undefined
       : serving.pickHomeZone(candidates, session.id),
     firstEventMs: FIRST_EVENT_MS,
-    objectiveLeftMs: route.objectiveMs - objectiveSpentMs,
+    objectiveMs: route.objectiveMs,
     leftMs: request.leftMs,
+    isReturn: isReturning(request),
     scope: request.scope,
     router: parts.router,
     events: parts.events,
@@ -206,14 +206,12 @@
 }
 
 /**
- * A caller that comes back says by its shorter deadline how long it has waited,
- * as far as that is more than callers' patience differs.
+ * A caller that was refused comes back with less time than first attempts have,
+ * whose patience differs by some of the route's time.
  */
-function getSpentMs(request: RoutedRequest): number {
-  const { caller, route } = request;
-  if (caller.deadlineMs === undefined) return 0;
+function isReturning({ caller, route }: RoutedRequest): boolean {
   const usualMs = route.timeoutMs * (1 - PATIENCE_SPREAD);
-  return Math.max(0, usualMs - caller.deadlineMs);
+  return caller.deadlineMs !== undefined && caller.deadlineMs < usualMs;
 }
 
 function checkAdmission(
@@ -236,8 +234,9 @@
     loads,
     priority,
     firstEventMs: route.stages.length > 0 ? FIRST_EVENT_MS : 0,
-    objectiveMs: route.objectiveMs - getSpentMs(request),
+    objectiveMs: route.objectiveMs,
     leftMs: request.leftMs,
+    isReturn: isReturning(request),
   });
   parts.events.write(EVENT.requestAdmitted, {
     requestId: request.requestId,
@@ -246,7 +245,7 @@
     customer: request.customer,
     priority,
     leftMs: request.leftMs,
-    spentMs: getSpentMs(request),
+    isReturn: isReturning(request),
     session: request.session?.id,
     pieces: caller.pieceCounts,
     decision: decision.kind,
@@ -272,6 +271,7 @@
 
 function buildStageResult(
   staged: Exclude<StageRunOutcome, { kind: "made" }>,
+  leftMs: number,
 ): ForwardResult {
   return match(staged)
     .with({ kind: "late" }, ({ stage, waitedMs }) => ({
@@ -279,7 +279,7 @@
       failure: codes.createFailure(
         "DEADLINE_OUT_OF_REACH",
         `Stage ${stage} waited ${waitedMs} ms and can't be done in time`,
-        { retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS },
+        { retryAfterMs: serving.planReturn(leftMs) },
       ),
     }))
     .with({ kind: "failed" }, ({ stage, reason }) => ({
--- a/packages/gateway/src/stage_run.ts
+++ b/packages/gateway/src/stage_run.ts
@@ -34,9 +34,10 @@
   /** Where the request itself will probably run. */
   readonly readerZone?: ZoneId;
   readonly firstEventMs: number;
-  /** Time left to the objective, in milliseconds. */
-  readonly objectiveLeftMs: number;
+  readonly objectiveMs: number;
   readonly leftMs: number;
+  /** The caller was refused before and came back. */
+  readonly isReturn: boolean;
   readonly scope: RequestScope;
   readonly router: PieceRouter;
   readonly events: logger.EventLog;
@@ -158,10 +159,18 @@
     const pool = this.#options.services.get(spec.service)?.pool;
     const callMs = pool === undefined ? 0 : serving.getExpectedCallMs(pool);
     const laterMs = callMs + start.laterMs + this.#options.firstEventMs;
-    const dueAt = scope.startedAt + this.#options.objectiveLeftMs - laterMs;
+    // A caller that came back is late from the start.
+    const objectiveMs = this.#options.isReturn ? 0 : this.#options.objectiveMs;
+    const dueAt = scope.startedAt + objectiveMs - laterMs;
     const latestAt = scope.startedAt + this.#options.leftMs - laterMs;
     const { isInvested } = start;
-    const expiresAt = serving.planExpiry({ isInvested, now, dueAt, latestAt });
+    const expiresAt = serving.planExpiry({
+      isInvested,
+      isReturn: this.#options.isReturn,
+      now,
+      dueAt,
+      latestAt,
+    });
     events.write(EVENT.stageQueued, {
       requestId,
       stage: start.stage,
--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -26,6 +26,8 @@
   readonly firstEventMs: number;
   readonly objectiveMs: number;
   readonly leftMs: number;
+  /** The caller was refused before and came back as it was told. */
+  readonly isReturn: boolean;
 }
 
 /** Taken or not, with the time that decided it. */
@@ -44,8 +46,20 @@
  * several stages reaches its last pool.
  */
 const LATE_TOLERANCE_MS = 400;
+/**
+ * How long a caller that came back may wait in queues, in milliseconds. It is
+ * late already and takes what others leave; a second refusal sends it away for
+ * good, so it waits for some calls, unless the queues are longer than that.
+ */
+const RETURN_PATIENCE_MS = 1_000;
 /** Shortest time to come back in; a pool's call takes about as long. */
 const MIN_RETRY_AFTER_MS = 300;
+/**
+ * Share of the caller's time after which it is told to come back. Whoever is
+ * refused is late when it comes back, so it does better to come when the burst
+ * is over; callers heed up to a third of their time.
+ */
+const RETURN_SHARE = 0.25;
 
 /**
  * Decides at the door.
@@ -58,27 +72,34 @@
  * @returns Taken, or why not and when there will be room.
  */
 export function decideAdmission(input: AdmissionInput): AdmissionDecision {
-  const rank = Math.max(0, input.priority);
-  const waitMs = input.loads.reduce((sum, load) => {
-    const wait = load.waitMs[Math.min(rank, load.waitMs.length - 1)] ?? 0;
-    return sum + wait;
-  }, 0);
+  const waitMs = input.loads
+    .reduce((sum, load) => sum + getWaitMs(load, input), 0);
   const expectedMs = waitMs + input.stagesMs + input.firstEventMs;
   if (expectedMs > input.leftMs) {
-    return buildRefusal(REFUSAL.noTime, expectedMs, waitMs);
+    return buildRefusal(REFUSAL.noTime, expectedMs, input.leftMs);
   }
-  if (waitMs > 0 && expectedMs > input.objectiveMs + LATE_TOLERANCE_MS) {
-    const excessMs = expectedMs - input.objectiveMs;
-    return buildRefusal(REFUSAL.busy, expectedMs, excessMs);
+  const isLate = expectedMs > input.objectiveMs + LATE_TOLERANCE_MS;
+  const isTooLong = input.isReturn ? waitMs > RETURN_PATIENCE_MS : isLate;
+  if (waitMs > 0 && isTooLong) {
+    return buildRefusal(REFUSAL.busy, expectedMs, input.leftMs);
   }
   return { kind: "admitted", expectedMs };
 }
 
 /**
- * How long a request that no endpoint has worked for waits beyond its latest
- * start in time, in milliseconds: about one call, in case a queue ends early.
+ * Gives the time after which a refused caller should come back.
+ *
+ * @param leftMs How long it waits in all, in milliseconds.
  */
-const NEW_PATIENCE_MS = 400;
+export function planReturn(leftMs: number): number {
+  return Math.max(MIN_RETRY_AFTER_MS, leftMs * RETURN_SHARE);
+}
+
+function getWaitMs(load: PoolLoad, input: AdmissionInput): number {
+  if (input.isReturn) return load.lateWaitMs;
+  const rank = Math.max(0, input.priority);
+  return load.waitMs[Math.min(rank, load.waitMs.length - 1)] ?? 0;
+}
 
 /**
  * Gives the time at which a waiting group is given up.
@@ -89,14 +110,16 @@
  */
 export function planExpiry(options: {
   readonly isInvested: boolean;
+  readonly isReturn: boolean;
   readonly now: number;
   readonly dueAt: number;
   /** Latest start that is of any use to the caller. */
   readonly latestAt: number;
 }): number {
-  const { isInvested, now, dueAt, latestAt } = options;
+  const { isInvested, isReturn, now, dueAt, latestAt } = options;
   if (isInvested) return latestAt;
-  return Math.min(latestAt, Math.max(now, dueAt) + NEW_PATIENCE_MS);
+  const patienceMs = isReturn ? RETURN_PATIENCE_MS : LATE_TOLERANCE_MS;
+  return Math.min(latestAt, Math.max(now, dueAt) + patienceMs);
 }
 
 /** A VM that was told to stop. */
@@ -134,8 +157,8 @@
 function buildRefusal(
   reason: Refusal,
   expectedMs: number,
-  excessMs: number,
+  leftMs: number,
 ): AdmissionDecision {
-  const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, excessMs);
+  const retryAfterMs = planReturn(leftMs);
   return { kind: "refused", reason, expectedMs, retryAfterMs };
 }
--- a/packages/serving/src/piece_queue.ts
+++ b/packages/serving/src/piece_queue.ts
@@ -74,6 +74,12 @@
  * more urgent request goes first unless the other would miss a call by that.
  */
 const RANK_MS = 150;
+/**
+ * Within this time, in milliseconds, the stage of a late request that has been
+ * worked for comes to its turn. Its results hold room meanwhile; what comes in
+ * time has up to a second to spare when it is queued.
+ */
+const LATE_FINISH_MS = 1_500;
 /**
  * A group waits for a zone that saves more bytes between zones than this. What a
  * later stage reads is read by each of its pieces: 16 pieces of 6 inputs of 60 kB
@@ -104,7 +110,7 @@
   const { pool, room, now } = options;
   const ranked = options.queue
     .filter((queued) => isEligible(queued, options))
-    .sort((a, b) => compareGroups(a.group, b.group, now));
+    .sort((a, b) => compareQueued(a, b, now));
   const plan: PlannedPieces[] = [];
   let left = Math.min(pool.batchSize, room.maxPieces);
   let freeBytes = room.freeBytes;
@@ -122,22 +128,25 @@
 }
 
 /** Orders groups, the one to be served first in front. */
-export function compareGroups(
-  a: PieceGroup,
-  b: PieceGroup,
+export function compareQueued(
+  a: QueuedGroup,
+  b: QueuedGroup,
   now: number,
 ): number {
-  const isLateA = isLateStart(a, now);
-  const isLateB = isLateStart(b, now);
+  const isLateA = isLateStart(a.group, now);
+  const isLateB = isLateStart(b.group, now);
   if (isLateA !== isLateB) return isLateA ? 1 : -1;
-  if (isLateA && a.priority !== b.priority) return a.priority - b.priority;
-  return getRank(a) - getRank(b);
+  const byPriority = a.group.priority - b.group.priority;
+  if (isLateA && byPriority !== 0) return byPriority;
+  return getRank(a, now) - getRank(b, now);
 }
 
 /** Load of a pool as its leader sees it. */
 export interface PoolLoad {
   /** Expected wait before a call starts, by priority of the request, in ms. */
   readonly waitMs: readonly number[];
+  /** The same for a request that is late already, in ms. */
+  readonly lateWaitMs: number;
   /** Endpoints in use. */
   readonly endpoints: number;
 }
@@ -168,7 +177,9 @@
     const oldestMs = Math.max(0, ...ahead.map((one) => now - one.queuedAt));
     return Math.round(Math.max(backlogMs, oldestMs));
   });
-  return { waitMs, endpoints };
+  const pieces = queue.reduce((sum, one) => sum + one.waiting.length, 0);
+  const lateWaitMs = Math.round(pieces * perPieceMs / Math.max(1, endpoints));
+  return { waitMs, lateWaitMs, endpoints };
 }
 
 function isEligible(queued: QueuedGroup, options: PlanCallOptions): boolean {
@@ -197,6 +208,15 @@
   return !group.isInvested && group.dueAt < now;
 }
 
-function getRank(group: PieceGroup): number {
-  return group.dueAt + group.priority * RANK_MS;
+/**
+ * A group that is late, of a request that has been worked for, is due again some
+ * time later: what can be in time goes before it, but not for good. Without that
+ * time every request of a burst is served a little late, in the order in which
+ * they became late.
+ */
+function getRank({ group, queuedAt }: QueuedGroup, now: number): number {
+  const isLate = group.dueAt < now;
+  const lateSince = Math.max(group.dueAt, queuedAt);
+  const dueAt = isLate ? lateSince + LATE_FINISH_MS : group.dueAt;
+  return dueAt + group.priority * RANK_MS;
 }
