Admission asks for 100 ms to spare

Cause: a request was admitted while its answer was expected up to 400 ms late, with waits that are 250 ms old; in a burst nobody was refused and most were late.

--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -41,11 +41,15 @@
   };
 
 /**
- * How far past its objective a request is still taken, in milliseconds: waits
- * are estimates, and a burst's queue is shorter by the time that a request of
- * several stages reaches its last pool.
+ * How much sooner than its objective an answer must be expected, in milliseconds:
+ * the queue of a pool grows while a request of several stages is on its way.
  */
-const LATE_TOLERANCE_MS = 400;
+const ADMISSION_SLACK_MS = 100;
+/**
+ * How long a request that no endpoint has worked for waits beyond its latest
+ * start in time, in milliseconds: about one call, in case a queue ends early.
+ */
+const NEW_PATIENCE_MS = 400;
 /**
  * How long a caller that came back may wait in queues, in milliseconds. It is
  * late already and takes what others leave; a second refusal sends it away for
@@ -78,7 +82,7 @@
   if (expectedMs > input.leftMs) {
     return buildRefusal(REFUSAL.noTime, expectedMs, input.leftMs);
   }
-  const isLate = expectedMs > input.objectiveMs + LATE_TOLERANCE_MS;
+  const isLate = expectedMs > input.objectiveMs - ADMISSION_SLACK_MS;
   const isTooLong = input.isReturn ? waitMs > RETURN_PATIENCE_MS : isLate;
   if (waitMs > 0 && isTooLong) {
     return buildRefusal(REFUSAL.busy, expectedMs, input.leftMs);
@@ -118,7 +122,7 @@
 }): number {
   const { isInvested, isReturn, now, dueAt, latestAt } = options;
   if (isInvested) return latestAt;
-  const patienceMs = isReturn ? RETURN_PATIENCE_MS : LATE_TOLERANCE_MS;
+  const patienceMs = isReturn ? RETURN_PATIENCE_MS : NEW_PATIENCE_MS;
   return Math.min(latestAt, Math.max(now, dueAt) + patienceMs);
 }
 
