--- a/packages/cli/src/syntax.ts
+++ b/packages/cli/src/syntax.ts
@@ -8,6 +8,7 @@
 import * as code from "./code_commands.ts";
 import { buildConfigCommands } from "./config_syntax.ts";
 import type { Environment } from "./context.ts";
+import * as explain from "./explain_commands.ts";
 import * as key from "./key_commands.ts";
 import { type Answer, runWithContext } from "./run_command.ts";
 import * as watch from "./watch_commands.ts";
@@ -142,6 +143,26 @@
   });
 }
 
+function buildExplainCommand() {
+  return cmd.command({
+    name: "explain",
+    description: "what became of a request, from log files of gateways",
+    args: {
+      json: args.COMMON_OPTIONS.json,
+      requestId: args.createArgument("ID", "the id that the caller sent"),
+      files: cmd.restPositionals({
+        displayName: "FILE",
+        description: "log files of any processes",
+        type: cmd.string,
+      }),
+    },
+    handler: (it): Answer => ({
+      report: explain.explainRequest(it.requestId, it.files),
+      json: it.json,
+    }),
+  });
+}
+
 /** Builds every command of the program. */
 export function buildProgram(environment: Environment) {
   return cmd.subcommands({
@@ -166,6 +187,7 @@
       }),
       claims: buildClaimCommands(environment),
       timeline: buildTimelineCommand(environment),
+      explain: buildExplainCommand(),
       codes: cmd.command({
         name: "codes",
         description: "list result codes and exit codes",
