A group that has been started is not given up between its calls; first event in the log

The same bound was passed to endpoints as the caller's time. Change: a group is given up early only if no piece of it has been started; the caller's time goes to endpoints; a line tells a stream's first event.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -26,6 +26,7 @@
   requestSent: "request_sent",
   requestRepeated: "request_repeated",
   streamResumed: "stream_resumed",
+  streamStarted: "stream_started",
   requestAnswered: "request_answered",
   requestCancelled: "request_cancelled",
   stageQueued: "stage_queued",
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -221,7 +221,8 @@
     return {
       exchangeViews: (view) => this.mesh.handleExchange(view),
       getSiteFacts: () => this.site.getFacts(),
-      runPieces: ({ service, dueInMs, expiresInMs, ...group }) => {
+      runPieces: (message) => {
+        const { service, dueInMs, expiresInMs, giveUpInMs, ...group } = message;
         if (this.#isStopping) {
           return { kind: "unavailable", reason: "leaving" };
         }
@@ -230,6 +231,7 @@
           ...group,
           dueAt: now + dueInMs,
           expiresAt: now + expiresInMs,
+          giveUpAt: now + giveUpInMs,
         });
       },
       cancelPieces: ({ service, requestId }) => {
--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -364,7 +364,7 @@
   #dropExpired(): void {
     const now = performance.now();
     for (const queued of this.#queue) {
-      if (queued.group.expiresAt < now) this.#finishLate(queued);
+      if (serving.isGivenUp(queued, now)) this.#finishLate(queued);
     }
   }
 
--- a/packages/gateway/src/piece_router.ts
+++ b/packages/gateway/src/piece_router.ts
@@ -58,7 +58,7 @@
       outcome = await this.#runAt(leader, service, group);
       const mayRetry = outcome.kind === "unavailable" &&
         outcome.reason !== serving.CANCELLED &&
-        performance.now() < group.expiresAt;
+        performance.now() < group.giveUpAt;
       if (!mayRetry) return outcome;
       failed.add(leader.vmId);
     }
@@ -106,7 +106,7 @@
     if (this.#isOwn(leader)) {
       return await this.#options.getLeader(service).submit(group);
     }
-    const { dueAt, expiresAt, ...rest } = group;
+    const { dueAt, expiresAt, giveUpAt, ...rest } = group;
     const now = performance.now();
     const answer = await this.#options.mesh.peers.call(
       leader.rpc,
@@ -116,6 +116,7 @@
         service,
         dueInMs: dueAt - now,
         expiresInMs: expiresAt - now,
+        giveUpInMs: giveUpAt - now,
       },
       { timeoutMs: Math.max(0, expiresAt - now) + ANSWER_SLACK_MS },
     );
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -165,7 +165,10 @@
   const result = staged.kind === "made"
     ? await forwardRequest(parts, request, {
       staged,
-      handleFirstEvent: () => run.release(),
+      handleFirstEvent: () => {
+        recordFirstEvent(parts, request);
+        run.release();
+      },
       remakeInputs: async () => {
         run.release();
         const again = await run.run();
@@ -338,6 +341,17 @@
     .exhaustive();
 }
 
+function recordFirstEvent(parts: FlowParts, request: RoutedRequest): void {
+  const { route, scope, requestId } = request;
+  const firstEventMs = scope.ageMs;
+  parts.metrics.recordMs("first_event_ms", { route: route.name }, firstEventMs);
+  parts.events.write(EVENT.streamStarted, {
+    requestId,
+    firstEventMs: Math.round(firstEventMs),
+    objectiveMs: route.objectiveMs,
+  });
+}
+
 function recordAnswer(
   parts: FlowParts,
   request: RoutedRequest,
--- a/packages/gateway/src/stage_run.ts
+++ b/packages/gateway/src/stage_run.ts
@@ -162,14 +162,14 @@
     // A caller that came back is late from the start.
     const objectiveMs = this.#options.isReturn ? 0 : this.#options.objectiveMs;
     const dueAt = scope.startedAt + objectiveMs - laterMs;
-    const latestAt = scope.startedAt + this.#options.leftMs - laterMs;
+    const expiresAt = scope.startedAt + this.#options.leftMs - laterMs;
     const { isInvested } = start;
-    const expiresAt = serving.planExpiry({
+    const giveUpAt = serving.planGiveUp({
       isInvested,
       isReturn: this.#options.isReturn,
       now,
       dueAt,
-      latestAt,
+      expiresAt,
     });
     events.write(EVENT.stageQueued, {
       requestId,
@@ -178,6 +178,7 @@
       pieces: start.pieces,
       dueInMs: Math.round(dueAt - now),
       expiresInMs: Math.round(expiresAt - now),
+      giveUpInMs: Math.round(giveUpAt - now),
     });
     const outcome = await router.run(spec.service, {
       requestId,
@@ -191,6 +192,7 @@
       localBytes: this.#getLocalBytes(start, spec.resultBytes),
       dueAt,
       expiresAt,
+      giveUpAt,
     });
     events.write(EVENT.stageDone, {
       requestId,
--- a/packages/serving/src/_fixtures.ts
+++ b/packages/serving/src/_fixtures.ts
@@ -54,6 +54,7 @@
     isInvested: false,
     dueAt: 1_000,
     expiresAt: 5_000,
+    giveUpAt: 2_000,
     ...more,
   };
 }
--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -112,18 +112,18 @@
  * be in time any more and has cost nothing yet is refused at once, with a time to
  * come back. What endpoints have worked for is finished while its caller waits.
  */
-export function planExpiry(options: {
+export function planGiveUp(options: {
   readonly isInvested: boolean;
   readonly isReturn: boolean;
   readonly now: number;
   readonly dueAt: number;
   /** Latest start that is of any use to the caller. */
-  readonly latestAt: number;
+  readonly expiresAt: number;
 }): number {
-  const { isInvested, isReturn, now, dueAt, latestAt } = options;
-  if (isInvested) return latestAt;
+  const { isInvested, isReturn, now, dueAt, expiresAt } = options;
+  if (isInvested) return expiresAt;
   const patienceMs = isReturn ? RETURN_PATIENCE_MS : NEW_PATIENCE_MS;
-  return Math.min(latestAt, Math.max(now, dueAt) + patienceMs);
+  return Math.min(expiresAt, Math.max(now, dueAt) + patienceMs);
 }
 
 /** A VM that was told to stop. */
--- a/packages/serving/src/admission_test.ts
+++ b/packages/serving/src/admission_test.ts
@@ -3,7 +3,7 @@
   type AdmissionInput,
   decideAdmission,
   mayServeWhileStopping,
-  planExpiry,
+  planGiveUp,
 } from "./admission.ts";
 
 const CALM: AdmissionInput = {
@@ -92,20 +92,20 @@
   });
 });
 
-describe("planExpiry", () => {
-  const base = { now: 0, dueAt: 600, latestAt: 7_000, isReturn: false };
+describe("planGiveUp", () => {
+  const base = { now: 0, dueAt: 600, expiresAt: 7_000, isReturn: false };
 
   it("gives new requests up soon after they can't be in time", () => {
-    expect(planExpiry({ ...base, isInvested: false })).to.equal(1_000);
-    expect(planExpiry({ ...base, isInvested: false, dueAt: -900 }))
+    expect(planGiveUp({ ...base, isInvested: false })).to.equal(1_000);
+    expect(planGiveUp({ ...base, isInvested: false, dueAt: -900 }))
       .to.equal(400);
-    expect(planExpiry({ ...base, isInvested: false, latestAt: 200 }))
+    expect(planGiveUp({ ...base, isInvested: false, expiresAt: 200 }))
       .to.equal(200);
-    expect(planExpiry({ ...base, isInvested: false, isReturn: true }))
+    expect(planGiveUp({ ...base, isInvested: false, isReturn: true }))
       .to.equal(1_600);
   });
 
   it("finishes what was worked for while the caller waits", () => {
-    expect(planExpiry({ ...base, isInvested: true })).to.equal(7_000);
+    expect(planGiveUp({ ...base, isInvested: true })).to.equal(7_000);
   });
 });
--- a/packages/serving/src/messages.ts
+++ b/packages/serving/src/messages.ts
@@ -37,10 +37,11 @@
 
 /** A {@link PieceGroup} on its way to a leader. */
 export interface PieceGroupMessage
-  extends Omit<PieceGroup, "dueAt" | "expiresAt"> {
+  extends Omit<PieceGroup, "dueAt" | "expiresAt" | "giveUpAt"> {
   readonly service: ServiceId;
   readonly dueInMs: number;
   readonly expiresInMs: number;
+  readonly giveUpInMs: number;
 }
 
 /** Reason of a group whose request has ended. */
--- a/packages/serving/src/piece_queue.ts
+++ b/packages/serving/src/piece_queue.ts
@@ -34,6 +34,8 @@
   readonly dueAt: number;
   /** Latest start that is of any use to the caller. */
   readonly expiresAt: number;
+  /** When it is given up if none of its pieces has been started. */
+  readonly giveUpAt: number;
 }
 
 /** A group that waits, and the pieces that no call carries yet. */
@@ -45,6 +47,17 @@
   madeIn?: ZoneId;
 }
 
+/**
+ * Whether a waiting group is given up.
+ *
+ * A group of which some pieces have been started goes on while its caller waits:
+ * given up between two of its calls, the first one was made in vain.
+ */
+export function isGivenUp(queued: QueuedGroup, now: number): boolean {
+  const { group, madeIn } = queued;
+  return now > (madeIn === undefined ? group.giveUpAt : group.expiresAt);
+}
+
 /** An endpoint that could take a call now. */
 export interface CallRoom {
   readonly zone: ZoneId;
@@ -133,8 +146,8 @@
   b: QueuedGroup,
   now: number,
 ): number {
-  const isLateA = isLateStart(a.group, now);
-  const isLateB = isLateStart(b.group, now);
+  const isLateA = isLateStart(a, now);
+  const isLateB = isLateStart(b, now);
   if (isLateA !== isLateB) return isLateA ? 1 : -1;
   const byPriority = a.group.priority - b.group.priority;
   if (isLateA && byPriority !== 0) return byPriority;
@@ -204,7 +217,7 @@
  * keeps results in the room of several pools until it is finished. Left behind
  * what is new, it waits for seconds and fails with all that was done for it.
  */
-function isLateStart(group: PieceGroup, now: number): boolean {
+function isLateStart({ group }: QueuedGroup, now: number): boolean {
   return !group.isInvested && group.dueAt < now;
 }
 
--- a/packages/serving/src/piece_queue_test.ts
+++ b/packages/serving/src/piece_queue_test.ts
@@ -1,6 +1,11 @@
 import { expect } from "chai";
 import { buildQueued, POOL } from "./_fixtures.ts";
-import { estimateLoad, planCall, type QueuedGroup } from "./piece_queue.ts";
+import {
+  estimateLoad,
+  isGivenUp,
+  planCall,
+  type QueuedGroup,
+} from "./piece_queue.ts";
 
 const ROOM = { zone: "a", freeBytes: 1_000_000, maxPieces: POOL.batchSize };
 
@@ -122,3 +127,15 @@
     expect(load.waitMs[0]).to.equal(800);
   });
 });
+
+describe("isGivenUp", () => {
+  // Six of a request's nine pieces were made, the other three waited for the next
+  // call, and the request was given up between the two: a call in vain.
+  it("keeps a group that has been started while its caller waits", () => {
+    const queued = buildQueued({ giveUpAt: 800, expiresAt: 5_000 });
+    expect(isGivenUp(queued, 700)).to.equal(false);
+    expect(isGivenUp(queued, 900)).to.equal(true);
+    expect(isGivenUp({ ...queued, madeIn: "a" }, 900)).to.equal(false);
+    expect(isGivenUp({ ...queued, madeIn: "a" }, 5_100)).to.equal(true);
+  });
+});
