--- a/packages/gateway/src/endpoint_book.ts
+++ b/packages/gateway/src/endpoint_book.ts
@@ -43,9 +43,9 @@
   }
 
   /** Endpoints of a service that are neither leaving nor in a zone that is out. */
-  listUsable(service: ServiceId): serving.ServingEndpoint[] {
+  getUsable(service: ServiceId): serving.ServingEndpoint[] {
     const { site } = this.#options;
-    return site.listEndpoints()
+    return site.getEndpoints()
       .map(({ endpoint }) => endpoint)
       .filter((one) =>
         one.service === service && !one.isDraining && !site.isZoneOut(one.zone)
@@ -53,19 +53,19 @@
   }
 
   /** Candidates for a request; cold endpoints only within this VM's part. */
-  listCandidates(
+  getCandidates(
     service: serving.ServiceSpec | undefined,
     name: ServiceId,
   ): serving.PlacementCandidate[] {
     const now = performance.now();
-    return this.listUsable(name)
+    return this.getUsable(name)
       .filter((endpoint) => this.#mayWarm(endpoint, service, now))
       .map((endpoint) => this.#buildCandidate(endpoint, now));
   }
 
   /** Finds an endpoint that isn't gone. */
   find(id: EndpointId): serving.ServingEndpoint | undefined {
-    return this.#options.site.listEndpoints()
+    return this.#options.site.getEndpoints()
       .find(({ endpoint }) => endpoint.id === id)?.endpoint;
   }
 
@@ -136,7 +136,7 @@
 
   /** Forgets endpoints that are gone and learns of starts. */
   update(): void {
-    const listed = this.#options.site.listEndpoints();
+    const listed = this.#options.site.getEndpoints();
     const ids = new Set(listed.map(({ endpoint }) => endpoint.id));
     for (const [id, runtime] of this.#runtimes) {
       if (!ids.has(id) && runtime.inFlight <= 0) this.#runtimes.delete(id);
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -66,7 +66,7 @@
 const STATUS_FAILURE_MIN = 500;
 
 /** Sends a request to one endpoint after the other, as far as that is allowed. */
-export async function forwardRequest(
+export async function sendRequest(
   parts: FlowParts,
   request: RoutedRequest,
   options: ForwardOptions,
@@ -127,7 +127,7 @@
   #pickEndpoint(): serving.ServingEndpoint | undefined {
     const { service, table, session } = this.#request;
     const id = serving.pickEndpoint({
-      candidates: this.#parts.book.listCandidates(
+      candidates: this.#parts.book.getCandidates(
         table.services.get(service),
         service,
       ),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -227,7 +227,7 @@
           return { kind: "unavailable", reason: "leaving" };
         }
         const now = performance.now();
-        return this.#getLeader(service).submit({
+        return this.#getLeader(service).addGroup({
           ...group,
           dueAt: now + dueInMs,
           expiresAt: now + expiresInMs,
@@ -284,7 +284,7 @@
     if (!this.isReady) return;
     this.#options.events.write(EVENT.processReady, {
       configuration: this.site.table?.version,
-      endpoints: this.site.listEndpoints().length,
+      endpoints: this.site.getEndpoints().length,
       members: this.site.members.length,
       afterStartMs: Math.round(now),
     });
--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -100,7 +100,7 @@
   }
 
   /** Has the pieces of a stage made. */
-  submit(group: serving.PieceGroup): Promise<serving.PieceOutcome> {
+  addGroup(group: serving.PieceGroup): Promise<serving.PieceOutcome> {
     return new Promise((resolve) => {
       this.#queue.push(this.#createGroup(group, resolve));
       this.#pumpTimer ??= setTimeout(() => this.#pump(), GATHER_MS);
@@ -125,7 +125,7 @@
   getLoad(): serving.PoolLoad {
     const pool = this.#options.getPool();
     if (pool === undefined) return { waitMs: [0], lateWaitMs: 0, endpoints: 0 };
-    const usable = this.#listEndpoints();
+    const usable = this.#getEndpoints();
     const slowRatio = this.#getSlowRatio(usable);
     const endpoints = usable
       .filter((one) => this.#getState(one.id).ratio <= slowRatio).length;
@@ -172,7 +172,7 @@
     const pool = this.#options.getPool();
     if (pool === undefined || this.#queue.length === 0) return;
     const now = performance.now();
-    const usable = this.#listEndpoints();
+    const usable = this.#getEndpoints();
     const zones = getZones(usable);
     const slowRatio = this.#getSlowRatio(usable);
     const free = usable
@@ -195,8 +195,8 @@
     }
   }
 
-  #listEndpoints(): serving.ServingEndpoint[] {
-    return this.#options.book.listUsable(this.#options.service);
+  #getEndpoints(): serving.ServingEndpoint[] {
+    return this.#options.book.getUsable(this.#options.service);
   }
 
   #isFree(
@@ -241,7 +241,7 @@
       (sum, one) => sum + one.queued.group.resultBytes,
       0,
     );
-    this.#room.reserve(endpoint.id, bytes);
+    this.#room.addBytes(endpoint.id, bytes);
     const expectedMs = pool.callMs + pieces.length * pool.pieceMs;
     this.#recordStart(endpoint, pool, plan, pieces.length);
     const result = await this.#options.wire.runPieces({
@@ -259,7 +259,7 @@
         CALL_SLACK_MS,
     });
     const tookMs = performance.now() - startedAt;
-    this.#room.unreserve(endpoint.id, bytes);
+    this.#room.removeBytes(endpoint.id, bytes);
     state.isBusy = false;
     state.lastCallAt = performance.now();
     this.#recordEnd(endpoint, pieces.length, result, tookMs, expectedMs);
--- a/packages/gateway/src/piece_router.ts
+++ b/packages/gateway/src/piece_router.ts
@@ -104,7 +104,7 @@
     group: serving.PieceGroup,
   ): Promise<serving.PieceOutcome> {
     if (this.#isOwn(leader)) {
-      return await this.#options.getLeader(service).submit(group);
+      return await this.#options.getLeader(service).addGroup(group);
     }
     const { dueAt, expiresAt, giveUpAt, ...rest } = group;
     const now = performance.now();
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -13,7 +13,7 @@
 import { AnswerWriter } from "./answer_writer.ts";
 import type { EndpointBook } from "./endpoint_book.ts";
 import { EVENT } from "./events.ts";
-import { forwardRequest, type ForwardResult } from "./forward.ts";
+import { type ForwardResult, sendRequest } from "./forward.ts";
 import type { HttpPool } from "./http_pool.ts";
 import type { PeerMesh } from "./peer_mesh.ts";
 import type { PieceRouter } from "./piece_router.ts";
@@ -83,15 +83,15 @@
   parts: FlowParts,
   arrived: ArrivedRequest,
 ): Promise<void> {
-  const routed = identifyRequest(parts, arrived);
+  const routed = findTarget(parts, arrived);
   if ("failure" in routed) {
     return refuseRequest(parts, arrived, routed.failure);
   }
-  await serveRequest(parts, routed.request);
+  await handleRequest(parts, routed.request);
 }
 
 /** Finds route, customer and service, or says why the request isn't allowed. */
-function identifyRequest(
+function findTarget(
   parts: FlowParts,
   arrived: ArrivedRequest,
 ): { request: RoutedRequest } | { failure: codes.Failure } {
@@ -145,7 +145,7 @@
   };
 }
 
-async function serveRequest(
+async function handleRequest(
   parts: FlowParts,
   request: RoutedRequest,
 ): Promise<void> {
@@ -163,7 +163,7 @@
     ? await run.run()
     : { kind: "made", inputs: [], inputBytes: {} };
   const result = staged.kind === "made"
-    ? await forwardRequest(parts, request, {
+    ? await sendRequest(parts, request, {
       staged,
       handleFirstEvent: () => {
         recordFirstEvent(parts, request);
@@ -184,7 +184,7 @@
 
 function createStageRun(parts: FlowParts, request: RoutedRequest): StageRun {
   const { route, session, table, service, caller } = request;
-  const candidates = parts.book.listCandidates(
+  const candidates = parts.book.getCandidates(
     table.services.get(service),
     service,
   );
--- a/packages/gateway/src/result_room.ts
+++ b/packages/gateway/src/result_room.ts
@@ -41,13 +41,13 @@
   }
 
   /** Holds room for a call that starts. */
-  reserve(endpointId: EndpointId, bytes: number): void {
+  addBytes(endpointId: EndpointId, bytes: number): void {
     this.#used.set(endpointId, (this.#used.get(endpointId) ?? 0) + bytes);
   }
 
   /** Gives a call's room back when it has ended. */
-  unreserve(endpointId: EndpointId, bytes: number): void {
-    this.reserve(endpointId, -bytes);
+  removeBytes(endpointId: EndpointId, bytes: number): void {
+    this.addBytes(endpointId, -bytes);
   }
 
   /** Notes a result that now lies at an endpoint. */
@@ -59,7 +59,7 @@
   ): void {
     const dropsAt = performance.now() + (pool?.resultTtlMs ?? 0);
     this.#kept.set(handle, { endpointId: endpoint.id, bytes, dropsAt });
-    this.reserve(endpoint.id, bytes);
+    this.addBytes(endpoint.id, bytes);
   }
 
   /** Notes that a result is given up; false when it isn't known. */
@@ -67,7 +67,7 @@
     const kept = this.#kept.get(handle);
     if (kept === undefined) return false;
     this.#kept.delete(handle);
-    this.unreserve(kept.endpointId, kept.bytes);
+    this.removeBytes(kept.endpointId, kept.bytes);
     return true;
   }
 
--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -141,8 +141,8 @@
   }
 
   /** Removes endpoints that a whole listing doesn't name. */
-  retainEndpoints(ids: ReadonlySet<EndpointId>, source: FactsSource): void {
-    for (const id of this.#endpoints.retain(ids, performance.now())) {
+  removeMissing(ids: ReadonlySet<EndpointId>, source: FactsSource): void {
+    for (const id of this.#endpoints.removeMissing(ids, performance.now())) {
       this.#recordEndpoint("removed", id, source);
     }
   }
@@ -153,12 +153,12 @@
   }
 
   /** Every endpoint that isn't gone, also draining ones. */
-  listEndpoints(): { endpoint: serving.ServingEndpoint; ageMs: number }[] {
+  getEndpoints(): { endpoint: serving.ServingEndpoint; ageMs: number }[] {
     const now = performance.now();
     for (const id of this.#endpoints.dropLapsed(now)) {
       this.#recordEndpoint("removed", id, "registry");
     }
-    return this.#endpoints.list(now);
+    return this.#endpoints.getAll(now);
   }
 
   /** Adds or replaces a member. */
@@ -182,7 +182,7 @@
       configuration: this.#configuration,
       zonesOut: [...this.#zonesOut],
       endpointPosition: this.#endpointPosition,
-      endpoints: this.listEndpoints().map(({ endpoint }) => endpoint),
+      endpoints: this.getEndpoints().map(({ endpoint }) => endpoint),
       members: this.members,
     };
   }
@@ -201,7 +201,7 @@
     }
     if (facts.endpointPosition > this.#endpointPosition) {
       for (const one of facts.endpoints) this.updateEndpoint(one, "peer");
-      this.retainEndpoints(
+      this.removeMissing(
         new Set(facts.endpoints.map((one) => one.id)),
         "peer",
       );
--- a/packages/gateway/src/stage_run.ts
+++ b/packages/gateway/src/stage_run.ts
@@ -128,7 +128,7 @@
               .with({ kind: "made" }, ({ results }) => {
                 graph.recordResults(start.stage, results);
                 if (isOver) return this.#releaseGraph(graph);
-                this.#releaseHandles(graph, graph.takeFinished(start.stage));
+                this.#releaseHandles(graph, graph.getFinished(start.stage));
                 advance();
               })
               .when(() => isOver, () => {})
--- a/packages/serving/src/endpoint_facts.ts
+++ b/packages/serving/src/endpoint_facts.ts
@@ -71,7 +71,7 @@
   }
 
   /** Removes what a whole listing doesn't name. */
-  retain(ids: ReadonlySet<EndpointId>, now: number): EndpointId[] {
+  removeMissing(ids: ReadonlySet<EndpointId>, now: number): EndpointId[] {
     const missing = [...this.#known.keys()].filter((id) => !ids.has(id));
     return missing.filter((id) => this.remove(id, now) !== "none");
   }
@@ -86,7 +86,7 @@
   }
 
   /** Every endpoint that isn't gone, with the age of its record's last news. */
-  list(now: number): { endpoint: ServingEndpoint; ageMs: number }[] {
+  getAll(now: number): { endpoint: ServingEndpoint; ageMs: number }[] {
     return [...this.#known.values()].map(({ endpoint, heardAt }) => ({
       endpoint,
       ageMs: now - heardAt,
--- a/packages/serving/src/placement_test.ts
+++ b/packages/serving/src/placement_test.ts
@@ -143,7 +143,7 @@
     const facts = new EndpointFacts();
     facts.update(endpoint, 0);
     expect(facts.remove("e1", 10)).to.equal("removed");
-    expect(facts.list(10)).to.deep.equal([]);
+    expect(facts.getAll(10)).to.deep.equal([]);
   });
 
   // The registry was away and every record lapsed meanwhile. Its listing is empty
@@ -153,11 +153,11 @@
     facts.update(endpoint, 0);
     facts.update({ ...endpoint, id: "e2" }, 0);
     facts.handleRegistryReturn(5_000);
-    facts.retain(new Set(), 5_001);
-    expect(facts.list(5_002)).to.have.length(2);
+    facts.removeMissing(new Set(), 5_001);
+    expect(facts.getAll(5_002)).to.have.length(2);
     facts.update(endpoint, 6_000);
     expect(facts.dropLapsed(5_000 + LAPSE_GRACE_MS)).to.deep.equal(["e2"]);
-    expect(facts.list(9_000).map((one) => one.endpoint.id)).to.deep.equal([
+    expect(facts.getAll(9_000).map((one) => one.endpoint.id)).to.deep.equal([
       "e1",
     ]);
   });
--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -107,7 +107,7 @@
   }
 
   /** Gives the handles of stages that no later stage will read any more. */
-  takeFinished(stage: number): string[] {
+  getFinished(stage: number): string[] {
     return this.#options.stages[stage]!.after
       .filter((earlier) => this.#isFullyRead(earlier))
       .flatMap((earlier) => this.getHandles(earlier));
--- a/packages/serving/src/stage_graph_test.ts
+++ b/packages/serving/src/stage_graph_test.ts
@@ -64,10 +64,10 @@
     const graph = buildGraph([0, 1, 2, 3]);
     graph.startStages();
     graph.recordResults(1, buildResults(1, 1));
-    expect(graph.takeFinished(1)).to.deep.equal([]);
+    expect(graph.getFinished(1)).to.deep.equal([]);
     graph.startStages();
     graph.recordResults(2, buildResults(2, 2));
-    expect(graph.takeFinished(2)).to.deep.equal(["h1.0"]);
+    expect(graph.getFinished(2)).to.deep.equal(["h1.0"]);
   });
 
   it("gives the request what no stage reads, and where it lies", () => {
