Which endpoint takes the next call is a decision of its own; silent endpoints get small calls

Change: pace and freedom of a pool's endpoints move out of the leader into a pure class; a call that was given up counts as slow, one that broke early doesn't. Tests: of the order, of slow, silent and full endpoints.

--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -6,7 +6,7 @@
 import type * as logger from "@sardinestep/logger";
 import type * as metrics from "@sardinestep/metrics";
 import * as serving from "@sardinestep/serving";
-import type { EndpointId, ServiceId } from "@sardinestep/types";
+import type { ServiceId } from "@sardinestep/types";
 import { match } from "ts-pattern";
 import { type EndpointBook, getZones } from "./endpoint_book.ts";
 import { EVENT } from "./events.ts";
@@ -23,33 +23,10 @@
 const GATHER_MS = 4;
 /** Times that one piece may fail at endpoints before its group is given up. */
 const MAX_PIECE_FAILURES = 3;
-/** An endpoint that said it was full or had no room is left alone so long. */
-const BACK_OFF_MS = 60;
 /** A call may take this many times its expected time before it is given up. */
 const CALL_PATIENCE = 3;
 /** Added to that: links, a new connection, and the wait behind a foreign call. */
 const CALL_SLACK_MS = 500;
-/**
- * How many times slower than the pool's quickest an endpoint is to count as slow.
- * Endpoints of one pool differ by a third; configured times are approximate, so
- * they can't be what one is compared with.
- */
-const SLOW_FACTOR = 2.2;
-/** Weight of the newest call in an endpoint's ratio. */
-const RATIO_WEIGHT = 0.5;
-/** A slow endpoint gets a small call this often, to see whether it still is. */
-const TRIAL_EVERY_MS = 1_500;
-/** Pieces of such a call: few, since they will be late. */
-const TRIAL_PIECES = 2;
-
-interface LeaderEndpoint {
-  isBusy: boolean;
-  blockedUntil: number;
-  /** Measured over expected time of its calls. */
-  ratio: number;
-  lastCallAt: number;
-}
-
 interface LeaderGroup extends serving.QueuedGroup {
   readonly results: (serving.PieceResult | undefined)[];
   readonly failures: number[];
@@ -75,7 +52,7 @@
  */
 export class PieceLeader {
   readonly #options: PieceLeaderOptions;
-  readonly #endpoints = new Map<EndpointId, LeaderEndpoint>();
+  readonly #endpoints = new serving.PoolEndpoints();
   readonly #room = new ResultRoom();
   readonly #releases: ResultReleases;
   readonly #timer: NodeJS.Timeout;
@@ -125,10 +102,8 @@
   getLoad(): serving.PoolLoad {
     const pool = this.#options.getPool();
     if (pool === undefined) return { waitMs: [0], lateWaitMs: 0, endpoints: 0 };
-    const usable = this.#getEndpoints();
-    const slowRatio = this.#getSlowRatio(usable);
-    const endpoints = usable
-      .filter((one) => this.#getState(one.id).ratio <= slowRatio).length;
+    const ids = this.#getEndpoints().map((one) => one.id);
+    const endpoints = this.#endpoints.countQuick(ids);
     return serving.estimateLoad({
       queue: this.#queue,
       pool,
@@ -173,22 +148,20 @@
     if (pool === undefined || this.#queue.length === 0) return;
     const now = performance.now();
     const usable = this.#getEndpoints();
-    const zones = getZones(usable);
-    const slowRatio = this.#getSlowRatio(usable);
-    const free = usable
-      .filter((one) => this.#isFree(one, slowRatio, now))
-      .sort((a, b) => this.#compareFree(a.id, b.id));
-    for (const endpoint of free) {
-      const state = this.#getState(endpoint.id);
+    const ids = usable
+      .filter((one) => !this.#options.book.isAvoided(one.id, now))
+      .map((one) => one.id);
+    for (const free of this.#endpoints.getFree(ids, now)) {
+      const endpoint = usable.find((one) => one.id === free.id)!;
       const plan = serving.planCall({
         queue: this.#queue,
         pool,
         room: {
           zone: endpoint.zone,
           freeBytes: this.#room.getFree(endpoint.id, pool, now),
-          maxPieces: state.ratio > slowRatio ? TRIAL_PIECES : pool.batchSize,
+          maxPieces: free.maxPieces ?? pool.batchSize,
         },
-        poolZones: zones,
+        poolZones: getZones(usable),
         now,
       });
       if (plan.length > 0) void this.#runCall(endpoint, pool, plan);
@@ -199,44 +172,17 @@
     return this.#options.book.getUsable(this.#options.service);
   }
 
-  #isFree(
-    endpoint: serving.ServingEndpoint,
-    slowRatio: number,
-    now: number,
-  ): boolean {
-    const state = this.#getState(endpoint.id);
-    if (state.isBusy || state.blockedUntil > now) return false;
-    if (this.#options.book.isAvoided(endpoint.id, now)) return false;
-    const isSlow = state.ratio > slowRatio;
-    return !isSlow || now - state.lastCallAt > TRIAL_EVERY_MS;
-  }
-
-  /** Ratio of measured to expected time above which an endpoint is slow. */
-  #getSlowRatio(usable: readonly serving.ServingEndpoint[]): number {
-    const ratios = usable.map((one) => this.#getState(one.id).ratio);
-    return Math.max(1, Math.min(...ratios)) * SLOW_FACTOR;
-  }
-
-  /** Quick endpoints first; of equal ones the one that was idle for longest. */
-  #compareFree(a: EndpointId, b: EndpointId): number {
-    const left = this.#getState(a);
-    const right = this.#getState(b);
-    const byRatio = Math.round(left.ratio * 4) - Math.round(right.ratio * 4);
-    return byRatio === 0 ? left.lastCallAt - right.lastCallAt : byRatio;
-  }
-
   async #runCall(
     endpoint: serving.ServingEndpoint,
     pool: serving.PoolSpec,
     plan: readonly serving.PlannedPieces[],
   ): Promise<void> {
-    const state = this.#getState(endpoint.id);
     const startedAt = performance.now();
     const pieces = plan.flatMap(({ queued, pieces }) =>
       pieces.map((piece) => ({ queued: queued as LeaderGroup, piece }))
     );
     this.#takePieces(plan, endpoint.zone);
-    state.isBusy = true;
+    this.#endpoints.recordStart(endpoint.id);
     const bytes = pieces.reduce(
       (sum, one) => sum + one.queued.group.resultBytes,
       0,
@@ -255,15 +201,20 @@
         key: group.key,
         inputs: group.inputs,
       })),
-      timeoutMs: expectedMs * Math.max(1, state.ratio) * CALL_PATIENCE +
-        CALL_SLACK_MS,
+      timeoutMs: expectedMs * this.#endpoints.getRatio(endpoint.id) *
+          CALL_PATIENCE + CALL_SLACK_MS,
     });
     const tookMs = performance.now() - startedAt;
     this.#room.removeBytes(endpoint.id, bytes);
-    state.isBusy = false;
-    state.lastCallAt = performance.now();
+    this.#endpoints.recordEnd(
+      endpoint.id,
+      performance.now(),
+      result.kind === "notRun"
+        ? undefined
+        : { tookMs, expectedMs, isWhole: result.kind === "done" },
+    );
     this.#recordEnd(endpoint, pieces.length, result, tookMs, expectedMs);
-    this.#handleResult({ endpoint, state, pieces, result, tookMs, expectedMs });
+    this.#handleResult(endpoint, pieces, result);
     this.#pump();
   }
 
@@ -280,28 +231,22 @@
     }
   }
 
-  #handleResult(call: {
-    readonly endpoint: serving.ServingEndpoint;
-    readonly state: LeaderEndpoint;
-    readonly pieces: readonly { queued: LeaderGroup; piece: number }[];
-    readonly result: PieceCallResult;
-    readonly tookMs: number;
-    readonly expectedMs: number;
-  }): void {
-    const { endpoint, state, pieces, result } = call;
+  #handleResult(
+    endpoint: serving.ServingEndpoint,
+    pieces: readonly { queued: LeaderGroup; piece: number }[],
+    result: PieceCallResult,
+  ): void {
     const { book } = this.#options;
     match(result)
       .with({ kind: "done" }, (done) => {
-        const ratio = call.tookMs / call.expectedMs;
-        state.ratio += RATIO_WEIGHT * (ratio - state.ratio);
         book.recordEvidence(endpoint, serving.EVIDENCE.good);
         pieces.forEach(({ queued, piece }, index) => {
           const answer = done.pieces[index] ?? { kind: "failed" as const };
-          this.#handlePiece(endpoint, state, queued, piece, answer);
+          this.#handlePiece(endpoint, queued, piece, answer);
         });
       })
       .with({ kind: "notRun" }, () => {
-        state.blockedUntil = performance.now() + BACK_OFF_MS;
+        this.#endpoints.recordFull(endpoint.id, performance.now());
         for (const { queued, piece } of pieces) this.#requeue(queued, piece);
       })
       .with({ kind: "broken" }, () => {
@@ -313,7 +258,6 @@
 
   #handlePiece(
     endpoint: serving.ServingEndpoint,
-    state: LeaderEndpoint,
     queued: LeaderGroup,
     piece: number,
     answer: PieceAnswer,
@@ -327,7 +271,7 @@
         this.#checkMade(queued);
       })
       .with({ kind: "noRoom" }, () => {
-        state.blockedUntil = performance.now() + BACK_OFF_MS;
+        this.#endpoints.recordFull(endpoint.id, performance.now());
         this.#requeue(queued, piece);
       })
       .with({ kind: "failed" }, () => this.#fail(queued, piece))
@@ -440,19 +384,6 @@
       status: result.kind === "notRun" ? result.status : undefined,
     });
   }
-
-  #getState(id: EndpointId): LeaderEndpoint {
-    const known = this.#endpoints.get(id);
-    if (known !== undefined) return known;
-    const state = {
-      isBusy: false,
-      blockedUntil: -Infinity,
-      ratio: 1,
-      lastCallAt: -Infinity,
-    };
-    this.#endpoints.set(id, state);
-    return state;
-  }
 }
 
 function countKinds(answers: readonly PieceAnswer[]): Record<string, number> {
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -12,6 +12,7 @@
 export * from "./model.ts";
 export * from "./piece_queue.ts";
 export * from "./placement.ts";
+export * from "./pool_endpoints.ts";
 export * from "./prompt_session.ts";
 export * from "./repeat_budget.ts";
 export * from "./route_table.ts";
--- /dev/null
+++ b/packages/serving/src/pool_endpoints_test.ts
@@ -0,0 +1,77 @@
+import { expect } from "chai";
+import { PoolEndpoints } from "./pool_endpoints.ts";
+
+const IDS = ["e1", "e2", "e3"];
+
+function runCall(
+  pool: PoolEndpoints,
+  id: string,
+  call: { readonly at: number; readonly tookMs: number },
+): void {
+  pool.recordStart(id);
+  pool.recordEnd(id, call.at + call.tookMs, {
+    tookMs: call.tookMs,
+    expectedMs: 250,
+    isWhole: true,
+  });
+}
+
+describe("PoolEndpoints", () => {
+  it("gives one call at a time to each, the longest idle first", () => {
+    const pool = new PoolEndpoints();
+    runCall(pool, "e1", { at: 0, tookMs: 250 });
+    pool.recordStart("e2");
+    expect(pool.getFree(IDS, 300).map((one) => one.id)).to.deep.equal([
+      "e3",
+      "e1",
+    ]);
+  });
+
+  // One of three turns five times as slow. Whole batches that it takes are late,
+  // although the two others bear the load.
+  it("gives a slow endpoint small calls now and then", () => {
+    const pool = new PoolEndpoints();
+    runCall(pool, "e1", { at: 0, tookMs: 1_250 });
+    expect(pool.countQuick(IDS)).to.equal(2);
+    expect(pool.getFree(IDS, 1_300).map((one) => one.id)).to.deep.equal([
+      "e2",
+      "e3",
+    ]);
+    const trial = pool.getFree(IDS, 2_800).find((one) => one.id === "e1");
+    expect(trial).to.deep.equal({ id: "e1", maxPieces: 2 });
+    runCall(pool, "e1", { at: 2_800, tookMs: 250 });
+    expect(pool.countQuick(IDS)).to.equal(3);
+  });
+
+  // The configured time of a call is approximate. Where all take three times as
+  // long, none is slow, and the pool must not fall back to small calls.
+  it("compares endpoints with each other, not with the configuration", () => {
+    const pool = new PoolEndpoints();
+    for (const id of IDS) runCall(pool, id, { at: 0, tookMs: 2_000 });
+    expect(pool.countQuick(IDS)).to.equal(3);
+    expect(pool.getFree(IDS, 2_001)).to.deep.equal(IDS.map((id) => ({ id })));
+  });
+
+  // Two workers gave no answer to calls of 150 to 250 ms for a second each, and
+  // got the next full call half a second later, four times in a row.
+  it("gives a silent endpoint small calls, a broken one full ones", () => {
+    const pool = new PoolEndpoints();
+    const end = (id: string, tookMs: number) =>
+      pool.recordEnd(id, 0, { tookMs, expectedMs: 250, isWhole: false });
+    end("e1", 1_250);
+    end("e2", 2);
+    const free = pool.getFree(IDS, 2_000);
+    expect(free).to.deep.equal([
+      { id: "e3" },
+      { id: "e2" },
+      { id: "e1", maxPieces: 2 },
+    ]);
+  });
+
+  it("leaves an endpoint alone for a moment that was full", () => {
+    const pool = new PoolEndpoints();
+    pool.recordFull("e1", 0);
+    expect(pool.getFree(["e1"], 50)).to.deep.equal([]);
+    expect(pool.getFree(["e1"], 61)).to.have.length(1);
+  });
+});
