One wait of refused callers, one first status of failure, no unused fields

Cause: the last read of the change found a wait and a status that stood twice, a getter beside its own private field, and a field that nobody reads. Change: forward.ts uses the pieces of final_answer.ts and attempt.ts; the getter and FlowParts.vmId are gone. Behaviour as before.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -66,7 +66,8 @@
 const MAX_WHOLE_BYTES = 8 * 1_048_576;
 const STATUS_OK_MIN = 200;
 const STATUS_OK_MAX = 299;
-const STATUS_FAILURE_MIN = 500;
+/** First status by which an endpoint says that it failed. */
+export const STATUS_FAILURE_MIN = 500;
 
 /**
  * Sends a request to an endpoint and handles the answer.
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -7,9 +7,14 @@
 import * as serving from "@sardinestep/serving";
 import { match } from "ts-pattern";
 import type { WholeAnswer } from "./answer_writer.ts";
-import { type AttemptOutcome, runAttempt } from "./attempt.ts";
+import {
+  type AttemptOutcome,
+  runAttempt,
+  STATUS_FAILURE_MIN,
+} from "./attempt.ts";
 import { EventCutter } from "./event_cutter.ts";
 import { EVENT } from "./events.ts";
+import { UNAVAILABLE_RETRY_AFTER_MS } from "./final_answer.ts";
 import type { FlowParts, RoutedRequest } from "./request_flow.ts";
 
 /** How forwarding ended. */
@@ -59,11 +64,8 @@
  * leave after two seconds; sound endpoints pause for less than half a second.
  */
 const STREAM_SILENCE_MS = 1_200;
-/** What callers wait when no endpoint can take a request, in milliseconds. */
-const RETRY_AFTER_MS = 500;
 /** An endpoint's status for results that it could not fetch. */
 const STATUS_CONFLICT = 409;
-const STATUS_FAILURE_MIN = 500;
 
 /** Sends a request to one endpoint after the other, as far as that is allowed. */
 export async function sendRequest(
@@ -140,7 +142,7 @@
   }
 
   #send(endpoint: serving.ServingEndpoint): Promise<AttemptOutcome> {
-    const { request } = this;
+    const request = this.#request;
     const { scope, route } = request;
     const leftMs = Math.max(1, Math.floor(request.leftMs - scope.ageMs));
     this.#tried.add(endpoint.id);
@@ -172,10 +174,6 @@
     });
   }
 
-  get request(): RoutedRequest {
-    return this.#request;
-  }
-
   /** Only what may go elsewhere is taken from a silent endpoint. */
   #getSilenceMs(): number | undefined {
     const { route } = this.#request;
@@ -316,7 +314,7 @@
         message,
       )
       : codes.createFailure("STAGE_UNAVAILABLE", message, {
-        retryAfterMs: RETRY_AFTER_MS,
+        retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS,
       });
     return { kind: "failure", failure };
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -185,7 +185,6 @@
   #buildParts(): FlowParts {
     const { vmId, zone, events, bounds } = this.#options;
     return {
-      vmId,
       zone,
       site: this.site,
       book: this.book,
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -31,7 +31,6 @@
 
 /** What the chain needs of this VM. */
 export interface FlowParts {
-  readonly vmId: string;
   readonly zone: string;
   readonly site: SiteState;
   readonly book: EndpointBook;
