Pools led by zone on large sites; neighbours tell the registry's news

Cause: every VM read three topics of the registry and three VMs led all pools of 71.

Change: the first VM of a zone reads the registry and its neighbours hear of changes with each exchange of views; whose facts grow older than 1.25 s reads itself, in order of rank. From 24 members on a pool is led by zone, by the largest VMs, and a request's pieces are made in the zone of its engine unless another one saves a call. Endpoints are indexed by service; an endpoint that turns cold without a restart is noticed from its record.

--- a/packages/gateway/src/endpoint_book.ts
+++ b/packages/gateway/src/endpoint_book.ts
@@ -19,8 +19,6 @@
   load?: EndpointLoad;
   loadAt: number;
   coldUntil: number;
-  /** Null until the first record was seen. */
-  bornMs: number | undefined | null;
 }
 
 /** What {@link EndpointBook} needs. */
@@ -45,11 +43,8 @@
   /** Endpoints of a service that are neither leaving nor in a zone that is out. */
   getUsable(service: ServiceId): serving.ServingEndpoint[] {
     const { site } = this.#options;
-    return site.getEndpoints()
-      .map(({ endpoint }) => endpoint)
-      .filter((one) =>
-        one.service === service && !one.isDraining && !site.isZoneOut(one.zone)
-      );
+    return site.getEndpointsOf(service)
+      .filter((one) => !one.isDraining && !site.isZoneOut(one.zone));
   }
 
   /** Candidates for a request; cold endpoints only within this VM's part. */
@@ -65,8 +60,7 @@
 
   /** Finds an endpoint that isn't gone. */
   find(id: EndpointId): serving.ServingEndpoint | undefined {
-    return this.#options.site.getEndpoints()
-      .find(({ endpoint }) => endpoint.id === id)?.endpoint;
+    return this.#options.site.findEndpoint(id);
   }
 
   /** Whether this VM's own traffic speaks against an endpoint. */
@@ -142,11 +136,8 @@
       if (!ids.has(id) && runtime.inFlight <= 0) this.#runtimes.delete(id);
     }
     for (const { endpoint, ageMs } of listed) {
-      const runtime = this.#getRuntime(endpoint);
-      if (runtime.bornMs !== endpoint.bornMs) {
-        runtime.bornMs = endpoint.bornMs;
-        this.recordCold(endpoint, endpoint.coldMs - ageMs);
-      }
+      // Also without a restart: an endpoint may turn cold again at any moment.
+      this.recordCold(endpoint, endpoint.coldMs - ageMs);
     }
   }
 
@@ -207,7 +198,6 @@
       inFlight: 0,
       loadAt: -Infinity,
       coldUntil: -Infinity,
-      bornMs: null,
     };
     this.#runtimes.set(endpoint.id, runtime);
     return runtime;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -43,6 +43,8 @@
 export interface GatewayOptions {
   readonly vmId: string;
   readonly zone: string;
+  /** Processor of this VM, in cores. */
+  readonly cores: number;
   readonly listen: GatewayListen;
   /** JSON-RPC addresses of VMs that may be there. */
   readonly seeds: readonly Address[];
@@ -75,7 +77,7 @@
   readonly book: EndpointBook;
   readonly #options: GatewayOptions;
   readonly #wire: ServingWire;
-  readonly #leaders = new Map<ServiceId, PieceLeader>();
+  readonly #leaders = new Map<string, PieceLeader>();
   readonly #ingress: Ingress;
   #rpcServer: rpc.RpcServer | undefined;
   #ownServers: OwnServer[] = [];
@@ -87,7 +89,7 @@
   /** @param options Names, addresses, bounds and the adapter's wire. */
   constructor(options: GatewayOptions) {
     this.#options = options;
-    const { events, vmId, zone, bounds } = options;
+    const { events, vmId, zone, cores, bounds } = options;
     this.#wire = options.createWire(this.pool);
     this.site = new SiteState(events);
     this.book = new EndpointBook({
@@ -97,7 +99,7 @@
       coldBound: bounds.cold,
     });
     this.mesh = new PeerMesh({
-      member: { vmId, zone, rpc: options.listen.rpc },
+      member: { vmId, zone, rpc: options.listen.rpc, cores },
       seeds: options.seeds,
       site: this.site,
       events,
@@ -201,7 +203,7 @@
         mesh: this.mesh,
         wire: this.#wire,
         events,
-        getLeader: (service) => this.#getLeader(service),
+        getLeader: (service, shard) => this.#getLeader(service, shard),
       }),
       events,
       metrics: this.metrics,
@@ -219,53 +221,62 @@
   #buildHandlers(): rpc.Handlers {
     return {
       exchangeViews: (view) => this.mesh.handleExchange(view),
-      getSiteFacts: () => this.site.getFacts(),
       runPieces: (message) => {
-        const { service, dueInMs, expiresInMs, giveUpInMs, ...group } = message;
+        const { service, shard, dueInMs, expiresInMs, giveUpInMs, ...group } =
+          message;
         if (this.#isStopping) {
           return { kind: "unavailable", reason: "leaving" };
         }
         const now = performance.now();
-        return this.#getLeader(service).addGroup({
+        return this.#getLeader(service, shard).addGroup({
           ...group,
           dueAt: now + dueInMs,
           expiresAt: now + expiresInMs,
           giveUpAt: now + giveUpInMs,
         });
       },
-      cancelPieces: ({ service, requestId }) => {
-        this.#getLeader(service).cancel(requestId);
+      cancelPieces: ({ service, shard, requestId }) => {
+        this.#getLeader(service, shard).cancel(requestId);
         return true;
       },
-      releaseResults: ({ service, handles }) => {
-        this.#getLeader(service).release(handles);
+      releaseResults: ({ service, shard, handles }) => {
+        this.#getLeader(service, shard).release(handles);
         return true;
       },
     };
   }
 
-  #getLeader(service: ServiceId): PieceLeader {
-    const known = this.#leaders.get(service);
+  #getLeader(service: ServiceId, shard: serving.ShardId): PieceLeader {
+    const key = `${service}\0${shard}`;
+    const known = this.#leaders.get(key);
     if (known !== undefined) return known;
     const leader = new PieceLeader({
       service,
+      shard,
       getPool: () => this.site.table?.services.get(service)?.pool,
       book: this.book,
       wire: this.#wire,
       events: this.#options.events,
       metrics: this.metrics,
     });
-    this.#leaders.set(service, leader);
+    this.#leaders.set(key, leader);
     return leader;
   }
 
-  #getLoads(): Record<ServiceId, serving.PoolLoad> {
-    return Object.fromEntries(
-      [...this.#leaders].map(([service, leader]) => [
-        service,
-        leader.getLoad(),
-      ]),
-    );
+  /** Loads of the shards that this VM leads, also of those without work. */
+  #getLoads(): serving.ShardLoad[] {
+    const { vmId, zone } = this.#options;
+    const { leaders } = this.mesh;
+    const shard = leaders.getShard(zone);
+    return [...this.site.table?.services.values() ?? []]
+      .filter(({ name, pool }) =>
+        pool !== undefined && leaders.pickLeader(name, shard)?.vmId === vmId
+      )
+      .map(({ name }) => ({
+        service: name,
+        shard,
+        load: this.#getLeader(name, shard).getLoad(),
+      }));
   }
 
   #update(): void {
@@ -277,6 +288,7 @@
         gapMs: Math.round(gapMs),
       });
     }
+    this.site.dropLapsed();
     this.book.update();
     if (this.isReady === this.#wasReady) return;
     this.#wasReady = this.isReady;
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -1,13 +1,14 @@
 /**
- * Which VMs live, what they know and which one leads each pool.
+ * Which VMs live and what they know: views exchanged with some of them.
  *
  * @module
  */
 import type * as logger from "@sardinestep/logger";
 import * as rpc from "@sardinestep/rpc";
 import * as serving from "@sardinestep/serving";
-import type { Address, ServiceId } from "@sardinestep/types";
+import type { Address } from "@sardinestep/types";
 import { EVENT } from "./events.ts";
+import { LeaderTable } from "./leader_table.ts";
 import type { SiteState } from "./site_state.ts";
 
 /** How often views are exchanged with possible leaders, in milliseconds. */
@@ -18,8 +19,13 @@
 const EXCHANGE_TIMEOUT_MS = 600;
 /** Longest handshake with another VM, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 300;
-/** Other VMs asked beside possible leaders in each round, to spread news. */
-const RANDOM_PEERS = 1;
+/** Live VMs of a ranking that are kept in touch with: the first and its heir. */
+const LIVE_CANDIDATES = 2;
+/**
+ * Rounds between two exchanges with a random VM where there are many: enough to
+ * hear of everybody's news once in a while, and no connection is kept for it.
+ */
+const RANDOM_EVERY_ROUNDS = 8;
 
 interface PeerView {
   readonly view: serving.MemberView;
@@ -33,19 +39,21 @@
   readonly seeds: readonly Address[];
   readonly site: SiteState;
   readonly events: logger.EventLog;
-  readonly getLoads: () => Record<ServiceId, serving.PoolLoad>;
+  readonly getLoads: () => readonly serving.ShardLoad[];
 }
 
 /** Exchanges views with other VMs. */
 export class PeerMesh {
+  /** Who leads what. */
+  readonly leaders: LeaderTable;
   readonly #options: PeerMeshOptions;
   readonly #peers: rpc.Peers;
   readonly #views = new Map<string, PeerView>();
-  readonly #leaders = new Map<ServiceId, string>();
   #isLeaving = false;
   #timer: NodeJS.Timeout | undefined;
-  #isFetching = false;
+  #isReadingNews = false;
   #seedIndex = 0;
+  #round = 0;
 
   /** @param options This VM and what it knows. */
   constructor(options: PeerMeshOptions) {
@@ -55,6 +63,18 @@
       pingIntervalMs: EXCHANGE_MS * 2,
       silentAfterMs: VIEW_MAX_AGE_MS,
     });
+    this.leaders = new LeaderTable({
+      member: options.member,
+      site: options.site,
+      events: options.events,
+      isAlive: (vmId) => this.#isAlive(vmId),
+      getOwnLoads: options.getLoads,
+    });
+  }
+
+  /** This VM as the others know it. */
+  get member(): serving.ServingMember {
+    return this.#options.member;
   }
 
   /** Connections to other VMs. */
@@ -79,115 +99,150 @@
     this.#peers.close();
   }
 
-  /** What this VM tells of itself. */
-  getView(): serving.MemberView {
-    const { member, site, getLoads } = this.#options;
+  /** Takes the view of a VM that called over; gives the own one and news. */
+  handleExchange(view: serving.MemberView): serving.ExchangeAnswer {
+    const { site, member } = this.#options;
+    this.#recordView(view);
+    if (this.#needsNews(view)) void this.#readNews(view.member.rpc);
+    const isNear = view.member.zone === member.zone;
     return {
-      member,
-      isLeaving: this.#isLeaving,
-      operatorPosition: site.operatorPosition,
-      endpointPosition: site.endpointPosition,
-      loads: getLoads(),
+      view: this.#buildView(isNear ? this.leaders.getHeard() : []),
+      news: site.getNewsSince(view),
     };
   }
 
-  /** Takes the view of a VM that called over; gives the own one. */
-  handleExchange(view: serving.MemberView): serving.MemberView {
-    this.#recordView(view);
-    return this.getView();
-  }
-
-  /**
-   * Gives the VM that leads a pool, as far as this one knows.
-   *
-   * @param service The pool.
-   * @param failed VMs that have just failed the caller.
-   * @returns The member; this VM itself when no candidate is alive.
-   */
-  pickLeader(
-    service: ServiceId,
-    failed: ReadonlySet<string> = new Set(),
-  ): serving.ServingMember {
-    const { member } = this.#options;
-    const leader =
-      this.#planLeaders(service).find((one) =>
-        !failed.has(one.vmId) && this.#mayLead(one.vmId)
-      ) ?? member;
-    const before = this.#leaders.get(service);
-    if (before !== leader.vmId) {
-      this.#leaders.set(service, leader.vmId);
-      const { events } = this.#options;
-      events.write(EVENT.leaderChanged, {
-        service,
-        leader: leader.vmId,
-        before,
-      });
-    }
-    return leader;
-  }
-
-  /** Load of a pool as its leader told it, if that is fresh. */
-  getLoad(service: ServiceId): serving.PoolLoad | undefined {
-    const leader = this.pickLeader(service);
-    if (leader.vmId === this.#options.member.vmId) {
-      return this.#options.getLoads()[service];
-    }
-    const known = this.#views.get(leader.vmId);
-    return known?.view.loads[service];
-  }
-
   /** Members, counted high: all that are known, alive or not. */
   countMembers(): number {
     return Math.max(1, this.#options.site.members.length);
   }
 
-  #planLeaders(service: ServiceId): serving.ServingMember[] {
-    return serving.planLeaders(service, this.#options.site.members);
+  /** Whether this VM reads the registry itself now. */
+  mayReadRegistry(): boolean {
+    const { site, member } = this.#options;
+    const readers = this.leaders.getReaders();
+    const own = readers.findIndex((one) => one.vmId === member.vmId);
+    const before = own === -1 ? [] : readers.slice(0, own);
+    const rank = before.filter((one) => this.#isReading(one.vmId)).length;
+    const ageMs = performance.now() - site.seenAt;
+    return serving.mayReadRegistry(rank, ageMs);
   }
 
-  #mayLead(vmId: string): boolean {
+  #buildView(heard: readonly serving.HeardLoad[]): serving.MemberView {
+    const { member, site, getLoads } = this.#options;
+    const ageMs = performance.now() - site.seenAt;
+    return {
+      ...site.positions,
+      member,
+      isLeaving: this.#isLeaving,
+      factsAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : NEVER_MS,
+      loads: getLoads(),
+      heard,
+    };
+  }
+
+  #isAlive(vmId: string): boolean {
     if (vmId === this.#options.member.vmId) return !this.#isLeaving;
     const known = this.#views.get(vmId);
     if (known === undefined || known.view.isLeaving) return false;
     return performance.now() - known.heardAt < VIEW_MAX_AGE_MS;
   }
 
+  #isReading(vmId: string): boolean {
+    const known = this.#views.get(vmId);
+    if (known === undefined || !this.#isAlive(vmId)) return false;
+    return known.view.factsAgeMs < serving.FACTS_STALE_MS;
+  }
+
   #exchangeAll(): void {
-    for (const address of this.#planExchanges()) void this.#exchange(address);
+    this.#round += 1;
+    for (const address of this.#planExchanges()) {
+      void this.#exchange(address);
+    }
+    const random = this.#pickRandom();
+    if (random !== undefined) void this.#exchangeOnce(random);
   }
 
   #planExchanges(): ReadonlySet<Address> {
     const { site, member, seeds } = this.#options;
-    const others = site.members.filter((one) => one.vmId !== member.vmId);
     const addresses = new Set<Address>();
-    for (const service of site.table?.services.values() ?? []) {
-      if (service.pool === undefined) continue;
-      for (const one of this.#planLeaders(service.name)) {
-        if (one.vmId !== member.vmId) addresses.add(one.rpc);
+    const add = (members: readonly serving.ServingMember[]) => {
+      for (const one of members) addresses.add(one.rpc);
+    };
+    add(this.#pickLive(this.leaders.getReaders()));
+    const pools = [...site.table?.services.values() ?? []]
+      .filter((service) => service.pool !== undefined);
+    const ownShard = this.leaders.getShard(member.zone);
+    for (const { name } of pools) {
+      const candidates = this.#pickLive(
+        this.leaders.getRanking(name, ownShard),
+      );
+      add(candidates);
+      const isCandidate = candidates.some((one) => one.vmId === member.vmId);
+      if (!isCandidate || ownShard === serving.WHOLE_POOL) continue;
+      for (const zone of this.leaders.zones) {
+        add(this.#pickLive(this.leaders.getRanking(name, zone)));
       }
     }
-    for (let i = 0; i < RANDOM_PEERS && others.length > 0; i++) {
-      const other = others[Math.floor(Math.random() * others.length)]!;
-      addresses.add(other.rpc);
-    }
-    if (others.length === 0 && seeds.length > 0) {
-      this.#seedIndex = (this.#seedIndex + 1) % seeds.length;
-      const seed = seeds[this.#seedIndex]!;
-      if (seed !== member.rpc) addresses.add(seed);
+    if (site.members.every((one) => one.vmId === member.vmId)) {
+      this.#seedIndex = (this.#seedIndex + 1) % Math.max(1, seeds.length);
+      addresses.add(seeds[this.#seedIndex] ?? member.rpc);
     }
+    addresses.delete(member.rpc);
     return addresses;
   }
 
+  /** The first of a ranking, up to the second one that lives. */
+  #pickLive(
+    ranking: readonly serving.ServingMember[],
+  ): readonly serving.ServingMember[] {
+    const taken: serving.ServingMember[] = [];
+    let live = 0;
+    for (const one of ranking.slice(0, serving.LEADER_CANDIDATES)) {
+      taken.push(one);
+      if (this.#isAlive(one.vmId)) live += 1;
+      if (live === LIVE_CANDIDATES) break;
+    }
+    return taken;
+  }
+
+  #pickRandom(): Address | undefined {
+    const { site, member } = this.#options;
+    const isDue = this.#round % RANDOM_EVERY_ROUNDS === 0;
+    if (!isDue) return undefined;
+    const others = site.members.filter((one) => one.vmId !== member.vmId);
+    return others[Math.floor(Math.random() * others.length)]?.rpc;
+  }
+
   async #exchange(address: Address): Promise<void> {
+    const sentAt = performance.now();
     const answer = await this.#peers.call(
       address,
       "exchangeViews",
-      this.getView(),
+      this.#buildView([]),
+      { timeoutMs: EXCHANGE_TIMEOUT_MS },
+    );
+    if (answer.isOk()) this.#handleAnswer(answer.value, sentAt);
+  }
+
+  async #exchangeOnce(address: Address): Promise<void> {
+    const sentAt = performance.now();
+    const answer = await rpc.callOnce(
+      address,
+      "exchangeViews",
+      this.#buildView([]),
       { timeoutMs: EXCHANGE_TIMEOUT_MS },
     );
-    if (answer.isErr()) return;
-    this.#recordView(answer.value);
-    await this.#fetchNews(answer.value);
+    if (answer.isOk()) this.#handleAnswer(answer.value, sentAt);
+  }
+
+  /** Facts are as old as the other VM says, counted from before the call. */
+  #handleAnswer(answer: serving.ExchangeAnswer, sentAt: number): void {
+    const { site } = this.#options;
+    const { view, news } = answer;
+    this.#recordView(view);
+    const seenAt = sentAt - view.factsAgeMs;
+    if (news !== undefined) site.mergeNews(news, seenAt);
+    if (!serving.isAhead(view, site.positions)) site.recordSeen(seenAt);
   }
 
   #recordView(view: serving.MemberView): void {
@@ -201,31 +256,31 @@
         kind: view.isLeaving ? "leaving" : "alive",
       });
     }
-    this.#views.set(view.member.vmId, { view, heardAt: performance.now() });
+    const heardAt = performance.now();
+    this.#views.set(view.member.vmId, { view, heardAt });
+    this.leaders.recordLoads(view, heardAt);
   }
 
-  /** Asks for facts that the other VM has and this one doesn't. */
-  async #fetchNews(view: serving.MemberView): Promise<void> {
+  /**
+   * Whether a VM that called knows what this one would not learn by itself soon:
+   * endpoints write all the time, so being some records behind is usual.
+   */
+  #needsNews(view: serving.MemberView): boolean {
     const { site } = this.#options;
-    const isNewer = view.operatorPosition > site.operatorPosition ||
-      (!site.isComplete && view.endpointPosition >= 0) ||
-      view.endpointPosition > site.endpointPosition + STALE_ENDPOINT_RECORDS;
-    if (!isNewer || this.#isFetching) return;
-    this.#isFetching = true;
-    const facts = await this.#peers.call(
-      view.member.rpc,
-      "getSiteFacts",
-      {},
-      { timeoutMs: EXCHANGE_TIMEOUT_MS },
-    );
-    this.#isFetching = false;
-    if (facts.isOk()) site.mergeFacts(facts.value);
+    const own = site.positions;
+    const isOld = performance.now() - site.seenAt > serving.FACTS_STALE_MS;
+    return view.operatorPosition > own.operatorPosition ||
+      view.memberPosition > own.memberPosition ||
+      (isOld && view.endpointPosition > own.endpointPosition);
+  }
+
+  async #readNews(address: Address): Promise<void> {
+    if (this.#isReadingNews) return;
+    this.#isReadingNews = true;
+    await this.#exchange(address);
+    this.#isReadingNews = false;
   }
 }
 
-/**
- * Records of endpoints by which this VM must be behind before it asks another
- * one: some forty a second come on a small deployment, and each VM reads them
- * from the registry within a second.
- */
-const STALE_ENDPOINT_RECORDS = 60;
+/** Tells that a VM has never known the registry's newest, in milliseconds. */
+const NEVER_MS = 1e9;
--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -37,6 +37,8 @@
 /** What {@link PieceLeader} needs. */
 export interface PieceLeaderOptions {
   readonly service: ServiceId;
+  /** Part of the pool that it calls. */
+  readonly shard: serving.ShardId;
   readonly getPool: () => serving.PoolSpec | undefined;
   readonly book: EndpointBook;
   readonly wire: ServingWire;
@@ -169,7 +171,10 @@
   }
 
   #getEndpoints(): serving.ServingEndpoint[] {
-    return this.#options.book.getUsable(this.#options.service);
+    const { book, service, shard } = this.#options;
+    const usable = book.getUsable(service);
+    if (shard === serving.WHOLE_POOL) return usable;
+    return usable.filter((one) => one.zone === shard);
   }
 
   async #runCall(
--- a/packages/gateway/src/piece_router.ts
+++ b/packages/gateway/src/piece_router.ts
@@ -27,7 +27,10 @@
   readonly mesh: PeerMesh;
   readonly wire: ServingWire;
   readonly events: logger.EventLog;
-  readonly getLeader: (service: ServiceId) => PieceLeader;
+  readonly getLeader: (
+    service: ServiceId,
+    shard: serving.ShardId,
+  ) => PieceLeader;
 }
 
 /** Has pieces made by whichever VM leads the pool. */
@@ -49,13 +52,15 @@
    */
   async run(
     service: ServiceId,
+    shard: serving.ShardId,
     group: serving.PieceGroup,
   ): Promise<serving.PieceOutcome> {
     const failed = new Set<string>();
     let outcome: serving.PieceOutcome = NO_LEADER;
     for (let i = 0; i < MAX_LEADERS; i++) {
-      const leader = this.#options.mesh.pickLeader(service, failed);
-      outcome = await this.#runAt(leader, service, group);
+      const leader = this.#pickLeader(service, shard, failed);
+      if (leader === undefined) return outcome;
+      outcome = await this.#runAt(leader, service, shard, group);
       const mayRetry = outcome.kind === "unavailable" &&
         outcome.reason !== serving.CANCELLED &&
         performance.now() < group.giveUpAt;
@@ -66,15 +71,16 @@
   }
 
   /** Drops what waits of a request. */
-  cancel(service: ServiceId, requestId: string): void {
-    const leader = this.#options.mesh.pickLeader(service);
+  cancel(service: ServiceId, shard: serving.ShardId, requestId: string): void {
+    const leader = this.#pickLeader(service, shard);
+    if (leader === undefined) return;
     if (this.#isOwn(leader)) {
-      return this.#options.getLeader(service).cancel(requestId);
+      return this.#options.getLeader(service, shard).cancel(requestId);
     }
     void this.#options.mesh.peers.call(
       leader.rpc,
       "cancelPieces",
-      { service, requestId },
+      { service, shard, requestId },
       { timeoutMs: NOTICE_TIMEOUT_MS },
     );
   }
@@ -82,29 +88,40 @@
   /** Gives up results; without an answer of the leader, at the endpoints. */
   async release(
     service: ServiceId,
+    shard: serving.ShardId,
     handles: readonly string[],
   ): Promise<void> {
     if (handles.length === 0) return;
-    const leader = this.#options.mesh.pickLeader(service);
+    const leader = this.#pickLeader(service, shard);
+    if (leader === undefined) return this.#direct.add(handles);
     if (this.#isOwn(leader)) {
-      return this.#options.getLeader(service).release(handles);
+      return this.#options.getLeader(service, shard).release(handles);
     }
     const told = await this.#options.mesh.peers.call(
       leader.rpc,
       "releaseResults",
-      { service, handles },
+      { service, shard, handles },
       { timeoutMs: NOTICE_TIMEOUT_MS },
     );
     if (told.isErr()) this.#direct.add(handles);
   }
 
+  #pickLeader(
+    service: ServiceId,
+    shard: serving.ShardId,
+    failed?: ReadonlySet<string>,
+  ): serving.ServingMember | undefined {
+    return this.#options.mesh.leaders.pickLeader(service, shard, failed);
+  }
+
   async #runAt(
     leader: serving.ServingMember,
     service: ServiceId,
+    shard: serving.ShardId,
     group: serving.PieceGroup,
   ): Promise<serving.PieceOutcome> {
     if (this.#isOwn(leader)) {
-      return await this.#options.getLeader(service).addGroup(group);
+      return await this.#options.getLeader(service, shard).addGroup(group);
     }
     const { dueAt, expiresAt, giveUpAt, ...rest } = group;
     const now = performance.now();
@@ -114,6 +131,7 @@
       {
         ...rest,
         service,
+        shard,
         dueInMs: dueAt - now,
         expiresInMs: expiresAt - now,
         giveUpInMs: giveUpAt - now,
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -8,7 +8,7 @@
 import type * as logger from "@sardinestep/logger";
 import type * as metrics from "@sardinestep/metrics";
 import * as serving from "@sardinestep/serving";
-import type { ServiceId } from "@sardinestep/types";
+import type { ServiceId, ZoneId } from "@sardinestep/types";
 import { match } from "ts-pattern";
 import type { AnswerWriter } from "./answer_writer.ts";
 import type { EndpointBook } from "./endpoint_book.ts";
@@ -192,6 +192,9 @@
     table.services.get(service),
     service,
   );
+  const readerZone = session === undefined
+    ? undefined
+    : serving.pickHomeZone(candidates, session.id);
   return new StageRun({
     requestId: request.requestId,
     route,
@@ -199,9 +202,8 @@
     pieceCounts: caller.pieceCounts,
     pieceKey: caller.pieceKey,
     priority: request.priority,
-    readerZone: session === undefined
-      ? undefined
-      : serving.pickHomeZone(candidates, session.id),
+    readerZone,
+    getShard: planShards(parts, request, readerZone),
     firstEventMs: FIRST_EVENT_MS,
     objectiveMs: route.objectiveMs,
     leftMs: request.leftMs,
@@ -212,6 +214,40 @@
   });
 }
 
+/** Services whose endpoints work on pieces of the request. */
+function getPieceServices(request: RoutedRequest): ReadonlySet<ServiceId> {
+  const { route, caller } = request;
+  return new Set(
+    route.stages
+      .filter((_, stage) => (caller.pieceCounts[stage] ?? 0) > 0)
+      .map((stage) => stage.service),
+  );
+}
+
+/** Chooses the shards that work on the request; they stay for its life. */
+function planShards(
+  parts: FlowParts,
+  request: RoutedRequest,
+  readerZone: ZoneId | undefined,
+): (service: ServiceId) => serving.ShardId {
+  const { leaders } = parts.mesh;
+  const services = getPieceServices(request);
+  const isWhole = leaders.getShard(parts.zone) === serving.WHOLE_POOL;
+  if (isWhole) return () => serving.WHOLE_POOL;
+  const zone = serving.pickShardZone({
+    zones: leaders.getLoadsByZone(services),
+    pools: services.size,
+    priority: request.priority,
+    readerZone,
+    ownZone: parts.zone,
+  }) ?? readerZone ?? parts.zone;
+  const shards = new Map([...services].map((service) => [
+    service,
+    leaders.pickShard(service, zone),
+  ]));
+  return (service) => shards.get(service) ?? zone;
+}
+
 /**
  * A caller that was refused comes back with less time than first attempts have,
  * whose patience differs by some of the route's time.
@@ -227,15 +263,9 @@
   run: StageRun,
 ): codes.Failure | undefined {
   const { route, priority, caller } = request;
-  const services = new Set(
-    route.stages
-      .filter((_, stage) => (caller.pieceCounts[stage] ?? 0) > 0)
-      .map((stage) => stage.service),
+  const loads = [...getPieceServices(request)].flatMap((service) =>
+    parts.mesh.leaders.getLoad(service, run.getShard(service)) ?? []
   );
-  const loads = [...services].flatMap((service) => {
-    const load = parts.mesh.getLoad(service);
-    return load === undefined ? [] : [load];
-  });
   const decision = serving.decideAdmission({
     stagesMs: run.expectedMs,
     loads,
--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -6,7 +6,7 @@
  */
 import * as serving from "@sardinestep/serving";
 import type * as logger from "@sardinestep/logger";
-import type { EndpointId, ZoneId } from "@sardinestep/types";
+import type { EndpointId, ServiceId, ZoneId } from "@sardinestep/types";
 import { EVENT } from "./events.ts";
 
 /** Where facts came from, for the log. */
@@ -27,10 +27,15 @@
   readonly #members = new Map<string, serving.ServingMember>();
   readonly #zonesOut = new Set<ZoneId>();
   readonly #zoneReturnedAt = new Map<ZoneId, number>();
+  #memberList: readonly serving.ServingMember[] | undefined;
+  #memberVersion = 0;
   #configuration: serving.ServingConfiguration | undefined;
   #table: serving.RouteTable | undefined;
   #operatorPosition = -1;
   #endpointPosition = -1;
+  #memberPosition = -1;
+  #operatorSeenAt = -Infinity;
+  #endpointSeenAt = -Infinity;
   #configuredAt = -Infinity;
 
   /** @param events Where changes of belief are written. */
@@ -56,13 +61,37 @@
     return this.#endpointPosition;
   }
 
+  get memberPosition(): number {
+    return this.#memberPosition;
+  }
+
+  /** How far each topic has been read. */
+  get positions(): serving.FactPositions {
+    return {
+      operatorPosition: this.#operatorPosition,
+      endpointPosition: this.#endpointPosition,
+      memberPosition: this.#memberPosition,
+    };
+  }
+
+  /** Steady time at which the facts were last the registry's newest. */
+  get seenAt(): number {
+    return Math.min(this.#operatorSeenAt, this.#endpointSeenAt);
+  }
+
   /** Steady time at which the configuration in force was applied. */
   get configuredAt(): number {
     return this.#configuredAt;
   }
 
   get members(): readonly serving.ServingMember[] {
-    return [...this.#members.values()];
+    this.#memberList ??= [...this.#members.values()];
+    return this.#memberList;
+  }
+
+  /** Changes with each change of the members. */
+  get memberVersion(): number {
+    return this.#memberVersion;
   }
 
   /** Applies a configuration unless a newer one is in force. */
@@ -83,14 +112,21 @@
     });
   }
 
-  /** Notes how far the operator's writes were read. */
-  setOperatorPosition(position: number): void {
+  /** Notes how far the operator's writes were read, and when. */
+  setOperatorPosition(position: number, seenAt = performance.now()): void {
     this.#operatorPosition = Math.max(this.#operatorPosition, position);
+    this.#operatorSeenAt = Math.max(this.#operatorSeenAt, seenAt);
   }
 
-  /** Notes how far the endpoints' writes were read. */
-  setEndpointPosition(position: number): void {
+  /** Notes how far the endpoints' writes were read, and when. */
+  setEndpointPosition(position: number, seenAt = performance.now()): void {
     this.#endpointPosition = Math.max(this.#endpointPosition, position);
+    this.#endpointSeenAt = Math.max(this.#endpointSeenAt, seenAt);
+  }
+
+  /** Notes how far the members' writes were read. */
+  setMemberPosition(position: number): void {
+    this.#memberPosition = Math.max(this.#memberPosition, position);
   }
 
   /** Takes a zone out of service or back. */
@@ -124,26 +160,23 @@
   }
 
   /** Takes a record of an endpoint over. */
-  updateEndpoint(
-    endpoint: serving.ServingEndpoint,
-    source: FactsSource,
-  ): serving.EndpointChange {
+  updateEndpoint(endpoint: serving.ServingEndpoint, position: number): void {
     const now = performance.now();
-    const change = this.#endpoints.update(endpoint, now);
-    this.#recordEndpoint(change, endpoint.id, source, endpoint.service);
-    return change;
+    const change = this.#endpoints.update(endpoint, now, position);
+    this.#recordEndpoint(change, endpoint.id, "registry", endpoint.service);
   }
 
   /** Takes the loss of an endpoint's record over. */
-  removeEndpoint(id: EndpointId, source: FactsSource): void {
-    const change = this.#endpoints.remove(id, performance.now());
-    this.#recordEndpoint(change, id, source);
+  removeEndpoint(id: EndpointId, position: number): void {
+    const change = this.#endpoints.remove(id, performance.now(), position);
+    this.#recordEndpoint(change, id, "registry");
   }
 
   /** Removes endpoints that a whole listing doesn't name. */
-  removeMissing(ids: ReadonlySet<EndpointId>, source: FactsSource): void {
-    for (const id of this.#endpoints.removeMissing(ids, performance.now())) {
-      this.#recordEndpoint("removed", id, source);
+  removeMissing(ids: ReadonlySet<EndpointId>, position: number): void {
+    const now = performance.now();
+    for (const id of this.#endpoints.removeMissing(ids, now, position)) {
+      this.#recordEndpoint("removed", id, "registry");
     }
   }
 
@@ -154,59 +187,123 @@
 
   /** Every endpoint that isn't gone, also draining ones. */
   getEndpoints(): { endpoint: serving.ServingEndpoint; ageMs: number }[] {
-    const now = performance.now();
-    for (const id of this.#endpoints.dropLapsed(now)) {
+    this.dropLapsed();
+    return this.#endpoints.getAll(performance.now());
+  }
+
+  /** Endpoints of a service that aren't gone, also draining ones. */
+  getEndpointsOf(service: ServiceId): readonly serving.ServingEndpoint[] {
+    return this.#endpoints.getOfService(service);
+  }
+
+  /** Finds an endpoint that isn't gone. */
+  findEndpoint(id: EndpointId): serving.ServingEndpoint | undefined {
+    return this.#endpoints.find(id);
+  }
+
+  /** Drops endpoints whose records did not come back in time. */
+  dropLapsed(): void {
+    for (const id of this.#endpoints.dropLapsed(performance.now())) {
       this.#recordEndpoint("removed", id, "registry");
     }
-    return this.#endpoints.getAll(now);
   }
 
   /** Adds or replaces a member. */
   updateMember(member: serving.ServingMember): void {
     const before = this.#members.get(member.vmId);
+    const isSame = before !== undefined && before.rpc === member.rpc &&
+      before.zone === member.zone && before.cores === member.cores;
+    if (isSame) return;
     this.#members.set(member.vmId, member);
-    if (before?.rpc === member.rpc) return;
+    this.#handleMembersChanged();
     this.#events.write(EVENT.memberChanged, { ...member, kind: "known" });
   }
 
   /** Removes a member that has left. */
   removeMember(vmId: string): void {
     if (!this.#members.delete(vmId)) return;
+    this.#handleMembersChanged();
     this.#events.write(EVENT.memberChanged, { vmId, kind: "left" });
   }
 
-  /** Everything, for another VM. */
-  getFacts(): serving.SiteFacts {
+  /** What a VM that has read up to some positions doesn't know. */
+  getNewsSince(
+    positions: serving.FactPositions,
+  ): serving.SiteNews | undefined {
+    const own = this.positions;
+    if (!serving.isAhead(own, positions)) return undefined;
+    const now = performance.now();
+    const isAhead = (name: keyof serving.FactPositions) =>
+      own[name] > positions[name];
     return {
-      operatorPosition: this.#operatorPosition,
-      configuration: this.#configuration,
-      zonesOut: [...this.#zonesOut],
-      endpointPosition: this.#endpointPosition,
-      endpoints: this.getEndpoints().map(({ endpoint }) => endpoint),
-      members: this.members,
+      ...own,
+      operator: isAhead("operatorPosition")
+        ? {
+          configuration: this.#configuration,
+          zonesOut: [...this.#zonesOut],
+        }
+        : undefined,
+      endpoints: isAhead("endpointPosition")
+        ? this.#endpoints.getNewsSince(positions.endpointPosition, now)
+        : undefined,
+      members: isAhead("memberPosition") ? this.members : undefined,
     };
   }
 
-  /** Takes over what another VM knows and this one doesn't. */
-  mergeFacts(facts: serving.SiteFacts): void {
-    for (const member of facts.members) {
-      if (!this.#members.has(member.vmId)) this.updateMember(member);
+  /**
+   * Takes over what another VM knows and this one doesn't.
+   *
+   * @param news What it knows.
+   * @param seenAt Steady time at which its facts were the registry's newest.
+   */
+  mergeNews(news: serving.SiteNews, seenAt: number): void {
+    if (news.operator !== undefined) this.#mergeOperator(news, seenAt);
+    if (news.endpoints !== undefined) this.#mergeEndpoints(news, seenAt);
+    if (news.members !== undefined) {
+      this.#mergeMembers(news.members);
+      this.setMemberPosition(news.memberPosition);
     }
-    if (facts.operatorPosition > this.#operatorPosition) {
-      if (facts.configuration !== undefined) {
-        this.applyConfiguration(facts.configuration, "peer");
-      }
-      this.setZonesOut(new Set(facts.zonesOut), "peer");
-      this.#operatorPosition = facts.operatorPosition;
+  }
+
+  /** Notes that the facts were the registry's newest at a moment. */
+  recordSeen(seenAt: number): void {
+    this.#operatorSeenAt = Math.max(this.#operatorSeenAt, seenAt);
+    this.#endpointSeenAt = Math.max(this.#endpointSeenAt, seenAt);
+  }
+
+  /** A VM that lives and was removed here is added with its next view. */
+  #mergeMembers(members: readonly serving.ServingMember[]): void {
+    const listed = new Set(members.map((one) => one.vmId));
+    for (const { vmId } of this.members) {
+      if (!listed.has(vmId)) this.removeMember(vmId);
     }
-    if (facts.endpointPosition > this.#endpointPosition) {
-      for (const one of facts.endpoints) this.updateEndpoint(one, "peer");
-      this.removeMissing(
-        new Set(facts.endpoints.map((one) => one.id)),
-        "peer",
-      );
-      this.#endpointPosition = facts.endpointPosition;
+    for (const member of members) this.updateMember(member);
+  }
+
+  #mergeOperator(news: serving.SiteNews, seenAt: number): void {
+    if (news.operatorPosition <= this.#operatorPosition) return;
+    const { configuration, zonesOut } = news.operator!;
+    if (configuration !== undefined) {
+      this.applyConfiguration(configuration, "peer");
     }
+    this.setZonesOut(new Set(zonesOut), "peer");
+    this.setOperatorPosition(news.operatorPosition, seenAt);
+  }
+
+  #mergeEndpoints(news: serving.SiteNews, seenAt: number): void {
+    const position = news.endpointPosition;
+    if (position <= this.#endpointPosition) return;
+    const now = performance.now();
+    const changes = this.#endpoints.mergeNews(news.endpoints!, now, position);
+    for (const { id, change, service } of changes) {
+      this.#recordEndpoint(change, id, "peer", service);
+    }
+    this.setEndpointPosition(position, seenAt);
+  }
+
+  #handleMembersChanged(): void {
+    this.#memberList = undefined;
+    this.#memberVersion += 1;
   }
 
   #recordEndpoint(
--- a/packages/gateway/src/stage_run.ts
+++ b/packages/gateway/src/stage_run.ts
@@ -5,7 +5,7 @@
  */
 import type * as logger from "@sardinestep/logger";
 import * as serving from "@sardinestep/serving";
-import type { ZoneId } from "@sardinestep/types";
+import type { ServiceId, ZoneId } from "@sardinestep/types";
 import { match } from "ts-pattern";
 import { EVENT } from "./events.ts";
 import type { PieceRouter } from "./piece_router.ts";
@@ -33,6 +33,8 @@
   readonly priority: number;
   /** Where the request itself will probably run. */
   readonly readerZone?: ZoneId;
+  /** The part of a service's pool that works on the request. */
+  readonly getShard: (service: ServiceId) => serving.ShardId;
   readonly firstEventMs: number;
   readonly objectiveMs: number;
   readonly leftMs: number;
@@ -68,6 +70,11 @@
     return this.#graph.expectedMs;
   }
 
+  /** The part of a service's pool that works on the request. */
+  getShard(service: ServiceId): serving.ShardId {
+    return this.#options.getShard(service);
+  }
+
   /** Runs all stages. */
   async run(): Promise<StageRunOutcome> {
     let outcome: StageRunOutcome = { kind: "ended" };
@@ -153,7 +160,7 @@
   }
 
   async #runStage(start: serving.StageStart): Promise<serving.PieceOutcome> {
-    const { route, scope, router, events, requestId } = this.#options;
+    const { route, scope, router, events, requestId, getShard } = this.#options;
     const spec = route.stages[start.stage]!;
     const now = performance.now();
     const pool = this.#options.services.get(spec.service)?.pool;
@@ -175,12 +182,13 @@
       requestId,
       stage: start.stage,
       service: spec.service,
+      shard: getShard(spec.service),
       pieces: start.pieces,
       dueInMs: Math.round(dueAt - now),
       expiresInMs: Math.round(expiresAt - now),
       giveUpInMs: Math.round(giveUpAt - now),
     });
-    const outcome = await router.run(spec.service, {
+    const outcome = await router.run(spec.service, getShard(spec.service), {
       requestId,
       stage: start.stage,
       pieces: start.pieces,
@@ -220,9 +228,11 @@
   }
 
   #cancel(): void {
-    const { route, router, requestId } = this.#options;
+    const { route, router, requestId, getShard } = this.#options;
     const services = new Set(route.stages.map((stage) => stage.service));
-    for (const service of services) router.cancel(service, requestId);
+    for (const service of services) {
+      router.cancel(service, getShard(service), requestId);
+    }
   }
 
   #releaseGraph(graph: serving.StageGraph): void {
@@ -233,7 +243,7 @@
     graph: serving.StageGraph,
     handles: readonly string[],
   ): void {
-    const { route, router } = this.#options;
+    const { route, router, getShard } = this.#options;
     const wanted = new Set(handles.filter((one) => !this.#released.has(one)));
     for (const handle of wanted) this.#released.add(handle);
     const byService = new Map<string, string[]>();
@@ -241,6 +251,8 @@
       const own = graph.getHandles(stage).filter((one) => wanted.has(one));
       byService.set(service, [...byService.get(service) ?? [], ...own]);
     });
-    for (const [service, own] of byService) void router.release(service, own);
+    for (const [service, own] of byService) {
+      void router.release(service, getShard(service), own);
+    }
   }
 }
--- a/packages/rpc/src/methods.ts
+++ b/packages/rpc/src/methods.ts
@@ -185,9 +185,10 @@
   /** Both: status for operators. */
   status: { params: Record<never, never>; result: ProcessStatus };
   /** Gateways: what the other side believes and how loaded its pools are. */
-  exchangeViews: { params: serving.MemberView; result: serving.MemberView };
-  /** Gateways: everything that the other side knows of the site. */
-  getSiteFacts: { params: Record<never, never>; result: serving.SiteFacts };
+  exchangeViews: {
+    params: serving.MemberView;
+    result: serving.ExchangeAnswer;
+  };
   /** Gateways: has the leader of a pool make the pieces of a stage. */
   runPieces: {
     params: serving.PieceGroupMessage;
@@ -195,13 +196,18 @@
   };
   /** Gateways: a request has ended; its waiting pieces are dropped. */
   cancelPieces: {
-    params: { readonly service: ServiceId; readonly requestId: string };
+    params: {
+      readonly service: ServiceId;
+      readonly shard: serving.ShardId;
+      readonly requestId: string;
+    };
     result: true;
   };
   /** Gateways: nobody will read these results any more. */
   releaseResults: {
     params: {
       readonly service: ServiceId;
+      readonly shard: serving.ShardId;
       readonly handles: readonly string[];
     };
     result: true;
--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { PoolLoad } from "./piece_queue.ts";
+import { getPriorityWait, type PoolLoad } from "./piece_queue.ts";
 
 /** Why a request isn't taken. */
 export const REFUSAL = {
@@ -101,8 +101,7 @@
 
 function getWaitMs(load: PoolLoad, input: AdmissionInput): number {
   if (input.isReturn) return load.lateWaitMs;
-  const rank = Math.max(0, input.priority);
-  return load.waitMs[Math.min(rank, load.waitMs.length - 1)] ?? 0;
+  return getPriorityWait(load, input.priority);
 }
 
 /**
--- a/packages/serving/src/leaders.ts
+++ b/packages/serving/src/leaders.ts
@@ -1,33 +1,125 @@
 /**
- * Which VM composes the calls of a pool.
+ * Which VM composes the calls of a pool, or of a part of it.
+ *
+ * The load that this answers: one VM that leads a pool for 67 others answers 268
+ * exchanges and composes a hundred groups a second, on a third of a core. With
+ * more than some VMs a pool is therefore led by zone: groups, their results and
+ * the engine that reads them lie in one zone, and a leader serves a fraction.
  *
  * @module
  */
 import * as membership from "@sardinestep/membership";
-import type { ServiceId } from "@sardinestep/types";
+import type { ServiceId, ZoneId } from "@sardinestep/types";
 import type { ServingMember } from "./model.ts";
+import { getPriorityWait, type PoolLoad } from "./piece_queue.ts";
+
+/** A part of a pool: the endpoints of one zone, or {@link WHOLE_POOL}. */
+export type ShardId = string;
+/** The shard of a pool that is led as one. */
+export const WHOLE_POOL: ShardId = "*";
 
 /**
- * VMs that may lead a pool, best first; the others only follow. Three bear two
- * losses at once before a VM composes calls of its own.
+ * VMs that may lead, best first; the others only follow. Five bear four losses at
+ * once before a VM composes calls of its own.
+ */
+export const LEADER_CANDIDATES = 5;
+/**
+ * Members from which pools are led by zone. Below it calls of the whole pool are
+ * fuller, and a leader still answers under a hundred exchanges a second.
  */
-export const LEADER_CANDIDATES = 3;
+const MEMBERS_TO_SHARD = 24;
+/**
+ * Wait that another zone must save to take a request from the zone of its
+ * engine, in milliseconds. Some 5 MB of results cross zones then, and waits that
+ * other zones tell are half a second old.
+ */
+const CROSSING_MS = 150;
 
 /**
- * Ranks the VMs that may lead a pool.
+ * Ranks the VMs that may lead a shard of a pool.
  *
  * Two VMs that disagree about who lives pick two leaders for a while: calls are
  * less full, but a piece may be made twice, so nothing breaks and no lease is
- * needed.
+ * needed. The largest VMs go first, since a leader works for all others.
  *
  * @param service The pool's service.
  * @param members All members, alive or not.
+ * @param shard A zone, or {@link WHOLE_POOL}.
+ * @example
+ * ```ts
+ * const [leader] = planLeaders("retriever", members, "zone-a");
+ * ```
  */
 export function planLeaders(
   service: ServiceId,
   members: readonly ServingMember[],
+  shard: ShardId = WHOLE_POOL,
 ): ServingMember[] {
-  return membership
-    .buildRanking(`leader\0${service}`, members, (member) => member.vmId)
+  const own = members.filter((one) =>
+    shard === WHOLE_POOL || one.zone === shard
+  );
+  return planRanks(`leader\0${service}\0${shard}`, own)
     .slice(0, LEADER_CANDIDATES);
 }
+
+/** Ranks the VMs that may read the registry for the others of their zone. */
+export function planReaders(
+  zone: ZoneId,
+  members: readonly ServingMember[],
+): ServingMember[] {
+  const own = members.filter((one) => one.zone === zone);
+  return planRanks(`reader\0${zone}`, own);
+}
+
+/** Whether pools are led by zone. */
+export function isSharded(members: readonly ServingMember[]): boolean {
+  return members.length >= MEMBERS_TO_SHARD;
+}
+
+/** What {@link pickShardZone} chooses from. */
+export interface PickShardZoneOptions {
+  /** Loads of the pools on the request's way, by zone. */
+  readonly zones: ReadonlyMap<ZoneId, readonly PoolLoad[]>;
+  /** Pools that the request needs. */
+  readonly pools: number;
+  readonly priority: number;
+  /** Zone of the engine that will probably read the results. */
+  readonly readerZone?: ZoneId;
+  readonly ownZone: ZoneId;
+}
+
+/**
+ * Picks the zone that works out a request's pieces.
+ *
+ * Guards against a zone that lost endpoints or is hit by a burst while others are
+ * idle: it shows as waits that differ by more than a call between zones.
+ *
+ * @param options Loads by zone and where the results are read.
+ * @returns The zone; undefined where no zone has all of the pools.
+ */
+export function pickShardZone(
+  options: PickShardZoneOptions,
+): ZoneId | undefined {
+  const { zones, pools, priority, ownZone } = options;
+  const preferred = options.readerZone ?? ownZone;
+  const getCost = ([zone, loads]: [ZoneId, readonly PoolLoad[]]) =>
+    loads.reduce((sum, load) => sum + getPriorityWait(load, priority), 0) +
+    (zone === preferred ? 0 : CROSSING_MS) + (zone === ownZone ? 0 : 1);
+  const whole = [...zones].filter(([, loads]) =>
+    loads.length === pools && loads.every((load) => load.endpoints > 0)
+  );
+  const costs = whole.map((entry) => ({
+    zone: entry[0],
+    cost: getCost(entry),
+  }));
+  return costs.sort((a, b) => a.cost - b.cost)[0]?.zone;
+}
+
+function planRanks(
+  subject: string,
+  members: readonly ServingMember[],
+): ServingMember[] {
+  return membership
+    .buildRanking(subject, members, (member) => member.vmId)
+    .sort((a, b) => b.cores - a.cores);
+}
--- a/packages/serving/src/messages.ts
+++ b/packages/serving/src/messages.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import type { ServiceId, ZoneId } from "@sardinestep/types";
+import type { EndpointId, ServiceId, ZoneId } from "@sardinestep/types";
+import type { ShardId } from "./leaders.ts";
 import type {
   ServingConfiguration,
   ServingEndpoint,
@@ -12,33 +13,86 @@
 import type { PieceGroup, PoolLoad } from "./piece_queue.ts";
 import type { PieceResult } from "./stage_graph.ts";
 
-/** Facts that VMs pass to each other. */
-export interface SiteFacts {
+/** How far a VM has read what operators, endpoints and members write. */
+export interface FactPositions {
   /** Counts the operator's writes; larger is newer. */
   readonly operatorPosition: number;
-  readonly configuration?: ServingConfiguration;
-  readonly zonesOut: readonly ZoneId[];
   /** Counts the endpoints' writes; larger is newer. */
   readonly endpointPosition: number;
-  readonly endpoints: readonly ServingEndpoint[];
-  readonly members: readonly ServingMember[];
+  /** Counts the members' writes; larger is newer. */
+  readonly memberPosition: number;
+}
+
+/** What the operator has written. */
+export interface OperatorFacts {
+  readonly configuration?: ServingConfiguration;
+  readonly zonesOut: readonly ZoneId[];
+}
+
+/** Endpoints that changed since a position. */
+export interface EndpointNews {
+  readonly changed: readonly {
+    readonly endpoint: ServingEndpoint;
+    /** Time since its last record, in milliseconds. */
+    readonly ageMs: number;
+  }[];
+  /** Endpoints whose records are gone, and when that counts, in ms. */
+  readonly removed: readonly {
+    readonly id: EndpointId;
+    readonly dropInMs: number;
+  }[];
+  /** Everything that is known; what isn't listed is gone. */
+  readonly isWhole: boolean;
+}
+
+/** Facts that one VM has and another one has not. */
+export interface SiteNews extends FactPositions {
+  /** Set if the asking VM has read less of the operator's writes. */
+  readonly operator?: OperatorFacts;
+  /** Set if it has read less of the endpoints' writes. */
+  readonly endpoints?: EndpointNews;
+  /** Set if it has read less of the members' writes. */
+  readonly members?: readonly ServingMember[];
+}
+
+/** Load of a part of a pool, as the VM that leads it tells it. */
+export interface ShardLoad {
+  readonly service: ServiceId;
+  readonly shard: ShardId;
+  readonly load: PoolLoad;
+}
+
+/** A {@link ShardLoad} that another VM told not long ago. */
+export interface HeardLoad extends ShardLoad {
+  readonly leader: string;
+  readonly ageMs: number;
 }
 
 /** What a VM tells with each exchange. */
-export interface MemberView {
+export interface MemberView extends FactPositions {
   readonly member: ServingMember;
   /** It is shutting down and takes no new work. */
   readonly isLeaving: boolean;
-  readonly operatorPosition: number;
-  readonly endpointPosition: number;
-  /** Loads of the pools that it leads. */
-  readonly loads: Readonly<Record<ServiceId, PoolLoad>>;
+  /** Time since its facts were known to be the registry's newest, in ms. */
+  readonly factsAgeMs: number;
+  /** Loads of what it leads. */
+  readonly loads: readonly ShardLoad[];
+  /** Loads that leaders of other zones told it. */
+  readonly heard: readonly HeardLoad[];
+}
+
+/** What a VM answers to the view of another one. */
+export interface ExchangeAnswer {
+  readonly view: MemberView;
+  /** What the asking VM doesn't know yet, by the positions of its view. */
+  readonly news?: SiteNews;
 }
 
 /** A {@link PieceGroup} on its way to a leader. */
 export interface PieceGroupMessage
   extends Omit<PieceGroup, "dueAt" | "expiresAt" | "giveUpAt"> {
   readonly service: ServiceId;
+  readonly shard: ShardId;
   readonly dueInMs: number;
   readonly expiresInMs: number;
   readonly giveUpInMs: number;
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -14,6 +14,7 @@
 export * from "./placement.ts";
 export * from "./pool_endpoints.ts";
 export * from "./prompt_session.ts";
+export * from "./registry_reader.ts";
 export * from "./repeat_budget.ts";
 export * from "./route_table.ts";
 export * from "./stage_graph.ts";
--- a/packages/serving/src/model.ts
+++ b/packages/serving/src/model.ts
@@ -132,4 +132,6 @@
   readonly zone: ZoneId;
   /** Where its JSON-RPC listens. */
   readonly rpc: Address;
+  /** Processor that it has, in cores; the largest VMs lead first. */
+  readonly cores: number;
 }
--- a/packages/serving/src/piece_queue.ts
+++ b/packages/serving/src/piece_queue.ts
@@ -195,6 +195,12 @@
   return { waitMs, lateWaitMs, endpoints };
 }
 
+/** Wait that a load tells for a priority, in milliseconds. */
+export function getPriorityWait(load: PoolLoad, priority: number): number {
+  const rank = Math.min(Math.max(0, priority), load.waitMs.length - 1);
+  return load.waitMs[rank] ?? 0;
+}
+
 function isEligible(queued: QueuedGroup, options: PlanCallOptions): boolean {
   const { group, madeIn } = queued;
   const { room, now, poolZones } = options;
--- a/packages/serving/src/placement_test.ts
+++ b/packages/serving/src/placement_test.ts
@@ -175,6 +175,7 @@
     vmId: `vm-${i}`,
     zone: "a",
     rpc: `10.0.0.${i}:1`,
+    cores: 1,
   }));
 
   it("gives every VM the same order and moves little when one goes", () => {
