Fault soak: real programs, callers on open connections, seeded faults from outside

Each run starts several gateways as processes on loopback, with the stand-ins of store and workers behind relays that delay, reset, silence and cut one way.

--- a/packages/testing/src/silent_relay.ts
+++ b/packages/testing/src/silent_relay.ts
@@ -1,6 +1,7 @@
 /**
  * A TCP relay between two ends, whose open connections can go silent for good
- * while new ones work: as when something in between has lost track of them.
+ * while new ones work: as when something in between has lost track of them. It
+ * can also delay, cut one way, and reset.
  *
  * @module
  */
@@ -32,6 +33,9 @@
   readonly #links = new Set<Link>();
   readonly #sockets = new Set<Socket>();
   #silenced = 0;
+  #delayMs = 0;
+  /** What is held back, in the order in which it came. */
+  readonly #held: (() => void)[] = [];
 
   private constructor(target: { readonly port: number }) {
     this.#server = createServer((near) => this.#addLink(near, target.port));
@@ -70,12 +74,33 @@
       this.#links.delete(link);
       this.#silenced += 1;
       for (const socket of [link.near, link.far]) {
-        socket.unpipe();
+        socket.removeAllListeners("data");
         socket.resume();
       }
     }
   }
 
+  /** Swallows from now on the far end's bytes on the open connections only. */
+  cutAnswers(): void {
+    for (const { far } of this.#links) {
+      far.removeAllListeners("data");
+      far.resume();
+    }
+  }
+
+  /** Holds every byte back for some time, in milliseconds. */
+  setDelay(delayMs: number): void {
+    this.#delayMs = delayMs;
+  }
+
+  /** Resets all open connections, at both ends. */
+  reset(): void {
+    for (const { near, far } of [...this.#links]) {
+      near.resetAndDestroy();
+      far.resetAndDestroy();
+    }
+  }
+
   /** Ends the relay and all connections. */
   async close(): Promise<void> {
     const closed = once(this.#server, "close");
@@ -91,9 +116,9 @@
     for (const [socket, other] of [[near, far], [far, near]] as const) {
       this.#sockets.add(socket);
       socket.setNoDelay(true);
-      socket.pipe(other, { end: false });
+      socket.on("data", (data) => this.#forward(data, other));
       socket.on("error", () => {});
-      socket.on("end", () => this.#closeLink(link));
+      socket.on("end", () => this.#runLater(() => this.#closeLink(link)));
       socket.on("close", () => {
         this.#sockets.delete(socket);
         this.#closeLink(link);
@@ -101,6 +126,19 @@
     }
   }
 
+  #forward(data: Buffer, other: Socket): void {
+    this.#runLater(() => {
+      if (!other.destroyed) other.write(data);
+    });
+  }
+
+  /** What comes later never leaves sooner, also when the delay ends meanwhile. */
+  #runLater(run: () => void): void {
+    if (this.#delayMs === 0 && this.#held.length === 0) return run();
+    this.#held.push(run);
+    setTimeout(() => this.#held.shift()?.(), this.#delayMs);
+  }
+
   /** The end of one side ends the other, but for silenced connections. */
   #closeLink(link: Link): void {
     if (!this.#links.delete(link)) return;
