--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -139,6 +139,11 @@
  * looks a second apart take the VM out for new connections.
  */
 const STOP_OPEN_MS = 2_500;
+/**
+ * The same as a share of the whole time until the exit, where that is short. With
+ * an exit 1.3 s after the stop, everything was taken until the exit and cut by it.
+ */
+const STOP_OPEN_SHARE = 0.35;
 
 /**
  * Decides whether a VM that stops still takes a request.
@@ -153,7 +158,9 @@
   stop: StopState | undefined,
   leftMs: number,
 ): boolean {
-  if (stop === undefined || stop.sinceMs < STOP_OPEN_MS) return true;
+  if (stop === undefined) return true;
+  const openMs = (stop.sinceMs + stop.leftMs) * STOP_OPEN_SHARE;
+  if (stop.sinceMs < Math.min(STOP_OPEN_MS, openMs)) return true;
   return leftMs < stop.leftMs;
 }
 
--- a/packages/serving/src/admission_test.ts
+++ b/packages/serving/src/admission_test.ts
@@ -92,6 +92,20 @@
   });
 });
 
+describe("mayServeWhileStopping, where the grace is short", () => {
+  // A VM has 1.3 s from the stop to its exit. Callers go on using their open
+  // connections; what they send in the last moments is cut by the exit, since the
+  // VM still counted as newly stopped.
+  it("takes nothing that the exit would cut", () => {
+    expect(mayServeWhileStopping({ sinceMs: 300, leftMs: 1_000 }, 1_500))
+      .to.equal(true);
+    expect(mayServeWhileStopping({ sinceMs: 900, leftMs: 400 }, 1_500))
+      .to.equal(false);
+    expect(mayServeWhileStopping({ sinceMs: 900, leftMs: 400 }, 300))
+      .to.equal(true);
+  });
+});
+
 describe("planGiveUp", () => {
   const base = { now: 0, dueAt: 600, expiresAt: 7_000, isReturn: false };
 
