--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -318,6 +318,8 @@
       endpoint_connections_opened_total: this.pool.openedTotal,
       log_lines_dropped_total: this.#options.events.droppedTotal,
       members: this.site.members.length,
+      facts_age_seconds: (now - this.site.seenAt) / 1_000,
+      reads_registry: Number(this.mesh.mayReadRegistry()),
     };
     for (const [name, value] of Object.entries(gauges)) {
       if (Number.isFinite(value)) this.metrics.setGauge(name, {}, value);
