--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -8,8 +8,8 @@
 import * as serving from "@sardinestep/serving";
 import type { ServiceId } from "@sardinestep/types";
 import { match } from "ts-pattern";
+import { CallLog } from "./call_log.ts";
 import { type EndpointBook, getZones } from "./endpoint_book.ts";
-import { EVENT } from "./events.ts";
 import type { PieceAnswer, PieceCallResult, ServingWire } from "./ports.ts";
 import { ResultReleases } from "./result_releases.ts";
 import { ResultRoom } from "./result_room.ts";
@@ -56,6 +56,7 @@
   readonly #options: PieceLeaderOptions;
   readonly #endpoints = new serving.PoolEndpoints();
   readonly #room = new ResultRoom();
+  readonly #log: CallLog;
   readonly #releases: ResultReleases;
   readonly #timer: NodeJS.Timeout;
   #queue: LeaderGroup[] = [];
@@ -65,6 +66,7 @@
   /** @param options The pool and where its calls go. */
   constructor(options: PieceLeaderOptions) {
     this.#options = options;
+    this.#log = new CallLog(options);
     this.#releases = new ResultReleases(options.wire, (handles) => {
       for (const handle of handles) this.#room.release(handle);
       if (this.#queue.length > 0) this.#pump();
@@ -194,7 +196,14 @@
     );
     this.#room.addBytes(endpoint.id, bytes);
     const expectedMs = pool.callMs + pieces.length * pool.pieceMs;
-    this.#recordStart(endpoint, pool, plan, pieces.length);
+    this.#log.recordStart({
+      endpointId: endpoint.id,
+      batchSize: pool.batchSize,
+      plan,
+      pieces: pieces.length,
+      waiting: this.#queue.length,
+      freeBytes: this.#room.getFree(endpoint.id, pool, startedAt),
+    }, startedAt);
     const result = await this.#options.wire.runPieces({
       endpointId: endpoint.id,
       address: endpoint.address,
@@ -218,7 +227,13 @@
         ? undefined
         : { tookMs, expectedMs, isWhole: result.kind === "done" },
     );
-    this.#recordEnd(endpoint, pieces.length, result, tookMs, expectedMs);
+    this.#log.recordEnd({
+      endpointId: endpoint.id,
+      pieces: pieces.length,
+      result,
+      tookMs,
+      expectedMs,
+    });
     this.#handleResult(endpoint, pieces, result);
     this.#pump();
   }
@@ -335,64 +350,4 @@
     }
     queued.finish(outcome);
   }
-
-  #recordStart(
-    endpoint: serving.ServingEndpoint,
-    pool: serving.PoolSpec,
-    plan: readonly serving.PlannedPieces[],
-    pieces: number,
-  ): void {
-    const now = performance.now();
-    const { service, events, metrics } = this.#options;
-    metrics.recordMs(
-      "call_fill_percent",
-      { service },
-      100 * pieces /
-        pool.batchSize,
-    );
-    for (const { queued } of plan) {
-      metrics.recordMs("stage_wait_ms", { service }, now - queued.queuedAt);
-    }
-    events.write(EVENT.callStarted, {
-      service,
-      endpointId: endpoint.id,
-      pieces,
-      batchSize: pool.batchSize,
-      waiting: this.#queue.length,
-      freeBytes: this.#room.getFree(endpoint.id, pool, now),
-      requests: plan.map(({ queued }) => queued.group.requestId),
-    });
-  }
-
-  #recordEnd(
-    endpoint: serving.ServingEndpoint,
-    pieces: number,
-    result: PieceCallResult,
-    tookMs: number,
-    expectedMs: number,
-  ): void {
-    const { service, events, metrics } = this.#options;
-    metrics.recordMs("call_ms", { service }, tookMs);
-    const answers = result.kind === "done" ? countKinds(result.pieces) : {};
-    for (const [kind, count] of Object.entries(answers)) {
-      metrics.count("pieces_total", { service, result: kind }, count);
-    }
-    events.write(EVENT.callEnded, {
-      service,
-      endpointId: endpoint.id,
-      pieces,
-      result: result.kind,
-      answers,
-      tookMs: Math.round(tookMs),
-      expectedMs: Math.round(expectedMs),
-      message: result.kind === "broken" ? result.message : undefined,
-      status: result.kind === "notRun" ? result.status : undefined,
-    });
-  }
-}
-
-function countKinds(answers: readonly PieceAnswer[]): Record<string, number> {
-  const counts: Record<string, number> = {};
-  for (const { kind } of answers) counts[kind] = (counts[kind] ?? 0) + 1;
-  return counts;
 }
