A leader's load is asked for by shard; one view a round; one exchange for both ways

Found in the last read: a leader computed the loads of all its pools for each single look-up (nine look-ups for a request on large sites), and each partner of a round got a view built anew; the exchange over a kept connection and the one over its own stood twice. Behaviour as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -104,6 +104,7 @@
       site: this.site,
       events,
       getLoads: () => this.#getLoads(),
+      getOwnLoad: (service, shard) => this.#getLeader(service, shard).getLoad(),
     });
     const parts = this.#buildParts();
     this.#ingress = new Ingress({
--- a/packages/gateway/src/leader_table.ts
+++ b/packages/gateway/src/leader_table.ts
@@ -30,8 +30,11 @@
   readonly events: logger.EventLog;
   /** Whether a VM is known to live and takes new work. */
   readonly isAlive: (vmId: string) => boolean;
-  /** Loads of what this VM leads. */
-  readonly getOwnLoads: () => readonly serving.ShardLoad[];
+  /** Load of a shard that this VM leads. */
+  readonly getOwnLoad: (
+    service: ServiceId,
+    shard: serving.ShardId,
+  ) => serving.PoolLoad;
 }
 
 /** Follows the leaders of all shards. */
@@ -110,8 +113,7 @@
   ): serving.PoolLoad | undefined {
     const leader = this.pickLeader(service, shard);
     if (leader?.vmId === this.#options.member.vmId) {
-      return this.#options.getOwnLoads()
-        .find((one) => one.service === service && one.shard === shard)?.load;
+      return this.#options.getOwnLoad(service, shard);
     }
     return this.#findFresh(service, shard)?.load;
   }
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -8,7 +8,7 @@
 import * as serving from "@sardinestep/serving";
 import type { Address } from "@sardinestep/types";
 import { EVENT } from "./events.ts";
-import { LeaderTable } from "./leader_table.ts";
+import { LeaderTable, type LeaderTableOptions } from "./leader_table.ts";
 import type { SiteState } from "./site_state.ts";
 
 /** How often views are exchanged with possible leaders, in milliseconds. */
@@ -27,6 +27,8 @@
  */
 const RANDOM_EVERY_ROUNDS = 8;
 
+type ExchangeCall = typeof rpc.callOnce<"exchangeViews">;
+
 interface PeerView {
   readonly view: serving.MemberView;
   readonly heardAt: number;
@@ -40,6 +42,8 @@
   readonly site: SiteState;
   readonly events: logger.EventLog;
   readonly getLoads: () => readonly serving.ShardLoad[];
+  /** Load of a shard that this VM leads. */
+  readonly getOwnLoad: LeaderTableOptions["getOwnLoad"];
 }
 
 /** Exchanges views with other VMs. */
@@ -68,7 +72,7 @@
       site: options.site,
       events: options.events,
       isAlive: (vmId) => this.#isAlive(vmId),
-      getOwnLoads: options.getLoads,
+      getOwnLoad: options.getOwnLoad,
     });
   }
 
@@ -155,11 +159,14 @@
 
   #exchangeAll(): void {
     this.#round += 1;
+    // One view for the round: a leader looks through its queues for each.
+    const view = this.#buildView([]);
     for (const address of this.#planExchanges()) {
-      void this.#exchange(address);
+      void this.#exchange(address, view);
     }
     const random = this.#pickRandom();
-    if (random !== undefined) void this.#exchangeOnce(random);
+    if (random === undefined) return;
+    void this.#exchange(random, view, rpc.callOnce<"exchangeViews">);
   }
 
   #planExchanges(): ReadonlySet<Address> {
@@ -213,25 +220,15 @@
     return others[Math.floor(Math.random() * others.length)]?.rpc;
   }
 
-  async #exchange(address: Address): Promise<void> {
-    const sentAt = performance.now();
-    const answer = await this.#peers.call(
-      address,
-      "exchangeViews",
-      this.#buildView([]),
-      { timeoutMs: EXCHANGE_TIMEOUT_MS },
-    );
-    if (answer.isOk()) this.#handleAnswer(answer.value, sentAt);
-  }
-
-  async #exchangeOnce(address: Address): Promise<void> {
+  async #exchange(
+    address: Address,
+    view: serving.MemberView,
+    call: ExchangeCall = (...params) => this.#peers.call(...params),
+  ): Promise<void> {
     const sentAt = performance.now();
-    const answer = await rpc.callOnce(
-      address,
-      "exchangeViews",
-      this.#buildView([]),
-      { timeoutMs: EXCHANGE_TIMEOUT_MS },
-    );
+    const answer = await call(address, "exchangeViews", view, {
+      timeoutMs: EXCHANGE_TIMEOUT_MS,
+    });
     if (answer.isOk()) this.#handleAnswer(answer.value, sentAt);
   }
 
@@ -277,7 +274,7 @@
   async #readNews(address: Address): Promise<void> {
     if (this.#isReadingNews) return;
     this.#isReadingNews = true;
-    await this.#exchange(address);
+    await this.#exchange(address, this.#buildView([]));
     this.#isReadingNews = false;
   }
 }
