A bound of its own for handshakes; inputs given up once they are read

Inputs: a request that may run once needs them until its engine has read them; they were held to the first event, or for seconds at a dark engine.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -59,6 +59,7 @@
   readonly isStream: boolean;
   /** Set where the stream may go on elsewhere; keeps events whole. */
   readonly cutter?: EventCutter;
+  readonly handleSent: () => void;
   readonly handleFirstEvent: () => void;
 }
 
@@ -125,6 +126,10 @@
     this.#watchSilence();
   }
 
+  handleSent(): void {
+    this.#options.handleSent();
+  }
+
   handleHead(status: number, headers: ReadonlyMap<string, string>): void {
     const { wire, request, endpoint, book } = this.#options;
     this.#status = status;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -35,6 +35,9 @@
 /** Inputs of the request and what to do with them. */
 export interface ForwardOptions {
   readonly staged: StagedInputs;
+  /** Nobody reads the inputs any more. */
+  readonly handleInputsRead: () => void;
+  /** The caller gets its first event. */
   readonly handleFirstEvent: () => void;
   /** Has lost results made again; undefined when that fails. */
   readonly remakeInputs: () => Promise<StagedInputs | undefined>;
@@ -52,6 +55,11 @@
 const MAX_UNSENT = 4;
 /** Endpoints that one request is offered to when they say that they are full. */
 const MAX_NOT_RUN = 3;
+/**
+ * Time after which an endpoint has read its inputs, in milliseconds: ten results of
+ * 3 MB over its link take 25, and it reads them before the prompt.
+ */
+const READ_INPUTS_MS = 100;
 /** Times that lost results are made again. */
 const MAX_REMADE = 1;
 /**
@@ -90,6 +98,7 @@
   #remade = 0;
   #mayHaveRun = false;
   #lastFailure: WholeAnswer | undefined;
+  #readTimer: NodeJS.Timeout | undefined;
 
   constructor(
     parts: FlowParts,
@@ -111,6 +120,7 @@
       const endpoint = this.#pickEndpoint();
       if (endpoint === undefined) return this.#giveUp("No endpoint is usable");
       const outcome = await this.#send(endpoint);
+      clearTimeout(this.#readTimer);
       const result = await this.#handleOutcome(endpoint, outcome);
       if (result !== undefined) return result;
     }
@@ -170,10 +180,29 @@
       silenceMs: this.#getSilenceMs(),
       isStream: route.kind === serving.ROUTE_KIND.stream,
       cutter: this.#cutter,
-      handleFirstEvent: this.#options.handleFirstEvent,
+      handleSent: () => this.#watchInputs(),
+      handleFirstEvent: () => {
+        this.#options.handleInputsRead();
+        this.#options.handleFirstEvent();
+      },
     });
   }
 
+  /**
+   * Gives inputs up soon after a request was sent that won't be sent again.
+   *
+   * Guards against room that is held for an answer: until the first event comes, or
+   * for as long as an endpoint that has gone dark says nothing, large results keep
+   * others from being made. One that has not read them says so and did not run.
+   */
+  #watchInputs(): void {
+    if (this.#isRepeatable || this.#staged.inputs.length === 0) return;
+    this.#readTimer = setTimeout(
+      () => this.#options.handleInputsRead(),
+      READ_INPUTS_MS,
+    );
+  }
+
   /** Only what may go elsewhere is taken from a silent endpoint. */
   #getSilenceMs(): number | undefined {
     const { route } = this.#request;
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -5,6 +5,7 @@
  */
 import type { Address } from "@sardinestep/types";
 import { buildConnector, Client, type Dispatcher } from "undici";
+import { buildTimedConnect } from "./timed_connect.ts";
 
 /** A request to an endpoint. */
 export interface PoolRequest {
@@ -27,6 +28,8 @@
 
 /** Receives an answer as it comes. */
 export interface AnswerSink {
+  /** The request is on its way on a connection. */
+  handleSent?(): void;
   handleHead(status: number, headers: ReadonlyMap<string, string>): void;
   handleData(chunk: Uint8Array): void;
   handleEnd(): void;
@@ -44,14 +47,20 @@
 
 /**
  * Longest handshake, in milliseconds. Zones are under 3 ms apart; after a lost
- * packet the next try of the kernel comes after a second, too late for a caller.
+ * packet the next try of the kernel comes after a second, too late for a caller,
+ * while a new connection is there at once.
  */
-const CONNECT_TIMEOUT_MS = 300;
+const CONNECT_TIMEOUT_MS = 150;
 /** How long an idle connection is kept, in milliseconds. */
 const KEEP_IDLE_MS = 4_000;
 /** Idle connections to one address; an endpoint accepts some hundred in all. */
 const MAX_IDLE_PER_ADDRESS = 8;
 
+const connectInTime = buildTimedConnect(
+  buildConnector({ timeout: 0 }),
+  CONNECT_TIMEOUT_MS,
+);
+
 /** Statuses whose answers have no body, and so need no length. */
 const STATUS_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
@@ -62,18 +71,12 @@
   isBroken = false;
 
   constructor(address: Address) {
-    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: KEEP_IDLE_MS,
-      connect: (options, callback) =>
-        connect(options, (...result) => {
-          // A connection that failed has no socket; the types say null only.
-          if (result[1]) result[1].setNoDelay(true);
-          callback(...result);
-        }),
+      connect: connectInTime,
     });
     this.client.on("disconnect", () => this.close());
   }
@@ -200,6 +203,7 @@
   onConnect(abort: (error?: Error) => void): void {
     if (this.#isOver) return abort();
     this.#isSent = true;
+    this.#sink.handleSent?.();
   }
 
   onHeaders(status: number, raw: Buffer[], resume: () => void): boolean {
