Requests rank by route among customers of one priority

Change: rank by the customer's priority first, then by the route's; a pool tells its backlog by the ranks that wait; head start of a rank 500 ms.

--- a/packages/gateway/src/leader_table.ts
+++ b/packages/gateway/src/leader_table.ts
@@ -129,7 +129,7 @@
       (this.getLoad(service, one)?.endpoints ?? 0) > 0;
     if (isUsable(zone)) return zone;
     const getWait = (one: ZoneId) =>
-      this.getLoad(service, one)?.sizes.at(-1)?.lateWaitMs ?? 0;
+      this.getLoad(service, one)?.sizes.at(-1)?.late.waitMs ?? 0;
     const others = [...this.zones].filter(isUsable);
     return others.sort((a, b) => getWait(a) - getWait(b))[0] ?? zone;
   }
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -64,7 +64,8 @@
   readonly route: serving.Route;
   readonly service: ServiceId;
   readonly customer?: string;
-  readonly priority: number;
+  /** 0 is the most urgent. */
+  readonly rank: number;
   readonly session?: serving.PromptPart;
   /** Longest time until the final answer, from the arrival, in milliseconds. */
   readonly leftMs: number;
@@ -142,7 +143,7 @@
       route,
       service,
       customer: serving.getCustomerId(customer),
-      priority: serving.getPriority(route, customer),
+      rank: serving.getRank(route, customer),
       session,
       leftMs,
     },
@@ -199,7 +200,7 @@
     services: table.services,
     pieceCounts: caller.pieceCounts,
     pieceKey: caller.pieceKey,
-    priority: request.priority,
+    rank: request.rank,
     readerZone,
     getShard: planShards(parts, request, readerZone),
     firstEventMs: FIRST_EVENT_MS,
@@ -280,14 +281,14 @@
   request: RoutedRequest,
   loads: ReadonlyMap<ServiceId, serving.PoolLoad>,
 ): (stage: number) => number {
-  const { route, caller, priority } = request;
+  const { route, caller, rank } = request;
   const isLate = isReturning(request);
   return (stage) => {
     const { service, resultBytes } = route.stages[stage]!;
     const pieces = caller.pieceCounts[stage] ?? 0;
     const load = loads.get(service);
     return load === undefined ? 0 : serving.getExpectedWait(load, {
-      priority,
+      rank,
       pieces,
       resultBytes,
       isLate,
@@ -309,7 +310,7 @@
   request: RoutedRequest,
   run: StageRun,
 ): codes.Failure | undefined {
-  const { route, priority, caller } = request;
+  const { route, rank, caller } = request;
   const services = getPieceServices(request);
   const loads = getLoads(parts, services, (one) => run.getShard(one));
   const getWaitMs = buildWaits(request, loads);
@@ -327,7 +328,7 @@
     route: route.name,
     service: request.service,
     customer: request.customer,
-    priority,
+    rank,
     leftMs: request.leftMs,
     isReturn: isReturning(request),
     session: request.session?.id,
--- a/packages/gateway/src/stage_run.ts
+++ b/packages/gateway/src/stage_run.ts
@@ -30,7 +30,7 @@
   readonly services: ReadonlyMap<string, serving.ServiceSpec>;
   readonly pieceCounts: readonly number[];
   readonly pieceKey?: string;
-  readonly priority: number;
+  readonly rank: number;
   /** Where the request itself will probably run. */
   readonly readerZone?: ZoneId;
   /** The part of a service's pool that works on the request. */
@@ -195,7 +195,7 @@
       key: spec.after.length === 0 ? this.#options.pieceKey : undefined,
       inputs: start.inputs,
       resultBytes: spec.resultBytes,
-      priority: this.#options.priority,
+      rank: this.#options.rank,
       isInvested,
       localBytes: this.#getLocalBytes(start, spec.resultBytes),
       dueAt,
--- a/packages/serving/src/_fixtures.ts
+++ b/packages/serving/src/_fixtures.ts
@@ -49,7 +49,7 @@
     pieces: 4,
     inputs: [],
     resultBytes: 1_000,
-    priority: 0,
+    rank: 0,
     localBytes: {},
     isInvested: false,
     dueAt: 1_000,
--- a/packages/serving/src/piece_queue.ts
+++ b/packages/serving/src/piece_queue.ts
@@ -16,7 +16,7 @@
   readonly inputs: readonly string[];
   readonly resultBytes: number;
   /** Rank of the request; 0 is the most urgent. */
-  readonly priority: number;
+  readonly rank: number;
   /**
    * Bytes that don't cross zones if the group is made in a zone: inputs that lie
    * there, for every piece that reads them, and results that are read there.
@@ -45,10 +45,11 @@
 }
 
 /**
- * Head start of one rank over the next, in milliseconds. It is half a call: a
- * more urgent request goes first unless the other would miss a call by that.
+ * Head start of one rank over the next, in milliseconds: about what a request that
+ * has just come has to spare. So what is less urgent goes first only when it would
+ * be late otherwise.
  */
-const RANK_MS = 150;
+const RANK_MS = 500;
 /**
  * Within this time, in milliseconds, the stage of a late request that has been
  * worked for comes to its turn. Its results hold room meanwhile; what comes in
@@ -90,8 +91,8 @@
   const isLateA = isLateStart(a, now);
   const isLateB = isLateStart(b, now);
   if (isLateA !== isLateB) return isLateA ? 1 : -1;
-  const byPriority = a.group.priority - b.group.priority;
-  if (isLateA && byPriority !== 0) return byPriority;
+  const byRank = a.group.rank - b.group.rank;
+  if (isLateA && byRank !== 0) return byRank;
   return getRank(a, now) - getRank(b, now);
 }
 
@@ -116,5 +117,5 @@
   const isLate = group.dueAt < now;
   const lateSince = Math.max(group.dueAt, queuedAt);
   const dueAt = isLate ? lateSince + LATE_FINISH_MS : group.dueAt;
-  return dueAt + group.priority * RANK_MS;
+  return dueAt + group.rank * RANK_MS;
 }
--- a/packages/serving/src/piece_queue_test.ts
+++ b/packages/serving/src/piece_queue_test.ts
@@ -48,12 +48,13 @@
     expect(rank([late, later])).to.deep.equal(["late", "later"]);
   });
 
-  it("gives a more urgent request half a call's head start", () => {
+  it("gives a more urgent request a head start", () => {
     const queue = [
-      buildQueued({ requestId: "lesser", priority: 2, dueAt: 500 }),
-      buildQueued({ requestId: "urgent", priority: 0, dueAt: 700 }),
+      buildQueued({ requestId: "lesser", rank: 2, dueAt: 500 }),
+      buildQueued({ requestId: "urgent", rank: 0, dueAt: 700 }),
+      buildQueued({ requestId: "next", rank: 1, dueAt: 100 }),
     ];
-    expect(rank(queue)).to.deep.equal(["urgent", "lesser"]);
+    expect(rank(queue)).to.deep.equal(["next", "urgent", "lesser"]);
   });
 
   // Two of a request's three pieces are made and one has to be made again. Behind
--- a/packages/serving/src/pool_load.ts
+++ b/packages/serving/src/pool_load.ts
@@ -11,18 +11,28 @@
 import type { PoolSpec } from "./model.ts";
 import type { QueuedGroup } from "./piece_queue.ts";
 
+/** What stands before a group. */
+export interface Backlog {
+  /** Wait for calls, in milliseconds. */
+  readonly waitMs: number;
+  /** Pieces of its size or a smaller one that wait for room. */
+  readonly queuedPieces: number;
+}
+
+/** What stands before a group of a rank, or of the ranks up to the next entry. */
+export interface RankBacklog extends Backlog {
+  readonly rank: number;
+}
+
 /** Backlog before a group whose results have one size. */
 export interface SizeLoad {
   readonly resultBytes: number;
   /** Results of this size that find room now, over all endpoints. */
   readonly freePieces: number;
-  /** Wait for calls, by priority of the request, in milliseconds. */
-  readonly waitMs: readonly number[];
-  /** Pieces of this size or a smaller one that wait for room, by priority. */
-  readonly queuedPieces: readonly number[];
-  /** The same two for a request that is late already. */
-  readonly lateWaitMs: number;
-  readonly lateQueuedPieces: number;
+  /** By rank, the most urgent first; the first entry is of rank 0. */
+  readonly ranks: readonly RankBacklog[];
+  /** Before a request that is late already. */
+  readonly late: Backlog;
 }
 
 /** Load of a pool as its leader sees it. */
@@ -44,7 +54,7 @@
 
 /** What a group needs of a pool. */
 export interface GroupNeed {
-  readonly priority: number;
+  readonly rank: number;
   readonly pieces: number;
   readonly resultBytes: number;
   /** Its request can't be in time; it takes what others leave. */
@@ -62,8 +72,6 @@
   readonly now: number;
 }
 
-/** Priorities that a load tells apart. */
-const PRIORITIES = [0, 1, 2, 3] as const;
 /** Longest wait that is told, in milliseconds; no caller waits that long. */
 const MAX_WAIT_MS = 60_000;
 
@@ -71,7 +79,7 @@
  * Estimates how long a new group would wait, by the size of its results.
  *
  * @param options Queue, pool, endpoints and time.
- * @returns Waits by size and priority; less urgent ones wait for all before them.
+ * @returns Waits by size and rank; less urgent ones wait for all before them.
  * @example
  * ```ts
  * const load = estimateLoad({ queue, pool, endpoints: 3, freeBytes, freedBytesPerMs, now });
@@ -100,13 +108,9 @@
     one.resultBytes <= need.resultBytes
   );
   if (size === undefined) return 0;
-  const rank = getRank(size, need.priority);
-  const waitMs = need.isLate ? size.lateWaitMs : size.waitMs[rank] ?? 0;
+  const { waitMs, queuedPieces } = getBacklog(size, need);
   if (size.resultBytes < need.resultBytes) return waitMs;
-  const queued = need.isLate
-    ? size.lateQueuedPieces
-    : size.queuedPieces[rank] ?? 0;
-  const lacking = queued + need.pieces - size.freePieces;
+  const lacking = queuedPieces + need.pieces - size.freePieces;
   if (lacking <= 0) return waitMs;
   const freedPerMs = load.freedBytesPerMs / Math.max(1, need.resultBytes);
   const roomMs = freedPerMs > 0 ? lacking / freedPerMs : MAX_WAIT_MS;
@@ -118,37 +122,40 @@
   options: EstimateLoadOptions,
 ): SizeLoad {
   const { queue, freeBytes, now } = options;
-  const waits = PRIORITIES.map((priority) => {
-    const ahead = queue.filter((one) => isAhead(one, priority, now));
-    return estimateWait(ahead, resultBytes, options);
-  });
-  const late = estimateWait(queue, resultBytes, options);
+  const ranks = new Set([0, ...queue.map(({ group }) => group.rank)]);
   return {
     resultBytes,
     freePieces: countFitting(freeBytes, resultBytes),
-    waitMs: waits.map((one) => one.waitMs),
-    queuedPieces: waits.map((one) => one.queuedPieces),
-    lateWaitMs: late.waitMs,
-    lateQueuedPieces: late.queuedPieces,
+    ranks: [...ranks].sort((a, b) => a - b).map((rank) => {
+      const ahead = queue.filter((one) => isAhead(one, rank, now));
+      return { rank, ...estimateBacklog(ahead, resultBytes, options) };
+    }),
+    late: estimateBacklog(queue, resultBytes, options),
   };
 }
 
+function getBacklog(size: SizeLoad, need: GroupNeed): Backlog {
+  if (need.isLate) return size.late;
+  const rank = size.ranks.findLast((one) => one.rank <= need.rank);
+  return rank ?? size.late;
+}
+
 /** What was worked for goes on whether it is late or not. */
 function isAhead(
   { group, madeIn }: QueuedGroup,
-  priority: number,
+  rank: number,
   now: number,
 ): boolean {
   if (madeIn !== undefined) return true;
   const isInTime = group.dueAt >= now || group.isInvested;
-  return isInTime && group.priority <= priority;
+  return isInTime && group.rank <= rank;
 }
 
-function estimateWait(
+function estimateBacklog(
   ahead: readonly QueuedGroup[],
   resultBytes: number,
   options: EstimateLoadOptions,
-): { readonly waitMs: number; readonly queuedPieces: number } {
+): Backlog {
   const { pool, endpoints, freeBytes, now } = options;
   const perPieceMs = pool.callMs / pool.batchSize + pool.pieceMs;
   const promised = sum(ahead.map(countPromised));
@@ -184,10 +191,6 @@
   );
 }
 
-function getRank(size: SizeLoad, priority: number): number {
-  return Math.min(Math.max(0, priority), size.waitMs.length - 1);
-}
-
 function sum(values: readonly number[]): number {
   return values.reduce((total, one) => total + one, 0);
 }
--- a/packages/serving/src/pool_load_test.ts
+++ b/packages/serving/src/pool_load_test.ts
@@ -17,7 +17,7 @@
   now: 0,
 };
 const NEED: GroupNeed = {
-  priority: 0,
+  rank: 0,
   pieces: 4,
   resultBytes: 1_000,
   isLate: false,
@@ -34,12 +34,10 @@
 describe("estimateLoad", () => {
   it("tells longer waits to less urgent requests", () => {
     const queue = [
-      buildQueued({ priority: 0, pieces: 20 }),
-      buildQueued({ priority: 2, pieces: 20 }),
+      buildQueued({ rank: 0, pieces: 20 }),
+      buildQueued({ rank: 2, pieces: 20 }),
     ];
-    const waits = [0, 1, 2, 3, 9].map((priority) =>
-      wait({ queue }, { priority })
-    );
+    const waits = [0, 1, 2, 3, 9].map((rank) => wait({ queue }, { rank }));
     expect(waits).to.deep.equal([250, 250, 500, 500, 500]);
   });
 
--- a/packages/serving/src/route_table.ts
+++ b/packages/serving/src/route_table.ts
@@ -105,10 +105,21 @@
   return route.targets.at(-1)?.service;
 }
 
-/** Gives the rank of a request; a customer's own goes before the route's. */
-export function getPriority(route: Route, match: CustomerMatch): number {
+/** Ranks of routes that are told apart among customers of one priority. */
+const ROUTE_RANKS = 4;
+
+/**
+ * Gives the rank of a request, 0 the most urgent: by the customer's priority, and
+ * by the route's among customers of the same.
+ *
+ * Guards against a busy hour in which what is less urgent fills the pools: where
+ * all customers had one priority, half of the most urgent requests were refused
+ * while as many of the least urgent were served, each at the same cost.
+ */
+export function getRank(route: Route, match: CustomerMatch): number {
   const own = match.kind === "known" ? match.customer.priority : undefined;
-  return own ?? route.priority;
+  const routeRank = Math.min(ROUTE_RANKS - 1, Math.max(0, route.priority));
+  return Math.max(0, own ?? route.priority) * ROUTE_RANKS + routeRank;
 }
 
 /** Gives the customer's name, if there is one. */
--- a/packages/serving/src/route_table_test.ts
+++ b/packages/serving/src/route_table_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { buildRoute } from "./_fixtures.ts";
 import type { ServingConfiguration } from "./model.ts";
-import { getPriority, pickService, RouteTable } from "./route_table.ts";
+import { getRank, pickService, RouteTable } from "./route_table.ts";
 
 const CONFIGURATION: ServingConfiguration = {
   version: 7,
@@ -50,8 +50,21 @@
   it("takes the customer's rank before the route's", () => {
     const route = buildRoute({ priority: 2 });
     const known = table.findCustomer(route, "k1");
-    expect(getPriority(route, known)).to.equal(0);
-    expect(getPriority(route, { kind: "notAsked" })).to.equal(2);
+    const urgent = buildRoute({ priority: 1 });
+    expect(getRank(route, known))
+      .to.be.below(getRank(urgent, { kind: "notAsked" }));
+  });
+
+  // All customers have one priority. In a busy hour their requests are served in
+  // the order in which they come, drafts as often as what somebody waits for.
+  it("ranks by route among customers of one priority", () => {
+    const urgent = buildRoute({ priority: 0 });
+    const known = table.findCustomer(urgent, "k1");
+    const ranks = [0, 1, 2].map((priority) =>
+      getRank(buildRoute({ priority }), known)
+    );
+    expect(ranks).to.deep.equal([...ranks].sort((a, b) => a - b));
+    expect(new Set(ranks).size).to.equal(3);
   });
 
   it("splits by weight and keeps a session with its service", () => {
