Inputs of a stage given up once read where room is short; all room is used

Change: a leader gives up inputs 60 ms into the last call that reads them, if the pool that made them is short of room and no other stage reads them; a piece that fails then ends its group at once. And what was kept back for approximate sizes is used: it was one group of five.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -79,6 +79,7 @@
   readonly #wire: ServingWire;
   readonly #leaders = new Map<string, PieceLeader>();
   readonly #ingress: Ingress;
+  readonly #router: PieceRouter;
   #rpcServer: rpc.RpcServer | undefined;
   #ownServers: OwnServer[] = [];
   #updateTimer: NodeJS.Timeout | undefined;
@@ -106,6 +107,13 @@
       getLoads: () => this.#getLoads(),
       getOwnLoad: (service, shard) => this.#getLeader(service, shard).getLoad(),
     });
+    this.#router = new PieceRouter({
+      vmId,
+      mesh: this.mesh,
+      wire: this.#wire,
+      events,
+      getLeader: (service, shard) => this.#getLeader(service, shard),
+    });
     const parts = this.#buildParts();
     this.#ingress = new Ingress({
       wire: this.#wire,
@@ -186,7 +194,7 @@
   }
 
   #buildParts(): FlowParts {
-    const { vmId, zone, events, bounds } = this.#options;
+    const { zone, events, bounds } = this.#options;
     return {
       zone,
       site: this.site,
@@ -199,13 +207,7 @@
         extra: bounds.repeatExtra,
         windowMs: bounds.repeatWindowMs,
       }),
-      router: new PieceRouter({
-        vmId,
-        mesh: this.mesh,
-        wire: this.#wire,
-        events,
-        getLeader: (service, shard) => this.#getLeader(service, shard),
-      }),
+      router: this.#router,
       events,
       metrics: this.metrics,
       getStop: () => this.#getStop(),
@@ -259,6 +261,8 @@
       wire: this.#wire,
       events: this.#options.events,
       metrics: this.metrics,
+      releaseInputs: (owner, handles) =>
+        void this.#router.release(owner.service, owner.shard, handles),
     });
     this.#leaders.set(key, leader);
     return leader;
--- a/packages/gateway/src/leader_group.ts
+++ b/packages/gateway/src/leader_group.ts
@@ -11,6 +11,8 @@
   readonly results: (serving.PieceResult | undefined)[];
   readonly failures: number[];
   isOver: boolean;
+  /** The inputs were given up; a piece that fails can't be made again. */
+  hasNoInputs: boolean;
   readonly finish: (outcome: serving.PieceOutcome) => void;
 }
 
@@ -27,6 +29,7 @@
     results: Array.from({ length: group.pieces }),
     failures: Array.from({ length: group.pieces }, () => 0),
     isOver: false,
+    hasNoInputs: false,
     finish,
   };
 }
--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -33,6 +33,11 @@
 const CALL_PATIENCE = 3;
 /** Added to that: links, a new connection, and the wait behind a foreign call. */
 const CALL_SLACK_MS = 500;
+/**
+ * Time after which an endpoint has read the inputs of its call, in milliseconds:
+ * it reads them before it works, and 8 MB over its link take 7.
+ */
+const READ_INPUTS_MS = 60;
 /** A load is told again within this time, in milliseconds, not computed anew. */
 const LOAD_REUSE_MS = 20;
 
@@ -59,6 +64,11 @@
   readonly wire: ServingWire;
   readonly events: logger.EventLog;
   readonly metrics: metrics.Metrics;
+  /** Gives up results at the pool that made them. */
+  readonly releaseInputs: (
+    owner: serving.InputOwner,
+    handles: readonly string[],
+  ) => void;
 }
 
 /**
@@ -320,11 +330,24 @@
       const { fromPromise } = removeWaiting(own, id, pieces);
       this.#room.addPromise(id, -fromPromise * own.group.resultBytes);
       if (hasWaiting(own)) continue;
+      this.#watchInputs(own);
       this.#queue = this.#queue.filter((one) => one !== own);
       this.#running.add(own);
     }
   }
 
+  /** Gives inputs up once the last call that reads them has begun. */
+  #watchInputs(queued: LeaderGroup): void {
+    const { inputOwner, inputs } = queued.group;
+    if (inputOwner === undefined || queued.hasNoInputs) return;
+    setTimeout(() => {
+      const isWaiting = queued.isOver || hasWaiting(queued);
+      if (isWaiting || queued.hasNoInputs) return;
+      queued.hasNoInputs = true;
+      this.#options.releaseInputs(inputOwner, inputs);
+    }, READ_INPUTS_MS);
+  }
+
   #handleResult(call: RunCall, result: PieceCallResult): void {
     const { book } = this.#options;
     const { endpoint, pieces } = call;
@@ -395,6 +418,7 @@
 
   #requeue(queued: LeaderGroup, piece: number): void {
     if (queued.isOver) return;
+    if (queued.hasNoInputs) return this.#finish(queued, { kind: "inputGone" });
     queued.waiting.push(piece);
     if (!this.#running.delete(queued)) return;
     this.#queue.push(queued);
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -194,6 +194,7 @@
   const readerZone = session === undefined
     ? undefined
     : serving.pickHomeZone(candidates, session.id);
+  const getShard = planShards(parts, request, readerZone);
   return new StageRun({
     requestId: request.requestId,
     route,
@@ -202,7 +203,8 @@
     pieceKey: caller.pieceKey,
     rank: request.rank,
     readerZone,
-    getShard: planShards(parts, request, readerZone),
+    getShard,
+    getLoad: (one) => parts.mesh.leaders.getLoad(one, getShard(one)),
     firstEventMs: FIRST_EVENT_MS,
     objectiveMs: route.objectiveMs,
     leftMs: request.leftMs,
--- a/packages/gateway/src/stage_run.ts
+++ b/packages/gateway/src/stage_run.ts
@@ -35,6 +35,8 @@
   readonly readerZone?: ZoneId;
   /** The part of a service's pool that works on the request. */
   readonly getShard: (service: ServiceId) => serving.ShardId;
+  /** Load of that part, if it is known. */
+  readonly getLoad: (service: ServiceId) => serving.PoolLoad | undefined;
   readonly firstEventMs: number;
   readonly objectiveMs: number;
   readonly leftMs: number;
@@ -195,6 +197,7 @@
       key: spec.after.length === 0 ? this.#options.pieceKey : undefined,
       inputs: start.inputs,
       resultBytes: spec.resultBytes,
+      inputOwner: this.#findInputOwner(start),
       rank: this.#options.rank,
       isInvested,
       localBytes: this.#getLocalBytes(start, spec.resultBytes),
@@ -212,6 +215,21 @@
     return outcome;
   }
 
+  /**
+   * Where room is short, inputs are given up once they are read, not when the
+   * stage is made: their room is free a call earlier, about 250 of 850 ms. A piece
+   * that has to be made again then costs the stage before once more.
+   */
+  #findInputOwner(start: serving.StageStart): serving.InputOwner | undefined {
+    if (start.inputStage === undefined) return undefined;
+    const { route, getLoad, getShard } = this.#options;
+    const { service, resultBytes } = route.stages[start.inputStage]!;
+    const load = getLoad(service);
+    const isShort = load !== undefined &&
+      serving.isShortOfRoom(load, resultBytes);
+    return isShort ? { service, shard: getShard(service) } : undefined;
+  }
+
   #getLocalBytes(
     start: serving.StageStart,
     resultBytes: number,
--- a/packages/serving/src/piece_queue.ts
+++ b/packages/serving/src/piece_queue.ts
@@ -3,7 +3,14 @@
  *
  * @module
  */
-import type { EndpointId, ZoneId } from "@sardinestep/types";
+import type { EndpointId, ServiceId, ZoneId } from "@sardinestep/types";
+import type { ShardId } from "./leaders.ts";
+
+/** The part of a pool that made a group's inputs, and keeps them. */
+export interface InputOwner {
+  readonly service: ServiceId;
+  readonly shard: ShardId;
+}
 
 /** All pieces of one stage of one request. */
 export interface PieceGroup {
@@ -15,6 +22,8 @@
   /** Handles that a later stage reads. */
   readonly inputs: readonly string[];
   readonly resultBytes: number;
+  /** Set if the inputs are given up as soon as they are read. */
+  readonly inputOwner?: InputOwner;
   /** Rank of the request; 0 is the most urgent. */
   readonly rank: number;
   /**
--- a/packages/serving/src/pool_load.ts
+++ b/packages/serving/src/pool_load.ts
@@ -117,6 +117,12 @@
   return Math.min(MAX_WAIT_MS, Math.max(waitMs, roomMs));
 }
 
+/** Whether results of a size wait for room, more of them than find any. */
+export function isShortOfRoom(load: PoolLoad, resultBytes: number): boolean {
+  const size = load.sizes.find((one) => one.resultBytes === resultBytes);
+  return size !== undefined && size.late.queuedPieces > size.freePieces;
+}
+
 function estimateSize(
   resultBytes: number,
   options: EstimateLoadOptions,
--- a/packages/serving/src/pool_load_test.ts
+++ b/packages/serving/src/pool_load_test.ts
@@ -5,6 +5,7 @@
   type EstimateLoadOptions,
   getExpectedWait,
   type GroupNeed,
+  isShortOfRoom,
   NO_LOAD,
 } from "./pool_load.ts";
 
@@ -78,6 +79,15 @@
       .to.equal(60_000);
   });
 
+  it("tells when results of a size are short of room", () => {
+    const queue = [buildQueued({ resultBytes: 400_000, pieces: 4 })];
+    const isShort = (freeBytes: readonly number[], size: number) =>
+      isShortOfRoom(estimateLoad({ ...CALM, queue, freeBytes }), size);
+    expect(isShort([400_000, 0], 400_000)).to.equal(true);
+    expect(isShort([1_000_000, 800_000], 400_000)).to.equal(false);
+    expect(isShort([400_000, 0], 1_000)).to.equal(false);
+  });
+
   // Sixty groups were late and waited for a pool that stood still; only what can
   // be in time was counted, so the pool told that nothing waits, and for five
   // seconds each new request was taken, held and given up.
--- a/packages/serving/src/result_room.ts
+++ b/packages/serving/src/result_room.ts
@@ -30,17 +30,16 @@
   readonly since: number;
 }
 
-/**
- * Share of an endpoint's room that is used: configured sizes are approximate,
- * and a call without room costs its whole time.
- */
-const USED_SHARE = 0.97;
 /** Time from the last result to a stream's first event, before any was seen. */
 const USUAL_READ_MS = 300;
 
-/** Bytes of results that one endpoint is given at most. */
+/**
+ * Bytes of results that one endpoint is given at most: all that is configured.
+ * Groups come whole, so what is kept back for approximate sizes is a group: with
+ * three hundredths less, four groups of a stage fitted where five do.
+ */
 export function getCapacity(pool: PoolSpec): number {
-  return pool.roomBytes * USED_SHARE;
+  return pool.roomBytes;
 }
 
 /**
--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -26,6 +26,8 @@
   readonly inputs: readonly string[];
   /** Bytes of these inputs by the zone that keeps them. */
   readonly inputBytes: Readonly<Record<string, number>>;
+  /** The one stage that made them, if nobody else reads them. */
+  readonly inputStage?: number;
   /** Whether only the request itself reads the results. */
   readonly isLast: boolean;
   /** Whether another stage of the request has been done. */
@@ -157,6 +159,7 @@
         pieces,
         inputs,
         inputBytes,
+        inputStage: this.#findInputStage(stage),
         isLast,
         isInvested: this.#hasResults(),
         laterMs,
@@ -204,6 +207,16 @@
     return bytes;
   }
 
+  #findInputStage(stage: number): number | undefined {
+    const { stages } = this.#options;
+    const [input, ...others] = stages[stage]!.after;
+    if (input === undefined || others.length > 0) return undefined;
+    const readers = stages.filter((spec, other) =>
+      spec.after.includes(input) && this.#countPieces(other) > 0
+    );
+    return readers.length === 1 ? input : undefined;
+  }
+
   #countPieces(stage: number): number {
     return this.#options.pieceCounts[stage] ?? 0;
   }
--- a/packages/serving/src/stage_graph_test.ts
+++ b/packages/serving/src/stage_graph_test.ts
@@ -60,6 +60,26 @@
     });
   });
 
+  it("names the one stage that made the inputs if nobody else reads them", () => {
+    const graph = buildGraph([0, 1, 2, 3]);
+    expect(graph.startStages()[0]?.inputStage).to.equal(undefined);
+    graph.recordResults(1, buildResults(1, 1));
+    expect(graph.startStages()[0]?.inputStage).to.equal(1);
+    const shared = new StageGraph({
+      stages: [
+        { service: "roster", after: [], resultBytes: 1 },
+        { service: "ledger", after: [0], resultBytes: 1 },
+        { service: "archive", after: [0], resultBytes: 1 },
+      ],
+      pieceCounts: [1, 1, 1],
+      services: new Map(),
+    });
+    shared.startStages();
+    shared.recordResults(0, buildResults(0, 1));
+    expect(shared.startStages().map((one) => one.inputStage))
+      .to.deep.equal([undefined, undefined]);
+  });
+
   it("gives results up once their last reader is done", () => {
     const graph = buildGraph([0, 1, 2, 3]);
     graph.startStages();
