A sound connection is pinged before it counts as silent; late news of a leader

A connection is looked at every 500 ms and was pinged when quiet for 500, so one that was quiet for 499 at one look had been quiet for 999 at the next, beyond the 900 of silence; it carries nothing else where a VM calls a leader of another zone. And a leader of another zone whose news were late counted as none. Ruled out: links (no bytes waited), dead leaders. Change: pinged from half an interval on; a leader whose news are late is tried. Test with the change: one of six connections was cut before.

--- a/packages/gateway/src/leader_table.ts
+++ b/packages/gateway/src/leader_table.ts
@@ -88,8 +88,9 @@
    * @param service The pool.
    * @param shard A part of it.
    * @param failed VMs that have just failed the caller.
-   * @returns The member; this VM itself when no candidate of its own shard is
-   * alive, and undefined when none of another zone is.
+   * @returns The member; when no candidate is known to live, this VM itself for
+   * its own shard and for another zone's the first that has not failed, since its
+   * news may only be late; undefined when all of them have.
    */
   pickLeader(
     service: ServiceId,
@@ -98,10 +99,11 @@
   ): serving.ServingMember | undefined {
     const { member } = this.#options;
     const isOwn = shard === serving.WHOLE_POOL || shard === member.zone;
+    const candidates = this.getRanking(service, shard)
+      .filter((one) => !failed.has(one.vmId));
     const leader =
-      this.getRanking(service, shard).find((one) =>
-        !failed.has(one.vmId) && this.#isLeading(one.vmId, service, shard)
-      ) ?? (isOwn ? member : undefined);
+      candidates.find((one) => this.#isLeading(one.vmId, service, shard)) ??
+        (isOwn ? member : candidates[0]);
     if (leader !== undefined) this.#recordLeader(service, shard, leader.vmId);
     return leader;
   }
--- a/packages/rpc/src/connection.ts
+++ b/packages/rpc/src/connection.ts
@@ -16,6 +16,13 @@
 const MAX_UNSENT_BYTES = 128 * 1_048_576;
 const DEFAULT_PING_INTERVAL_MS = 500;
 const DEFAULT_SILENT_AFTER_MS = 2_000;
+/**
+ * Share of the interval between two looks after which a connection is pinged.
+ * Guards against a live one that is cut: quiet for just under an interval it was
+ * not pinged, and at the next look it had been quiet for two, beyond what counts as
+ * silent. It showed as calls to leaders of other zones that failed after a second.
+ */
+const QUIET_SHARE = 0.5;
 const CLOSED_MESSAGE = "Connection closed";
 
 /** Handlers of the methods that one side answers. */
@@ -31,9 +38,12 @@
   readonly handlers?: Handlers;
   readonly onNews?: (news: Notifications["news"]) => void;
   readonly onClosed?: (reason: string) => void;
-  /** A ping goes out when nothing was received for so long. */
+  /** How often the connection is looked at; a quiet one is pinged. */
   readonly pingIntervalMs?: number;
-  /** The connection counts as silent when nothing was received for so long. */
+  /**
+   * The connection counts as silent when nothing was received for so long; more
+   * than one and a half of the interval, so that a ping is out before.
+   */
   readonly silentAfterMs?: number;
 }
 
@@ -166,7 +176,7 @@
     const silentAfter = this.#options.silentAfterMs ?? DEFAULT_SILENT_AFTER_MS;
     const interval = this.#options.pingIntervalMs ?? DEFAULT_PING_INTERVAL_MS;
     if (quietMs > silentAfter) return this.close("Silent connection");
-    if (quietMs < interval) return;
+    if (quietMs < interval * QUIET_SHARE) return;
     this.#rpc.timeout(silentAfter).request("alive", {}).then(
       () => {},
       () => {},
--- a/packages/rpc/src/silence_test.ts
+++ b/packages/rpc/src/silence_test.ts
@@ -1,5 +1,6 @@
 import { SilentRelay } from "@sardinestep/testing/silent_relay";
 import { expect } from "chai";
+import { setTimeout as wait } from "node:timers/promises";
 import { parseAddress } from "./address.ts";
 import { Peers } from "./client.ts";
 import type { Identity } from "./methods.ts";
@@ -50,6 +51,36 @@
     expect(relay.silenced).to.equal(1);
   });
 
+  // A leader works on a group for longer than a second; nothing else is said on
+  // the connection. Depending on when it was looked at, it was never pinged and
+  // counted as silent, and the group was lost although both ends were sound.
+  it("keep a connection on which only a long call waits", async () => {
+    const quick = { pingIntervalMs: 1_500, silentAfterMs: 2_700 };
+    const callers = Array.from({ length: 6 }, () => new Peers(quick));
+    let quickAnswers = callers.length;
+    const slow = await openServer("127.0.0.1:0", {
+      handlers: {
+        ping: async () => {
+          quickAnswers -= 1;
+          if (quickAnswers < 0) await wait(4_500);
+          return IDENTITY;
+        },
+      },
+      pingIntervalMs: 60_000,
+      silentAfterMs: 120_000,
+    });
+    const answers = await Promise.all(callers.map(async (caller, i) => {
+      await caller.call(slow.address, "ping", {}, LIMIT);
+      await wait(i * 250);
+      return await caller.call(slow.address, "ping", {}, LIMIT);
+    }));
+    callers.forEach((caller) => caller.close());
+    await slow.close();
+    expect(answers.map((one) => one.isOk())).to.deep.equal(
+      answers.map(() => true),
+    );
+  });
+
   it("notice it also while nobody calls", async () => {
     const closed = new Promise<string>((resolve) => noticeClosed = resolve);
     await peers.call(relay.address, "ping", {}, LIMIT);
