sardinestep report: what binds on a site, from the logs of all its VMs

By route and two-second window what was asked, served in time, late, refused, failed and left, with reasons; by pool calls, fill, endpoints, busy, waiting, room free and promised, problems; where streams' time went; what VMs noticed. Lines of calls carry the room that is promised. Explain reads lines by the same function.

--- a/packages/cli/src/explain_commands.ts
+++ b/packages/cli/src/explain_commands.ts
@@ -6,17 +6,9 @@
  */
 import * as codes from "@sardinestep/codes";
 import { readFileSync } from "node:fs";
+import { type LogLine, parseLogLine } from "@sardinestep/report";
 import { createRefusal, type Report } from "./report.ts";
 
-/** A line of a gateway's log. */
-interface LogLine {
-  readonly time: string;
-  readonly vm: string;
-  readonly sequence: number;
-  readonly event: string;
-  readonly [field: string]: unknown;
-}
-
 /** A line and when it was written, by the clock of the request's own VM. */
 interface PlacedLine {
   readonly line: LogLine;
@@ -93,33 +85,18 @@
   };
 }
 
-/** Something may stand before the object, such as a collector's own columns. */
 function parseLines(text: string): ReadLines {
   const lines: LogLine[] = [];
   let skipped = 0;
   for (const row of text.split("\n")) {
     if (row.trim() === "") continue;
-    const line = parseLine(row);
+    const line = parseLogLine(row);
     if (line === undefined) skipped += 1;
     else lines.push(line);
   }
   return { lines, skipped };
 }
 
-function parseLine(row: string): LogLine | undefined {
-  const start = row.indexOf("{");
-  if (start < 0) return undefined;
-  try {
-    const value = JSON.parse(row.slice(start));
-    const isLine = typeof value?.event === "string" &&
-      typeof value.vm === "string" && typeof value.sequence === "number" &&
-      !Number.isNaN(Date.parse(value.time));
-    return isLine ? value : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
 function isAbout(line: LogLine, requestId: string): boolean {
   if (line.requestId === requestId) return true;
   return Array.isArray(line.requests) && line.requests.includes(requestId);
--- a/packages/cli/src/syntax.ts
+++ b/packages/cli/src/syntax.ts
@@ -10,6 +10,7 @@
 import type { Environment } from "./context.ts";
 import * as explain from "./explain_commands.ts";
 import * as key from "./key_commands.ts";
+import * as report from "./report_commands.ts";
 import { type Answer, runWithContext } from "./run_command.ts";
 import * as watch from "./watch_commands.ts";
 import * as zone from "./zone_commands.ts";
@@ -163,6 +164,30 @@
   });
 }
 
+function buildReportCommand() {
+  return cmd.command({
+    name: "report",
+    description: "what binds on a site, from log files of gateways",
+    args: {
+      json: args.COMMON_OPTIONS.json,
+      page: cmd.option({
+        long: "page",
+        type: cmd.optional(cmd.string),
+        description: "also write an HTML page with plots to this file",
+      }),
+      files: cmd.restPositionals({
+        displayName: "FILE",
+        description: "log files of any gateways",
+        type: cmd.string,
+      }),
+    },
+    handler: async (it): Promise<Answer> => ({
+      report: await report.reportSite(it),
+      json: it.json,
+    }),
+  });
+}
+
 /** Builds every command of the program. */
 export function buildProgram(environment: Environment) {
   return cmd.subcommands({
@@ -188,6 +213,7 @@
       claims: buildClaimCommands(environment),
       timeline: buildTimelineCommand(environment),
       explain: buildExplainCommand(),
+      report: buildReportCommand(),
       codes: cmd.command({
         name: "codes",
         description: "list result codes and exit codes",
--- a/packages/gateway/src/call_log.ts
+++ b/packages/gateway/src/call_log.ts
@@ -20,6 +20,8 @@
   readonly waiting: number;
   /** Room that is left at the endpoint. */
   readonly freeBytes: number;
+  /** Room there that groups are promised for later calls. */
+  readonly promisedBytes: number;
 }
 
 /** A call that has ended. */
--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -285,6 +285,7 @@
       pieces: pieces.length,
       waiting: this.#queue.length,
       freeBytes: this.#room.getFree(endpoint.id, pool, startedAt),
+      promisedBytes: this.#room.getPromised(endpoint.id),
     }, startedAt);
     const result = await this.#options.wire.runPieces({
       endpointId: endpoint.id,
