--- a/packages/report/src/report_page.ts
+++ b/packages/report/src/report_page.ts
@@ -42,7 +42,8 @@
  */
 export function formatReportPage(report: SiteReport): string {
   const plots = [
-    ...splitBy(report.routes, (one) => one.route).map(plotRoute),
+    ...splitBy(report.routes, (one) => one.route)
+      .sort((a, b) => countAsked(b) - countAsked(a)).map(plotRoute),
     ...splitBy(report.pools, (one) => one.service).flatMap(plotPool),
   ];
   const tables = buildReportTables(report).map(formatTable);
@@ -63,11 +64,16 @@
 }
 
 const STYLE = "body{font:14px sans-serif;margin:2em;color:#222}" +
-  ".plots{display:flex;flex-wrap:wrap;gap:1em}" +
+  ".plots{display:flex;flex-wrap:wrap;gap:1em}figure{margin:0}" +
   "table{border-collapse:collapse;margin:1em 0}" +
   "td,th{padding:2px 8px;text-align:left;border-bottom:1px solid #ddd}" +
   "td{font-variant-numeric:tabular-nums}";
 
+/** The busiest routes stand first. */
+function countAsked(windows: readonly RouteWindow[]): number {
+  return windows.reduce((sum, one) => sum + one.asked, 0);
+}
+
 function plotRoute(windows: readonly RouteWindow[]): string {
   return plot({
     title: `Route ${windows[0]!.route}: requests by outcome`,
