--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -195,6 +195,7 @@
       maxPieces: pool.batchSize,
     }));
     const poolZones = getZones(usable);
+    const ranked = serving.rankQueue(this.#queue, now);
     for (const { id, maxPieces } of free) {
       const endpoint = sound.find((one) => one.id === id)!;
       const getRoom = (one: typeof rooms[number]): serving.CallRoom => ({
@@ -203,7 +204,7 @@
       });
       const own = getRoom(rooms.find((one) => one.endpointId === id)!);
       const plan = serving.planCall({
-        ranked: serving.rankQueue(this.#queue, now),
+        ranked,
         pool,
         room: { ...own, maxPieces: maxPieces ?? pool.batchSize },
         others: rooms
