--- a/packages/gateway/src/final_answer.ts
+++ b/packages/gateway/src/final_answer.ts
@@ -7,12 +7,12 @@
 import * as serving from "@sardinestep/serving";
 import { match } from "ts-pattern";
 import { EVENT } from "./events.ts";
-import type { ForwardResult } from "./forward.ts";
 import type {
   ArrivedRequest,
   FlowParts,
+  ForwardResult,
   RoutedRequest,
-} from "./request_flow.ts";
+} from "./flow_types.ts";
 import { END } from "./request_scope.ts";
 import type { StageRunOutcome } from "./stage_run.ts";
 
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -15,16 +15,7 @@
 import { EventCutter } from "./event_cutter.ts";
 import { EVENT } from "./events.ts";
 import { UNAVAILABLE_RETRY_AFTER_MS } from "./final_answer.ts";
-import type { FlowParts, RoutedRequest } from "./request_flow.ts";
-
-/** How forwarding ended. */
-export type ForwardResult =
-  | { readonly kind: "answered"; readonly answer: WholeAnswer }
-  | { readonly kind: "streamed" }
-  /** A stream that began and can't be finished. */
-  | { readonly kind: "brokenOff"; readonly reason: string }
-  | { readonly kind: "failure"; readonly failure: codes.Failure }
-  | { readonly kind: "ended"; readonly mayHaveRun: boolean };
+import type { FlowParts, ForwardResult, RoutedRequest } from "./flow_types.ts";
 
 /** Results that the request reads, and where they are kept. */
 export interface StagedInputs {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,13 +12,14 @@
 import { EndpointBook } from "./endpoint_book.ts";
 import { EVENT } from "./events.ts";
 import { HttpPool } from "./http_pool.ts";
+import type { FlowParts } from "./flow_types.ts";
 import { Ingress } from "./ingress.ts";
 import { openOwnServer, type OwnServer } from "./own_server.ts";
 import { PeerMesh } from "./peer_mesh.ts";
 import { PieceLeader } from "./piece_leader.ts";
 import { PieceRouter } from "./piece_router.ts";
 import type { ServingWire } from "./ports.ts";
-import { type FlowParts, runRequest } from "./request_flow.ts";
+import { runRequest } from "./request_flow.ts";
 import { SiteState } from "./site_state.ts";
 
 /** Bounds that the operator sets for all VMs. */
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -15,7 +15,7 @@
 import { AnswerWriter } from "./answer_writer.ts";
 import { EVENT } from "./events.ts";
 import type { ServingWire } from "./ports.ts";
-import type { ArrivedRequest } from "./request_flow.ts";
+import type { ArrivedRequest } from "./flow_types.ts";
 import { END, RequestScope } from "./request_scope.ts";
 import type { SiteState } from "./site_state.ts";
 
--- a/packages/gateway/src/leader_group.ts
+++ b/packages/gateway/src/leader_group.ts
@@ -16,6 +16,12 @@
   readonly finish: (outcome: serving.PieceOutcome) => void;
 }
 
+/** A piece that a call carries. */
+export interface CalledPiece {
+  readonly queued: LeaderGroup;
+  readonly piece: number;
+}
+
 /** Makes a group whose pieces all wait. */
 export function createLeaderGroup(
   group: serving.PieceGroup,
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -5,13 +5,8 @@
  * @module
  */
 import * as codes from "@sardinestep/codes";
-import type * as logger from "@sardinestep/logger";
-import type * as metrics from "@sardinestep/metrics";
 import * as serving from "@sardinestep/serving";
-import type { ServiceId, ZoneId } from "@sardinestep/types";
 import { match } from "ts-pattern";
-import type { AnswerWriter } from "./answer_writer.ts";
-import type { EndpointBook } from "./endpoint_book.ts";
 import { EVENT } from "./events.ts";
 import {
   buildStageResult,
@@ -20,64 +15,23 @@
   refuseRequest,
   UNAVAILABLE_RETRY_AFTER_MS,
 } from "./final_answer.ts";
+import type { ArrivedRequest, FlowParts, RoutedRequest } from "./flow_types.ts";
 import { sendRequest } from "./forward.ts";
-import type { HttpPool } from "./http_pool.ts";
-import type { PeerMesh } from "./peer_mesh.ts";
-import type { PieceRouter } from "./piece_router.ts";
-import type { CallerFacts, ServingWire } from "./ports.ts";
-import { END, type RequestScope } from "./request_scope.ts";
-import type { SiteState } from "./site_state.ts";
+import {
+  buildWaits,
+  getLoads,
+  getPieceServices,
+  isReturning,
+  planShards,
+} from "./request_loads.ts";
+import { END } from "./request_scope.ts";
 import { StageRun, type StageRunOutcome } from "./stage_run.ts";
 
-/** What the chain needs of this VM. */
-export interface FlowParts {
-  readonly zone: string;
-  readonly site: SiteState;
-  readonly book: EndpointBook;
-  readonly pool: HttpPool;
-  readonly wire: ServingWire;
-  readonly router: PieceRouter;
-  readonly mesh: PeerMesh;
-  readonly repeats: serving.RepeatBudget;
-  readonly events: logger.EventLog;
-  readonly metrics: metrics.Metrics;
-  /** How far this VM's stop is, if it was told to stop. */
-  readonly getStop: () => serving.StopState | undefined;
-}
-
-/** A caller's request after its body was read. */
-export interface ArrivedRequest {
-  readonly method: string;
-  readonly path: string;
-  readonly host: string;
-  readonly rawHeaders: readonly string[];
-  readonly body?: Uint8Array;
-  readonly caller: CallerFacts;
-  readonly scope: RequestScope;
-  readonly writer: AnswerWriter;
-}
-
-/** A request whose route, customer and service are known. */
-export interface RoutedRequest extends ArrivedRequest {
-  readonly requestId: string;
-  readonly table: serving.RouteTable;
-  readonly route: serving.Route;
-  readonly service: ServiceId;
-  readonly customer?: string;
-  /** 0 is the most urgent. */
-  readonly rank: number;
-  readonly session?: serving.PromptPart;
-  /** Longest time until the final answer, from the arrival, in milliseconds. */
-  readonly leftMs: number;
-}
-
 /**
  * Time from the last result to a stream's first event, in milliseconds: reading
  * a usual prompt takes 60 to 190 ms, queues behind other prompts are short.
  */
 const FIRST_EVENT_MS = 150;
-/** Share of a route's time by which the patience of first attempts differs. */
-const PATIENCE_SPREAD = 0.15;
 /** What callers wait before they ask a VM that has just started, in ms. */
 const START_RETRY_AFTER_MS = 1_000;
 /** Another VM serves at once; the caller opens a new connection to it, in ms. */
@@ -215,98 +169,6 @@
   });
 }
 
-/** Services whose endpoints work on pieces of the request. */
-function getPieceServices(request: RoutedRequest): ReadonlySet<ServiceId> {
-  const { route, caller } = request;
-  return new Set(
-    route.stages
-      .filter((_, stage) => (caller.pieceCounts[stage] ?? 0) > 0)
-      .map((stage) => stage.service),
-  );
-}
-
-/** Chooses the shards that work on the request; they stay for its life. */
-function planShards(
-  parts: FlowParts,
-  request: RoutedRequest,
-  readerZone: ZoneId | undefined,
-): (service: ServiceId) => serving.ShardId {
-  const { leaders } = parts.mesh;
-  const services = getPieceServices(request);
-  const isWhole = leaders.getShard(parts.zone) === serving.WHOLE_POOL;
-  if (isWhole) return () => serving.WHOLE_POOL;
-  const graph = createStageGraph(request);
-  const getOutlook = (zone: ZoneId): serving.ZoneOutlook => {
-    const loads = getLoads(parts, services, () => zone);
-    return {
-      expectedMs: graph.getExpectedMs(buildWaits(request, loads)),
-      usablePools: [...loads.values()]
-        .filter((load) => load.endpoints > 0).length,
-    };
-  };
-  const zone = serving.pickShardZone({
-    zones: new Map([...leaders.zones].map((one) => [one, getOutlook(one)])),
-    pools: services.size,
-    readerZone,
-    ownZone: parts.zone,
-  }) ?? readerZone ?? parts.zone;
-  const shards = new Map([...services].map((service) => [
-    service,
-    leaders.pickShard(service, zone),
-  ]));
-  return (service) => shards.get(service) ?? zone;
-}
-
-function createStageGraph(request: RoutedRequest): serving.StageGraph {
-  return new serving.StageGraph({
-    stages: request.route.stages,
-    pieceCounts: request.caller.pieceCounts,
-    services: request.table.services,
-  });
-}
-
-/** Loads of the pools on a request's way, as far as they are known. */
-function getLoads(
-  parts: FlowParts,
-  services: Iterable<ServiceId>,
-  getShard: (service: ServiceId) => serving.ShardId,
-): ReadonlyMap<ServiceId, serving.PoolLoad> {
-  const { leaders } = parts.mesh;
-  return new Map([...services].flatMap((service) => {
-    const load = leaders.getLoad(service, getShard(service));
-    return load === undefined ? [] : [[service, load] as const];
-  }));
-}
-
-/** Gives the wait of each stage by what its pool tells. */
-function buildWaits(
-  request: RoutedRequest,
-  loads: ReadonlyMap<ServiceId, serving.PoolLoad>,
-): (stage: number) => number {
-  const { route, caller, rank } = request;
-  const isLate = isReturning(request);
-  return (stage) => {
-    const { service, resultBytes } = route.stages[stage]!;
-    const pieces = caller.pieceCounts[stage] ?? 0;
-    const load = loads.get(service);
-    return load === undefined ? 0 : serving.getExpectedWait(load, {
-      rank,
-      pieces,
-      resultBytes,
-      isLate,
-    });
-  };
-}
-
-/**
- * A caller that was refused comes back with less time than first attempts have,
- * whose patience differs by some of the route's time.
- */
-function isReturning({ caller, route }: RoutedRequest): boolean {
-  const usualMs = route.timeoutMs * (1 - PATIENCE_SPREAD);
-  return caller.deadlineMs !== undefined && caller.deadlineMs < usualMs;
-}
-
 function checkAdmission(
   parts: FlowParts,
   request: RoutedRequest,
