--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -22,6 +22,7 @@
   ...DAEMONS,
   "sardinestep": "packages/cli/src/main.ts",
   "bench_decisions": "packages/bench/src/bench_decisions.ts",
+  "bench_serving": "packages/bench/src/bench_serving.ts",
   "bench_entry": "packages/bench/src/bench_entry.ts",
   "bench_baseline": "packages/bench/src/bench_baseline.ts",
   "bench_claims": "packages/bench/src/bench_claims.ts",
