--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -21,12 +21,6 @@
 const CONNECT_TIMEOUT_MS = 300;
 /** Live VMs of a ranking that are kept in touch with: the first and its heir. */
 const LIVE_CANDIDATES = 2;
-/**
- * Rounds between two exchanges with an heir: often enough to know that it lives
- * when the first one falls silent. On a VM that leads nothing exchanges are most
- * of what it does, and half of its partners are heirs.
- */
-const HEIR_EVERY_ROUNDS = 2;
 /**
  * Rounds between two exchanges with a random VM where there are many: enough to
  * hear of everybody's news once in a while, and no connection is kept for it.
@@ -178,13 +172,8 @@
   #planExchanges(): ReadonlySet<Address> {
     const { site, member, seeds } = this.#options;
     const addresses = new Set<Address>();
-    const isHeirsTurn = this.#round % HEIR_EVERY_ROUNDS === 0;
     const add = (members: readonly serving.ServingMember[]) => {
-      const first = members.find((one) => this.#isAlive(one.vmId));
-      for (const one of members) {
-        const isHeir = one !== first && this.#isAlive(one.vmId);
-        if (!isHeir || isHeirsTurn) addresses.add(one.rpc);
-      }
+      for (const one of members) addresses.add(one.rpc);
     };
     add(this.#pickLive(this.leaders.getReaders()));
     const pools = [...site.table?.services.values() ?? []]
