--- a/packages/serving/src/result_room.ts
+++ b/packages/serving/src/result_room.ts
@@ -15,12 +15,6 @@
   readonly dropsAt: number;
 }
 
-/** Room that results of others take, until it is asked for again. */
-interface ForeignRoom {
-  readonly bytes: number;
-  readonly until: number;
-}
-
 /** A result that now lies at an endpoint. */
 export interface MadeResult {
   readonly endpointId: EndpointId;
@@ -55,7 +49,6 @@
   readonly #kept = new Map<string, KeptResult>();
   readonly #used = new Map<EndpointId, number>();
   readonly #promised = new Map<EndpointId, number>();
-  readonly #foreign = new Map<EndpointId, ForeignRoom>();
   /** Mean time that a byte is held, in milliseconds. */
   #holdMs: number | undefined;
 
@@ -63,7 +56,7 @@
   getFree(endpointId: EndpointId, pool: PoolSpec, now: number): number {
     this.#dropOld(pool, now);
     const free = getCapacity(pool) - this.getUsed(endpointId) -
-      this.getPromised(endpointId) - this.getForeign(endpointId, now);
+      this.getPromised(endpointId);
     return Math.max(0, free);
   }
 
@@ -77,12 +70,6 @@
     return this.#promised.get(endpointId) ?? 0;
   }
 
-  /** Bytes that others' results take, as the endpoint said not long ago. */
-  getForeign(endpointId: EndpointId, now: number): number {
-    const foreign = this.#foreign.get(endpointId);
-    return foreign !== undefined && foreign.until > now ? foreign.bytes : 0;
-  }
-
   /** How long a byte of room is held on average, in milliseconds. */
   getHoldMs(pool: PoolSpec): number {
     return this.#holdMs ??
@@ -104,17 +91,6 @@
     this.#promised.set(endpointId, this.getPromised(endpointId) + bytes);
   }
 
-  /** Notes what an endpoint says that it has left, and for how long to heed it. */
-  recordReport(endpointId: EndpointId, report: {
-    readonly freeBytes: number;
-    readonly pool: PoolSpec;
-    readonly until: number;
-  }): void {
-    const { freeBytes, pool, until } = report;
-    const bytes = pool.roomBytes - freeBytes - this.getUsed(endpointId);
-    this.#foreign.set(endpointId, { bytes: Math.max(0, bytes), until });
-  }
-
   /** Notes a result that now lies at an endpoint. */
   keep(result: MadeResult, pool: PoolSpec | undefined, now: number): void {
     const { handle, ...rest } = result;
--- a/packages/serving/src/route_table.ts
+++ b/packages/serving/src/route_table.ts
@@ -113,8 +113,8 @@
  * by the route's among customers of the same.
  *
  * Guards against a busy hour in which what is less urgent fills the pools: where
- * all customers had one priority, half of the most urgent requests were refused
- * while as many of the least urgent were served, each at the same cost.
+ * all customers had one priority, a third of the most urgent requests were refused
+ * while more of the least urgent were served than of them, each at the same cost.
  */
 export function getRank(route: Route, match: CustomerMatch): number {
   const own = match.kind === "known" ? match.customer.priority : undefined;
