The pool model counts room by the product's own ResultRoom

It kept the same sums of used and promised bytes a second time, so a fault in the product's count could not show there.

--- a/packages/bench/src/serving/pool_model.ts
+++ b/packages/bench/src/serving/pool_model.ts
@@ -135,8 +135,7 @@
   readonly #random: Random;
   readonly #endpoints: Set<EndpointId>;
   readonly #calls = new Map<EndpointId, RunningCall>();
-  readonly #used = new Map<EndpointId, number>();
-  readonly #promised = new Map<EndpointId, number>();
+  readonly #room = new serving.ResultRoom();
   #held: HeldRoom[] = [];
   #queue: ModelGroup[] = [];
   #load = serving.NO_LOAD;
@@ -294,7 +293,7 @@
         removeAll(queued.waiting, pieces);
         const before = queued.promised.get(endpointId) ?? [];
         queued.promised.set(endpointId, [...before, ...pieces]);
-        this.#add(this.#promised, endpointId, getBytes(queued, pieces));
+        this.#room.addPromise(endpointId, getBytes(queued, pieces));
       }
       this.#startCall(own.endpointId, plan.pieces);
     }
@@ -316,15 +315,15 @@
       queued.promised.set(endpointId, kept);
       const freed = promised.length - kept.length;
       const { resultBytes } = queued.group;
-      this.#add(this.#promised, endpointId, -freed * resultBytes);
+      this.#room.addPromise(endpointId, -freed * resultBytes);
       removeAll(queued.waiting, pieces);
-      this.#add(this.#used, endpointId, getBytes(queued, pieces));
+      this.#room.addBytes(endpointId, getBytes(queued, pieces));
     }
     const endsAt = this.#now + pool.callMs + pieces.length * pool.pieceMs;
     this.#calls.set(endpointId, { endpointId, endsAt, pieces });
     this.#mostRoom = Math.max(
       this.#mostRoom,
-      (this.#used.get(endpointId) ?? 0) + (this.#promised.get(endpointId) ?? 0),
+      this.#room.getUsed(endpointId) + this.#room.getPromised(endpointId),
     );
   }
 
@@ -359,7 +358,7 @@
   #readResults(): void {
     const isOver = (one: HeldRoom) => one.untilMs <= this.#now;
     for (const { endpointId, bytes } of this.#held.filter(isOver)) {
-      this.#add(this.#used, endpointId, -bytes);
+      this.#room.addBytes(endpointId, -bytes);
     }
     this.#held = this.#held.filter((one) => !isOver(one));
   }
@@ -377,7 +376,7 @@
     this.#outcome.failed += 1;
     for (const { endpointId } of queued.made) this.#free(endpointId, queued);
     for (const [endpointId, pieces] of queued.promised) {
-      this.#add(this.#promised, endpointId, -getBytes(queued, pieces));
+      this.#room.addPromise(endpointId, -getBytes(queued, pieces));
     }
   }
 
@@ -403,21 +402,11 @@
   }
 
   #free(endpointId: EndpointId, queued: ModelGroup): void {
-    this.#add(this.#used, endpointId, -queued.group.resultBytes);
+    this.#room.addBytes(endpointId, -queued.group.resultBytes);
   }
 
   #getFree(endpointId: EndpointId): number {
-    const taken = (this.#used.get(endpointId) ?? 0) +
-      (this.#promised.get(endpointId) ?? 0);
-    return Math.max(0, this.#scenario.pool.roomBytes - taken);
-  }
-
-  #add(
-    amounts: Map<EndpointId, number>,
-    endpointId: EndpointId,
-    bytes: number,
-  ): void {
-    amounts.set(endpointId, (amounts.get(endpointId) ?? 0) + bytes);
+    return this.#room.getFree(endpointId, this.#scenario.pool, this.#now);
   }
 }
 
