--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -66,6 +66,7 @@
 const EXIT_SLACK_MS = 700;
 /** How often the end of the last requests is looked for, in milliseconds. */
 const DRAIN_CHECK_MS = 50;
+const MICROSECONDS_PER_MS = 1_000;
 /** A gap of the update timer that shows a freeze, in milliseconds. */
 const PAUSE_MS = 1_000;
 
@@ -304,6 +305,7 @@
       endpoints: this.site.getEndpoints().length,
       members: this.site.members.length,
       afterStartMs: Math.round(now),
+      processorMs: getProcessorMs(),
     });
   }
 
@@ -333,3 +335,9 @@
     return { status: 200, text: this.metrics.formatPrometheus() };
   }
 }
+
+/** Processor time of this process so far, in milliseconds. */
+function getProcessorMs(): number {
+  const { user, system } = process.cpuUsage();
+  return Math.round((user + system) / MICROSECONDS_PER_MS);
+}
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import type { Address } from "@sardinestep/types";
-import { buildConnector, Client, type Dispatcher } from "undici";
+import type { Dispatcher } from "undici";
+import buildConnector from "undici/lib/core/connect.js";
+import Client from "undici/lib/dispatcher/client.js";
 import { buildTimedConnect } from "./timed_connect.ts";
 
 /** A request to an endpoint. */
@@ -64,6 +66,11 @@
 /** Statuses whose answers have no body, and so need no length. */
 const STATUS_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
+/** What the library takes beside the options that it types. */
+interface NamedDispatch extends Dispatcher.DispatchOptions {
+  readonly servername: string;
+}
+
 /** A connection and what has happened on it. */
 class PoolConnection {
   readonly client: Client;
@@ -116,7 +123,10 @@
       this.#keepConnection(request.address, connection);
     });
     try {
-      connection.client.dispatch({
+      const options: NamedDispatch = {
+        // For TLS only. Without a name the library works one out by a pattern
+        // whose compilation takes a tenth of a start.
+        servername: request.address,
         method: request.method as Dispatcher.HttpMethod,
         path: request.path,
         headers: [...request.headers],
@@ -125,7 +135,8 @@
           request.body.byteOffset,
           request.body.byteLength,
         ),
-      }, exchange);
+      };
+      connection.client.dispatch(options, exchange);
     } catch (error) {
       exchange.onError(error as Error);
     }
--- a/packages/gateway/src/own_server.ts
+++ b/packages/gateway/src/own_server.ts
@@ -3,10 +3,9 @@
  *
  * @module
  */
-import { serve, type ServerType } from "@hono/node-server";
 import * as rpc from "@sardinestep/rpc";
 import type { Address } from "@sardinestep/types";
-import { Hono } from "hono";
+import { createServer } from "node:http";
 
 /** A text answer. */
 export interface OwnAnswer {
@@ -19,9 +18,15 @@
   close(): void;
 }
 
+const NOT_FOUND: OwnAnswer = { status: 404, text: "Not found\n" };
+
 /**
  * Listens at an address and answers some paths with text.
  *
+ * The runtime's server alone: a framework's adapter loads the runtime's own fetch,
+ * which takes longer than the rest of a start, and a VM whose power is back is
+ * late by that.
+ *
  * @param address Where to listen.
  * @param pages What to answer, by path.
  */
@@ -29,19 +34,21 @@
   address: Address,
   pages: Readonly<Record<string, () => OwnAnswer>>,
 ): Promise<OwnServer> {
-  const app = new Hono();
-  for (const [path, getAnswer] of Object.entries(pages)) {
-    app.get(path, (context) => {
-      const answer = getAnswer();
-      return context.text(answer.text, answer.status as 200);
-    });
-  }
+  const server = createServer((request, response) => {
+    const path = request.url?.split("?", 1)[0] ?? "";
+    const getAnswer = request.method === "GET" && Object.hasOwn(pages, path)
+      ? pages[path]
+      : undefined;
+    const { status, text } = getAnswer?.() ?? NOT_FOUND;
+    response.writeHead(status, { "content-type": "text/plain; charset=UTF-8" });
+    response.end(text);
+  });
   const { host, port } = rpc.parseAddress(address);
   return new Promise((resolve, reject) => {
-    const server: ServerType = serve(
-      { fetch: app.fetch, hostname: host, port },
-      () => resolve({ close: () => server.close() }),
-    );
     server.once("error", reject);
+    server.listen({ host, port }, () => {
+      server.off("error", reject);
+      resolve({ close: () => server.close() });
+    });
   });
 }
--- a/packages/metrics/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -3,7 +3,10 @@
  *
  * @module
  */
-import { build, type Histogram } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+// Not the library's face: that one loads a formatter and a WebAssembly build
+// which take longer than all else that a process loads at its start.
+import { constructorFromBucketSize } from "hdr-histogram-js/dist/JsHistogramFactory.js";
 import {
   formatLabels,
   type Labels,
@@ -24,6 +27,9 @@
 /** An hour; longer times are recorded as an hour. */
 const MAX_UNITS = 3_600_000 * UNITS_PER_MS;
 const QUANTILES = [0.5, 0.9, 0.99];
+/** Two digits: an error below 1 % at a tenth of the memory of three. */
+const SIGNIFICANT_DIGITS = 2;
+const CountsOf32Bits = constructorFromBucketSize(32);
 
 /** How {@link Metrics} names and bounds its series. */
 export interface MetricsOptions {
@@ -56,16 +62,14 @@
 }
 
 class TimerSeries implements Timer {
-  readonly histogram: Histogram = build({
-    bitBucketSize: 32,
-    autoResize: true,
-    lowestDiscernibleValue: 1,
-    highestTrackableValue: 2,
-    // Two digits: an error below 1 % at a tenth of the memory of three.
-    numberOfSignificantValueDigits: 2,
-  });
+  readonly histogram: Histogram;
   sumMs = 0;
 
+  constructor() {
+    this.histogram = new CountsOf32Bits(1, 2, SIGNIFICANT_DIGITS);
+    this.histogram.autoResize = true;
+  }
+
   recordMs(ms: number): void {
     // A clock that is set back must not throw inside a request.
     if (!(ms >= 0)) return;
--- a/packages/testbed/src/program.ts
+++ b/packages/testbed/src/program.ts
@@ -54,10 +54,14 @@
     return path;
   }
 
-  /** Starts a bundled program with a settings file made from a value. */
+  /**
+   * Starts a bundled program with a settings file made from a value; a name
+   * without ending means a module.
+   */
   start(binary: string, options: StartOptions): Program {
     const name = options.name ?? binary;
-    const args = [`${this.#binaries}/${binary}.mjs`];
+    const file = binary.includes(".") ? binary : `${binary}.mjs`;
+    const args = [...options.nodeFlags ?? [], `${this.#binaries}/${file}`];
     if (options.settings !== undefined) {
       args.push("--settings", this.writeJson(name, options.settings));
     }
@@ -88,6 +92,8 @@
   readonly name?: string;
   readonly settings?: unknown;
   readonly args?: readonly string[];
+  /** Flags of Node.js itself. */
+  readonly nodeFlags?: readonly string[];
   readonly env?: Readonly<Record<string, string>>;
 }
 
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -9,7 +9,9 @@
  * the files named below.
  */
 import { build } from "esbuild";
-import { chmod, readFile } from "node:fs/promises";
+import { execFileSync } from "node:child_process";
+import { mkdirSync, mkdtempSync } from "node:fs";
+import { chmod, readdir, readFile, rename, rmdir } from "node:fs/promises";
 import { resolve } from "node:path";
 import { parseArgs } from "node:util";
 
@@ -32,8 +34,11 @@
   "prove": "packages/prove/src/main.ts",
 };
 const PLATFORM_PROGRAMS = {
-  "sardinestep-gateway": "platform/src/main.ts",
+  "sardinestep-gateway.bundle": "platform/src/main.ts",
+  "sardinestep-gateway": "platform/src/launcher.ts",
+  "write_code_cache": "platform/src/write_code_cache.ts",
 };
+const GATEWAY = "sardinestep-gateway";
 const MUTANTS_FILES = [
   "packages/prove/mutants.json",
   "packages/bench/mutants.json",
@@ -43,33 +48,89 @@
   options: { without: { type: "string" }, platform: { type: "boolean" } },
 });
 const isMutant = values.without !== undefined;
-const { outdir, programs } = pickPlan();
+const plugins = isMutant
+  ? [createMutation(await findMutant(values.without))]
+  : [];
 
-await build({
-  entryPoints: programs,
-  outdir,
-  outExtension: { ".js": ".mjs" },
-  bundle: true,
-  platform: "node",
-  target: "node20",
-  format: "esm",
-  sourcemap: values.platform ? false : "linked",
-  // Some libraries are CommonJS and call require() for Node's own modules.
-  banner: {
-    js:
-      '#!/usr/bin/env node\nimport { createRequire as __createRequire } from "node:module";\n' +
-      "const require = __createRequire(import.meta.url);",
-  },
-  logLevel: "warning",
-  plugins: isMutant ? [createMutation(await findMutant(values.without))] : [],
-});
+if (values.platform) await buildPlatform();
+else await buildPrograms(pickPlan());
+
+async function buildPrograms({ outdir, programs }) {
+  const fresh = createFolder(outdir);
+  await build({
+    entryPoints: programs,
+    outdir: fresh,
+    outExtension: { ".js": ".mjs" },
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "esm",
+    sourcemap: "linked",
+    // Some libraries are CommonJS and call require() for Node's own modules.
+    banner: {
+      js:
+        '#!/usr/bin/env node\nimport { createRequire as __createRequire } from "node:module";\n' +
+        "const require = __createRequire(import.meta.url);",
+    },
+    logLevel: "warning",
+    plugins,
+  });
+  for (const program of Object.keys(programs)) {
+    await chmod(`${fresh}/${program}.mjs`, 0o755);
+  }
+  await replaceFiles(fresh, outdir);
+}
+
+/** CommonJS, since only a script of that form can bring its compiled code. */
+async function buildPlatform() {
+  const fresh = createFolder("target");
+  await build({
+    entryPoints: PLATFORM_PROGRAMS,
+    outdir: fresh,
+    outExtension: { ".js": ".cjs" },
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    alias: { "node:http2": "./scripts/no_http2.mjs" },
+    logLevel: "warning",
+    plugins,
+  });
+  execFileSync(process.execPath, [
+    ...await readDeployedFlags(),
+    `${fresh}/write_code_cache.cjs`,
+    `${fresh}/${GATEWAY}.bundle.cjs`,
+    `${fresh}/${GATEWAY}.cache`,
+  ], { stdio: ["ignore", "inherit", "inherit"] });
+  await replaceFiles(fresh, "target");
+}
+
+/**
+ * Makes a folder of this build's own beside the files that it replaces.
+ *
+ * Guards against programs that are started from half a file while another build
+ * writes it: tests then fail by syntax errors of programs that are sound.
+ */
+function createFolder(outdir) {
+  mkdirSync(outdir, { recursive: true });
+  return mkdtempSync(`${outdir}/.build-`);
+}
+
+async function replaceFiles(from, to) {
+  for (const file of await readdir(from)) {
+    await rename(`${from}/${file}`, `${to}/${file}`);
+  }
+  await rmdir(from);
+}
 
-for (const program of Object.keys(programs)) {
-  await chmod(`${outdir}/${program}.mjs`, 0o755);
+/** The engine refuses a cache that was made under other flags. */
+async function readDeployedFlags() {
+  const text = await readFile("deploy/system.toml", "utf8");
+  const command = text.match(/^run = "node (.*)"$/m)?.[1] ?? "";
+  return command.split(" ").filter((word) => word.startsWith("--"));
 }
 
 function pickPlan() {
-  if (values.platform) return { outdir: "target", programs: PLATFORM_PROGRAMS };
   if (!isMutant) return { outdir: "dist", programs: PROGRAMS };
   return { outdir: `dist/without-${values.without}`, programs: DAEMONS };
 }
