--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,6 +30,11 @@
   readonly cold: serving.ColdBound;
   /** Time from a stop signal to the kill, in milliseconds. */
   readonly graceMs: number;
+  /**
+   * Shortest time in which a VM must follow the registry, in milliseconds: an
+   * endpoint that leaves, a configuration, a zone that is taken out.
+   */
+  readonly followMs: number;
 }
 
 /** Where a gateway listens. */
@@ -76,6 +81,8 @@
   readonly mesh: PeerMesh;
   readonly metrics = new metrics.Metrics({ prefix: "sardinestep" });
   readonly pool = new HttpPool();
+  /** How often the registry is read. */
+  readonly pace: serving.RegistryPace;
   readonly book: EndpointBook;
   readonly #options: GatewayOptions;
   readonly #wire: ServingWire;
@@ -93,6 +100,7 @@
   constructor(options: GatewayOptions) {
     this.#options = options;
     const { events, vmId, zone, cores, bounds } = options;
+    this.pace = serving.planRegistryPace(bounds.followMs);
     this.#wire = options.createWire(this.pool);
     this.site = new SiteState(events);
     this.book = new EndpointBook({
@@ -106,6 +114,7 @@
       seeds: options.seeds,
       site: this.site,
       events,
+      pace: this.pace,
       getLoads: () => this.#getLoads(),
       getOwnLoad: (service, shard) => this.#getLeader(service, shard).getLoad(),
     });
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -41,6 +41,7 @@
   readonly seeds: readonly Address[];
   readonly site: SiteState;
   readonly events: logger.EventLog;
+  readonly pace: serving.RegistryPace;
   readonly getLoads: () => readonly serving.ShardLoad[];
   /** Load of a shard that this VM leads. */
   readonly getOwnLoad: LeaderTableOptions["getOwnLoad"];
@@ -128,7 +129,7 @@
     const before = own === -1 ? [] : readers.slice(0, own);
     const rank = before.filter((one) => this.#isReading(one.vmId)).length;
     const ageMs = performance.now() - site.seenAt;
-    return serving.mayReadRegistry(rank, ageMs);
+    return serving.mayReadRegistry({ rank, ageMs }, this.#options.pace);
   }
 
   #buildView(heard: readonly serving.HeardLoad[]): serving.MemberView {
@@ -154,7 +155,7 @@
   #isReading(vmId: string): boolean {
     const known = this.#views.get(vmId);
     if (known === undefined || !this.#isAlive(vmId)) return false;
-    return known.view.factsAgeMs < serving.FACTS_STALE_MS;
+    return known.view.factsAgeMs < this.#options.pace.staleMs;
   }
 
   #exchangeAll(): void {
@@ -263,9 +264,9 @@
    * endpoints write all the time, so being some records behind is usual.
    */
   #needsNews(view: serving.MemberView): boolean {
-    const { site } = this.#options;
+    const { site, pace } = this.#options;
     const own = site.positions;
-    const isOld = performance.now() - site.seenAt > serving.FACTS_STALE_MS;
+    const isOld = performance.now() - site.seenAt > pace.staleMs;
     return view.operatorPosition > own.operatorPosition ||
       view.memberPosition > own.memberPosition ||
       (isOld && view.endpointPosition > own.endpointPosition);
