VMs that have just started agree on their leaders

Change: within 1.5 s of its start a VM takes the first candidate for alive (two are tried, then it leads for itself); the first exchange comes as soon as members are known, not with the next round.

--- a/packages/gateway/src/leader_table.ts
+++ b/packages/gateway/src/leader_table.ts
@@ -15,6 +15,10 @@
  * that one 250 ms later.
  */
 const LOAD_MAX_AGE_MS = 1_500;
+/** Within it a VM that starts has heard of its candidates, in milliseconds. */
+const MEET_MS = 1_500;
+/** Candidates that are tried unheard, before a VM leads for itself. */
+const MAX_UNHEARD = 2;
 
 interface KnownLoad extends serving.ShardLoad {
   readonly leader: string;
@@ -43,6 +47,7 @@
   readonly #rankings = new Map<string, readonly serving.ServingMember[]>();
   readonly #loads = new Map<string, KnownLoad>();
   readonly #last = new Map<string, string>();
+  readonly #createdAt = performance.now();
   #memberVersion = -1;
 
   /** @param options This VM, the members and who lives. */
@@ -88,9 +93,10 @@
    * @param service The pool.
    * @param shard A part of it.
    * @param failed VMs that have just failed the caller.
-   * @returns The member; when no candidate is known to live, this VM itself for
-   * its own shard and for another zone's the first that has not failed, since its
-   * news may only be late; undefined when all of them have.
+   * @returns The member; when no candidate is known to live, the first that has
+   * not failed where its news may only be late: for another zone's shard, and while
+   * this VM has just started. Otherwise this VM itself for its own shard, and
+   * undefined for another one.
    */
   pickLeader(
     service: ServiceId,
@@ -101,13 +107,28 @@
     const isOwn = shard === serving.WHOLE_POOL || shard === member.zone;
     const candidates = this.getRanking(service, shard)
       .filter((one) => !failed.has(one.vmId));
-    const leader =
-      candidates.find((one) => this.#isLeading(one.vmId, service, shard)) ??
-        (isOwn ? member : candidates[0]);
+    const heard = candidates
+      .find((one) => this.#isLeading(one.vmId, service, shard));
+    const isLate = !isOwn || this.#isYoung(failed);
+    const mayBeUp = isLate ? candidates[0] : undefined;
+    const leader = heard !== undefined && heard.vmId !== member.vmId
+      ? heard
+      : mayBeUp ?? (isOwn ? member : undefined);
     if (leader !== undefined) this.#recordLeader(service, shard, leader.vmId);
     return leader;
   }
 
+  /**
+   * Guards against as many leaders as there are VMs after the power of all is back:
+   * each has heard of nobody yet and calls endpoints for itself, which shows as
+   * calls of one piece and endpoints that are full. The candidates have started
+   * just as this VM has; one that has not refuses the connection at once.
+   */
+  #isYoung(failed: ReadonlySet<string>): boolean {
+    const ageMs = performance.now() - this.#createdAt;
+    return ageMs < MEET_MS && failed.size < MAX_UNHEARD;
+  }
+
   /** Load of a shard as its leader told it, if that is fresh. */
   getLoad(
     service: ServiceId,
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -13,6 +13,8 @@
 
 /** How often views are exchanged with possible leaders, in milliseconds. */
 const EXCHANGE_MS = 250;
+/** How often a VM that has just started looks for members, in milliseconds. */
+const MEET_CHECK_MS = 25;
 /** A view older than this no longer shows that its VM lives, in milliseconds. */
 const VIEW_MAX_AGE_MS = 900;
 /** Longest wait for one answer of another VM, in milliseconds. */
@@ -56,6 +58,7 @@
   readonly #views = new Map<string, PeerView>();
   #isLeaving = false;
   #timer: NodeJS.Timeout | undefined;
+  #meetTimer: NodeJS.Timeout | undefined;
   #isReadingNews = false;
   #seedIndex = 0;
   #round = 0;
@@ -91,6 +94,7 @@
   start(): void {
     this.#timer = setInterval(() => this.#exchangeAll(), EXCHANGE_MS);
     this.#exchangeAll();
+    this.#meetTimer = setInterval(() => this.#meetMembers(), MEET_CHECK_MS);
   }
 
   /** Tells the others that this VM takes no new work. */
@@ -101,6 +105,7 @@
   /** Ends all connections. */
   close(): void {
     clearInterval(this.#timer);
+    clearInterval(this.#meetTimer);
     this.#peers.close();
   }
 
@@ -158,6 +163,14 @@
     return known.view.factsAgeMs < this.#options.pace.staleMs;
   }
 
+  /** The first exchange doesn't wait for the next round. */
+  #meetMembers(): void {
+    const { site, member } = this.#options;
+    if (site.members.every((one) => one.vmId === member.vmId)) return;
+    clearInterval(this.#meetTimer);
+    this.#exchangeAll();
+  }
+
   #exchangeAll(): void {
     this.#round += 1;
     // One view for the round: a leader looks through its queues for each.
