--- a/packages/cli/src/syntax.ts
+++ b/packages/cli/src/syntax.ts
@@ -11,6 +11,7 @@
 import * as explain from "./explain_commands.ts";
 import * as key from "./key_commands.ts";
 import * as report from "./report_commands.ts";
+import * as settings from "./settings_commands.ts";
 import { type Answer, runWithContext } from "./run_command.ts";
 import * as watch from "./watch_commands.ts";
 import * as zone from "./zone_commands.ts";
@@ -188,6 +189,25 @@
   });
 }
 
+function buildSettingsCommand() {
+  return cmd.command({
+    name: "settings",
+    description: "which gateways have taken which settings",
+    args: {
+      json: args.COMMON_OPTIONS.json,
+      addresses: cmd.restPositionals({
+        displayName: "IP:PORT",
+        description: "where gateways serve their metrics",
+        type: cmd.string,
+      }),
+    },
+    handler: async (it): Promise<Answer> => ({
+      report: await settings.compareSettings(it.addresses),
+      json: it.json,
+    }),
+  });
+}
+
 /** Builds every command of the program. */
 export function buildProgram(environment: Environment) {
   return cmd.subcommands({
@@ -214,6 +234,7 @@
       timeline: buildTimelineCommand(environment),
       explain: buildExplainCommand(),
       report: buildReportCommand(),
+      settings: buildSettingsCommand(),
       codes: cmd.command({
         name: "codes",
         description: "list result codes and exit codes",
--- a/packages/codes/src/table.ts
+++ b/packages/codes/src/table.ts
@@ -271,6 +271,13 @@
     "The record was sent and could not be read back",
   ),
   USAGE: row(5007, 400, NOT_RUN, false, "The command line is wrong"),
+  SETTINGS_DIFFER: row(
+    5008,
+    409,
+    NOT_RUN,
+    true,
+    "VMs differ in their settings, refused them or don't answer",
+  ),
 
   PORT_NOT_SENT: row(
     6001,
--- a/packages/gateway/src/endpoint_book.ts
+++ b/packages/gateway/src/endpoint_book.ts
@@ -34,10 +34,17 @@
   readonly #options: EndpointBookOptions;
   readonly #runtimes = new Map<EndpointId, EndpointRuntime>();
   readonly #coldRate = new serving.ColdRate();
+  #coldBound: serving.ColdBound;
 
   /** @param options Facts, log and bounds. */
   constructor(options: EndpointBookOptions) {
     this.#options = options;
+    this.#coldBound = options.coldBound;
+  }
+
+  /** Takes another bound of cold endpoints over. */
+  setColdBound(bound: serving.ColdBound): void {
+    this.#coldBound = bound;
   }
 
   /** Endpoints of a service that are neither leaving nor in a zone that is out. */
@@ -158,7 +165,7 @@
     now: number,
   ): boolean {
     if (service === undefined || service.coldPerSecond <= 0) return true;
-    const { site, vmId, coldBound } = this.#options;
+    const { site, vmId } = this.#options;
     const runtime = this.#getRuntime(endpoint);
     const isCold = runtime.coldUntil > now ||
       site.isZoneFresh(endpoint.zone, now);
@@ -168,7 +175,7 @@
       vmId,
       members: site.members.map((member) => member.vmId),
       perSecond: service.coldPerSecond,
-      bound: coldBound,
+      bound: this.#coldBound,
     });
     return this.#coldRate.mayRecord(endpoint.id, now, part);
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -81,10 +81,11 @@
   readonly mesh: PeerMesh;
   readonly metrics = new metrics.Metrics({ prefix: "sardinestep" });
   readonly pool = new HttpPool();
-  /** How often the registry is read. */
-  readonly pace: serving.RegistryPace;
   readonly book: EndpointBook;
   readonly #options: GatewayOptions;
+  readonly #repeats: serving.RepeatBudget;
+  #bounds: GatewayBounds;
+  #pace: serving.RegistryPace;
   readonly #wire: ServingWire;
   readonly #leaders = new Map<string, PieceLeader>();
   readonly #ingress: Ingress;
@@ -100,7 +101,9 @@
   constructor(options: GatewayOptions) {
     this.#options = options;
     const { events, vmId, zone, cores, bounds } = options;
-    this.pace = serving.planRegistryPace(bounds.followMs);
+    this.#bounds = bounds;
+    this.#pace = serving.planRegistryPace(bounds.followMs);
+    this.#repeats = new serving.RepeatBudget(getRepeatBound(bounds));
     this.#wire = options.createWire(this.pool);
     this.site = new SiteState(events);
     this.book = new EndpointBook({
@@ -114,7 +117,7 @@
       seeds: options.seeds,
       site: this.site,
       events,
-      pace: this.pace,
+      getPace: () => this.#pace,
       getLoads: () => this.#getLoads(),
       getOwnLoad: (service, shard) => this.#getLeader(service, shard).getLoad(),
     });
@@ -134,6 +137,19 @@
     });
   }
 
+  /** How often the registry is read. */
+  get pace(): serving.RegistryPace {
+    return this.#pace;
+  }
+
+  /** Takes other bounds over; no request that runs notices. */
+  setBounds(bounds: GatewayBounds): void {
+    this.#bounds = bounds;
+    this.#pace = serving.planRegistryPace(bounds.followMs);
+    this.#repeats.setBound(getRepeatBound(bounds));
+    this.book.setColdBound(bounds.cold);
+  }
+
   get #isStopping(): boolean {
     return this.#stopAt !== undefined;
   }
@@ -171,7 +187,8 @@
     if (this.#isStopping) return;
     const stoppedAt = performance.now();
     this.#stopAt = stoppedAt;
-    const { events, bounds } = this.#options;
+    const { events } = this.#options;
+    const bounds = this.#bounds;
     events.write(EVENT.processStopping, { active: this.#ingress.active });
     this.mesh.setLeaving();
     this.#ingress.setLeaving();
@@ -205,7 +222,7 @@
   }
 
   #buildParts(): FlowParts {
-    const { zone, events, bounds } = this.#options;
+    const { zone, events } = this.#options;
     return {
       zone,
       site: this.site,
@@ -213,11 +230,7 @@
       pool: this.pool,
       wire: this.#wire,
       mesh: this.mesh,
-      repeats: new serving.RepeatBudget({
-        ratio: bounds.repeatRatio,
-        extra: bounds.repeatExtra,
-        windowMs: bounds.repeatWindowMs,
-      }),
+      repeats: this.#repeats,
       router: this.#router,
       events,
       metrics: this.metrics,
@@ -228,7 +241,7 @@
   #getStop(): serving.StopState | undefined {
     if (this.#stopAt === undefined) return undefined;
     const sinceMs = performance.now() - this.#stopAt;
-    const graceMs = this.#options.bounds.graceMs - EXIT_SLACK_MS;
+    const graceMs = this.#bounds.graceMs - EXIT_SLACK_MS;
     return { sinceMs, leftMs: graceMs - sinceMs };
   }
 
@@ -345,6 +358,14 @@
   }
 }
 
+function getRepeatBound(bounds: GatewayBounds): serving.RepeatBudgetOptions {
+  return {
+    ratio: bounds.repeatRatio,
+    extra: bounds.repeatExtra,
+    windowMs: bounds.repeatWindowMs,
+  };
+}
+
 /** Processor time of this process so far, in milliseconds. */
 function getProcessorMs(): number {
   const { user, system } = process.cpuUsage();
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -43,7 +43,7 @@
   readonly seeds: readonly Address[];
   readonly site: SiteState;
   readonly events: logger.EventLog;
-  readonly pace: serving.RegistryPace;
+  readonly getPace: () => serving.RegistryPace;
   readonly getLoads: () => readonly serving.ShardLoad[];
   /** Load of a shard that this VM leads. */
   readonly getOwnLoad: LeaderTableOptions["getOwnLoad"];
@@ -134,7 +134,7 @@
     const before = own === -1 ? [] : readers.slice(0, own);
     const rank = before.filter((one) => this.#isReading(one.vmId)).length;
     const ageMs = performance.now() - site.seenAt;
-    return serving.mayReadRegistry({ rank, ageMs }, this.#options.pace);
+    return serving.mayReadRegistry({ rank, ageMs }, this.#options.getPace());
   }
 
   #buildView(heard: readonly serving.HeardLoad[]): serving.MemberView {
@@ -160,7 +160,7 @@
   #isReading(vmId: string): boolean {
     const known = this.#views.get(vmId);
     if (known === undefined || !this.#isAlive(vmId)) return false;
-    return known.view.factsAgeMs < this.#options.pace.staleMs;
+    return known.view.factsAgeMs < this.#options.getPace().staleMs;
   }
 
   /** The first exchange doesn't wait for the next round. */
@@ -277,9 +277,9 @@
    * endpoints write all the time, so being some records behind is usual.
    */
   #needsNews(view: serving.MemberView): boolean {
-    const { site, pace } = this.#options;
+    const { site, getPace } = this.#options;
     const own = site.positions;
-    const isOld = performance.now() - site.seenAt > pace.staleMs;
+    const isOld = performance.now() - site.seenAt > getPace().staleMs;
     return view.operatorPosition > own.operatorPosition ||
       view.memberPosition > own.memberPosition ||
       (isOld && view.endpointPosition > own.endpointPosition);
--- a/packages/serving/src/repeat_budget.ts
+++ b/packages/serving/src/repeat_budget.ts
@@ -34,7 +34,7 @@
  * ```
  */
 export class RepeatBudget {
-  readonly #options: RepeatBudgetOptions;
+  #options: RepeatBudgetOptions;
   readonly #services = new Map<
     ServiceId,
     { requests: number[]; repeats: number[] }
@@ -45,6 +45,11 @@
     this.#options = options;
   }
 
+  /** Takes another bound over; what was counted stays. */
+  setBound(options: RepeatBudgetOptions): void {
+    this.#options = options;
+  }
+
   /** Notes a caller's request for a service. */
   recordRequest(service: ServiceId, now: number): void {
     this.#getWindow(service, now).requests.push(now);
