Members are not forgotten by older news

Cause: news of members were taken over whatever their position. At a start of 195 VMs answers cross; one that was long on its way brings an older list, the VM drops whom it lacks, and since it is as far as the others nobody tells it again.

Change: news of members count only beyond the own position, as those of the operator and of endpoints do.

--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -259,10 +259,7 @@
   mergeNews(news: serving.SiteNews, seenAt: number): void {
     if (news.operator !== undefined) this.#mergeOperator(news, seenAt);
     if (news.endpoints !== undefined) this.#mergeEndpoints(news, seenAt);
-    if (news.members !== undefined) {
-      this.#mergeMembers(news.members);
-      this.setMemberPosition(news.memberPosition);
-    }
+    if (news.members !== undefined) this.#mergeMembers(news);
   }
 
   /** Notes that the facts were the registry's newest at a moment. */
@@ -271,13 +268,21 @@
     this.#endpointSeenAt = Math.max(this.#endpointSeenAt, seenAt);
   }
 
-  /** A VM that lives and was removed here is added with its next view. */
-  #mergeMembers(members: readonly serving.ServingMember[]): void {
+  /**
+   * A VM that lives and was removed here is added with its next view.
+   *
+   * Guards against an older list that comes late: members that it lacks would be
+   * forgotten, and nobody tells a VM again of what it has read.
+   */
+  #mergeMembers(news: serving.SiteNews): void {
+    if (news.memberPosition <= this.#memberPosition) return;
+    const members = news.members!;
     const listed = new Set(members.map((one) => one.vmId));
     for (const { vmId } of this.members) {
       if (!listed.has(vmId)) this.removeMember(vmId);
     }
     for (const member of members) this.updateMember(member);
+    this.setMemberPosition(news.memberPosition);
   }
 
   #mergeOperator(news: serving.SiteNews, seenAt: number): void {
