--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -105,7 +105,7 @@
  *
  * An answer without length never counts as whole: a process that dies is closed by
  * its kernel just as one that has said everything, so the end proves nothing. It
- * showed as tickets of 4 bytes in place of 40 that looked complete.
+ * shows as the beginning of an answer that looks complete.
  */
 export class HttpPool {
   readonly #idle = new Map<Address, PoolConnection[]>();
--- a/packages/gateway/src/stage_run.ts
+++ b/packages/gateway/src/stage_run.ts
@@ -217,8 +217,8 @@
 
   /**
    * Where room is short, inputs are given up once they are read, not when the
-   * stage is made: their room is free a call earlier, about 250 of 850 ms. A piece
-   * that has to be made again then costs the stage before once more.
+   * stage is made: their room is free a call earlier. A piece that has to be made
+   * again then costs the stage before once more.
    */
   #findInputOwner(start: serving.StageStart): serving.InputOwner | undefined {
     if (start.inputStage === undefined) return undefined;
--- a/packages/gateway/src/timed_connect.ts
+++ b/packages/gateway/src/timed_connect.ts
@@ -10,10 +10,8 @@
  * Bounds a connector of the HTTP library.
  *
  * Guards against endpoints that have gone dark: the library looks at its own bound
- * twice a second, so that 300 ms were 500 to 1,000. It showed as requests that
- * went on to another endpoint after half of their objective. With the bound of 150
- * ms the worth of a day on which a zone's engines go dark went from 0.34 to 0.46,
- * in pairs of two seeds.
+ * twice a second only, so a short one ends late. It shows as requests that go on to
+ * another endpoint after half of their objective.
  *
  * @param connect The library's connector, without a bound.
  * @param timeoutMs Longest handshake, in milliseconds.
--- a/packages/serving/src/call_plan.ts
+++ b/packages/serving/src/call_plan.ts
@@ -1,11 +1,10 @@
 /**
  * Which pieces go into the next call of a pool, and which get room for later.
  *
- * The load that this answers: a call costs 150 ms however few pieces it carries,
- * and an endpoint makes one call at a time, so a pool bears its load only when
- * calls are composed of pieces of many requests; bursts of twice the mean reach
- * nine tenths of what full calls bear. Large results fill an endpoint's room with
- * eight of them, while one request has up to ten.
+ * The load that this answers: a call costs much however few pieces it carries, and
+ * an endpoint makes one call at a time, so a pool bears its load only when calls are
+ * composed of pieces of many requests; bursts reach nearly what full calls bear. A
+ * few large results fill an endpoint's room, and one request may have more of them.
  *
  * @module
  */
@@ -58,8 +57,8 @@
 
 /**
  * A group waits for a zone that saves more bytes between zones than this. What a
- * later stage reads is read by each of its pieces: 16 pieces of 6 inputs of 60 kB
- * are 5.8 MB, more than the large results of first stages.
+ * later stage reads is read by each of its pieces, which together is more than the
+ * large results of first stages.
  */
 const WORTHWHILE_BYTES = 500_000;
 /** It does so while it has this much time to spare, about one call. */
@@ -79,8 +78,7 @@
  * Pieces that were promised room here go first. A group starts only when all its
  * pieces have room, here or spread over several endpoints where one can't hold
  * it; those that this call can't carry keep their room. So whatever has started
- * can finish, and no two groups wait for each other's room: played on the load of
- * two pools that were stalled for five seconds, calls went on at their full rate.
+ * can finish, and no two groups wait for each other's room.
  *
  * @param options Groups, pool, endpoints and time.
  * @returns The call's pieces and new promises; both are empty when nothing fits.
--- a/packages/serving/src/leaders.ts
+++ b/packages/serving/src/leaders.ts
@@ -1,10 +1,10 @@
 /**
  * Which VM composes the calls of a pool, or of a part of it.
  *
- * The load that this answers: one VM that leads a pool for 67 others answers 268
- * exchanges and composes a hundred groups a second, on a third of a core. With
- * more than some VMs a pool is therefore led by zone: groups, their results and
- * the engine that reads them lie in one zone, and a leader serves a fraction.
+ * The load that this answers: one VM that leads a pool for all others answers four
+ * exchanges a second of each and composes every group, on a part of a core. With
+ * many VMs a pool is therefore led by zone: groups, their results and the engine
+ * that reads them lie in one zone, and a leader serves a fraction.
  *
  * @module
  */
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -40,8 +40,8 @@
 /** Requests of this VM beyond the mean at which a session moves on. */
 const SESSION_EXTRA = 6;
 /**
- * Bytes carried between zones that weigh as much as one token read again: 1,000
- * tokens take an engine 20 to 32 ms, and operators pay for 5 MB about as much.
+ * Bytes carried between zones that weigh as much as one token read again, by what
+ * operators pay for either.
  */
 const BYTES_PER_TOKEN = 5_000;
 /** Share of slots in use by which another zone's endpoint must be better. */
--- a/packages/serving/src/registry_reader.ts
+++ b/packages/serving/src/registry_reader.ts
@@ -1,8 +1,8 @@
 /**
  * Which VMs read the platform's registry, and which hear of it from a neighbour.
  *
- * The load that this answers: every read is paid for, and 67 VMs that each read
- * three topics make 124 calls a second for facts that their neighbours have.
+ * The load that this answers: every read is paid for, and many VMs that each read
+ * all topics pay many times for facts that their neighbours have.
  * Relaying a feed between peers, with the source as the last resort, is how
  * P2PSP spreads a stream from a server that can't serve everybody.
  *
--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -64,9 +64,7 @@
  * Results take room from the start of their call until their last reader is
  * done, and room for large results is what runs out first. A stage that isn't on
  * the longest path therefore starts as late as it can: when what is left of the
- * longest path takes as long as its own branch. Played over a calm day of two
- * deployments this took the share of credit from 0.46 to 0.49 and from 0.44 to
- * 0.55, measured with a router that did nothing else.
+ * longest path takes as long as its own branch.
  */
 export class StageGraph {
   readonly #options: StageGraphOptions;
