Room that results of lost VMs hold is counted once a call has met it

Ruled out before: asking endpoints for their room (worse, cause unknown), a longer back-off (noise).

Change: a result that finds no room where two would fit by the own count shows others' results; what was counted free is taken for theirs and falls to nothing over the lifetime of results.

Kept for the calls that are no longer made in vain.

--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -6,7 +6,7 @@
 import type * as logger from "@sardinestep/logger";
 import type * as metrics from "@sardinestep/metrics";
 import * as serving from "@sardinestep/serving";
-import type { ServiceId } from "@sardinestep/types";
+import type { EndpointId, ServiceId } from "@sardinestep/types";
 import { match } from "ts-pattern";
 import { CallLog } from "./call_log.ts";
 import { type EndpointBook, getZones } from "./endpoint_book.ts";
@@ -294,6 +294,15 @@
       .exhaustive();
   }
 
+  #recordNoRoom(endpointId: EndpointId, { queued }: CalledPiece): void {
+    const now = performance.now();
+    this.#endpoints.recordFull(endpointId, now);
+    const pool = this.#options.getPool();
+    if (pool === undefined) return;
+    const bytes = queued.group.resultBytes;
+    this.#room.recordNoRoom({ endpointId, bytes }, pool, now);
+  }
+
   #handlePiece(
     { endpoint, startedAt }: RunCall,
     called: CalledPiece,
@@ -311,7 +320,7 @@
         this.#groups.recordMade(called, { handle, zone: endpoint.zone });
       })
       .with({ kind: "noRoom" }, () => {
-        this.#endpoints.recordFull(endpoint.id, performance.now());
+        this.#recordNoRoom(endpoint.id, called);
         this.#groups.requeue(called);
       })
       .with({ kind: "failed" }, () => this.#groups.fail(called))
--- a/packages/serving/src/result_room.ts
+++ b/packages/serving/src/result_room.ts
@@ -15,6 +15,12 @@
   readonly dropsAt: number;
 }
 
+/** Room that others' results take, as it was when one was noticed. */
+interface ForeignBytes {
+  readonly bytes: number;
+  readonly at: number;
+}
+
 /** A result that now lies at an endpoint. */
 export interface MadeResult {
   readonly endpointId: EndpointId;
@@ -24,6 +30,8 @@
   readonly since: number;
 }
 
+/** Results that must fit by the own count for others' to be taken for there. */
+const FOREIGN_RESULTS = 2;
 /** Time from the last result to a stream's first event, before any was seen. */
 const USUAL_READ_MS = 300;
 
@@ -49,6 +57,7 @@
   readonly #kept = new Map<string, KeptResult>();
   readonly #used = new Map<EndpointId, number>();
   readonly #promised = new Map<EndpointId, number>();
+  readonly #foreign = new Map<EndpointId, ForeignBytes>();
   /** Mean time that a byte is held, in milliseconds. */
   #holdMs: number | undefined;
 
@@ -56,7 +65,7 @@
   getFree(endpointId: EndpointId, pool: PoolSpec, now: number): number {
     this.#dropOld(pool, now);
     const free = getCapacity(pool) - this.getUsed(endpointId) -
-      this.getPromised(endpointId);
+      this.getPromised(endpointId) - this.#getForeign(endpointId, pool, now);
     return Math.max(0, free);
   }
 
@@ -76,6 +85,24 @@
       pool.callMs + pool.batchSize * pool.pieceMs + USUAL_READ_MS;
   }
 
+  /**
+   * Notes that a result found no room where this leader counts some.
+   *
+   * Guards against calls that come back empty, each after its whole time, once the
+   * power of all VMs is back: results that no VM knows keep their room until they
+   * lapse, evenly over the time that results are kept.
+   */
+  recordNoRoom(
+    { endpointId, bytes }: Pick<MadeResult, "endpointId" | "bytes">,
+    pool: PoolSpec,
+    now: number,
+  ): void {
+    const unused = getCapacity(pool) - this.getUsed(endpointId);
+    // Sizes are approximate: one result more or less is no sign of others.
+    if (unused < bytes * FOREIGN_RESULTS) return;
+    this.#foreign.set(endpointId, { bytes: unused, at: now });
+  }
+
   /** Holds room for a call that starts. */
   addBytes(endpointId: EndpointId, bytes: number): void {
     this.#used.set(endpointId, this.getUsed(endpointId) + bytes);
@@ -109,6 +136,15 @@
     return true;
   }
 
+  #getForeign(endpointId: EndpointId, pool: PoolSpec, now: number): number {
+    const known = this.#foreign.get(endpointId);
+    if (known === undefined) return 0;
+    const left = 1 - (now - known.at) / pool.resultTtlMs;
+    if (left > 0) return known.bytes * left;
+    this.#foreign.delete(endpointId);
+    return 0;
+  }
+
   /** Large results count for more: their room is what runs out. */
   #recordHold(kept: KeptResult, pool: PoolSpec, now: number): void {
     const weight = Math.min(1, kept.bytes / pool.roomBytes);
--- a/packages/serving/src/result_room_test.ts
+++ b/packages/serving/src/result_room_test.ts
@@ -32,6 +32,31 @@
     expect(lapsed.getFree("e1", POOL, 4_251)).to.equal(CAPACITY);
   });
 
+  // All VMs lose power. Their results keep the room of every endpoint, and nobody
+  // knows them. The new leader counts all room as free: calls come back empty, each
+  // after its whole time, until the last of those results has lapsed.
+  it("takes others' results for there when its own find no room", () => {
+    const room = createRoom();
+    const free = room.getFree("e1", POOL, 1_000);
+    const found = { endpointId: "e1", bytes: CAPACITY / 10 };
+    room.recordNoRoom(found, POOL, 1_000);
+    const share = (now: number) => room.getFree("e1", POOL, now) / free;
+    expect(share(1_000)).to.equal(0);
+    const halfMs = POOL.resultTtlMs / 2;
+    expect(share(1_000 + halfMs)).to.be.within(0.45, 0.55);
+    expect(room.getFree("e1", POOL, 1_000 + POOL.resultTtlMs))
+      .to.equal(CAPACITY);
+    expect(room.getFree("e2", POOL, 1_000)).to.equal(CAPACITY);
+  });
+
+  it("takes sizes for approximate where one result finds no room", () => {
+    const room = createRoom();
+    const free = room.getFree("e1", POOL, 1_000);
+    const found = { endpointId: "e1", bytes: free * 0.6 };
+    room.recordNoRoom(found, POOL, 1_000);
+    expect(room.getFree("e1", POOL, 1_000)).to.equal(free);
+  });
+
   it("measures how long room is held, large results before small ones", () => {
     const room = createRoom();
     const before = room.getHoldMs(POOL);
