Bounds under two seconds are followed too; bounds and processor time in modules of their own

Found in reading the change: a site whose bounds are shorter than two seconds would have been read as one of two.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,30 +13,17 @@
 import { EVENT } from "./events.ts";
 import { HttpPool } from "./http_pool.ts";
 import type { FlowParts } from "./flow_types.ts";
+import { type GatewayBounds, getRepeatBound } from "./gateway_bounds.ts";
 import { Ingress } from "./ingress.ts";
 import { openOwnServer, type OwnServer } from "./own_server.ts";
 import { PeerMesh } from "./peer_mesh.ts";
 import { PieceLeader } from "./piece_leader.ts";
 import { PieceRouter } from "./piece_router.ts";
+import { readProcessorMs } from "./processor_time.ts";
 import type { ServingWire } from "./ports.ts";
 import { runRequest } from "./request_flow.ts";
 import { SiteState } from "./site_state.ts";
 
-/** Bounds that the operator sets for all VMs. */
-export interface GatewayBounds {
-  readonly repeatRatio: number;
-  readonly repeatExtra: number;
-  readonly repeatWindowMs: number;
-  readonly cold: serving.ColdBound;
-  /** Time from a stop signal to the kill, in milliseconds. */
-  readonly graceMs: number;
-  /**
-   * Shortest time in which a VM must follow the registry, in milliseconds: an
-   * endpoint that leaves, a configuration, a zone that is taken out.
-   */
-  readonly followMs: number;
-}
-
 /** Where a gateway listens. */
 export interface GatewayListen {
   readonly callers: Address;
@@ -71,7 +58,6 @@
 const EXIT_SLACK_MS = 700;
 /** How often the end of the last requests is looked for, in milliseconds. */
 const DRAIN_CHECK_MS = 50;
-const MICROSECONDS_PER_MS = 1_000;
 /** A gap of the update timer that shows a freeze, in milliseconds. */
 const PAUSE_MS = 1_000;
 
@@ -327,7 +313,7 @@
       endpoints: this.site.getEndpoints().length,
       members: this.site.members.length,
       afterStartMs: Math.round(now),
-      processorMs: getProcessorMs(),
+      processorMs: readProcessorMs(),
     });
   }
 
@@ -357,17 +343,3 @@
     return { status: 200, text: this.metrics.formatPrometheus() };
   }
 }
-
-function getRepeatBound(bounds: GatewayBounds): serving.RepeatBudgetOptions {
-  return {
-    ratio: bounds.repeatRatio,
-    extra: bounds.repeatExtra,
-    windowMs: bounds.repeatWindowMs,
-  };
-}
-
-/** Processor time of this process so far, in milliseconds. */
-function getProcessorMs(): number {
-  const { user, system } = process.cpuUsage();
-  return Math.round((user + system) / MICROSECONDS_PER_MS);
-}
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./events.ts";
 export * from "./gateway.ts";
+export * from "./gateway_bounds.ts";
 export * from "./http_pool.ts";
 export * from "./ports.ts";
 export * from "./site_state.ts";
--- a/packages/serving/src/registry_reader.ts
+++ b/packages/serving/src/registry_reader.ts
@@ -29,7 +29,7 @@
 const STALE_SHARE = 0.625;
 const STEP_SHARE = 0.075;
 /** Bounds that are taken as they are, in milliseconds; others count as these. */
-const MIN_FOLLOW_MS = 2_000;
+const MIN_FOLLOW_MS = 500;
 const MAX_FOLLOW_MS = 6_000;
 /** Ranks that differ in their wait; the last ones go together. */
 const TAKEOVER_RANKS = 3;
