--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -94,7 +94,7 @@
   start(): void {
     this.#timer = setInterval(() => this.#exchangeAll(), EXCHANGE_MS);
     this.#exchangeAll();
-    this.#meetTimer = setInterval(() => this.#meetMembers(), MEET_CHECK_MS);
+    this.#meetTimer = setInterval(() => this.#startExchange(), MEET_CHECK_MS);
   }
 
   /** Tells the others that this VM takes no new work. */
@@ -164,7 +164,7 @@
   }
 
   /** The first exchange doesn't wait for the next round. */
-  #meetMembers(): void {
+  #startExchange(): void {
     const { site, member } = this.#options;
     if (site.members.every((one) => one.vmId === member.vmId)) return;
     clearInterval(this.#meetTimer);
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -78,7 +78,7 @@
   for (const program of Object.keys(programs)) {
     await chmod(`${fresh}/${program}.mjs`, 0o755);
   }
-  await replaceFiles(fresh, outdir);
+  await writeFiles(fresh, outdir);
 }
 
 /** CommonJS, since only a script of that form can bring its compiled code. */
@@ -102,7 +102,7 @@
     `${fresh}/${GATEWAY}.bundle.cjs`,
     `${fresh}/${GATEWAY}.cache`,
   ], { stdio: ["ignore", "inherit", "inherit"] });
-  await replaceFiles(fresh, "target");
+  await writeFiles(fresh, "target");
 }
 
 /**
@@ -116,7 +116,7 @@
   return mkdtempSync(`${outdir}/.build-`);
 }
 
-async function replaceFiles(from, to) {
+async function writeFiles(from, to) {
   for (const file of await readdir(from)) {
     await rename(`${from}/${file}`, `${to}/${file}`);
   }
