--- a/packages/gateway/src/leader_table.ts
+++ b/packages/gateway/src/leader_table.ts
@@ -16,7 +16,7 @@
  */
 const LOAD_MAX_AGE_MS = 1_500;
 /** Within it a VM that starts has heard of its candidates, in milliseconds. */
-const MEET_MS = 1_500;
+export const MEET_MS = 1_500;
 /** Candidates that are tried unheard, before a VM leads for itself. */
 const MAX_UNHEARD = 2;
 
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -8,7 +8,11 @@
 import * as serving from "@sardinestep/serving";
 import type { Address } from "@sardinestep/types";
 import { EVENT } from "./events.ts";
-import { LeaderTable, type LeaderTableOptions } from "./leader_table.ts";
+import {
+  LeaderTable,
+  type LeaderTableOptions,
+  MEET_MS,
+} from "./leader_table.ts";
 import type { SiteState } from "./site_state.ts";
 
 /** How often views are exchanged with possible leaders, in milliseconds. */
@@ -59,6 +63,7 @@
   #isLeaving = false;
   #timer: NodeJS.Timeout | undefined;
   #meetTimer: NodeJS.Timeout | undefined;
+  #startedAt = 0;
   #isReadingNews = false;
   #seedIndex = 0;
   #round = 0;
@@ -94,6 +99,7 @@
   start(): void {
     this.#timer = setInterval(() => this.#exchangeAll(), EXCHANGE_MS);
     this.#exchangeAll();
+    this.#startedAt = performance.now();
     this.#meetTimer = setInterval(() => this.#startExchange(), MEET_CHECK_MS);
   }
 
@@ -163,12 +169,17 @@
     return known.view.factsAgeMs < this.#options.getPace().staleMs;
   }
 
-  /** The first exchange doesn't wait for the next round. */
+  /**
+   * The first exchange doesn't wait for the next round. A VM that is alone stops
+   * to look after a while; rounds find members then.
+   */
   #startExchange(): void {
     const { site, member } = this.#options;
-    if (site.members.every((one) => one.vmId === member.vmId)) return;
+    const isAlone = site.members.every((one) => one.vmId === member.vmId);
+    const isYoung = performance.now() - this.#startedAt < MEET_MS;
+    if (isAlone && isYoung) return;
     clearInterval(this.#meetTimer);
-    this.#exchangeAll();
+    if (!isAlone) this.#exchangeAll();
   }
 
   #exchangeAll(): void {
--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -211,9 +211,7 @@
   /** Adds or replaces a member. */
   updateMember(member: serving.ServingMember): void {
     const before = this.#members.get(member.vmId);
-    const isSame = before !== undefined && before.rpc === member.rpc &&
-      before.zone === member.zone && before.cores === member.cores;
-    if (isSame) return;
+    if (before !== undefined && serving.isSameMember(before, member)) return;
     this.#members.set(member.vmId, member);
     this.#handleMembersChanged();
     this.#events.write(EVENT.memberChanged, { ...member, kind: "known" });
--- a/packages/serving/src/leaders.ts
+++ b/packages/serving/src/leaders.ts
@@ -61,6 +61,12 @@
     .slice(0, LEADER_CANDIDATES);
 }
 
+/** Whether two records tell the same of one VM. */
+export function isSameMember(a: ServingMember, b: ServingMember): boolean {
+  return a.vmId === b.vmId && a.zone === b.zone && a.rpc === b.rpc &&
+    a.cores === b.cores;
+}
+
 /** Ranks the VMs that may read the registry for the others of their zone. */
 export function planReaders(
   zone: ZoneId,
