Requests carry a fingerprint; a line tells which an endpoint had when it broke off

Change: a hash of method, host, path, customer and body in request_admitted, the same for equal requests on all VMs; endpoint_lost with every request that one crash took along, its fingerprint and its age there, for requests, streams and calls of groups; endpoint_disconnects_total. A connection that the other side closed or reset is told from silence and from answers that can't be read.

--- a/packages/bench/src/serving/pool_model.ts
+++ b/packages/bench/src/serving/pool_model.ts
@@ -229,7 +229,8 @@
       waiting: Array.from({ length: pieces }, (_, piece) => piece),
       promised: new Map(),
       group: {
-        requestId: `r${this.#count++}`,
+        requestId: `r${this.#count}`,
+        fingerprint: `f${this.#count++}`,
         stage: 0,
         pieces,
         inputs: [],
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -27,7 +27,12 @@
   /** No connection: it provably did not run. */
   | { readonly kind: "notSent"; readonly message: string }
   /** It may have run; the answer is lost or not whole. */
-  | { readonly kind: "lost"; readonly message: string }
+  | {
+    readonly kind: "lost";
+    readonly message: string;
+    /** The endpoint closed or reset the connection. */
+    readonly isDisconnect: boolean;
+  }
   /** The request ended meanwhile: caller gone, or time up. */
   | { readonly kind: "ended" };
 
@@ -178,8 +183,7 @@
   }
 
   handleFailure(failure: PoolFailure): void {
-    const { kind, message } = failure;
-    this.#finish({ kind, message }, serving.EVIDENCE.broken);
+    this.#finish(failure, serving.EVIDENCE.broken);
   }
 
   #relay(chunk: Uint8Array): void {
@@ -217,7 +221,10 @@
   }
 
   #lose(message: string): void {
-    this.#finish({ kind: "lost", message }, serving.EVIDENCE.broken);
+    this.#finish(
+      { kind: "lost", message, isDisconnect: false },
+      serving.EVIDENCE.broken,
+    );
   }
 
   #finish(
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -18,6 +18,7 @@
   endpointChanged: "endpoint_changed",
   endpointAvoided: "endpoint_avoided",
   endpointCold: "endpoint_cold",
+  endpointLost: "endpoint_lost",
   memberChanged: "member_changed",
   leaderChanged: "leader_changed",
   rolloutOrdered: "rollout_ordered",
--- a/packages/gateway/src/flow_types.ts
+++ b/packages/gateway/src/flow_types.ts
@@ -6,10 +6,12 @@
 import type * as codes from "@sardinestep/codes";
 import type * as logger from "@sardinestep/logger";
 import type * as metrics from "@sardinestep/metrics";
+import type * as quarantine from "@sardinestep/quarantine";
 import type * as serving from "@sardinestep/serving";
 import type { ServiceId } from "@sardinestep/types";
 import type { AnswerWriter, WholeAnswer } from "./answer_writer.ts";
 import type { EndpointBook } from "./endpoint_book.ts";
+import type { EndpointLosses } from "./endpoint_losses.ts";
 import type { HttpPool } from "./http_pool.ts";
 import type { PeerMesh } from "./peer_mesh.ts";
 import type { PieceRouter } from "./piece_router.ts";
@@ -29,6 +31,7 @@
   readonly mesh: PeerMesh;
   readonly repeats: serving.RepeatBudget;
   readonly rollouts: Rollouts;
+  readonly losses: EndpointLosses;
   readonly events: logger.EventLog;
   readonly metrics: metrics.Metrics;
   /** How far this VM's stop is, if it was told to stop. */
@@ -50,6 +53,7 @@
 /** A request whose route, customer and service are known. */
 export interface RoutedRequest extends ArrivedRequest {
   readonly requestId: string;
+  readonly fingerprint: quarantine.Fingerprint;
   readonly table: serving.RouteTable;
   readonly route: serving.Route;
   readonly service: ServiceId;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -174,9 +174,20 @@
       objectiveMs: route.objectiveMs,
     });
     rollouts.recordEnd(endpoint, route.name, end);
+    this.#recordLoss(endpoint, outcome, performance.now() - startedAt);
     return outcome;
   }
 
+  #recordLoss(
+    endpoint: serving.ServingEndpoint,
+    outcome: AttemptOutcome,
+    ageMs: number,
+  ): void {
+    if (outcome.kind !== "lost" || !outcome.isDisconnect) return;
+    const { requestId, fingerprint } = this.#request;
+    this.#parts.losses.record(endpoint, [{ requestId, fingerprint, ageMs }]);
+  }
+
   #runAttempt(
     endpoint: serving.ServingEndpoint,
     handleFirstEvent: () => void,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 import type { Address, ServiceId } from "@sardinestep/types";
 import { setTimeout as wait } from "node:timers/promises";
 import { EndpointBook } from "./endpoint_book.ts";
+import { EndpointLosses } from "./endpoint_losses.ts";
 import { EVENT } from "./events.ts";
 import { HttpPool } from "./http_pool.ts";
 import type { FlowParts } from "./flow_types.ts";
@@ -70,6 +71,7 @@
   readonly pool = new HttpPool();
   readonly book: EndpointBook;
   readonly rollouts: Rollouts;
+  readonly #losses: EndpointLosses;
   readonly #options: GatewayOptions;
   readonly #repeats: serving.RepeatBudget;
   #bounds: GatewayBounds;
@@ -109,6 +111,7 @@
       vmId,
       coldBound: bounds.cold,
     });
+    this.#losses = new EndpointLosses({ events, metrics: this.metrics });
     this.mesh = new PeerMesh({
       member: { vmId, zone, rpc: options.listen.rpc, cores },
       seeds: options.seeds,
@@ -231,6 +234,7 @@
       mesh: this.mesh,
       repeats: this.#repeats,
       rollouts: this.rollouts,
+      losses: this.#losses,
       router: this.#router,
       events,
       metrics: this.metrics,
@@ -283,6 +287,7 @@
       getPool: () => this.site.table?.services.get(service)?.pool,
       book: this.book,
       rollouts: this.rollouts,
+      losses: this.#losses,
       wire: this.#wire,
       events: this.#options.events,
       metrics: this.metrics,
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -26,6 +26,8 @@
   /** `notSent`: the connection provably carried nothing of the request. */
   readonly kind: "notSent" | "lost";
   readonly message: string;
+  /** The other side closed or reset the connection under the request. */
+  readonly isDisconnect: boolean;
 }
 
 /** Receives an answer as it comes. */
@@ -66,6 +68,13 @@
 /** Statuses whose answers have no body, and so need no length. */
 const STATUS_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
+/** Codes of errors by which a connection ends from the other side. */
+const DISCONNECT_CODES: ReadonlySet<string> = new Set([
+  "ECONNRESET",
+  "EPIPE",
+  "UND_ERR_SOCKET",
+]);
+
 /** What the library takes beside the options that it types. */
 interface NamedDispatch extends Dispatcher.DispatchOptions {
   readonly servername: string;
@@ -236,7 +245,7 @@
     if (this.#isOver) return;
     if (!this.#hasLength) {
       return this.#fail(
-        "An answer without length has no end that proves it whole",
+        new Error("An answer without length has no end that proves it whole"),
       );
     }
     this.#isOver = true;
@@ -245,19 +254,24 @@
   }
 
   onError(error: Error): void {
-    if (!this.#isOver) this.#fail(error.message);
+    if (!this.#isOver) this.#fail(error);
   }
 
-  #fail(message: string): void {
+  #fail(error: Error): void {
     this.#isOver = true;
     this.#connection.close();
     this.#sink.handleFailure({
       kind: this.#isSent ? "lost" : "notSent",
-      message,
+      message: error.message,
+      isDisconnect: this.#isSent && isDisconnect(error),
     });
   }
 }
 
+function isDisconnect(error: Error): boolean {
+  return DISCONNECT_CODES.has((error as NodeJS.ErrnoException).code ?? "");
+}
+
 /** Names in lower case; values of a repeated header are joined by commas. */
 function buildHeaderMap(raw: readonly Buffer[]): Map<string, string> {
   const headers = new Map<string, string>();
--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -16,6 +16,7 @@
   createLeaderGroup,
   type LeaderGroup,
 } from "./leader_group.ts";
+import type { EndpointLosses } from "./endpoint_losses.ts";
 import { GroupQueue } from "./group_queue.ts";
 import { ResultReleases } from "./result_releases.ts";
 import type { Rollouts } from "./rollouts.ts";
@@ -53,6 +54,7 @@
   readonly getPool: () => serving.PoolSpec | undefined;
   readonly book: EndpointBook;
   readonly rollouts: Rollouts;
+  readonly losses: EndpointLosses;
   readonly wire: ServingWire;
   readonly events: logger.EventLog;
   readonly metrics: metrics.Metrics;
@@ -299,13 +301,27 @@
         this.#endpoints.recordFull(endpoint.id, performance.now());
         for (const one of pieces) this.#groups.requeue(one);
       })
-      .with({ kind: "broken" }, () => {
+      .with({ kind: "broken" }, ({ isDisconnect }) => {
         book.recordEvidence(endpoint, serving.EVIDENCE.broken);
+        if (isDisconnect) this.#recordLoss(call);
         for (const one of pieces) this.#groups.fail(one);
       })
       .exhaustive();
   }
 
+  #recordLoss({ endpoint, pieces, startedAt }: RunCall): void {
+    const ageMs = performance.now() - startedAt;
+    const groups = new Set(pieces.map(({ queued }) => queued.group));
+    this.#options.losses.record(
+      endpoint,
+      [...groups].map(({ requestId, fingerprint }) => ({
+        requestId,
+        fingerprint,
+        ageMs,
+      })),
+    );
+  }
+
   #recordNoRoom(endpointId: EndpointId, { queued }: CalledPiece): void {
     const now = performance.now();
     this.#endpoints.recordFull(endpointId, now);
--- a/packages/gateway/src/piece_leader_test.ts
+++ b/packages/gateway/src/piece_leader_test.ts
@@ -4,6 +4,7 @@
 import { expect } from "chai";
 import { setTimeout as wait } from "node:timers/promises";
 import type { EndpointBook } from "./endpoint_book.ts";
+import type { EndpointLosses } from "./endpoint_losses.ts";
 import { PieceLeader } from "./piece_leader.ts";
 import type { Rollouts } from "./rollouts.ts";
 import type { PieceAnswer, PieceCall, ServingWire } from "./ports.ts";
@@ -50,12 +51,14 @@
       recordSent: () => {},
       recordEnd: () => {},
     };
+    const losses: Partial<EndpointLosses> = { record: () => {} };
     this.leader = new PieceLeader({
       service: "roster",
       shard: "*",
       getPool: () => POOL,
       book: book as EndpointBook,
       rollouts: rollouts as Rollouts,
+      losses: losses as EndpointLosses,
       wire: wire as ServingWire,
       events: new logger.EventLog({
         process: "test",
@@ -71,6 +74,7 @@
     const now = performance.now();
     return this.leader.addGroup({
       requestId: "r1",
+      fingerprint: "f1",
       stage: 1,
       pieces: 2,
       inputs: ["h1", "h2"],
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -77,7 +77,12 @@
   /** It did not run; the endpoint is full or another one has its address. */
   | { readonly kind: "notRun"; readonly status: number }
   /** It may have run; what it made is lost. */
-  | { readonly kind: "broken"; readonly message: string };
+  | {
+    readonly kind: "broken";
+    readonly message: string;
+    /** The endpoint closed or reset the connection. */
+    readonly isDisconnect: boolean;
+  };
 
 /** Where a call goes and how long it is waited for. */
 export interface PieceCall {
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import * as codes from "@sardinestep/codes";
+import * as quarantine from "@sardinestep/quarantine";
 import * as serving from "@sardinestep/serving";
 import { match } from "ts-pattern";
 import { EVENT } from "./events.ts";
@@ -89,14 +90,19 @@
       retryAfterMs: STOP_RETRY_AFTER_MS,
     });
   }
+  const customerId = serving.getCustomerId(customer);
   return {
     request: {
       ...arrived,
       requestId,
+      fingerprint: quarantine.buildFingerprint({
+        ...arrived,
+        customer: customerId,
+      }),
       table,
       route,
       service,
-      customer: serving.getCustomerId(customer),
+      customer: customerId,
       rank: serving.getRank(route, customer),
       session,
       leftMs,
@@ -151,6 +157,7 @@
   const getShard = planShards(parts, request, readerZone);
   return new StageRun({
     requestId: request.requestId,
+    fingerprint: request.fingerprint,
     route,
     services: table.services,
     pieceCounts: caller.pieceCounts,
@@ -191,6 +198,7 @@
   });
   parts.events.write(EVENT.requestAdmitted, {
     requestId: request.requestId,
+    fingerprint: request.fingerprint,
     route: route.name,
     service: request.service,
     customer: request.customer,
--- a/packages/gateway/src/stage_run.ts
+++ b/packages/gateway/src/stage_run.ts
@@ -26,6 +26,7 @@
 /** What {@link StageRun} needs. */
 export interface StageRunOptions {
   readonly requestId: string;
+  readonly fingerprint: string;
   readonly route: serving.Route;
   readonly services: ReadonlyMap<string, serving.ServiceSpec>;
   readonly pieceCounts: readonly number[];
@@ -192,6 +193,7 @@
     });
     const outcome = await router.run(spec.service, getShard(spec.service), {
       requestId,
+      fingerprint: this.#options.fingerprint,
       stage: start.stage,
       pieces: start.pieces,
       key: spec.after.length === 0 ? this.#options.pieceKey : undefined,
--- /dev/null
+++ b/packages/quarantine/src/fingerprint_test.ts
@@ -0,0 +1,31 @@
+import { expect } from "chai";
+import { buildFingerprint } from "./mod.ts";
+
+describe("buildFingerprint", () => {
+  const facts = {
+    method: "POST",
+    host: "a.example",
+    path: "/x/",
+    customer: "dairy",
+    body: Buffer.from("body"),
+  };
+
+  it("is the same for equal requests", () => {
+    expect(buildFingerprint({ ...facts, body: Buffer.from("body") }))
+      .to.equal(buildFingerprint(facts));
+  });
+
+  it("differs with method, host, path, customer and body", () => {
+    const others = [
+      { ...facts, method: "PUT" },
+      { ...facts, host: "b.example" },
+      { ...facts, path: "/y/" },
+      { ...facts, customer: "creamery" },
+      { ...facts, customer: undefined },
+      { ...facts, body: Buffer.from("bodY") },
+      { ...facts, body: undefined },
+    ];
+    const all = [facts, ...others].map(buildFingerprint);
+    expect(new Set(all).size).to.equal(all.length);
+  });
+});
--- /dev/null
+++ b/packages/quarantine/src/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Finds poison requests and refuses them.
+ *
+ * @module
+ */
+export * from "./fingerprint.ts";
--- a/packages/serving/src/_fixtures.ts
+++ b/packages/serving/src/_fixtures.ts
@@ -45,6 +45,7 @@
 export function buildGroup(more: Partial<PieceGroup> = {}): PieceGroup {
   return {
     requestId: "r1",
+    fingerprint: "f1",
     stage: 0,
     pieces: 4,
     inputs: [],
--- a/packages/serving/src/piece_queue.ts
+++ b/packages/serving/src/piece_queue.ts
@@ -15,6 +15,8 @@
 /** All pieces of one stage of one request. */
 export interface PieceGroup {
   readonly requestId: string;
+  /** Equal requests have the same one. */
+  readonly fingerprint: string;
   readonly stage: number;
   readonly pieces: number;
   /** What a first stage works on. */
