A request under which three endpoints have crashed is refused on every VM

Every other request of that engine fell too.

Cause: a VM learned from a broken connection about the endpoint only. Nothing remembered under which request it broke, on this VM or on any other, so an equal request was new each time. The class: evidence against a request was booked on endpoints alone, and by each VM for itself.

Change, for requests, streams and calls of groups alike: - A crash is kept with the fingerprints of all that it took along. VMs tell each other with the exchanges that run anyway; evidence only grows and merges in any order. It counts a second later, when all have told. - Verdict over all crashes together: the request in most of them first, three at least; what it explains speaks against nobody else. An answer to an equal request clears it, an answer of the endpoint clears the crash. Two that were always together wait for the next crash. - In quarantine a request is refused at once with code 2008 (503, not run, the time it lasts), also when the verdict falls while its stages run or its pieces wait. Ten minutes, then probation: one more crash doubles it. - The store keeps the quarantine (keyed.quarantine), one reader a zone reads it, the others hear of it; so it outlasts all VMs and reaches VMs that can't reach each other. Pieces of a suspect are called alone.

Ruled out: repeats within one attempt (never more than its route allows), and engines that fall by themselves (the stand-ins of the test fall under one body).

--- a/packages/codes/src/table.ts
+++ b/packages/codes/src/table.ts
@@ -154,6 +154,13 @@
     true,
     "Given up under load after a stage had run",
   ),
+  REQUEST_QUARANTINED: row(
+    2008,
+    503,
+    NOT_RUN,
+    true,
+    "Endpoints crashed under equal requests; this one is not run",
+  ),
 
   CLAIM_UNAVAILABLE: row(
     3001,
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -65,6 +65,8 @@
   /** Set where the stream may go on elsewhere; keeps events whole. */
   readonly cutter?: EventCutter;
   readonly handleSent: () => void;
+  /** The endpoint has begun to answer this request. */
+  readonly handleAlive: () => void;
   readonly handleFirstEvent: () => void;
 }
 
@@ -147,6 +149,7 @@
     if (isForeign) {
       return this.#lose(`Answer of another request "${requestId}"`);
     }
+    if (!this.#facts.isNotRun) this.#options.handleAlive();
     if (load !== undefined) book.recordLoad(endpoint, load);
     if (coldMs !== undefined) book.recordCold(endpoint, coldMs);
     if (isSuccess(status) && this.#facts.signature === undefined) {
--- a/packages/gateway/src/endpoint_losses.ts
+++ b/packages/gateway/src/endpoint_losses.ts
@@ -17,10 +17,19 @@
   readonly ageMs: number;
 }
 
+/** What one crash of an endpoint took along. */
+export interface EndpointLoss {
+  readonly endpoint: serving.ServingEndpoint;
+  readonly runs: readonly LostRun[];
+  /** Steady time of the first of them. */
+  readonly at: number;
+}
+
 /** What {@link EndpointLosses} needs. */
 export interface EndpointLossesOptions {
   readonly events: logger.EventLog;
   readonly metrics: metrics.Metrics;
+  readonly handleLoss: (loss: EndpointLoss) => void;
 }
 
 /** Connections of one crash break within it, in milliseconds. */
@@ -43,16 +52,19 @@
     const known = this.#gathered.get(id);
     if (known !== undefined) return void known.push(...runs);
     this.#gathered.set(id, [...runs]);
-    setTimeout(() => this.#finish(endpoint), GATHER_MS).unref();
+    const at = performance.now();
+    setTimeout(() => this.#finish(endpoint, at), GATHER_MS).unref();
   }
 
-  #finish({ id, service }: serving.ServingEndpoint): void {
-    const requests = this.#gathered.get(id) ?? [];
+  #finish(endpoint: serving.ServingEndpoint, at: number): void {
+    const { id, service } = endpoint;
+    const runs = this.#gathered.get(id) ?? [];
     this.#gathered.delete(id);
+    this.#options.handleLoss({ endpoint, runs, at });
     this.#options.events.write(EVENT.endpointLost, {
       endpointId: id,
       service,
-      requests: requests.map((one) => ({
+      requests: runs.map((one) => ({
         ...one,
         ageMs: Math.round(one.ageMs),
       })),
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -25,6 +25,8 @@
   rolloutChanged: "rollout_changed",
   rolloutReported: "rollout_reported",
   recordIgnored: "record_ignored",
+  requestQuarantined: "request_quarantined",
+  quarantineWritten: "quarantine_written",
   requestAdmitted: "request_admitted",
   requestRefused: "request_refused",
   requestSent: "request_sent",
--- a/packages/gateway/src/final_answer.ts
+++ b/packages/gateway/src/final_answer.ts
@@ -33,6 +33,14 @@
         { retryAfterMs: serving.planReturn(leftMs) },
       ),
     }))
+    .with({ kind: "failed", reason: serving.QUARANTINED }, () => ({
+      kind: "failure" as const,
+      failure: codes.createFailure(
+        "REQUEST_QUARANTINED",
+        "Endpoints crashed under an equal request",
+        { retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS },
+      ),
+    }))
     .with({ kind: "failed" }, ({ stage, reason }) => ({
       kind: "failure" as const,
       failure: codes.createFailure(
--- a/packages/gateway/src/flow_types.ts
+++ b/packages/gateway/src/flow_types.ts
@@ -11,11 +11,11 @@
 import type { ServiceId } from "@sardinestep/types";
 import type { AnswerWriter, WholeAnswer } from "./answer_writer.ts";
 import type { EndpointBook } from "./endpoint_book.ts";
-import type { EndpointLosses } from "./endpoint_losses.ts";
 import type { HttpPool } from "./http_pool.ts";
 import type { PeerMesh } from "./peer_mesh.ts";
 import type { PieceRouter } from "./piece_router.ts";
 import type { CallerFacts, ServingWire } from "./ports.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { RequestScope } from "./request_scope.ts";
 import type { Rollouts } from "./rollouts.ts";
 import type { SiteState } from "./site_state.ts";
@@ -31,7 +31,7 @@
   readonly mesh: PeerMesh;
   readonly repeats: serving.RepeatBudget;
   readonly rollouts: Rollouts;
-  readonly losses: EndpointLosses;
+  readonly quarantine: RequestQuarantine;
   readonly events: logger.EventLog;
   readonly metrics: metrics.Metrics;
   /** How far this VM's stop is, if it was told to stop. */
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -110,6 +110,9 @@
   async run(): Promise<ForwardResult> {
     while (true) {
       if (this.#request.scope.ended !== undefined) return this.#buildEnded();
+      // It may have been put into quarantine while its stages ran.
+      const refusal = this.#parts.quarantine.check(this.#request.fingerprint);
+      if (refusal !== undefined) return this.#giveUp(refusal.message, refusal);
       const endpoint = this.#pickEndpoint();
       if (endpoint === undefined) return this.#giveUp("No endpoint is usable");
       const outcome = await this.#send(endpoint);
@@ -174,18 +177,23 @@
       objectiveMs: route.objectiveMs,
     });
     rollouts.recordEnd(endpoint, route.name, end);
-    this.#recordLoss(endpoint, outcome, performance.now() - startedAt);
+    this.#recordOutcome(endpoint, outcome, performance.now() - startedAt);
     return outcome;
   }
 
-  #recordLoss(
+  /** Notes what the outcome says of the request itself. */
+  #recordOutcome(
     endpoint: serving.ServingEndpoint,
     outcome: AttemptOutcome,
     ageMs: number,
   ): void {
-    if (outcome.kind !== "lost" || !outcome.isDisconnect) return;
     const { requestId, fingerprint } = this.#request;
-    this.#parts.losses.record(endpoint, [{ requestId, fingerprint, ageMs }]);
+    const { quarantine } = this.#parts;
+    if (outcome.kind === "answered" || outcome.kind === "streamed") {
+      return quarantine.recordCompletion(endpoint.service, fingerprint);
+    }
+    if (outcome.kind !== "lost" || !outcome.isDisconnect) return;
+    quarantine.losses.record(endpoint, [{ requestId, fingerprint, ageMs }]);
   }
 
   #runAttempt(
@@ -221,6 +229,7 @@
       isStream: route.kind === serving.ROUTE_KIND.stream,
       cutter: this.#cutter,
       handleSent: () => this.#watchInputs(),
+      handleAlive: () => this.#parts.quarantine.recordAnswer(endpoint),
       handleFirstEvent: () => {
         handleFirstEvent();
         this.#options.handleInputsRead();
@@ -371,7 +380,7 @@
   }
 
   /** The final answer when no endpoint will give one. */
-  #giveUp(message: string): ForwardResult {
+  #giveUp(message: string, refusal?: codes.Failure): ForwardResult {
     if (this.#request.writer.hasBegun) {
       return { kind: "brokenOff", reason: message };
     }
@@ -383,7 +392,7 @@
         this.#isRepeatable ? "STAGE_FAILED" : "OUTCOME_UNKNOWN",
         message,
       )
-      : codes.createFailure("STAGE_UNAVAILABLE", message, {
+      : refusal ?? codes.createFailure("STAGE_UNAVAILABLE", message, {
         retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS,
       });
     return { kind: "failure", failure };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,7 +10,6 @@
 import type { Address, ServiceId } from "@sardinestep/types";
 import { setTimeout as wait } from "node:timers/promises";
 import { EndpointBook } from "./endpoint_book.ts";
-import { EndpointLosses } from "./endpoint_losses.ts";
 import { EVENT } from "./events.ts";
 import { HttpPool } from "./http_pool.ts";
 import type { FlowParts } from "./flow_types.ts";
@@ -23,6 +22,7 @@
 import { readProcessorMs } from "./processor_time.ts";
 import type { ServingWire } from "./ports.ts";
 import { runRequest } from "./request_flow.ts";
+import { RequestQuarantine } from "./request_quarantine.ts";
 import { Rollouts } from "./rollouts.ts";
 import { SiteState } from "./site_state.ts";
 
@@ -71,7 +71,7 @@
   readonly pool = new HttpPool();
   readonly book: EndpointBook;
   readonly rollouts: Rollouts;
-  readonly #losses: EndpointLosses;
+  readonly #quarantine: RequestQuarantine;
   readonly #options: GatewayOptions;
   readonly #repeats: serving.RepeatBudget;
   #bounds: GatewayBounds;
@@ -111,12 +111,17 @@
       vmId,
       coldBound: bounds.cold,
     });
-    this.#losses = new EndpointLosses({ events, metrics: this.metrics });
+    this.#quarantine = new RequestQuarantine({
+      site: this.site,
+      events,
+      metrics: this.metrics,
+    });
     this.mesh = new PeerMesh({
       member: { vmId, zone, rpc: options.listen.rpc, cores },
       seeds: options.seeds,
       site: this.site,
       rollouts: this.rollouts,
+      quarantine: this.#quarantine,
       events,
       getPace: () => this.#pace,
       getLoads: () => this.#getLoads(),
@@ -234,7 +239,7 @@
       mesh: this.mesh,
       repeats: this.#repeats,
       rollouts: this.rollouts,
-      losses: this.#losses,
+      quarantine: this.#quarantine,
       router: this.#router,
       events,
       metrics: this.metrics,
@@ -287,7 +292,7 @@
       getPool: () => this.site.table?.services.get(service)?.pool,
       book: this.book,
       rollouts: this.rollouts,
-      losses: this.#losses,
+      quarantine: this.#quarantine,
       wire: this.#wire,
       events: this.#options.events,
       metrics: this.metrics,
@@ -326,6 +331,7 @@
     this.site.dropLapsed();
     this.rollouts.update();
     this.book.update();
+    this.#quarantine.update();
     if (this.isReady === this.#wasReady) return;
     this.#wasReady = this.isReady;
     if (!this.isReady) return;
@@ -356,6 +362,7 @@
       log_lines_dropped_total: this.#options.events.droppedTotal,
       members: this.site.members.length,
       facts_age_seconds: (now - this.site.seenAt) / 1_000,
+      quarantined_requests: this.site.quarantined.getHeld(Date.now()).size,
       reads_registry: Number(this.mesh.mayReadRegistry()),
     };
     for (const [name, value] of Object.entries(gauges)) {
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -14,6 +14,7 @@
   MEET_MS,
 } from "./leader_table.ts";
 import type { Rollouts } from "./rollouts.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { SiteState } from "./site_state.ts";
 
 /** How often views are exchanged with possible leaders, in milliseconds. */
@@ -53,6 +54,7 @@
   /** Load of a shard that this VM leads. */
   readonly getOwnLoad: LeaderTableOptions["getOwnLoad"];
   readonly rollouts: Rollouts;
+  readonly quarantine: RequestQuarantine;
 }
 
 /** Exchanges views with other VMs. */
@@ -146,7 +148,7 @@
   }
 
   #buildView(heard: readonly serving.HeardLoad[]): serving.MemberView {
-    const { member, site, getLoads, rollouts } = this.#options;
+    const { member, site, getLoads, rollouts, quarantine } = this.#options;
     const ageMs = performance.now() - site.seenAt;
     return {
       ...site.positions,
@@ -156,6 +158,7 @@
       loads: getLoads(),
       heard,
       rollouts: rollouts.getNews(),
+      crashes: quarantine.getNews(),
     };
   }
 
@@ -271,9 +274,10 @@
   }
 
   #recordView(view: serving.MemberView): void {
-    const { site, member, events, rollouts } = this.#options;
+    const { site, member, events, rollouts, quarantine } = this.#options;
     if (view.member.vmId === member.vmId) return;
     rollouts.mergeNews(view.rollouts ?? []);
+    quarantine.mergeNews(view.crashes ?? []);
     if (!view.isLeaving) site.updateMember(view.member);
     const before = this.#views.get(view.member.vmId);
     if (before?.view.isLeaving !== view.isLeaving) {
@@ -297,6 +301,7 @@
     const isOld = performance.now() - site.seenAt > getPace().staleMs;
     return view.operatorPosition > own.operatorPosition ||
       view.memberPosition > own.memberPosition ||
+      view.quarantinePosition > own.quarantinePosition ||
       (isOld && view.endpointPosition > own.endpointPosition);
   }
 
--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -14,10 +14,11 @@
 import {
   type CalledPiece,
   createLeaderGroup,
+  hasWaiting,
   type LeaderGroup,
 } from "./leader_group.ts";
-import type { EndpointLosses } from "./endpoint_losses.ts";
 import { GroupQueue } from "./group_queue.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 import { ResultReleases } from "./result_releases.ts";
 import type { Rollouts } from "./rollouts.ts";
 import { buildCallEnd } from "./version_evidence.ts";
@@ -54,7 +55,7 @@
   readonly getPool: () => serving.PoolSpec | undefined;
   readonly book: EndpointBook;
   readonly rollouts: Rollouts;
-  readonly losses: EndpointLosses;
+  readonly quarantine: RequestQuarantine;
   readonly wire: ServingWire;
   readonly events: logger.EventLog;
   readonly metrics: metrics.Metrics;
@@ -170,6 +171,7 @@
     clearTimeout(this.#pumpTimer);
     this.#pumpTimer = undefined;
     this.#groups.dropExpired();
+    this.#dropQuarantined();
     const pool = this.#options.getPool();
     if (pool === undefined || this.#groups.waiting.length === 0) return;
     const now = performance.now();
@@ -195,24 +197,53 @@
         freeBytes: this.#room.getFree(one.endpointId, pool, now),
       });
       const own = getRoom(rooms.find((one) => one.endpointId === id)!);
-      const plan = serving.planCall({
-        ranked,
-        pool,
-        room: { ...own, maxPieces: maxPieces ?? pool.batchSize },
-        others: rooms
-          .filter((one) => one.endpointId !== id && quick.has(one.endpointId))
-          .map(getRoom),
-        capacityBytes: serving.getCapacity(pool),
-        poolZones,
-        now,
-      });
-      this.#groups.addPromises(plan.promises);
-      if (plan.pieces.length > 0) {
+      const others = rooms
+        .filter((one) => one.endpointId !== id && quick.has(one.endpointId));
+      for (const callable of this.#planCompanies(ranked)) {
+        const plan = serving.planCall({
+          ranked: callable,
+          pool,
+          room: { ...own, maxPieces: maxPieces ?? pool.batchSize },
+          others: others.map(getRoom),
+          capacityBytes: serving.getCapacity(pool),
+          poolZones,
+          now,
+        });
+        this.#groups.addPromises(plan.promises);
+        if (plan.pieces.length === 0) continue;
         void this.#runCall(endpoint, pool, plan.pieces);
+        break;
       }
     }
   }
 
+  /**
+   * Groups that one call may carry together, what is tried first in front. A
+   * suspect is called alone: if it crashes the endpoint again, it takes nobody
+   * along and is proved to be the cause.
+   */
+  #planCompanies(ranked: readonly LeaderGroup[]): readonly LeaderGroup[][] {
+    const isSuspect = ({ group }: LeaderGroup) =>
+      this.#options.quarantine.isSuspect(group.fingerprint);
+    const waiting = ranked.filter((one) => !one.isOver && hasWaiting(one));
+    const suspects = waiting.filter(isSuspect).map((one) => [one]);
+    const others = waiting.filter((one) => !isSuspect(one));
+    const isSuspectFirst = suspects[0]?.[0] === waiting[0];
+    return isSuspectFirst ? [...suspects, others] : [others, ...suspects];
+  }
+
+  /** Ends groups of requests that were put into quarantine while they waited. */
+  #dropQuarantined(): void {
+    for (const queued of this.#groups.waiting) {
+      const { fingerprint } = queued.group;
+      if (this.#options.quarantine.check(fingerprint) === undefined) continue;
+      this.#groups.finish(queued, {
+        kind: "unavailable",
+        reason: serving.QUARANTINED,
+      });
+    }
+  }
+
   #getEndpoints(): serving.ServingEndpoint[] {
     const { book, service, shard } = this.#options;
     const usable = book.getCallable(service);
@@ -312,7 +343,7 @@
   #recordLoss({ endpoint, pieces, startedAt }: RunCall): void {
     const ageMs = performance.now() - startedAt;
     const groups = new Set(pieces.map(({ queued }) => queued.group));
-    this.#options.losses.record(
+    this.#options.quarantine.losses.record(
       endpoint,
       [...groups].map(({ requestId, fingerprint }) => ({
         requestId,
@@ -344,6 +375,11 @@
           bytes: called.queued.group.resultBytes,
           since: startedAt,
         };
+        const { fingerprint } = called.queued.group;
+        this.#options.quarantine.recordCompletion(
+          this.#options.service,
+          fingerprint,
+        );
         this.#room.keep(made, this.#options.getPool(), performance.now());
         this.#groups.recordMade(called, { handle, zone: endpoint.zone });
       })
--- a/packages/gateway/src/piece_leader_test.ts
+++ b/packages/gateway/src/piece_leader_test.ts
@@ -4,8 +4,8 @@
 import { expect } from "chai";
 import { setTimeout as wait } from "node:timers/promises";
 import type { EndpointBook } from "./endpoint_book.ts";
-import type { EndpointLosses } from "./endpoint_losses.ts";
 import { PieceLeader } from "./piece_leader.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { Rollouts } from "./rollouts.ts";
 import type { PieceAnswer, PieceCall, ServingWire } from "./ports.ts";
 
@@ -23,6 +23,8 @@
     [];
   readonly released: string[] = [];
   readonly givenUp: string[] = [];
+  /** Fingerprints of requests under which an endpoint may have crashed. */
+  readonly suspects = new Set<string>();
   ids = ["e1", "e2"];
   readonly leader: PieceLeader;
   #made = 0;
@@ -51,14 +53,18 @@
       recordSent: () => {},
       recordEnd: () => {},
     };
-    const losses: Partial<EndpointLosses> = { record: () => {} };
+    const quarantine: Partial<RequestQuarantine> = {
+      check: () => undefined,
+      isSuspect: (fingerprint) => this.suspects.has(fingerprint),
+      recordCompletion: () => {},
+    };
     this.leader = new PieceLeader({
       service: "roster",
       shard: "*",
       getPool: () => POOL,
       book: book as EndpointBook,
       rollouts: rollouts as Rollouts,
-      losses: losses as EndpointLosses,
+      quarantine: quarantine as RequestQuarantine,
       wire: wire as ServingWire,
       events: new logger.EventLog({
         process: "test",
@@ -195,4 +201,21 @@
     await bench.waitForCalls(3);
     bench.end(2);
   });
+
+  // An endpoint that crashes under one request takes the rest of the call along.
+  it("calls a suspect alone, and the others together", async () => {
+    bench.suspects.add("f-suspect");
+    for (const name of ["a", "suspect", "b"]) {
+      void bench.add({
+        requestId: name,
+        fingerprint: `f-${name}`,
+        pieces: 1,
+      });
+    }
+    await bench.waitForCalls(2);
+    const companies = bench.calls.map(({ call }) =>
+      call.pieces.map((one) => one.requestId).sort()
+    );
+    expect(companies).to.have.deep.members([["a", "b"], ["suspect"]]);
+  });
 });
--- a/packages/gateway/src/piece_router.ts
+++ b/packages/gateway/src/piece_router.ts
@@ -63,6 +63,7 @@
       outcome = await this.#runAt(leader, service, shard, group);
       const mayRetry = outcome.kind === "unavailable" &&
         outcome.reason !== serving.CANCELLED &&
+        outcome.reason !== serving.QUARANTINED &&
         performance.now() < group.giveUpAt;
       if (!mayRetry) return outcome;
       failed.add(leader.vmId);
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -74,6 +74,7 @@
   if (customer.kind === "unknownKey") {
     return fail("CREDENTIAL_INVALID", "The API key is missing or unknown");
   }
+  const customerId = serving.getCustomerId(customer);
   const session = serving.getSession(caller.prompt);
   const service = serving.pickService(route, session?.id ?? requestId);
   if (service === undefined) {
@@ -81,6 +82,12 @@
       retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS,
     });
   }
+  const fingerprint = quarantine.buildFingerprint({
+    ...arrived,
+    customer: customerId,
+  });
+  const refusal = parts.quarantine.check(fingerprint);
+  if (refusal !== undefined) return { failure: refusal };
   const leftMs = Math.min(
     caller.deadlineMs ?? route.timeoutMs,
     route.timeoutMs,
@@ -90,15 +97,11 @@
       retryAfterMs: STOP_RETRY_AFTER_MS,
     });
   }
-  const customerId = serving.getCustomerId(customer);
   return {
     request: {
       ...arrived,
       requestId,
-      fingerprint: quarantine.buildFingerprint({
-        ...arrived,
-        customer: customerId,
-      }),
+      fingerprint,
       table,
       route,
       service,
--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type * as logger from "@sardinestep/logger";
+import * as quarantine from "@sardinestep/quarantine";
 import * as serving from "@sardinestep/serving";
 import type { EndpointId, ServiceId, ZoneId } from "@sardinestep/types";
 import { EVENT, type FactsSource } from "./events.ts";
@@ -22,6 +23,8 @@
 export class SiteState {
   /** The operator's orders to roll versions out. */
   readonly orders: RolloutOrders;
+  /** Requests that are refused because they crash their endpoints. */
+  readonly quarantined = new quarantine.QuarantineList();
   readonly #events: logger.EventLog;
   readonly #endpoints = new serving.EndpointFacts();
   readonly #members = new Map<string, serving.ServingMember>();
@@ -34,6 +37,7 @@
   #operatorPosition = -1;
   #endpointPosition = -1;
   #memberPosition = -1;
+  #quarantinePosition = -1;
   #operatorSeenAt = -Infinity;
   #endpointSeenAt = -Infinity;
   #configuredAt = -Infinity;
@@ -66,12 +70,17 @@
     return this.#memberPosition;
   }
 
+  get quarantinePosition(): number {
+    return this.#quarantinePosition;
+  }
+
   /** How far each topic has been read. */
   get positions(): serving.FactPositions {
     return {
       operatorPosition: this.#operatorPosition,
       endpointPosition: this.#endpointPosition,
       memberPosition: this.#memberPosition,
+      quarantinePosition: this.#quarantinePosition,
     };
   }
 
@@ -130,6 +139,20 @@
     this.#memberPosition = Math.max(this.#memberPosition, position);
   }
 
+  /** Notes how far the records of the quarantine were read. */
+  setQuarantinePosition(position: number): void {
+    this.#quarantinePosition = Math.max(this.#quarantinePosition, position);
+  }
+
+  /** Takes over which request the registry keeps in quarantine. */
+  applyQuarantine(
+    entry: quarantine.QuarantineEntry,
+    source: FactsSource,
+  ): void {
+    if (!this.quarantined.applyStored(entry)) return;
+    this.#events.write(EVENT.requestQuarantined, { ...entry, source });
+  }
+
   /** Takes a zone out of service or back. */
   setZoneOut(zone: ZoneId, isOut: boolean, source: FactsSource): void {
     if (this.#zonesOut.has(zone) === isOut) return;
@@ -247,6 +270,9 @@
         ? this.#endpoints.getNewsSince(positions.endpointPosition, now)
         : undefined,
       members: isAhead("memberPosition") ? this.members : undefined,
+      quarantined: isAhead("quarantinePosition")
+        ? this.quarantined.getStored()
+        : undefined,
     };
   }
 
@@ -260,6 +286,7 @@
     if (news.operator !== undefined) this.#mergeOperator(news, seenAt);
     if (news.endpoints !== undefined) this.#mergeEndpoints(news, seenAt);
     if (news.members !== undefined) this.#mergeMembers(news);
+    if (news.quarantined !== undefined) this.#mergeQuarantined(news);
   }
 
   /** Notes that the facts were the registry's newest at a moment. */
@@ -285,6 +312,15 @@
     this.setMemberPosition(news.memberPosition);
   }
 
+  #mergeQuarantined(news: serving.SiteNews): void {
+    if (news.quarantinePosition <= this.#quarantinePosition) return;
+    const entries = news.quarantined!;
+    const kept = new Set(entries.map((one) => one.fingerprint));
+    this.quarantined.keepStored(kept);
+    for (const entry of entries) this.applyQuarantine(entry, "peer");
+    this.setQuarantinePosition(news.quarantinePosition);
+  }
+
   #mergeOperator(news: serving.SiteNews, seenAt: number): void {
     if (news.operatorPosition <= this.#operatorPosition) return;
     const { configuration, zonesOut, rolloutOrders } = news.operator!;
--- a/packages/gateway/src/site_state_test.ts
+++ b/packages/gateway/src/site_state_test.ts
@@ -22,6 +22,7 @@
     operatorPosition: 0,
     endpointPosition: 0,
     memberPosition: position,
+    quarantinePosition: 0,
     members: Array.from({ length: position }, (_, i) => ({
       vmId: `vm-${i}`,
       zone: "zone-a",
--- /dev/null
+++ b/packages/quarantine/src/crash_log_test.ts
@@ -0,0 +1,118 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { CrashLog, findPoison, getOpenSuspects } from "./mod.ts";
+
+const SETTLED_MS = 1_500;
+const NOBODY: ReadonlySet<string> = new Set();
+
+function recordCrash(
+  log: CrashLog,
+  id: string,
+  fingerprints: readonly string[],
+  at: number,
+): void {
+  const suspects = fingerprints.map((fingerprint) => ({
+    fingerprint,
+    runMs: 100,
+    isCleared: false,
+  }));
+  log.record({ id, service: "engine", at, suspects }, at);
+}
+
+function find(log: CrashLog, now: number): string[] {
+  const crashes = log.getSettled(now);
+  return findPoison({ crashes, known: NOBODY, onProbation: NOBODY })
+    .map((one) => one.fingerprint);
+}
+
+describe("CrashLog", () => {
+  it("finds a poison request of which each VM saw one crash", () => {
+    const logs = ["e1", "e2", "e3"].map((id, index) => {
+      const log = new CrashLog();
+      recordCrash(log, id, ["p", `beside-${index}`], 0);
+      return log;
+    });
+    const [first, ...others] = logs;
+    expect(find(first!, SETTLED_MS)).to.deep.equal([]);
+    for (const other of others) first!.merge(other.getNews(10)!, 20);
+    expect(find(first!, SETTLED_MS)).to.deep.equal(["p"]);
+  });
+
+  it("waits until the others have told what they know", () => {
+    const log = new CrashLog();
+    for (const id of ["e1", "e2", "e3"]) recordCrash(log, id, ["p"], 0);
+    expect(find(log, 500)).to.deep.equal([]);
+  });
+
+  // A lookup that all callers ask for is under way everywhere when a zone fails.
+  it("clears what was answered shortly before, here or on another VM", () => {
+    const [here, there] = [new CrashLog(), new CrashLog()];
+    there.recordCompletion("engine", "hot", 0);
+    for (const id of ["e1", "e2", "e3"]) recordCrash(here, id, ["hot"], 100);
+    there.merge(here.getNews(100)!, 200);
+    here.merge(there.getNews(300)!, 400);
+    expect(find(here, 100 + SETTLED_MS)).to.deep.equal([]);
+  });
+
+  it("clears what is answered later, and only at the same service", () => {
+    const log = new CrashLog();
+    for (const id of ["e1", "e2", "e3"]) recordCrash(log, id, ["p"], 0);
+    log.recordCompletion("archive", "p", 2_000);
+    expect(find(log, 2_000)).to.deep.equal(["p"]);
+    log.recordCompletion("engine", "p", 2_100);
+    expect(find(log, 2_200)).to.deep.equal([]);
+    expect(log.isSuspect("p")).to.equal(false);
+  });
+
+  // Connections are cut for many reasons; an endpoint that answers lives.
+  it("takes an endpoint that answers afterwards for alive", () => {
+    const log = new CrashLog();
+    for (const id of ["e1", "e2", "e3"]) recordCrash(log, id, ["p"], 0);
+    log.recordAnswer("e1", 10);
+    expect(log.getSettled(SETTLED_MS).filter((one) => one.isVoid))
+      .to.have.length(0);
+    log.recordAnswer("e1", 300);
+    expect(find(log, SETTLED_MS)).to.deep.equal([]);
+  });
+
+  it("tells a change for a while, then nothing", () => {
+    const log = new CrashLog();
+    recordCrash(log, "e1", ["p"], 0);
+    expect(log.getNews(1_000)).to.have.length(1);
+    expect(log.getNews(3_000)).to.equal(undefined);
+  });
+
+  it("forgets old crashes, and the oldest of very many", () => {
+    const log = new CrashLog();
+    for (let i = 0; i < 1_000; i++) recordCrash(log, `e${i}`, ["p"], i);
+    expect(log.getSettled(3_000).length).to.be.at.most(256);
+    expect(log.getSettled(3_600_000)).to.have.length(0);
+  });
+
+  it("comes to the same in whichever order news come", () => {
+    const news = ["a", "b", "c", "d"].map((name, index) => ({
+      id: `e${index % 2}`,
+      service: "engine",
+      ageMs: 0,
+      isVoid: index === 3,
+      suspects: [
+        { fingerprint: "p", runMs: 10 + index, isCleared: index === 2 },
+        { fingerprint: name, runMs: 5, isCleared: false },
+      ],
+    }));
+    const merge = (order: readonly typeof news[number][]) => {
+      const log = new CrashLog();
+      for (const one of order) log.merge([one], 0);
+      return log.getSettled(SETTLED_MS)
+        .map((one) => ({
+          ...one,
+          suspects: getOpenSuspects(one).map((each) => each.fingerprint).sort(),
+        }))
+        .sort((a, b) => a.id < b.id ? -1 : 1);
+    };
+    const shuffled = fc.shuffledSubarray(news, { minLength: news.length });
+    fc.assert(fc.property(shuffled, (order) => {
+      expect(merge(order)).to.deep.equal(merge(news));
+    }));
+  });
+});
--- a/packages/serving/src/messages.ts
+++ b/packages/serving/src/messages.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type * as quarantine from "@sardinestep/quarantine";
 import type * as rollout from "@sardinestep/rollout";
 import type { EndpointId, ServiceId, ZoneId } from "@sardinestep/types";
 import type { ShardId } from "./leaders.ts";
@@ -23,6 +24,8 @@
   readonly endpointPosition: number;
   /** Counts the members' writes; larger is newer. */
   readonly memberPosition: number;
+  /** Counts what VMs write of requests in quarantine; larger is newer. */
+  readonly quarantinePosition: number;
 }
 
 /** What the operator has written. */
@@ -57,6 +60,8 @@
   readonly endpoints?: EndpointNews;
   /** Set if it has read less of the members' writes. */
   readonly members?: readonly ServingMember[];
+  /** Set if it has read less of the requests in quarantine. */
+  readonly quarantined?: readonly quarantine.QuarantineEntry[];
 }
 
 /** Load of a part of a pool, as the VM that leads it tells it. */
@@ -85,6 +90,8 @@
   readonly heard: readonly HeardLoad[];
   /** Roll-outs that it knows of; undefined where there are none. */
   readonly rollouts?: readonly rollout.RolloutNews[];
+  /** Crashes of endpoints that it has learned of lately. */
+  readonly crashes?: readonly quarantine.CrashNews[];
 }
 
 /** What a VM answers to the view of another one. */
@@ -107,6 +114,9 @@
 /** Reason of a group whose request has ended. */
 export const CANCELLED = "cancelled";
 
+/** Reason of a group whose request crashes its endpoints. */
+export const QUARANTINED = "quarantined";
+
 /** How a group ended at its leader. */
 export type PieceOutcome =
   | { readonly kind: "made"; readonly results: readonly PieceResult[] }
--- a/packages/serving/src/registry_reader.ts
+++ b/packages/serving/src/registry_reader.ts
@@ -83,5 +83,6 @@
 export function isAhead(one: FactPositions, other: FactPositions): boolean {
   return one.operatorPosition > other.operatorPosition ||
     one.endpointPosition > other.endpointPosition ||
-    one.memberPosition > other.memberPosition;
+    one.memberPosition > other.memberPosition ||
+    one.quarantinePosition > other.quarantinePosition;
 }
--- a/packages/serving/src/registry_reader_test.ts
+++ b/packages/serving/src/registry_reader_test.ts
@@ -30,7 +30,12 @@
   });
 
   it("compares every topic", () => {
-    const own = { operatorPosition: 3, endpointPosition: 5, memberPosition: 1 };
+    const own = {
+      operatorPosition: 3,
+      endpointPosition: 5,
+      memberPosition: 1,
+      quarantinePosition: 1,
+    };
     expect(isAhead(own, own)).to.equal(false);
     expect(isAhead({ ...own, memberPosition: 2 }, own)).to.equal(true);
     expect(isAhead({ ...own, memberPosition: 0 }, own)).to.equal(false);
