A line tells when an endpoint names a rate limit, another one, or none any more

No line held the limit that an answer names, so the three hypotheses (nobody reads it, nine parts are too many, a restarted VM had forgotten it) could not be told apart by VM.

Change: the limit is read from answers to requests and streams and from calls of groups; endpoint_limited is written where it changes. Nothing heeds it yet.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -142,7 +142,7 @@
     this.#status = status;
     this.#headers = headers;
     this.#facts = wire.readAnswer(status, headers);
-    const { requestId, load, coldMs } = this.#facts;
+    const { requestId, load, coldMs, limitPerSecond } = this.#facts;
     const isForeign = requestId === undefined
       ? !this.#facts.isNotRun
       : requestId !== request.requestId;
@@ -150,6 +150,10 @@
       return this.#lose(`Answer of another request "${requestId}"`);
     }
     if (!this.#facts.isNotRun) this.#options.handleAlive();
+    // An answer without a limit lifts it; a refusal may lack one all the same.
+    if (!this.#facts.isNotRun || limitPerSecond !== undefined) {
+      book.recordLimit(endpoint, limitPerSecond);
+    }
     if (load !== undefined) book.recordLoad(endpoint, load);
     if (coldMs !== undefined) book.recordCold(endpoint, coldMs);
     if (isSuccess(status) && this.#facts.signature === undefined) {
--- a/packages/gateway/src/endpoint_book.ts
+++ b/packages/gateway/src/endpoint_book.ts
@@ -37,6 +37,7 @@
   readonly #options: EndpointBookOptions;
   readonly #runtimes = new Map<EndpointId, EndpointRuntime>();
   readonly #coldRate = new serving.ColdRate();
+  readonly #limits = new serving.EndpointLimits();
   #coldBound: serving.ColdBound;
 
   /** @param options Facts, log and bounds. */
@@ -154,6 +155,21 @@
     runtime.coldUntil = Math.max(runtime.coldUntil, until);
   }
 
+  /** Notes the rate limit that an endpoint's answer names, or that it has none. */
+  recordLimit(
+    endpoint: serving.ServingEndpoint,
+    perSecond: number | undefined,
+  ): void {
+    const { id, bornMs, service } = endpoint;
+    const limit = { endpointId: id, bornMs, perSecond };
+    if (!this.#limits.record(limit, performance.now())) return;
+    this.#options.events.write(EVENT.endpointLimited, {
+      endpointId: id,
+      service,
+      perSecond,
+    });
+  }
+
   /** Forgets endpoints that are gone and learns of starts. */
   update(): void {
     const listed = this.#options.site.getEndpoints();
@@ -161,6 +177,7 @@
     for (const [id, runtime] of this.#runtimes) {
       if (!ids.has(id) && runtime.inFlight <= 0) this.#runtimes.delete(id);
     }
+    this.#limits.keep(ids);
     for (const { endpoint, ageMs } of listed) {
       // Also without a restart: an endpoint may turn cold again at any moment.
       this.recordCold(endpoint, endpoint.coldMs - ageMs);
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -18,6 +18,7 @@
   endpointChanged: "endpoint_changed",
   endpointAvoided: "endpoint_avoided",
   endpointCold: "endpoint_cold",
+  endpointLimited: "endpoint_limited",
   endpointLost: "endpoint_lost",
   memberChanged: "member_changed",
   leaderChanged: "leader_changed",
--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -323,6 +323,7 @@
     match(result)
       .with({ kind: "done" }, (done) => {
         book.recordEvidence(endpoint, serving.EVIDENCE.good);
+        book.recordLimit(endpoint, done.limitPerSecond);
         pieces.forEach((called, index) => {
           const answer = done.pieces[index] ?? { kind: "failed" as const };
           this.#handlePiece(call, called, answer);
--- a/packages/gateway/src/piece_leader_test.ts
+++ b/packages/gateway/src/piece_leader_test.ts
@@ -48,6 +48,7 @@
       getCallable: () => this.ids.map(buildEndpoint),
       isAvoided: () => false,
       recordEvidence: () => {},
+      recordLimit: () => {},
     };
     const rollouts: Partial<Rollouts> = {
       recordSent: () => {},
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -44,6 +44,8 @@
   readonly load?: EndpointLoad;
   /** How long the endpoint is cold yet, in milliseconds. */
   readonly coldMs?: number;
+  /** Requests a second that the endpoint takes from all VMs; no limit if unset. */
+  readonly limitPerSecond?: number;
 }
 
 /** Load of an endpoint from all callers. */
@@ -73,7 +75,12 @@
 
 /** How a call ended. */
 export type PieceCallResult =
-  | { readonly kind: "done"; readonly pieces: readonly PieceAnswer[] }
+  | {
+    readonly kind: "done";
+    readonly pieces: readonly PieceAnswer[];
+    /** Calls a second that the endpoint takes; no limit if unset. */
+    readonly limitPerSecond?: number;
+  }
   /** It did not run; the endpoint is full or another one has its address. */
   | { readonly kind: "notRun"; readonly status: number }
   /** It may have run; what it made is lost. */
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./cold_rate.ts";
 export * from "./endpoint_facts.ts";
 export * from "./endpoint_health.ts";
+export * from "./endpoint_limits.ts";
 export * from "./leaders.ts";
 export * from "./messages.ts";
 export * from "./model.ts";
