All VMs together send no more to an endpoint than the rate limit that it names

Callers noticed nothing yet; an endpoint in need is one that falls next.

Change, for requests, streams and calls of groups: - The newest word of each run of an endpoint's process; an answer without a limit lifts it, unless the last word is less than a second old. VMs tell each other of changes at once, of all limits every two seconds, for those that start. - Each VM keeps to a part without asking: a whole number of requests in four seconds, and where there are fewer requests than VMs, only those that rank first by hash send. Small limits get a longer window, a limit of none one request in ten seconds, since only an answer tells its end. Where every endpoint of a service is limited, a request is refused at once with a time to come back, before its stages. - planVmPart and SendRate serve cold endpoints and rate limits (was ColdRate).

Ruled out: parts that sum up to too much (the arrivals did not fall at all), and forgetting at a restart (the breach came before it).

--- a/packages/gateway/src/endpoint_book.ts
+++ b/packages/gateway/src/endpoint_book.ts
@@ -36,7 +36,8 @@
 export class EndpointBook {
   readonly #options: EndpointBookOptions;
   readonly #runtimes = new Map<EndpointId, EndpointRuntime>();
-  readonly #coldRate = new serving.ColdRate();
+  readonly #coldRate = new serving.SendRate(serving.COLD_WINDOW_MS);
+  readonly #limitRate = new serving.SendRate(serving.MAX_LIMIT_WINDOW_MS);
   readonly #limits = new serving.EndpointLimits();
   #coldBound: serving.ColdBound;
 
@@ -73,7 +74,7 @@
     return sides.flatMap((side) => this.getUsable(service, side));
   }
 
-  /** Candidates for a request; cold endpoints only within this VM's part. */
+  /** Candidates for a request; cold and limited ones within this VM's part. */
   getCandidates(
     service: serving.ServiceSpec | undefined,
     name: ServiceId,
@@ -81,10 +82,38 @@
   ): serving.PlacementCandidate[] {
     const now = performance.now();
     return this.getUsable(name, side)
-      .filter((endpoint) => this.#mayWarm(endpoint, service, now))
+      .filter((endpoint) =>
+        this.#mayWarm(endpoint, service, now) &&
+        this.#getLimitWaitMs(endpoint, now) === 0
+      )
       .map((endpoint) => this.#buildCandidate(endpoint, now));
   }
 
+  /**
+   * Time until a rate limit lets this VM send to some endpoint of a service, in
+   * milliseconds; infinite where only other VMs may.
+   */
+  getLimitWaitMs(service: ServiceId): number {
+    const now = performance.now();
+    const waits = this.getUsable(service)
+      .map((endpoint) => this.#getLimitWaitMs(endpoint, now));
+    return waits.length === 0 ? 0 : Math.min(...waits);
+  }
+
+  /** Whether an endpoint's rate limit leaves room for a call of pieces. */
+  mayCall(endpoint: serving.ServingEndpoint, now: number): boolean {
+    const perSecond = this.#limits.get(endpoint);
+    if (perSecond === undefined) return true;
+    const part = serving.planLeaderPart(perSecond);
+    return this.#limitRate.mayRecord(endpoint.id, now, part);
+  }
+
+  /** Notes that a call of pieces goes to an endpoint. */
+  recordCall(endpoint: serving.ServingEndpoint): void {
+    if (this.#limits.get(endpoint) === undefined) return;
+    this.#limitRate.record(endpoint.id, performance.now());
+  }
+
   /** Finds an endpoint that isn't gone. */
   find(id: EndpointId): serving.ServingEndpoint | undefined {
     return this.#options.site.findEndpoint(id);
@@ -99,6 +128,7 @@
   recordStart(endpoint: serving.ServingEndpoint): void {
     const runtime = this.#getRuntime(endpoint);
     runtime.inFlight += 1;
+    this.recordCall(endpoint);
     if (runtime.coldUntil > performance.now()) {
       this.#coldRate.record(endpoint.id, performance.now());
     }
@@ -160,13 +190,38 @@
     endpoint: serving.ServingEndpoint,
     perSecond: number | undefined,
   ): void {
-    const { id, bornMs, service } = endpoint;
+    const { id, bornMs } = endpoint;
     const limit = { endpointId: id, bornMs, perSecond };
-    if (!this.#limits.record(limit, performance.now())) return;
+    this.#recordLimit(limit, performance.now(), "answer");
+  }
+
+  /** What other VMs should hear of rate limits. */
+  getLimitNews(): readonly serving.LimitNews[] | undefined {
+    return this.#limits.getNews(performance.now());
+  }
+
+  /** Takes over what another VM heard of rate limits. */
+  mergeLimits(news: readonly serving.LimitNews[]): void {
+    const now = performance.now();
+    for (const { ageMs, ...limit } of news) {
+      this.#recordLimit(limit, now - ageMs, "peer");
+    }
+  }
+
+  #recordLimit(
+    limit: serving.EndpointLimit,
+    at: number,
+    source: "answer" | "peer",
+  ): void {
+    const { endpointId, perSecond } = limit;
+    const service = this.find(endpointId)?.service;
+    // Another VM may have read of an endpoint before this one.
+    if (service === undefined || !this.#limits.record(limit, at)) return;
     this.#options.events.write(EVENT.endpointLimited, {
-      endpointId: id,
+      endpointId,
       service,
       perSecond,
+      source,
     });
   }
 
@@ -178,6 +233,8 @@
       if (!ids.has(id) && runtime.inFlight <= 0) this.#runtimes.delete(id);
     }
     this.#limits.keep(ids);
+    this.#limitRate.keep(ids);
+    this.#coldRate.keep(ids);
     for (const { endpoint, ageMs } of listed) {
       // Also without a restart: an endpoint may turn cold again at any moment.
       this.recordCold(endpoint, endpoint.coldMs - ageMs);
@@ -213,7 +270,21 @@
       perSecond: service.coldPerSecond,
       bound: this.#coldBound,
     });
-    return this.#coldRate.mayRecord(endpoint.id, now, part);
+    const windowMs = serving.COLD_WINDOW_MS;
+    return this.#coldRate.mayRecord(endpoint.id, now, { part, windowMs });
+  }
+
+  #getLimitWaitMs(endpoint: serving.ServingEndpoint, now: number): number {
+    const perSecond = this.#limits.get(endpoint);
+    if (perSecond === undefined) return 0;
+    const { site, vmId } = this.#options;
+    const part = serving.planLimitPart({
+      endpointId: endpoint.id,
+      vmId,
+      members: site.members.map((member) => member.vmId),
+      perSecond,
+    });
+    return this.#limitRate.getWaitMs(endpoint.id, now, part);
   }
 
   #buildCandidate(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -122,6 +122,7 @@
       site: this.site,
       rollouts: this.rollouts,
       quarantine: this.#quarantine,
+      book: this.book,
       events,
       getPace: () => this.#pace,
       getLoads: () => this.#getLoads(),
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -14,6 +14,7 @@
   MEET_MS,
 } from "./leader_table.ts";
 import type { Rollouts } from "./rollouts.ts";
+import type { EndpointBook } from "./endpoint_book.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { SiteState } from "./site_state.ts";
 
@@ -55,6 +56,7 @@
   readonly getOwnLoad: LeaderTableOptions["getOwnLoad"];
   readonly rollouts: Rollouts;
   readonly quarantine: RequestQuarantine;
+  readonly book: EndpointBook;
 }
 
 /** Exchanges views with other VMs. */
@@ -148,7 +150,8 @@
   }
 
   #buildView(heard: readonly serving.HeardLoad[]): serving.MemberView {
-    const { member, site, getLoads, rollouts, quarantine } = this.#options;
+    const { member, site, getLoads, rollouts, quarantine, book } =
+      this.#options;
     const ageMs = performance.now() - site.seenAt;
     return {
       ...site.positions,
@@ -159,6 +162,7 @@
       heard,
       rollouts: rollouts.getNews(),
       crashes: quarantine.getNews(),
+      limits: book.getLimitNews(),
     };
   }
 
@@ -274,10 +278,11 @@
   }
 
   #recordView(view: serving.MemberView): void {
-    const { site, member, events, rollouts, quarantine } = this.#options;
+    const { site, member, events, rollouts, quarantine, book } = this.#options;
     if (view.member.vmId === member.vmId) return;
     rollouts.mergeNews(view.rollouts ?? []);
     quarantine.mergeNews(view.crashes ?? []);
+    book.mergeLimits(view.limits ?? []);
     if (!view.isLeaving) site.updateMember(view.member);
     const before = this.#views.get(view.member.vmId);
     if (before?.view.isLeaving !== view.isLeaving) {
--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -180,7 +180,13 @@
       .filter((one) => !this.#options.book.isAvoided(one.id, now));
     const ids = sound.map((one) => one.id);
     this.#groups.dropPromises(new Set(ids));
-    const free = this.#endpoints.getFree(ids, now);
+    const callable = sound.filter((one) =>
+      this.#options.book.mayCall(one, now)
+    );
+    const free = this.#endpoints.getFree(
+      callable.map((one) => one.id),
+      now,
+    );
     if (free.length === 0) return;
     const quick = new Set(this.#endpoints.getQuick(ids));
     const rooms = sound.map(({ id, zone }) => ({
@@ -199,9 +205,9 @@
       const own = getRoom(rooms.find((one) => one.endpointId === id)!);
       const others = rooms
         .filter((one) => one.endpointId !== id && quick.has(one.endpointId));
-      for (const callable of this.#planCompanies(ranked)) {
+      for (const company of this.#planCompanies(ranked)) {
         const plan = serving.planCall({
-          ranked: callable,
+          ranked: company,
           pool,
           room: { ...own, maxPieces: maxPieces ?? pool.batchSize },
           others: others.map(getRoom),
@@ -263,6 +269,7 @@
     this.#groups.takePieces(plan, endpoint);
     this.#endpoints.recordStart(endpoint.id);
     this.#options.rollouts.recordSent(endpoint, CALLS);
+    this.#options.book.recordCall(endpoint);
     const bytes = pieces.reduce(
       (sum, one) => sum + one.queued.group.resultBytes,
       0,
--- a/packages/gateway/src/piece_leader_test.ts
+++ b/packages/gateway/src/piece_leader_test.ts
@@ -49,6 +49,8 @@
       isAvoided: () => false,
       recordEvidence: () => {},
       recordLimit: () => {},
+      recordCall: () => {},
+      mayCall: () => true,
     };
     const rollouts: Partial<Rollouts> = {
       recordSent: () => {},
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -35,6 +35,8 @@
 const FIRST_EVENT_MS = 150;
 /** What callers wait before they ask a VM that has just started, in ms. */
 const START_RETRY_AFTER_MS = 1_000;
+/** Within it another VM may send to an endpoint with a rate limit, in ms. */
+const LIMITED_RETRY_AFTER_MS = 1_000;
 /** Another VM serves at once; the caller opens a new connection to it, in ms. */
 const STOP_RETRY_AFTER_MS = 50;
 
@@ -180,6 +182,21 @@
   });
 }
 
+/** Refuses what no endpoint will take from this VM when its stages are done. */
+function checkRateLimit(
+  { book }: FlowParts,
+  { service }: RoutedRequest,
+  stagesMs: number,
+): codes.Failure | undefined {
+  const waitMs = book.getLimitWaitMs(service);
+  if (waitMs <= stagesMs) return undefined;
+  return codes.createFailure(
+    "QUEUE_FULL",
+    `Every endpoint of "${service}" is at the rate limit that it names`,
+    { retryAfterMs: Math.min(waitMs, LIMITED_RETRY_AFTER_MS) },
+  );
+}
+
 function checkAdmission(
   parts: FlowParts,
   request: RoutedRequest,
@@ -190,6 +207,8 @@
   const loads = getLoads(parts, services, (one) => run.getShard(one));
   const getWaitMs = buildWaits(request, loads);
   const stagesMs = run.getExpectedMs();
+  const limited = checkRateLimit(parts, request, stagesMs);
+  if (limited !== undefined) return limited;
   const decision = serving.decideAdmission({
     stagesMs,
     waitMs: run.getExpectedMs(getWaitMs) - stagesMs,
--- /dev/null
+++ b/packages/serving/src/endpoint_limits_test.ts
@@ -0,0 +1,61 @@
+import { expect } from "chai";
+import { EndpointLimits } from "./endpoint_limits.ts";
+import type { ServingEndpoint } from "./model.ts";
+
+const ENDPOINT: ServingEndpoint = {
+  id: "e1",
+  service: "desk",
+  address: "a:1",
+  zone: "zone-a",
+  slots: 1,
+  isDraining: false,
+  coldMs: 0,
+  bornMs: 7,
+};
+const LIMIT = { endpointId: "e1", bornMs: 7, perSecond: 2 };
+const LIFTED = { ...LIMIT, perSecond: undefined };
+
+describe("EndpointLimits", () => {
+  it("keeps the newest word, whoever heard it", () => {
+    const limits = new EndpointLimits();
+    expect(limits.record(LIMIT, 1_000)).to.equal(true);
+    expect(limits.record(LIMIT, 1_500)).to.equal(false);
+    expect(limits.record({ ...LIMIT, perSecond: 9 }, 1_200)).to.equal(false);
+    expect(limits.get(ENDPOINT)).to.equal(2);
+    expect(limits.record(LIFTED, 3_000)).to.equal(true);
+    expect(limits.get(ENDPOINT)).to.equal(undefined);
+  });
+
+  // Answers of streams that began before the need come without a limit.
+  it("isn't lifted by an answer that comes just after its last word", () => {
+    const limits = new EndpointLimits();
+    limits.record(LIMIT, 1_000);
+    expect(limits.record(LIFTED, 1_100)).to.equal(false);
+    expect(limits.get(ENDPOINT)).to.equal(2);
+  });
+
+  it("holds for no other run of the endpoint's process", () => {
+    const limits = new EndpointLimits();
+    limits.record(LIMIT, 0);
+    expect(limits.get({ ...ENDPOINT, bornMs: 8 })).to.equal(undefined);
+  });
+
+  it("tells changes at once, and all limits now and then", () => {
+    const limits = new EndpointLimits();
+    expect(limits.getNews(0)).to.equal(undefined);
+    limits.record(LIMIT, 0);
+    expect(limits.getNews(100)).to.deep.equal([{ ...LIMIT, ageMs: 100 }]);
+    expect(limits.getNews(1_900)).to.equal(undefined);
+    expect(limits.getNews(2_200)).to.have.length(1);
+    limits.record(LIFTED, 5_000);
+    expect(limits.getNews(5_100)).to.deep.equal([{ ...LIFTED, ageMs: 100 }]);
+    expect(limits.getNews(9_000)).to.equal(undefined);
+  });
+
+  it("forgets endpoints that are gone", () => {
+    const limits = new EndpointLimits();
+    limits.record(LIMIT, 0);
+    limits.keep(new Set(["e2"]));
+    expect(limits.get(ENDPOINT)).to.equal(undefined);
+  });
+});
--- a/packages/serving/src/limits_test.ts
+++ b/packages/serving/src/limits_test.ts
@@ -1,6 +1,8 @@
 import { expect } from "chai";
-import { ColdRate, planColdPart } from "./cold_rate.ts";
+import { COLD_WINDOW_MS, planColdPart } from "./cold_rate.ts";
+import { planLeaderPart, planLimitPart } from "./rate_limit.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
+import { SendRate } from "./vm_part.ts";
 
 describe("RepeatBudget", () => {
   const options = { ratio: 0.2, extra: 50, windowMs: 10_000 };
@@ -67,12 +69,81 @@
   });
 });
 
-describe("ColdRate", () => {
+describe("planLimitPart", () => {
+  const WINDOW_MS = 4_000;
+
+  /** Most requests in any window that so many VMs send, as many as they may. */
+  function countMost(count: number, perSecond: number): number {
+    const members = Array.from({ length: count }, (_, i) => `vm-${i}`);
+    const sent = members.flatMap((vmId) => {
+      const part = planLimitPart({
+        endpointId: "e1",
+        vmId,
+        members,
+        perSecond,
+      });
+      return sendAll(part);
+    });
+    return countInWindow(sent);
+  }
+
+  function sendAll(part: ReturnType<typeof planLimitPart>): number[] {
+    const rate = new SendRate(20_000);
+    const sent: number[] = [];
+    for (let now = 0; now < 30_000; now += 50) {
+      if (!rate.mayRecord("e1", now, part)) continue;
+      rate.record("e1", now);
+      sent.push(now);
+    }
+    return sent;
+  }
+
+  function countInWindow(sent: readonly number[]): number {
+    return Math.max(
+      ...sent.map((start) =>
+        sent.filter((at) => at >= start && at < start + WINDOW_MS).length
+      ),
+    );
+  }
+
+  // An endpoint in need names what it takes from all VMs together. Each of them
+  // that sends as much alone brings it down.
+  for (const count of [1, 3, 9, 71, 300]) {
+    for (const perSecond of [0, 0.1, 0.3, 1, 7.5, 60]) {
+      it(`keeps ${perSecond} a second with ${count} VMs`, () => {
+        const bound = Math.max(1, perSecond * WINDOW_MS / 1_000);
+        expect(countMost(count, perSecond)).to.be.within(1, bound);
+      });
+    }
+  }
+
+  // A pool has two leaders for a while when VMs disagree about who lives.
+  it("keeps the users' bound with two leaders of a pool", () => {
+    for (const perSecond of [0.1, 1, 7.5, 60]) {
+      const sent = sendAll(planLeaderPart(perSecond));
+      const bound = 1.5 * perSecond * WINDOW_MS / 1_000 + 5;
+      expect(countInWindow([...sent, ...sent])).to.be.at.most(bound);
+    }
+  });
+
+  it("tells how long it is until one more may be sent", () => {
+    const rate = new SendRate(10_000);
+    const part = { part: 2, windowMs: 1_000 };
+    rate.record("e1", 0);
+    expect(rate.getWaitMs("e1", 100, part)).to.equal(0);
+    rate.record("e1", 100);
+    expect(rate.getWaitMs("e1", 200, part)).to.equal(800);
+    expect(rate.getWaitMs("e1", 200, { ...part, part: 0 })).to.equal(Infinity);
+  });
+});
+
+describe("SendRate", () => {
   it("keeps a part within any second", () => {
-    const rate = new ColdRate();
+    const rate = new SendRate(COLD_WINDOW_MS);
+    const part = { part: 3, windowMs: COLD_WINDOW_MS };
     const sent: number[] = [];
     for (let now = 0; now < 5_000; now += 37) {
-      if (!rate.mayRecord("e1", now, 3)) continue;
+      if (!rate.mayRecord("e1", now, part)) continue;
       rate.record("e1", now);
       sent.push(now);
     }
--- a/packages/serving/src/messages.ts
+++ b/packages/serving/src/messages.ts
@@ -6,6 +6,7 @@
 import type * as quarantine from "@sardinestep/quarantine";
 import type * as rollout from "@sardinestep/rollout";
 import type { EndpointId, ServiceId, ZoneId } from "@sardinestep/types";
+import type { LimitNews } from "./endpoint_limits.ts";
 import type { ShardId } from "./leaders.ts";
 import type {
   ServingConfiguration,
@@ -90,6 +91,8 @@
   readonly heard: readonly HeardLoad[];
   /** Roll-outs that it knows of; undefined where there are none. */
   readonly rollouts?: readonly rollout.RolloutNews[];
+  /** Rate limits that endpoints have named or lifted. */
+  readonly limits?: readonly LimitNews[];
   /** Crashes of endpoints that it has learned of lately. */
   readonly crashes?: readonly quarantine.CrashNews[];
 }
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -9,6 +9,8 @@
 export * from "./endpoint_facts.ts";
 export * from "./endpoint_health.ts";
 export * from "./endpoint_limits.ts";
+export * from "./rate_limit.ts";
+export * from "./vm_part.ts";
 export * from "./leaders.ts";
 export * from "./messages.ts";
 export * from "./model.ts";
