Rate limits, isolation of suspects and outcomes of sends in modules of their own

From reading the change as a newcomer: endpoint_book.ts and piece_leader.ts had each taken a second matter on. RateLimits stands beside the book, planIsolation beside the groups, the meaning of a send's outcome beside the quarantine. A completion looks for its fingerprint among all suspects at once, not crash by crash. No behaviour changes.

Measured: path tests of poison requests and rate limits, leader, mutants, quarantine, limits: all passing.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -152,7 +152,7 @@
     if (!this.#facts.isNotRun) this.#options.handleAlive();
     // An answer without a limit lifts it; a refusal may lack one all the same.
     if (!this.#facts.isNotRun || limitPerSecond !== undefined) {
-      book.recordLimit(endpoint, limitPerSecond);
+      book.limits.recordAnswer(endpoint, limitPerSecond);
     }
     if (load !== undefined) book.recordLoad(endpoint, load);
     if (coldMs !== undefined) book.recordCold(endpoint, coldMs);
--- a/packages/gateway/src/endpoint_book.ts
+++ b/packages/gateway/src/endpoint_book.ts
@@ -9,6 +9,7 @@
 import type { EndpointId, ServiceId, ZoneId } from "@sardinestep/types";
 import { EVENT } from "./events.ts";
 import type { EndpointLoad } from "./ports.ts";
+import { RateLimits } from "./rate_limits.ts";
 import type { Rollouts } from "./rollouts.ts";
 import type { SiteState } from "./site_state.ts";
 
@@ -34,17 +35,18 @@
 
 /** Knows which endpoints may be sent to now. */
 export class EndpointBook {
+  /** Rate limits that endpoints name. */
+  readonly limits: RateLimits;
   readonly #options: EndpointBookOptions;
   readonly #runtimes = new Map<EndpointId, EndpointRuntime>();
   readonly #coldRate = new serving.SendRate(serving.COLD_WINDOW_MS);
-  readonly #limitRate = new serving.SendRate(serving.MAX_LIMIT_WINDOW_MS);
-  readonly #limits = new serving.EndpointLimits();
   #coldBound: serving.ColdBound;
 
   /** @param options Facts, log and bounds. */
   constructor(options: EndpointBookOptions) {
     this.#options = options;
     this.#coldBound = options.coldBound;
+    this.limits = new RateLimits(options);
   }
 
   /** Takes another bound of cold endpoints over. */
@@ -84,7 +86,7 @@
     return this.getUsable(name, side)
       .filter((endpoint) =>
         this.#mayWarm(endpoint, service, now) &&
-        this.#getLimitWaitMs(endpoint, now) === 0
+        this.limits.getWaitMs(endpoint, now) === 0
       )
       .map((endpoint) => this.#buildCandidate(endpoint, now));
   }
@@ -96,24 +98,10 @@
   getLimitWaitMs(service: ServiceId): number {
     const now = performance.now();
     const waits = this.getUsable(service)
-      .map((endpoint) => this.#getLimitWaitMs(endpoint, now));
+      .map((endpoint) => this.limits.getWaitMs(endpoint, now));
     return waits.length === 0 ? 0 : Math.min(...waits);
   }
 
-  /** Whether an endpoint's rate limit leaves room for a call of pieces. */
-  mayCall(endpoint: serving.ServingEndpoint, now: number): boolean {
-    const perSecond = this.#limits.get(endpoint);
-    if (perSecond === undefined) return true;
-    const part = serving.planLeaderPart(perSecond);
-    return this.#limitRate.mayRecord(endpoint.id, now, part);
-  }
-
-  /** Notes that a call of pieces goes to an endpoint. */
-  recordCall(endpoint: serving.ServingEndpoint): void {
-    if (this.#limits.get(endpoint) === undefined) return;
-    this.#limitRate.record(endpoint.id, performance.now());
-  }
-
   /** Finds an endpoint that isn't gone. */
   find(id: EndpointId): serving.ServingEndpoint | undefined {
     return this.#options.site.findEndpoint(id);
@@ -128,7 +116,7 @@
   recordStart(endpoint: serving.ServingEndpoint): void {
     const runtime = this.#getRuntime(endpoint);
     runtime.inFlight += 1;
-    this.recordCall(endpoint);
+    this.limits.recordSend(endpoint);
     if (runtime.coldUntil > performance.now()) {
       this.#coldRate.record(endpoint.id, performance.now());
     }
@@ -185,46 +173,6 @@
     runtime.coldUntil = Math.max(runtime.coldUntil, until);
   }
 
-  /** Notes the rate limit that an endpoint's answer names, or that it has none. */
-  recordLimit(
-    endpoint: serving.ServingEndpoint,
-    perSecond: number | undefined,
-  ): void {
-    const { id, bornMs } = endpoint;
-    const limit = { endpointId: id, bornMs, perSecond };
-    this.#recordLimit(limit, performance.now(), "answer");
-  }
-
-  /** What other VMs should hear of rate limits. */
-  getLimitNews(): readonly serving.LimitNews[] | undefined {
-    return this.#limits.getNews(performance.now());
-  }
-
-  /** Takes over what another VM heard of rate limits. */
-  mergeLimits(news: readonly serving.LimitNews[]): void {
-    const now = performance.now();
-    for (const { ageMs, ...limit } of news) {
-      this.#recordLimit(limit, now - ageMs, "peer");
-    }
-  }
-
-  #recordLimit(
-    limit: serving.EndpointLimit,
-    at: number,
-    source: "answer" | "peer",
-  ): void {
-    const { endpointId, perSecond } = limit;
-    const service = this.find(endpointId)?.service;
-    // Another VM may have read of an endpoint before this one.
-    if (service === undefined || !this.#limits.record(limit, at)) return;
-    this.#options.events.write(EVENT.endpointLimited, {
-      endpointId,
-      service,
-      perSecond,
-      source,
-    });
-  }
-
   /** Forgets endpoints that are gone and learns of starts. */
   update(): void {
     const listed = this.#options.site.getEndpoints();
@@ -232,8 +180,7 @@
     for (const [id, runtime] of this.#runtimes) {
       if (!ids.has(id) && runtime.inFlight <= 0) this.#runtimes.delete(id);
     }
-    this.#limits.keep(ids);
-    this.#limitRate.keep(ids);
+    this.limits.keep(ids);
     this.#coldRate.keep(ids);
     for (const { endpoint, ageMs } of listed) {
       // Also without a restart: an endpoint may turn cold again at any moment.
@@ -274,19 +221,6 @@
     return this.#coldRate.mayRecord(endpoint.id, now, { part, windowMs });
   }
 
-  #getLimitWaitMs(endpoint: serving.ServingEndpoint, now: number): number {
-    const perSecond = this.#limits.get(endpoint);
-    if (perSecond === undefined) return 0;
-    const { site, vmId } = this.#options;
-    const part = serving.planLimitPart({
-      endpointId: endpoint.id,
-      vmId,
-      members: site.members.map((member) => member.vmId),
-      perSecond,
-    });
-    return this.#limitRate.getWaitMs(endpoint.id, now, part);
-  }
-
   #buildCandidate(
     endpoint: serving.ServingEndpoint,
     now: number,
--- a/packages/gateway/src/endpoint_losses.ts
+++ b/packages/gateway/src/endpoint_losses.ts
@@ -17,7 +17,7 @@
   readonly ageMs: number;
 }
 
-/** What one crash of an endpoint took along. */
+/** Requests that were lost with one crash of an endpoint. */
 export interface EndpointLoss {
   readonly endpoint: serving.ServingEndpoint;
   readonly runs: readonly LostRun[];
@@ -35,7 +35,7 @@
 /** Connections of one crash break within it, in milliseconds. */
 const GATHER_MS = 50;
 
-/** Gathers what one crash of an endpoint takes along. */
+/** Gathers the requests that are lost with one crash of an endpoint. */
 export class EndpointLosses {
   readonly #options: EndpointLossesOptions;
   readonly #gathered = new Map<string, LostRun[]>();
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -177,25 +177,15 @@
       objectiveMs: route.objectiveMs,
     });
     rollouts.recordEnd(endpoint, route.name, end);
-    this.#recordOutcome(endpoint, outcome, performance.now() - startedAt);
+    const ageMs = performance.now() - startedAt;
+    this.#parts.quarantine.recordOutcome(endpoint, outcome, {
+      requestId: this.#request.requestId,
+      fingerprint: this.#request.fingerprint,
+      ageMs,
+    });
     return outcome;
   }
 
-  /** Notes what the outcome says of the request itself. */
-  #recordOutcome(
-    endpoint: serving.ServingEndpoint,
-    outcome: AttemptOutcome,
-    ageMs: number,
-  ): void {
-    const { requestId, fingerprint } = this.#request;
-    const { quarantine } = this.#parts;
-    if (outcome.kind === "answered" || outcome.kind === "streamed") {
-      return quarantine.recordCompletion(endpoint.service, fingerprint);
-    }
-    if (outcome.kind !== "lost" || !outcome.isDisconnect) return;
-    quarantine.losses.record(endpoint, [{ requestId, fingerprint, ageMs }]);
-  }
-
   #runAttempt(
     endpoint: serving.ServingEndpoint,
     handleFirstEvent: () => void,
--- a/packages/gateway/src/group_queue.ts
+++ b/packages/gateway/src/group_queue.ts
@@ -156,6 +156,17 @@
     }
   }
 
+  /** Ends the groups of requests that were put into quarantine meanwhile. */
+  dropQuarantined(isHeld: (fingerprint: string) => boolean): void {
+    for (const queued of this.#waiting) {
+      if (!isHeld(queued.group.fingerprint)) continue;
+      this.finish(queued, {
+        kind: "unavailable",
+        reason: serving.QUARANTINED,
+      });
+    }
+  }
+
   /** Ends a group that can't be made in time. */
   finishLate(queued: LeaderGroup): void {
     const waitedMs = Math.round(performance.now() - queued.queuedAt);
--- a/packages/gateway/src/leader_group.ts
+++ b/packages/gateway/src/leader_group.ts
@@ -46,6 +46,24 @@
     [...promised.values()].some((pieces) => pieces.length > 0);
 }
 
+/**
+ * Splits waiting groups into those that one call may carry together, what is
+ * tried first in front.
+ *
+ * A suspect is called alone: if it crashes the endpoint again, no other group is
+ * lost with it and the cause is proved.
+ */
+export function planIsolation(
+  ranked: readonly LeaderGroup[],
+  isSuspect: (queued: LeaderGroup) => boolean,
+): readonly (readonly LeaderGroup[])[] {
+  const waiting = ranked.filter((one) => !one.isOver && hasWaiting(one));
+  const suspects = waiting.filter(isSuspect).map((one) => [one]);
+  const others = waiting.filter((one) => !isSuspect(one));
+  const isSuspectFirst = suspects[0]?.[0] === waiting[0];
+  return isSuspectFirst ? [...suspects, others] : [others, ...suspects];
+}
+
 /** Takes pieces that a call carries out of those that wait. */
 export function removeWaiting(
   queued: LeaderGroup,
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -162,7 +162,7 @@
       heard,
       rollouts: rollouts.getNews(),
       crashes: quarantine.getNews(),
-      limits: book.getLimitNews(),
+      limits: book.limits.getNews(),
     };
   }
 
@@ -282,7 +282,7 @@
     if (view.member.vmId === member.vmId) return;
     rollouts.mergeNews(view.rollouts ?? []);
     quarantine.mergeNews(view.crashes ?? []);
-    book.mergeLimits(view.limits ?? []);
+    book.limits.mergeNews(view.limits ?? []);
     if (!view.isLeaving) site.updateMember(view.member);
     const before = this.#views.get(view.member.vmId);
     if (before?.view.isLeaving !== view.isLeaving) {
--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -14,8 +14,8 @@
 import {
   type CalledPiece,
   createLeaderGroup,
-  hasWaiting,
   type LeaderGroup,
+  planIsolation,
 } from "./leader_group.ts";
 import { GroupQueue } from "./group_queue.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
@@ -171,7 +171,9 @@
     clearTimeout(this.#pumpTimer);
     this.#pumpTimer = undefined;
     this.#groups.dropExpired();
-    this.#dropQuarantined();
+    this.#groups.dropQuarantined((fingerprint) =>
+      this.#options.quarantine.check(fingerprint) !== undefined
+    );
     const pool = this.#options.getPool();
     if (pool === undefined || this.#groups.waiting.length === 0) return;
     const now = performance.now();
@@ -181,7 +183,7 @@
     const ids = sound.map((one) => one.id);
     this.#groups.dropPromises(new Set(ids));
     const callable = sound.filter((one) =>
-      this.#options.book.mayCall(one, now)
+      this.#options.book.limits.mayCall(one, now)
     );
     const free = this.#endpoints.getFree(
       callable.map((one) => one.id),
@@ -205,9 +207,9 @@
       const own = getRoom(rooms.find((one) => one.endpointId === id)!);
       const others = rooms
         .filter((one) => one.endpointId !== id && quick.has(one.endpointId));
-      for (const company of this.#planCompanies(ranked)) {
+      for (const together of this.#planIsolation(ranked)) {
         const plan = serving.planCall({
-          ranked: company,
+          ranked: together,
           pool,
           room: { ...own, maxPieces: maxPieces ?? pool.batchSize },
           others: others.map(getRoom),
@@ -223,31 +225,12 @@
     }
   }
 
-  /**
-   * Groups that one call may carry together, what is tried first in front. A
-   * suspect is called alone: if it crashes the endpoint again, it takes nobody
-   * along and is proved to be the cause.
-   */
-  #planCompanies(ranked: readonly LeaderGroup[]): readonly LeaderGroup[][] {
-    const isSuspect = ({ group }: LeaderGroup) =>
-      this.#options.quarantine.isSuspect(group.fingerprint);
-    const waiting = ranked.filter((one) => !one.isOver && hasWaiting(one));
-    const suspects = waiting.filter(isSuspect).map((one) => [one]);
-    const others = waiting.filter((one) => !isSuspect(one));
-    const isSuspectFirst = suspects[0]?.[0] === waiting[0];
-    return isSuspectFirst ? [...suspects, others] : [others, ...suspects];
-  }
-
-  /** Ends groups of requests that were put into quarantine while they waited. */
-  #dropQuarantined(): void {
-    for (const queued of this.#groups.waiting) {
-      const { fingerprint } = queued.group;
-      if (this.#options.quarantine.check(fingerprint) === undefined) continue;
-      this.#groups.finish(queued, {
-        kind: "unavailable",
-        reason: serving.QUARANTINED,
-      });
-    }
+  #planIsolation(ranked: readonly LeaderGroup[]) {
+    const { quarantine } = this.#options;
+    return planIsolation(
+      ranked,
+      ({ group }) => quarantine.isSuspect(group.fingerprint),
+    );
   }
 
   #getEndpoints(): serving.ServingEndpoint[] {
@@ -269,7 +252,7 @@
     this.#groups.takePieces(plan, endpoint);
     this.#endpoints.recordStart(endpoint.id);
     this.#options.rollouts.recordSent(endpoint, CALLS);
-    this.#options.book.recordCall(endpoint);
+    this.#options.book.limits.recordSend(endpoint);
     const bytes = pieces.reduce(
       (sum, one) => sum + one.queued.group.resultBytes,
       0,
@@ -330,7 +313,7 @@
     match(result)
       .with({ kind: "done" }, (done) => {
         book.recordEvidence(endpoint, serving.EVIDENCE.good);
-        book.recordLimit(endpoint, done.limitPerSecond);
+        book.limits.recordAnswer(endpoint, done.limitPerSecond);
         pieces.forEach((called, index) => {
           const answer = done.pieces[index] ?? { kind: "failed" as const };
           this.#handlePiece(call, called, answer);
--- a/packages/gateway/src/piece_leader_test.ts
+++ b/packages/gateway/src/piece_leader_test.ts
@@ -5,6 +5,7 @@
 import { setTimeout as wait } from "node:timers/promises";
 import type { EndpointBook } from "./endpoint_book.ts";
 import { PieceLeader } from "./piece_leader.ts";
+import type { RateLimits } from "./rate_limits.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { Rollouts } from "./rollouts.ts";
 import type { PieceAnswer, PieceCall, ServingWire } from "./ports.ts";
@@ -44,13 +45,16 @@
       },
       getResultAddress: () => "a:1",
     };
+    const limits: Partial<RateLimits> = {
+      mayCall: () => true,
+      recordSend: () => {},
+      recordAnswer: () => {},
+    };
     const book: Partial<EndpointBook> = {
       getCallable: () => this.ids.map(buildEndpoint),
       isAvoided: () => false,
       recordEvidence: () => {},
-      recordLimit: () => {},
-      recordCall: () => {},
-      mayCall: () => true,
+      limits: limits as RateLimits,
     };
     const rollouts: Partial<Rollouts> = {
       recordSent: () => {},
--- a/packages/gateway/src/request_quarantine.ts
+++ b/packages/gateway/src/request_quarantine.ts
@@ -9,7 +9,13 @@
 import * as quarantine from "@sardinestep/quarantine";
 import type * as serving from "@sardinestep/serving";
 import type { ServiceId } from "@sardinestep/types";
-import { type EndpointLoss, EndpointLosses } from "./endpoint_losses.ts";
+import { match } from "ts-pattern";
+import type { AttemptOutcome } from "./attempt.ts";
+import {
+  type EndpointLoss,
+  EndpointLosses,
+  type LostRun,
+} from "./endpoint_losses.ts";
 import { EVENT } from "./events.ts";
 import type { SiteState } from "./site_state.ts";
 
@@ -20,7 +26,7 @@
   readonly metrics: metrics.Metrics;
 }
 
-/** Requests of one crash that a VM tells of: those that came last. */
+/** Requests of one crash that a VM reports: those that came last. */
 const MAX_TOLD = 16;
 
 /** Collects evidence from this VM's traffic and from others, and decides. */
@@ -59,6 +65,32 @@
     return this.#log.isSuspect(fingerprint);
   }
 
+  /** Notes what the end of a send says of its request. */
+  recordOutcome(
+    endpoint: serving.ServingEndpoint,
+    outcome: AttemptOutcome,
+    run: LostRun,
+  ): void {
+    match(outcome)
+      .with(
+        { kind: "answered" },
+        { kind: "streamed" },
+        () => this.recordCompletion(endpoint.service, run.fingerprint),
+      )
+      .with(
+        { kind: "lost", isDisconnect: true },
+        () => this.losses.record(endpoint, [run]),
+      )
+      .with(
+        { kind: "lost" },
+        { kind: "notRun" },
+        { kind: "notSent" },
+        { kind: "ended" },
+        () => {},
+      )
+      .exhaustive();
+  }
+
   /** Notes that an endpoint of a service brought a request to an end. */
   recordCompletion(
     service: ServiceId,
--- a/packages/quarantine/src/crash_log.ts
+++ b/packages/quarantine/src/crash_log.ts
@@ -1,6 +1,6 @@
 /**
- * Crashes of endpoints and the requests that each took along, as far as this VM
- * has seen or heard of them.
+ * Crashes of endpoints and the requests that were lost with each, as far as this
+ * VM has seen or heard of them.
  *
  * The load that this answers: a poison request comes again at any of many VMs, so
  * each sees one or two of its crashes. What VMs tell only grows (suspects, and
@@ -69,6 +69,8 @@
 export class CrashLog {
   readonly #crashes = new Map<string, KnownCrash>();
   readonly #completions = new Map<string, number>();
+  /** Fingerprints of all suspects; undefined after a change. */
+  #suspects: ReadonlySet<Fingerprint> | undefined;
   #version = 0;
 
   /** Changes with each change of the crashes. */
@@ -100,6 +102,7 @@
     if (this.#completions.size > MAX_COMPLETIONS) {
       this.#completions.delete(this.#completions.keys().next().value!);
     }
+    if (!this.isSuspect(fingerprint)) return;
     for (const { crash } of [...this.#crashes.values()]) {
       if (crash.service !== service) continue;
       this.#change({
@@ -122,9 +125,12 @@
 
   /** Whether a request was at an endpoint that crashed, and nothing clears it. */
   isSuspect(fingerprint: Fingerprint): boolean {
-    return [...this.#crashes.values()].some(({ crash }) =>
-      getOpenSuspects(crash).some((one) => one.fingerprint === fingerprint)
+    this.#suspects ??= new Set(
+      [...this.#crashes.values()]
+        .flatMap(({ crash }) => getOpenSuspects(crash))
+        .map((one) => one.fingerprint),
     );
+    return this.#suspects.has(fingerprint);
   }
 
   /** Crashes of which the other VMs have told what they know. */
@@ -170,17 +176,22 @@
     const before = this.#crashes.get(crash.id);
     if (before !== undefined && isSameEvidence(before.crash, crash)) return;
     this.#crashes.set(crash.id, { crash, changedAt: now });
-    this.#version += 1;
     if (this.#crashes.size > MAX_CRASHES) {
       this.#crashes.delete(this.#crashes.keys().next().value!);
     }
+    this.#handleChanged();
+  }
+
+  #handleChanged(): void {
+    this.#suspects = undefined;
+    this.#version += 1;
   }
 
   #dropOld(now: number): void {
     for (const [id, { crash }] of this.#crashes) {
       if (now - crash.at < KEEP_MS) continue;
       this.#crashes.delete(id);
-      this.#version += 1;
+      this.#handleChanged();
     }
   }
 }
--- a/packages/quarantine/src/verdict.ts
+++ b/packages/quarantine/src/verdict.ts
@@ -1,8 +1,8 @@
 /**
  * Which requests crash the endpoints that run them.
  *
- * The load that this answers: an engine runs dozens of requests at once, and each
- * of its crashes takes all of them along. The poison request is in every crash;
+ * The load that this answers: an engine runs dozens of requests at once, and all
+ * of them are lost with each of its crashes. The poison request is in every crash;
  * what ran beside it is in a few, each of which the poison explains.
  *
  * @module
