A stopped roll-out is told to the other VMs at once

Cause: the VM that decides reports as soon as it looks at its runs again; the others heard of the stop with the next round of exchanges, up to 250 ms later, and could send once more in between.

Change: a VM whose run turns to stopped, by its own verdict or by hearsay, exchanges views at once. Each does so once for an order.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -103,6 +103,7 @@
       vmId,
       zone,
       settings: bounds.rollout,
+      handleStopped: () => this.mesh.exchangeNow(),
     });
     this.book = new EndpointBook({
       site: this.site,
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -109,6 +109,12 @@
     this.#meetTimer = setInterval(() => this.#startExchange(), MEET_CHECK_MS);
   }
 
+  /** Exchanges views at once, for news that can't wait for the next round. */
+  exchangeNow(): void {
+    // Views that are being merged have to be complete before they are passed on.
+    setImmediate(() => this.#exchangeAll());
+  }
+
   /** Tells the others that this VM takes no new work. */
   setLeaving(): void {
     this.#isLeaving = true;
--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -19,6 +19,8 @@
   readonly vmId: string;
   readonly zone: ZoneId;
   readonly settings: rollout.RolloutSettings;
+  /** A version is stopped on this VM; the others should hear at once. */
+  readonly handleStopped: () => void;
 }
 
 /** Versions that serve a service without an order. */
@@ -186,6 +188,7 @@
     change();
     const { phase, order, tally } = run;
     if (phase.kind === before) return;
+    if (phase.kind === "stopped") this.#options.handleStopped();
     const now = performance.now();
     this.#options.events.write(EVENT.rolloutChanged, {
       service: order.service,
--- a/packages/gateway/src/rollouts_test.ts
+++ b/packages/gateway/src/rollouts_test.ts
@@ -17,6 +17,8 @@
   readonly lines: Record<string, unknown>[] = [];
   readonly site: SiteState;
   readonly rollouts: Rollouts;
+  /** How often the others should have heard of a stop at once. */
+  stops = 0;
 
   constructor(vmId = "vm-1") {
     const events = new logger.EventLog({
@@ -52,6 +54,7 @@
       vmId,
       zone: "zone-a",
       settings: rollout.DEFAULT_SETTINGS,
+      handleStopped: () => this.stops += 1,
     });
   }
 
@@ -135,6 +138,8 @@
       phase: "stopped",
       before: "canary",
     });
+    one.rollouts.mergeNews(news);
+    expect(one.stops).to.equal(1);
   });
 
   // Counters of an order that ended long ago travel with every exchange.
