--- a/packages/serving/src/rate_limit.ts
+++ b/packages/serving/src/rate_limit.ts
@@ -20,7 +20,7 @@
  * limit only with an answer.
  */
 const MIN_PER_SECOND = 0.1;
-/** Two leaders of a pool may call for a while; together they keep to 1.5. */
+/** Share of a limit that a leader uses, since two may call for a while. */
 const LEADER_SHARE = 0.75;
 const MS_PER_SECOND = 1_000;
 /** Longest window of any limit, in milliseconds. */
