Rate limits: notices that give results up count as calls

Looking for the cause of LIMIT elsewhere: a leader kept its calls of groups within an endpoint's limit, but each result that nobody reads any more was given up with a call of its own, beside the limit.

Change: the leader asks the limit before it gives results up and counts the call; handles wait and go together, which the endpoint bears best. Not so for a VM that finds no leader and gives results up itself.

--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -6,7 +6,7 @@
 import type * as logger from "@sardinestep/logger";
 import type * as metrics from "@sardinestep/metrics";
 import * as serving from "@sardinestep/serving";
-import type { EndpointId, ServiceId } from "@sardinestep/types";
+import type { Address, EndpointId, ServiceId } from "@sardinestep/types";
 import { match } from "ts-pattern";
 import { CallLog } from "./call_log.ts";
 import { type EndpointBook, getZones } from "./endpoint_book.ts";
@@ -88,9 +88,12 @@
   constructor(options: PieceLeaderOptions) {
     this.#options = options;
     this.#log = new CallLog(options);
-    this.#releases = new ResultReleases(options.wire, (handles) => {
-      this.#releaseRoom(handles);
-      if (this.#groups.waiting.length > 0) this.#pump();
+    this.#releases = new ResultReleases(options.wire, {
+      startCall: (address) => this.#startCall(address),
+      handleReleased: (handles) => {
+        this.#releaseRoom(handles);
+        if (this.#groups.waiting.length > 0) this.#pump();
+      },
     });
     this.#groups = new GroupQueue({
       room: this.#room,
@@ -225,6 +228,17 @@
     }
   }
 
+  /** A rate limit counts every call, also one that only gives results up. */
+  #startCall(address: Address): boolean {
+    const { limits } = this.#options.book;
+    const endpoint = this.#getEndpoints()
+      .find((one) => one.address === address);
+    if (endpoint === undefined) return true;
+    if (!limits.mayCall(endpoint, performance.now())) return false;
+    limits.recordSend(endpoint);
+    return true;
+  }
+
   #planIsolation(ranked: readonly LeaderGroup[]) {
     const { quarantine } = this.#options;
     return planIsolation(
--- a/packages/gateway/src/result_releases.ts
+++ b/packages/gateway/src/result_releases.ts
@@ -12,24 +12,31 @@
  */
 const GATHER_MS = 5;
 
+/** How often it is looked whether an endpoint takes a call again, in ms. */
+const LIMITED_MS = 100;
+
+/** What {@link ResultReleases} may ask and tell. */
+export interface ResultReleasesOptions {
+  /** Whether a call to an endpoint may start now; counts it if so. */
+  readonly startCall?: (address: Address) => boolean;
+  /**
+   * An endpoint has given its room back, or could not be told; it drops results by
+   * itself after a while then.
+   */
+  readonly handleReleased?: (handles: readonly string[]) => void;
+}
+
 /** Gathers handles by endpoint and releases them. */
 export class ResultReleases {
   readonly #wire: ServingWire;
-  readonly #handleReleased: (handles: readonly string[]) => void;
+  readonly #options: ResultReleasesOptions;
   readonly #pending = new Map<Address, string[]>();
   #timer: NodeJS.Timeout | undefined;
 
-  /**
-   * @param wire Speaks to the endpoints.
-   * @param handleReleased Called when an endpoint has given its room back, or
-   * could not be told; it drops results by itself after a while then.
-   */
-  constructor(
-    wire: ServingWire,
-    handleReleased: (handles: readonly string[]) => void = () => {},
-  ) {
+  /** @param wire Speaks to the endpoints. @param options When, and what then. */
+  constructor(wire: ServingWire, options: ResultReleasesOptions = {}) {
     this.#wire = wire;
-    this.#handleReleased = handleReleased;
+    this.#options = options;
   }
 
   /** Adds results that nobody will read. */
@@ -40,17 +47,23 @@
       own.push(handle);
       this.#pending.set(address, own);
     }
+    this.#planFlush(GATHER_MS);
+  }
+
+  #planFlush(inMs: number): void {
     if (this.#pending.size === 0) return;
-    this.#timer ??= setTimeout(() => this.#flush(), GATHER_MS);
+    this.#timer ??= setTimeout(() => this.#flush(), inMs).unref();
   }
 
   #flush(): void {
     this.#timer = undefined;
-    const pending = [...this.#pending];
-    this.#pending.clear();
-    for (const [address, handles] of pending) {
+    const { startCall, handleReleased } = this.#options;
+    for (const [address, handles] of [...this.#pending]) {
+      if (startCall?.(address) === false) continue;
+      this.#pending.delete(address);
       void this.#wire.releaseResults(address, handles)
-        .then(() => this.#handleReleased(handles));
+        .then(() => handleReleased?.(handles));
     }
+    this.#planFlush(LIMITED_MS);
   }
 }
