A time to come back is rounded up, never to zero

Cause: a rate limit frees a place in 3 ms, and the header was rounded to the nearest hundredth of a second. A caller that is told zero comes back at once and is refused again. The same held for every refusal with a time under 5 ms.

Change: formatRetryAfter rounds up. The check stays as it is. Without the change the value 3 gives 0.00 by construction.

--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -18,6 +18,7 @@
   "upgrade",
 ]);
 const MS_PER_SECOND = 1_000;
+const RETRY_AFTER_STEP_MS = 10;
 
 /** Gives an endpoint's headers without those of its connection. */
 export function buildCallerHeaders(
@@ -26,6 +27,20 @@
   return [...headers].filter(([name]) => !OWN_HEADERS.has(name));
 }
 
+/**
+ * Formats a time to come back in seconds, rounded up: whoever comes earlier is
+ * refused again.
+ *
+ * @example
+ * ```ts
+ * formatRetryAfter(1_241); // "1.25"
+ * ```
+ */
+export function formatRetryAfter(ms: number): string {
+  const steps = Math.max(1, Math.ceil(ms / RETRY_AFTER_STEP_MS));
+  return (steps * RETRY_AFTER_STEP_MS / MS_PER_SECOND).toFixed(2);
+}
+
 /** An endpoint's whole answer. */
 export interface WholeAnswer {
   readonly status: number;
@@ -71,8 +86,8 @@
     this.#response.setHeader("content-type", "application/json");
     this.#response.setHeader("content-length", Buffer.byteLength(body));
     if (failure.retryAfterMs !== undefined) {
-      const seconds = failure.retryAfterMs / MS_PER_SECOND;
-      this.#response.setHeader("retry-after", seconds.toFixed(2));
+      const retryAfter = formatRetryAfter(failure.retryAfterMs);
+      this.#response.setHeader("retry-after", retryAfter);
     }
     this.#response.writeHead(row.httpStatus);
     this.#response.end(body);
