--- a/packages/serving/src/limits_test.ts
+++ b/packages/serving/src/limits_test.ts
@@ -106,8 +106,7 @@
     );
   }
 
-  // An endpoint in need names what it takes from all VMs together. Each of them
-  // that sends as much alone brings it down.
+  // VMs that each send what an endpoint takes from all of them bring it down.
   for (const count of [1, 3, 9, 71, 300]) {
     for (const perSecond of [0, 0.1, 0.3, 1, 7.5, 60]) {
       it(`keeps ${perSecond} a second with ${count} VMs`, () => {
