Usable endpoints are picked in one place; a send's time is taken once

The filter 'neither leaving nor in a zone that is out' stood in endpoint_book.ts and again in rollouts.ts; both call SiteState.getUsableOf. forward.ts read the clock twice for the same time. planIsolation asks for suspects once a group, and not at all for a second list where there are none, which is nearly every call of a pool. No behaviour changes.

--- a/packages/gateway/src/endpoint_book.ts
+++ b/packages/gateway/src/endpoint_book.ts
@@ -63,10 +63,8 @@
     side: rollout.Side = rollout.SIDE.present,
   ): serving.ServingEndpoint[] {
     const { site, rollouts } = this.#options;
-    return site.getEndpointsOf(service).filter((one) =>
-      !one.isDraining && !site.isZoneOut(one.zone) &&
-      rollouts.mayUse(one, side)
-    );
+    return site.getUsableOf(service)
+      .filter((one) => rollouts.mayUse(one, side));
   }
 
   /** Endpoints that a call of pieces may go to now. */
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -171,17 +171,17 @@
     const outcome = await this.#runAttempt(endpoint, () => {
       firstEventMs ??= performance.now() - startedAt;
     });
+    const tookMs = performance.now() - startedAt;
     const end = buildSendEnd(outcome, {
       firstEventMs,
-      tookMs: performance.now() - startedAt,
+      tookMs,
       objectiveMs: route.objectiveMs,
     });
     rollouts.recordEnd(endpoint, route.name, end);
-    const ageMs = performance.now() - startedAt;
     this.#parts.quarantine.recordOutcome(endpoint, outcome, {
       requestId: this.#request.requestId,
       fingerprint: this.#request.fingerprint,
-      ageMs,
+      ageMs: tookMs,
     });
     return outcome;
   }
--- a/packages/gateway/src/leader_group.ts
+++ b/packages/gateway/src/leader_group.ts
@@ -58,10 +58,11 @@
   isSuspect: (queued: LeaderGroup) => boolean,
 ): readonly (readonly LeaderGroup[])[] {
   const waiting = ranked.filter((one) => !one.isOver && hasWaiting(one));
-  const suspects = waiting.filter(isSuspect).map((one) => [one]);
-  const others = waiting.filter((one) => !isSuspect(one));
-  const isSuspectFirst = suspects[0]?.[0] === waiting[0];
-  return isSuspectFirst ? [...suspects, others] : [others, ...suspects];
+  const suspects = waiting.filter(isSuspect);
+  if (suspects.length === 0) return [waiting];
+  const others = waiting.filter((one) => !suspects.includes(one));
+  const alone = suspects.map((one) => [one]);
+  return suspects[0] === waiting[0] ? [...alone, others] : [others, ...alone];
 }
 
 /** Takes pieces that a call carries out of those that wait. */
--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -166,8 +166,7 @@
 
   #updateRun(run: rollout.RolloutRun, now: number): void {
     const { site } = this.#options;
-    const usable = site.getEndpointsOf(run.order.service)
-      .filter((one) => !one.isDraining && !site.isZoneOut(one.zone));
+    const usable = site.getUsableOf(run.order.service);
     const isTarget = (one: serving.ServingEndpoint) =>
       one.version === run.order.target;
     this.#changeRun(run, () =>
--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -220,6 +220,12 @@
     return this.#endpoints.getOfService(service);
   }
 
+  /** Endpoints of a service that are neither leaving nor in a zone that is out. */
+  getUsableOf(service: ServiceId): readonly serving.ServingEndpoint[] {
+    return this.getEndpointsOf(service)
+      .filter((one) => !one.isDraining && !this.isZoneOut(one.zone));
+  }
+
   /** Finds an endpoint that isn't gone. */
   findEndpoint(id: EndpointId): serving.ServingEndpoint | undefined {
     return this.#endpoints.find(id);
