Read what endpoints state about themselves in one place, and log a shutdown

Every answer of an endpoint (request, stream, call of pieces, release of results) now passes its headers through readNotices and EndpointTracker.recordNotices. endpoint_leaving is logged once for each process of an endpoint. Nothing is decided by it yet.

Two answers that were not read before are read now: refused calls of pieces and releases of results (for rate limits too).

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -97,7 +97,7 @@
   #inactivityTimer: NodeJS.Timeout | undefined;
   #status = 0;
   #headers: ReadonlyMap<string, string> = new Map();
-  #answerMetadata: AnswerMetadata = { isNotRun: false };
+  #answerMetadata: AnswerMetadata = { isNotRun: false, notices: {} };
   #bodyChunks: Uint8Array[] = [];
   #bodyBytes = 0;
   #isStreaming = false;
@@ -145,21 +145,15 @@
     this.#status = status;
     this.#headers = headers;
     this.#answerMetadata = wire.readAnswer(status, headers);
-    const { requestId, load, coldMs, limitPerSecond } = this.#answerMetadata;
+    const { requestId, isNotRun, notices } = this.#answerMetadata;
     const isMismatch = requestId === undefined
-      ? !this.#answerMetadata.isNotRun
+      ? !isNotRun
       : requestId !== request.requestId;
     if (isMismatch) {
       return this.#fail(`Answer has wrong request id "${requestId}"`);
     }
-    if (!this.#answerMetadata.isNotRun) this.#options.handleAnswerStart();
-    // An answer without a rate limit removes a known one. A "not run" answer may
-    // omit the header although the limit still holds.
-    if (!this.#answerMetadata.isNotRun || limitPerSecond !== undefined) {
-      endpointTracker.limits.recordAnswer(endpoint, limitPerSecond);
-    }
-    if (load !== undefined) endpointTracker.recordLoad(endpoint, load);
-    if (coldMs !== undefined) endpointTracker.recordCold(endpoint, coldMs);
+    if (!isNotRun) this.#options.handleAnswerStart();
+    endpointTracker.recordNotices(endpoint, notices, { isNotRun });
     if (isSuccess(status) && this.#answerMetadata.signature === undefined) {
       return this.#fail("Successful answer has no signature");
     }
--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -6,9 +6,14 @@
 import type * as logger from "@sardinestep/logger";
 import * as rollout from "@sardinestep/rollout";
 import * as serving from "@sardinestep/serving";
-import type { EndpointId, ServiceId, ZoneId } from "@sardinestep/types";
+import type {
+  Address,
+  EndpointId,
+  ServiceId,
+  ZoneId,
+} from "@sardinestep/types";
 import { EVENT } from "./events.ts";
-import type { EndpointLoad } from "./ports.ts";
+import type { EndpointLoad, EndpointNotices } from "./ports.ts";
 import { RateLimits } from "./rate_limits.ts";
 import type { Rollouts } from "./rollouts.ts";
 import type { SiteState } from "./site_state.ts";
@@ -152,6 +157,39 @@
     });
   }
 
+  /**
+   * Records what an endpoint states about itself in an answer.
+   *
+   * @param endpoint The endpoint that answered.
+   * @param notices What it states.
+   * @param options Whether the answer says that the request did not run.
+   */
+  recordNotices(
+    endpoint: serving.ServingEndpoint,
+    notices: EndpointNotices,
+    { isNotRun }: { readonly isNotRun: boolean },
+  ): void {
+    const { load, coldMs, limitPerSecond, isLeaving } = notices;
+    // An answer without a rate limit removes a known one. A "not run" answer may
+    // omit the header although the limit still holds.
+    if (!isNotRun || limitPerSecond !== undefined) {
+      this.limits.recordAnswer(endpoint, limitPerSecond);
+    }
+    if (load !== undefined) this.recordLoad(endpoint, load);
+    if (coldMs !== undefined) this.recordCold(endpoint, coldMs);
+    if (isLeaving) {
+      const { id: endpointId, bornMs } = endpoint;
+      this.#options.site.recordLeaving({ endpointId, bornMs }, "answer");
+    }
+  }
+
+  /** The same for an endpoint that is known by its address only. */
+  recordNoticesOf(address: Address, notices: EndpointNotices): void {
+    const endpoint = this.#options.site.findEndpointByAddress(address);
+    if (endpoint === undefined) return;
+    this.recordNotices(endpoint, notices, { isNotRun: true });
+  }
+
   /** Records the load that an endpoint reported. */
   recordLoad(endpoint: serving.ServingEndpoint, load: EndpointLoad): void {
     const runtime = this.#getRuntime(endpoint);
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -19,6 +19,7 @@
   endpointAvoided: "endpoint_avoided",
   endpointCold: "endpoint_cold",
   endpointLimited: "endpoint_limited",
+  endpointLeaving: "endpoint_leaving",
   endpointLost: "endpoint_lost",
   memberChanged: "member_changed",
   leaderChanged: "leader_changed",
@@ -48,3 +49,5 @@
 
 /** Where an update of the cluster state came from, for the log. */
 export type UpdateSource = "registry" | "peer";
+/** How this VM learned what an endpoint states about itself, for the log. */
+export type NoticeSource = "answer" | "peer";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -134,6 +134,7 @@
     this.#router = new PieceRouter({
       vmId,
       mesh: this.mesh,
+      endpointTracker: this.endpointTracker,
       wire: this.#wire,
       events,
       getLeader: (service, shard) => this.#getLeader(service, shard),
--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -90,6 +90,8 @@
     this.#callLog = new CallLog(options);
     this.#releaser = new ResultReleaser(options.wire, {
       tryStartCall: (address) => this.#tryStartReleaseCall(address),
+      handleNotices: (address, notices) =>
+        options.endpointTracker.recordNoticesOf(address, notices),
       handleReleased: (handles) => {
         this.#freeResultSpace(handles);
         if (this.#groups.waiting.length > 0) this.#dispatchCalls();
@@ -341,10 +343,13 @@
   #handleResult(call: SentCall, result: PieceCallResult): void {
     const { endpointTracker } = this.#options;
     const { endpoint, pieces } = call;
+    if (result.notices !== undefined) {
+      const isNotRun = result.kind === "notRun";
+      endpointTracker.recordNotices(endpoint, result.notices, { isNotRun });
+    }
     match(result)
       .with({ kind: "done" }, (done) => {
         endpointTracker.recordEvidence(endpoint, serving.EVIDENCE.good);
-        endpointTracker.limits.recordAnswer(endpoint, done.limitPerSecond);
         pieces.forEach((called, index) => {
           const answer = done.pieces[index] ?? { kind: "failed" as const };
           this.#handlePieceAnswer(call, called, answer);
--- a/packages/gateway/src/piece_leader_test.ts
+++ b/packages/gateway/src/piece_leader_test.ts
@@ -41,7 +41,7 @@
         ),
       releaseResults: (_, handles) => {
         this.released.push(...handles);
-        return Promise.resolve();
+        return Promise.resolve(undefined);
       },
       getResultAddress: () => "a:1",
     };
--- a/packages/gateway/src/piece_router.ts
+++ b/packages/gateway/src/piece_router.ts
@@ -6,6 +6,7 @@
 import type * as logger from "@sardinestep/logger";
 import * as serving from "@sardinestep/serving";
 import type { ServiceId } from "@sardinestep/types";
+import type { EndpointTracker } from "./endpoint_tracker.ts";
 import type { PeerMesh } from "./peer_mesh.ts";
 import type { PieceLeader } from "./piece_leader.ts";
 import { ResultReleaser } from "./result_releaser.ts";
@@ -25,6 +26,7 @@
 export interface PieceRouterOptions {
   readonly vmId: string;
   readonly mesh: PeerMesh;
+  readonly endpointTracker: EndpointTracker;
   readonly wire: WireAdapter;
   readonly events: logger.EventLog;
   readonly getLeader: (
@@ -41,7 +43,10 @@
   /** @param options This VM, the other VMs and the leaders on this VM. */
   constructor(options: PieceRouterOptions) {
     this.#options = options;
-    this.#directReleaser = new ResultReleaser(options.wire);
+    this.#directReleaser = new ResultReleaser(options.wire, {
+      handleNotices: (address, notices) =>
+        options.endpointTracker.recordNoticesOf(address, notices),
+    });
   }
 
   /**
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -41,11 +41,18 @@
   readonly signature?: string;
   /** The endpoint states that the request did not run. */
   readonly isNotRun: boolean;
+  readonly notices: EndpointNotices;
+}
+
+/** What an endpoint states about itself in an answer of any kind. */
+export interface EndpointNotices {
   readonly load?: EndpointLoad;
   /** Remaining warm-up time of the endpoint, in milliseconds. */
   readonly coldMs?: number;
   /** Requests per second that the endpoint accepts from all VMs; unlimited if unset. */
   readonly limitPerSecond?: number;
+  /** It shuts down soon and accepts no further requests. */
+  readonly isLeaving?: boolean;
 }
 
 /** Load of an endpoint from all callers. */
@@ -75,21 +82,22 @@
 
 /** How a call ended. */
 export type PieceCallResult =
-  | {
-    readonly kind: "done";
-    readonly pieces: readonly PieceAnswer[];
-    /** Calls per second that the endpoint accepts; unlimited if unset. */
-    readonly limitPerSecond?: number;
+  & {
+    /** Set if an answer was received. */
+    readonly notices?: EndpointNotices;
   }
-  /** Did not run: the endpoint is full, or another one has its address now. */
-  | { readonly kind: "notRun"; readonly status: number }
-  /** May have run; its results are lost. */
-  | {
-    readonly kind: "broken";
-    readonly message: string;
-    /** The endpoint closed or reset the connection. */
-    readonly isDisconnect: boolean;
-  };
+  & (
+    | { readonly kind: "done"; readonly pieces: readonly PieceAnswer[] }
+    /** Did not run: the endpoint is full, or another one has its address now. */
+    | { readonly kind: "notRun"; readonly status: number }
+    /** May have run; its results are lost. */
+    | {
+      readonly kind: "broken";
+      readonly message: string;
+      /** The endpoint closed or reset the connection. */
+      readonly isDisconnect: boolean;
+    }
+  );
 
 /** A call of pieces: its endpoint, its pieces and its timeout. */
 export interface PieceCall {
@@ -115,8 +123,15 @@
   ): AnswerMetadata;
   /** Runs pieces at an endpoint. */
   runPieces(call: PieceCall): Promise<PieceCallResult>;
-  /** Releases results at the endpoint that keeps them. */
-  releaseResults(address: Address, handles: readonly string[]): Promise<void>;
+  /**
+   * Releases results at the endpoint that keeps them.
+   *
+   * @returns What its answer states; undefined if there was none.
+   */
+  releaseResults(
+    address: Address,
+    handles: readonly string[],
+  ): Promise<EndpointNotices | undefined>;
   /** Gives the address of the endpoint that keeps a result. */
   getResultAddress(handle: string): Address;
 }
--- a/packages/gateway/src/rate_limits.ts
+++ b/packages/gateway/src/rate_limits.ts
@@ -6,7 +6,7 @@
 import type * as logger from "@sardinestep/logger";
 import * as serving from "@sardinestep/serving";
 import type { EndpointId } from "@sardinestep/types";
-import { EVENT } from "./events.ts";
+import { EVENT, type NoticeSource } from "./events.ts";
 import type { SiteState } from "./site_state.ts";
 
 /** Options of {@link RateLimits}. */
@@ -89,7 +89,7 @@
   #record(
     limit: serving.EndpointLimit,
     at: number,
-    source: "answer" | "peer",
+    source: NoticeSource,
   ): void {
     const { endpointId, perSecond } = limit;
     const { site, events } = this.#options;
--- a/packages/gateway/src/result_releaser.ts
+++ b/packages/gateway/src/result_releaser.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Address } from "@sardinestep/types";
-import type { WireAdapter } from "./ports.ts";
+import type { EndpointNotices, WireAdapter } from "./ports.ts";
 
 /**
  * How long handles are collected, in milliseconds. Results of one call are released
@@ -25,6 +25,11 @@
    * drops the results by itself after a while.
    */
   readonly handleReleased?: (handles: readonly string[]) => void;
+  /** Called with what an endpoint states in its answer. */
+  readonly handleNotices?: (
+    address: Address,
+    notices: EndpointNotices,
+  ) => void;
 }
 
 /** Collects handles by endpoint and releases them in batches. */
@@ -58,13 +63,18 @@
 
   #flush(): void {
     this.#timer = undefined;
-    const { tryStartCall, handleReleased } = this.#options;
     for (const [address, handles] of [...this.#pending]) {
-      if (tryStartCall?.(address) === false) continue;
+      if (this.#options.tryStartCall?.(address) === false) continue;
       this.#pending.delete(address);
-      void this.#wire.releaseResults(address, handles)
-        .then(() => handleReleased?.(handles));
+      void this.#release(address, handles);
     }
     this.#scheduleFlush(RATE_LIMIT_RETRY_MS);
   }
+
+  async #release(address: Address, handles: readonly string[]): Promise<void> {
+    const { handleReleased, handleNotices } = this.#options;
+    const notices = await this.#wire.releaseResults(address, handles);
+    if (notices !== undefined) handleNotices?.(address, notices);
+    handleReleased?.(handles);
+  }
 }
--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -7,8 +7,13 @@
 import type * as logger from "@sardinestep/logger";
 import * as quarantine from "@sardinestep/quarantine";
 import * as serving from "@sardinestep/serving";
-import type { EndpointId, ServiceId, ZoneId } from "@sardinestep/types";
-import { EVENT, type UpdateSource } from "./events.ts";
+import type {
+  Address,
+  EndpointId,
+  ServiceId,
+  ZoneId,
+} from "@sardinestep/types";
+import { EVENT, type NoticeSource, type UpdateSource } from "./events.ts";
 import { RolloutOrders } from "./rollout_orders.ts";
 
 /** Endpoints of a zone that returns to service may be cold for this long. */
@@ -25,6 +30,8 @@
   readonly orders: RolloutOrders;
   /** Requests that are refused because they crash their endpoints. */
   readonly quarantined = new quarantine.QuarantineList();
+  /** Endpoints that announced their shutdown. */
+  readonly leaving = new serving.LeavingEndpoints();
   readonly #events: logger.EventLog;
   readonly #endpoints = new serving.EndpointDirectory();
   readonly #members = new Map<string, serving.ServingMember>();
@@ -215,6 +222,21 @@
     return this.#endpoints.getAll(performance.now());
   }
 
+  /** Records that an endpoint announced its shutdown. */
+  recordLeaving(
+    leaving: serving.LeavingEndpoint,
+    source: NoticeSource,
+  ): void {
+    if (!this.leaving.record(leaving)) return;
+    const { endpointId, bornMs } = leaving;
+    this.#events.write(EVENT.endpointLeaving, {
+      endpointId,
+      service: this.findEndpoint(endpointId)?.service,
+      bornMs,
+      source,
+    });
+  }
+
   /** Known endpoints of a service, including draining ones. */
   getServiceEndpoints(service: ServiceId): readonly serving.ServingEndpoint[] {
     return this.#endpoints.getOfService(service);
@@ -235,6 +257,13 @@
     return this.#endpoints.find(id);
   }
 
+  /** Finds a known endpoint by its address. */
+  findEndpointByAddress(address: Address): serving.ServingEndpoint | undefined {
+    return this.getEndpoints()
+      .map(({ endpoint }) => endpoint)
+      .find((endpoint) => endpoint.address === address);
+  }
+
   /** Drops endpoints whose records were lost and not renewed in time. */
   dropExpiredEndpoints(): void {
     for (const id of this.#endpoints.removeExpired(performance.now())) {
--- a/packages/serving/src/_fixtures.ts
+++ b/packages/serving/src/_fixtures.ts
@@ -1,5 +1,5 @@
 /** Values shared by the tests of this package. */
-import type { PoolSpec, Route, ServiceSpec } from "./model.ts";
+import type { PoolSpec, Route, ServiceSpec, ServingEndpoint } from "./model.ts";
 import type { PieceGroup, QueuedGroup } from "./piece_queue.ts";
 
 /** A pool whose calls cost 150 ms plus 10 ms for each of at most ten pieces. */
@@ -65,3 +65,20 @@
   const waiting = Array.from({ length: group.pieces }, (_, piece) => piece);
   return { group, queuedAt: 0, waiting, reserved: new Map() };
 }
+
+export function buildEndpoint(
+  id: string,
+  more: Partial<ServingEndpoint> = {},
+): ServingEndpoint {
+  return {
+    id,
+    service: "roster",
+    address: "10.0.0.1:1",
+    zone: "a",
+    slots: 1,
+    isDraining: false,
+    coldMs: 0,
+    bornMs: 1,
+    ...more,
+  };
+}
--- a/packages/serving/src/endpoint_directory_test.ts
+++ b/packages/serving/src/endpoint_directory_test.ts
@@ -1,23 +1,6 @@
 import { expect } from "chai";
+import { buildEndpoint } from "./_fixtures.ts";
 import { EndpointDirectory, EXPIRY_GRACE_MS } from "./endpoint_directory.ts";
-import type { ServingEndpoint } from "./model.ts";
-
-function buildEndpoint(
-  id: string,
-  more: Partial<ServingEndpoint> = {},
-): ServingEndpoint {
-  return {
-    id,
-    service: "roster",
-    address: "10.0.0.1:1",
-    zone: "a",
-    slots: 1,
-    isDraining: false,
-    coldMs: 0,
-    bornMs: 1,
-    ...more,
-  };
-}
 
 describe("endpoint updates between VMs", () => {
   const reader = new EndpointDirectory();
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -12,6 +12,7 @@
 export * from "./rate_limit.ts";
 export * from "./vm_share.ts";
 export * from "./leaders.ts";
+export * from "./leaving_endpoints.ts";
 export * from "./messages.ts";
 export * from "./model.ts";
 export * from "./piece_queue.ts";
