Send nothing to an endpoint that has announced its shutdown in an answer

Cause: draining endpoints were known from the registry alone, and the registry was away. What an endpoint says of itself in an answer was read for load, cold start and rate limit only. Class: state of an endpoint that binds a VM as soon as the VM has seen it, but is taken from one of its two sources.

Change: an announcement in any answer (request, stream, call of pieces, release, refusal) holds for the rest of the endpoint's process, on every VM: it is told to the others and to VMs that start. SiteState.getUsableServiceEndpoints is the one list that requests, retries, leaders of pools and roll-outs pick from, and leaves such endpoints out. A record of the registry doesn't reset it, a restart does. Gossip holds what EndpointLimits had of this and sends what exceeds one exchange in turn; it starved before.

--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -220,6 +220,7 @@
       if (!ids.has(id) && runtime.inFlight <= 0) this.#runtimes.delete(id);
     }
     this.limits.keep(ids);
+    this.#options.site.leaving.keep(ids, performance.now());
     this.#coldSends.keep(ids);
     for (const { endpoint, ageMs } of registered) {
       // Not only after a restart: an endpoint may become cold at any time.
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -104,8 +104,8 @@
   /** Starts the periodic exchange of views. */
   start(): void {
     this.#timer = setInterval(() => this.#exchangeAll(), EXCHANGE_INTERVAL_MS);
-    this.#exchangeAll();
     this.#startedAt = performance.now();
+    this.#exchangeAll();
     this.#discoveryTimer = setInterval(
       () => this.#startFirstExchange(),
       DISCOVERY_POLL_MS,
@@ -137,7 +137,10 @@
     if (this.#needsUpdate(view)) void this.#fetchUpdate(view.member.rpc);
     const isSameZone = view.member.zone === member.zone;
     return {
-      view: this.#buildView(isSameZone ? this.leaders.getDirectLoads() : []),
+      view: this.#buildView(
+        isSameZone ? this.leaders.getDirectLoads() : [],
+        view.isStarting,
+      ),
       news: site.getUpdateSince(view),
     };
   }
@@ -162,8 +165,18 @@
     );
   }
 
-  /** @param heard Loads of other zones' leaders that the view passes on. */
-  #buildView(heard: readonly serving.RelayedLoad[]): serving.MemberView {
+  get #isStarting(): boolean {
+    return performance.now() - this.#startedAt < STARTUP_DISCOVERY_MS;
+  }
+
+  /**
+   * @param heard Loads of other zones' leaders that the view passes on.
+   * @param isForStart Whether it goes to a VM that has just started.
+   */
+  #buildView(
+    heard: readonly serving.RelayedLoad[],
+    isForStart = false,
+  ): serving.MemberView {
     const { member, site, getLoads, rollouts, quarantine, endpointTracker } =
       this.#options;
     const ageMs = performance.now() - site.syncedAt;
@@ -178,7 +191,9 @@
       heard,
       rollouts: rollouts.getUpdates(),
       crashes: quarantine.getUpdates(),
-      limits: endpointTracker.limits.getUpdates(),
+      limits: endpointTracker.limits.getUpdates({ isForStart }),
+      leaving: site.leaving.getUpdates(performance.now(), { isForStart }),
+      isStarting: this.#isStarting ? true : undefined,
     };
   }
 
@@ -203,9 +218,7 @@
   #startFirstExchange(): void {
     const { site, member } = this.#options;
     const isAlone = site.members.every((known) => known.vmId === member.vmId);
-    const isStarting =
-      performance.now() - this.#startedAt < STARTUP_DISCOVERY_MS;
-    if (isAlone && isStarting) return;
+    if (isAlone && this.#isStarting) return;
     clearInterval(this.#discoveryTimer);
     if (!isAlone) this.#exchangeAll();
   }
@@ -307,6 +320,9 @@
     rollouts.mergeUpdates(view.rollouts ?? []);
     quarantine.mergeUpdates(view.crashes ?? []);
     endpointTracker.limits.mergeUpdates(view.limits ?? []);
+    for (const leaving of view.leaving ?? []) {
+      site.recordLeaving(leaving, "peer");
+    }
     if (!view.isLeaving) site.updateMember(view.member);
     const previous = this.#views.get(view.member.vmId);
     if (previous?.view.isLeaving !== view.isLeaving) {
--- a/packages/gateway/src/rate_limits.ts
+++ b/packages/gateway/src/rate_limits.ts
@@ -68,8 +68,10 @@
   }
 
   /** Returns updates for other VMs; undefined if there are none. */
-  getUpdates(): readonly serving.LimitUpdate[] | undefined {
-    return this.#limits.getUpdates(performance.now());
+  getUpdates(
+    options: serving.GossipOptions = {},
+  ): readonly serving.LimitUpdate[] | undefined {
+    return this.#limits.getUpdates(performance.now(), options);
   }
 
   /** Merges updates from another VM. */
--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -227,7 +227,7 @@
     leaving: serving.LeavingEndpoint,
     source: NoticeSource,
   ): void {
-    if (!this.leaving.record(leaving)) return;
+    if (!this.leaving.record(leaving, performance.now())) return;
     const { endpointId, bornMs } = leaving;
     this.#events.write(EVENT.endpointLeaving, {
       endpointId,
@@ -242,13 +242,14 @@
     return this.#endpoints.getOfService(service);
   }
 
-  /** Endpoints of a service that aren't draining and whose zone is in service. */
+  /** Endpoints of a service that aren't leaving and whose zone is in service. */
   getUsableServiceEndpoints(
     service: ServiceId,
   ): readonly serving.ServingEndpoint[] {
     return this.getServiceEndpoints(service)
       .filter((endpoint) =>
-        !endpoint.isDraining && !this.isZoneOut(endpoint.zone)
+        !endpoint.isDraining && !this.leaving.has(endpoint) &&
+        !this.isZoneOut(endpoint.zone)
       );
   }
 
--- a/packages/serving/src/endpoint_limits.ts
+++ b/packages/serving/src/endpoint_limits.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { EndpointId } from "@sardinestep/types";
+import { Gossip, type GossipOptions } from "./gossip.ts";
 import type { ServingEndpoint } from "./model.ts";
 
 /** Rate limit last announced by an endpoint. */
@@ -24,23 +25,15 @@
 interface KnownLimit extends EndpointLimit {
   /** Monotonic time of the answer. */
   readonly at: number;
-  /** Monotonic time of the last change. */
   readonly changedAt: number;
 }
 
 /** Time after the last announcement until an answer can lift a limit, in ms. */
 const LIFT_AFTER_MS = 1_000;
-/** How long a change is sent with each exchange, in milliseconds. */
-const SEND_CHANGE_MS = 1_500;
-/** Interval at which all limits are sent, for VMs that have just started, in ms. */
-const SEND_ALL_INTERVAL_MS = 2_000;
-/** Most limits of one exchange; the latest changes come first. */
-const MAX_SENT_LIMITS = 64;
-
 /** Latest rate limit of each endpoint. */
 export class EndpointLimits {
   readonly #limits = new Map<EndpointId, KnownLimit>();
-  #allSentAt = -Infinity;
+  readonly #gossip = new Gossip<KnownLimit>();
 
   /** Returns the limit of an endpoint; undefined if there is none. */
   get({ id, bornMs }: ServingEndpoint): number | undefined {
@@ -71,22 +64,15 @@
   }
 
   /** Returns the limits to send to other VMs; undefined if there are none. */
-  getUpdates(now: number): LimitUpdate[] | undefined {
-    if (this.#limits.size === 0) return undefined;
-    const isSendAllDue = now - this.#allSentAt >= SEND_ALL_INTERVAL_MS;
-    if (isSendAllDue) this.#allSentAt = now;
-    const sent = [...this.#limits.values()]
-      .filter(({ changedAt, perSecond }) =>
-        now - changedAt < SEND_CHANGE_MS ||
-        (isSendAllDue && perSecond !== undefined)
-      )
-      .sort((a, b) => b.changedAt - a.changedAt)
-      .slice(0, MAX_SENT_LIMITS)
-      .map(({ at, changedAt: _, ...limit }) => ({
-        ...limit,
-        ageMs: Math.round(now - at),
-      }));
-    return sent.length === 0 ? undefined : sent;
+  getUpdates(now: number, options?: GossipOptions): LimitUpdate[] | undefined {
+    return this.#gossip.pick([...this.#limits.values()], {
+      ...options,
+      now,
+      isCurrent: ({ perSecond }) => perSecond !== undefined,
+    })?.map(({ at, changedAt: _, ...limit }) => ({
+      ...limit,
+      ageMs: Math.round(now - at),
+    }));
   }
 
   /** Removes endpoints that are no longer registered. */
--- a/packages/serving/src/messages.ts
+++ b/packages/serving/src/messages.ts
@@ -7,6 +7,7 @@
 import type * as rollout from "@sardinestep/rollout";
 import type { EndpointId, ServiceId, ZoneId } from "@sardinestep/types";
 import type { LimitUpdate } from "./endpoint_limits.ts";
+import type { LeavingEndpoint } from "./leaving_endpoints.ts";
 import type { ShardId } from "./leaders.ts";
 import type {
   ServingConfiguration,
@@ -94,6 +95,10 @@
   readonly rollouts?: readonly rollout.RolloutUpdate[];
   /** Rate limits that endpoints announced or lifted. */
   readonly limits?: readonly LimitUpdate[];
+  /** Endpoints that announced their shutdown. */
+  readonly leaving?: readonly LeavingEndpoint[];
+  /** Whether it started recently and needs all that others know of endpoints. */
+  readonly isStarting?: boolean;
   /** Endpoint crashes that it learned of recently. */
   readonly crashes?: readonly quarantine.CrashUpdate[];
 }
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -11,6 +11,7 @@
 export * from "./endpoint_limits.ts";
 export * from "./rate_limit.ts";
 export * from "./vm_share.ts";
+export * from "./gossip.ts";
 export * from "./leaders.ts";
 export * from "./leaving_endpoints.ts";
 export * from "./messages.ts";
