--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -169,12 +169,13 @@
     notices: EndpointNotices,
     { isNotRun }: { readonly isNotRun: boolean },
   ): void {
-    const { load, coldMs, limitPerSecond, isLeaving } = notices;
+    const { load, coldMs, limitPerSecond, pauseMs, isLeaving } = notices;
     // An answer without a rate limit removes a known one. A "not run" answer may
     // omit the header although the limit still holds.
     if (!isNotRun || limitPerSecond !== undefined) {
       this.limits.recordAnswer(endpoint, limitPerSecond);
     }
+    if (pauseMs !== undefined) this.limits.recordPause(endpoint, pauseMs);
     if (load !== undefined) this.recordLoad(endpoint, load);
     if (coldMs !== undefined) this.recordCold(endpoint, coldMs);
     if (isLeaving) {
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -20,6 +20,7 @@
   endpointCold: "endpoint_cold",
   endpointLimited: "endpoint_limited",
   endpointLeaving: "endpoint_leaving",
+  endpointPaused: "endpoint_paused",
   endpointLost: "endpoint_lost",
   memberChanged: "member_changed",
   leaderChanged: "leader_changed",
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -51,6 +51,8 @@
   readonly coldMs?: number;
   /** Requests per second that the endpoint accepts from all VMs; unlimited if unset. */
   readonly limitPerSecond?: number;
+  /** Time in which it accepts no further requests from this VM, in milliseconds. */
+  readonly pauseMs?: number;
   /** It shuts down soon and accepts no further requests. */
   readonly isLeaving?: boolean;
 }
--- a/packages/gateway/src/rate_limits.ts
+++ b/packages/gateway/src/rate_limits.ts
@@ -20,6 +20,7 @@
 export class RateLimits {
   readonly #options: RateLimitsOptions;
   readonly #limits = new serving.EndpointLimits();
+  readonly #pauses = new serving.EndpointPauses();
   readonly #sends = new serving.SendRate(serving.MAX_LIMIT_WINDOW_MS);
 
   /** @param options Site state, log and this VM's id. */
@@ -67,6 +68,16 @@
     this.#record(limit, performance.now(), "answer");
   }
 
+  /** Records that an endpoint asked this VM for a pause. */
+  recordPause(endpoint: serving.ServingEndpoint, pauseMs: number): void {
+    if (!this.#pauses.record(endpoint, { pauseMs, now: performance.now() })) {
+      return;
+    }
+    const { id: endpointId, service } = endpoint;
+    const fields = { endpointId, service, pauseMs: Math.round(pauseMs) };
+    this.#options.events.write(EVENT.endpointPaused, fields);
+  }
+
   /** Returns updates for other VMs; undefined if there are none. */
   getUpdates(
     options: serving.GossipOptions = {},
@@ -85,6 +96,7 @@
   /** Removes all endpoints except the given ones. */
   keep(ids: ReadonlySet<EndpointId>): void {
     this.#limits.keep(ids);
+    this.#pauses.dropEnded(performance.now());
     this.#sends.keep(ids);
   }
 
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -9,6 +9,7 @@
 export * from "./endpoint_directory.ts";
 export * from "./endpoint_health.ts";
 export * from "./endpoint_limits.ts";
+export * from "./endpoint_pauses.ts";
 export * from "./rate_limit.ts";
 export * from "./vm_share.ts";
 export * from "./gossip.ts";
