Send nothing to an endpoint in the pause that it asked this VM for

Cause: a refusal led to the next endpoint for this one request; Retry-After was not read, so the next request was placed there again as soon as the load report of the refusal was 400 ms old. Class, as for DRAIN: what an endpoint states in an answer and binds the VM is not kept as state.

Change: RateLimits keeps the pauses, so that all that asks it heeds them: requests, streams, retries, calls of pieces, reservations, releases of results (also without a leader, which no limit bound before). A pause is for one VM and isn't told to others; a VM that starts is told by the first refusal. Where all endpoints of a pool are paused its load says for how long, so the door refuses at once with that time.

--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -81,7 +81,7 @@
 
   /**
    * Returns the candidates for a request. Cold and rate-limited endpoints are
-   * included within this VM's share of their rate.
+   * included within this VM's share of their rate, paused ones are not.
    */
   getCandidates(
     service: serving.ServiceSpec | undefined,
@@ -98,8 +98,8 @@
   }
 
   /**
-   * Returns the time until rate limits let this VM send to any endpoint of a
-   * service, in milliseconds; infinite where only other VMs may send.
+   * Returns the time until rate limits and pauses let this VM send to any endpoint
+   * of a service, in milliseconds; infinite where only other VMs may send.
    */
   getLimitWaitMs(service: ServiceId): number {
     const now = performance.now();
@@ -108,6 +108,24 @@
     return waits.length === 0 ? 0 : Math.min(...waits);
   }
 
+  /**
+   * Checks and counts a call that releases results: rate limits and pauses apply to
+   * every call.
+   *
+   * @param address Address of the endpoint; an unknown one has no limit.
+   * @param maySend Whether a limit leaves room for the call.
+   */
+  tryStartRelease(
+    address: Address,
+    maySend: (endpoint: serving.ServingEndpoint, now: number) => boolean,
+  ): boolean {
+    const endpoint = this.#options.site.findEndpointByAddress(address);
+    if (endpoint === undefined) return true;
+    if (!maySend(endpoint, performance.now())) return false;
+    this.limits.recordSend(endpoint);
+    return true;
+  }
+
   /** Finds an endpoint that is still registered. */
   find(id: EndpointId): serving.ServingEndpoint | undefined {
     return this.#options.site.findEndpoint(id);
--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -6,7 +6,7 @@
 import type * as logger from "@sardinestep/logger";
 import type * as metrics from "@sardinestep/metrics";
 import * as serving from "@sardinestep/serving";
-import type { Address, EndpointId, ServiceId } from "@sardinestep/types";
+import type { EndpointId, ServiceId } from "@sardinestep/types";
 import { match } from "ts-pattern";
 import { CallLog } from "./call_log.ts";
 import { type EndpointTracker, getZones } from "./endpoint_tracker.ts";
@@ -89,7 +89,12 @@
     this.#options = options;
     this.#callLog = new CallLog(options);
     this.#releaser = new ResultReleaser(options.wire, {
-      tryStartCall: (address) => this.#tryStartReleaseCall(address),
+      tryStartCall: (address) =>
+        options.endpointTracker.tryStartRelease(
+          address,
+          (endpoint, now) =>
+            options.endpointTracker.limits.mayCall(endpoint, now),
+        ),
       handleNotices: (address, notices) =>
         options.endpointTracker.recordNoticesOf(address, notices),
       handleReleased: (handles) => {
@@ -154,8 +159,15 @@
   #estimateLoad(now: number): serving.PoolLoad {
     const pool = this.#options.getPool();
     if (pool === undefined) return serving.UNKNOWN_LOAD;
+    const usable = this.#getEndpoints();
+    const callable = usable
+      .filter((endpoint) => this.#getPauseMs(endpoint, now) === 0);
+    const isPaused = usable.length > 0 && callable.length === 0;
+    const pausedMs = isPaused
+      ? Math.min(...usable.map((endpoint) => this.#getPauseMs(endpoint, now)))
+      : undefined;
     const ids = this.#endpoints.getFast(
-      this.#getEndpoints().map((endpoint) => endpoint.id),
+      (isPaused ? usable : callable).map(({ id }) => id),
     );
     const totalBytes = ids.length * serving.getCapacityBytes(pool);
     return serving.estimateLoad({
@@ -164,10 +176,15 @@
       endpoints: ids.length,
       freeBytes: ids.map((id) => this.#resultSpace.getFreeBytes(id, pool, now)),
       freedBytesPerMs: totalBytes / this.#resultSpace.getHoldMs(pool),
+      pausedMs,
       now,
     });
   }
 
+  #getPauseMs(endpoint: serving.ServingEndpoint, now: number): number {
+    return this.#options.endpointTracker.limits.getPauseMs(endpoint, now);
+  }
+
   #freeResultSpace(handles: readonly string[]): void {
     const pool = this.#options.getPool();
     const now = performance.now();
@@ -191,7 +208,8 @@
     const usable = this.#getEndpoints();
     const healthy = usable
       .filter((endpoint) =>
-        !this.#options.endpointTracker.isAvoided(endpoint.id, now)
+        !this.#options.endpointTracker.isAvoided(endpoint.id, now) &&
+        this.#getPauseMs(endpoint, now) === 0
       );
     const healthyIds = healthy.map((endpoint) => endpoint.id);
     this.#groups.cancelReservations(new Set(healthyIds));
@@ -247,17 +265,6 @@
     }
   }
 
-  /** Checks and counts a release call: a rate limit applies to every call. */
-  #tryStartReleaseCall(address: Address): boolean {
-    const { limits } = this.#options.endpointTracker;
-    const endpoint = this.#getEndpoints()
-      .find((candidate) => candidate.address === address);
-    if (endpoint === undefined) return true;
-    if (!limits.mayCall(endpoint, performance.now())) return false;
-    limits.recordSend(endpoint);
-    return true;
-  }
-
   #planIsolation(ranked: readonly ActiveGroup[]) {
     const { quarantine } = this.#options;
     return planIsolation(
--- a/packages/gateway/src/piece_leader_test.ts
+++ b/packages/gateway/src/piece_leader_test.ts
@@ -47,12 +47,15 @@
     };
     const limits: Partial<RateLimits> = {
       mayCall: () => true,
+      getPauseMs: () => 0,
       recordSend: () => {},
       recordAnswer: () => {},
     };
     const endpointTracker: Partial<EndpointTracker> = {
       getCallEndpoints: () => this.ids.map(buildEndpoint),
       isAvoided: () => false,
+      tryStartRelease: () => true,
+      recordNoticesOf: () => {},
       recordEvidence: () => {},
       limits: limits as RateLimits,
     };
--- a/packages/gateway/src/piece_router.ts
+++ b/packages/gateway/src/piece_router.ts
@@ -43,9 +43,16 @@
   /** @param options This VM, the other VMs and the leaders on this VM. */
   constructor(options: PieceRouterOptions) {
     this.#options = options;
+    const { endpointTracker } = options;
     this.#directReleaser = new ResultReleaser(options.wire, {
+      tryStartCall: (address) =>
+        endpointTracker.tryStartRelease(
+          address,
+          (endpoint, now) =>
+            endpointTracker.limits.getWaitMs(endpoint, now) === 0,
+        ),
       handleNotices: (address, notices) =>
-        options.endpointTracker.recordNoticesOf(address, notices),
+        endpointTracker.recordNoticesOf(address, notices),
     });
   }
 
--- a/packages/gateway/src/rate_limits.ts
+++ b/packages/gateway/src/rate_limits.ts
@@ -1,5 +1,5 @@
 /**
- * Rate limits that endpoints announce, and this VM's share of them.
+ * Rate limits that endpoints announce, this VM's share of them, and pauses.
  *
  * @module
  */
@@ -16,7 +16,10 @@
   readonly vmId: string;
 }
 
-/** Enforces rate limits that this VM or another VM received from endpoints. */
+/**
+ * Enforces rate limits that this VM or another VM received from endpoints, and the
+ * pauses that endpoints asked this VM for.
+ */
 export class RateLimits {
   readonly #options: RateLimitsOptions;
   readonly #limits = new serving.EndpointLimits();
@@ -28,13 +31,19 @@
     this.#options = options;
   }
 
+  /** Returns the time until the pause that an endpoint asked for ends, in ms. */
+  getPauseMs(endpoint: serving.ServingEndpoint, now: number): number {
+    return this.#pauses.getWaitMs(endpoint, now);
+  }
+
   /**
    * Returns the time until this VM may send a request to an endpoint, in
    * milliseconds; infinite where only other VMs may send.
    */
   getWaitMs(endpoint: serving.ServingEndpoint, now: number): number {
+    const pauseMs = this.getPauseMs(endpoint, now);
     const perSecond = this.#limits.get(endpoint);
-    if (perSecond === undefined) return 0;
+    if (perSecond === undefined) return pauseMs;
     const { site, vmId } = this.#options;
     const share = serving.planLimitShare({
       endpointId: endpoint.id,
@@ -42,11 +51,12 @@
       members: site.members.map((member) => member.vmId),
       perSecond,
     });
-    return this.#sends.getWaitMs(endpoint.id, now, share);
+    return Math.max(pauseMs, this.#sends.getWaitMs(endpoint.id, now, share));
   }
 
   /** Whether the leader of a pool may call an endpoint now. */
   mayCall(endpoint: serving.ServingEndpoint, now: number): boolean {
+    if (this.getPauseMs(endpoint, now) > 0) return false;
     const perSecond = this.#limits.get(endpoint);
     if (perSecond === undefined) return true;
     const share = serving.planLeaderShare(perSecond);
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -39,8 +39,8 @@
 /** Retry delay while this VM is still starting, in milliseconds. */
 const STARTING_RETRY_AFTER_MS = 1_000;
 /**
- * Longest retry delay when endpoints are at their rate limits, in milliseconds;
- * within it another VM may be allowed to send.
+ * Longest retry delay when endpoints are paused or at their rate limits, in
+ * milliseconds; another VM may be allowed to send earlier.
  */
 const MAX_RATE_LIMIT_RETRY_AFTER_MS = 1_000;
 /**
@@ -203,7 +203,7 @@
   });
 }
 
-/** Refuses a request if all endpoints stay rate limited while its stages run. */
+/** Refuses a request if all endpoints stay limited or paused while its stages run. */
 function checkRateLimit(
   { endpointTracker }: FlowDependencies,
   { service }: RoutedRequest,
@@ -213,7 +213,7 @@
   if (waitMs <= stagesMs) return undefined;
   return codes.createFailure(
     "QUEUE_FULL",
-    `Every endpoint of service "${service}" is at its rate limit`,
+    `Every endpoint of service "${service}" is paused or at its rate limit`,
     { retryAfterMs: Math.min(waitMs, MAX_RATE_LIMIT_RETRY_AFTER_MS) },
   );
 }
--- a/packages/serving/src/pool_load.ts
+++ b/packages/serving/src/pool_load.ts
@@ -43,6 +43,8 @@
   readonly freedBytesPerMs: number;
   /** One entry for each queued size, the smallest first. */
   readonly sizes: readonly SizeLoad[];
+  /** Set if every endpoint is paused: time until one accepts calls, in ms. */
+  readonly pausedMs?: number;
 }
 
 /** Load of a pool without a report. */
@@ -69,6 +71,8 @@
   /** Space that is neither used nor reserved at each endpoint in use, in bytes. */
   readonly freeBytes: readonly number[];
   readonly freedBytesPerMs: number;
+  /** Set if every endpoint is paused: time until one accepts calls, in ms. */
+  readonly pausedMs?: number;
   readonly now: number;
 }
 
@@ -86,12 +90,13 @@
  * ```
  */
 export function estimateLoad(options: EstimateLoadOptions): PoolLoad {
-  const { queue, endpoints, freedBytesPerMs } = options;
+  const { queue, endpoints, freedBytesPerMs, pausedMs } = options;
   const sizes = [...new Set(queue.map(({ group }) => group.resultBytes))]
     .sort((a, b) => a - b);
   return {
     endpoints,
     freedBytesPerMs,
+    ...(pausedMs === undefined ? {} : { pausedMs }),
     sizes: sizes.map((size) => estimateSize(size, options)),
   };
 }
@@ -104,6 +109,11 @@
  * @returns Milliseconds.
  */
 export function getExpectedWait(load: PoolLoad, demand: GroupDemand): number {
+  const waitMs = Math.max(getQueueWait(load, demand), load.pausedMs ?? 0);
+  return Math.min(MAX_WAIT_MS, waitMs);
+}
+
+function getQueueWait(load: PoolLoad, demand: GroupDemand): number {
   const size = load.sizes.findLast((entry) =>
     entry.resultBytes <= demand.resultBytes
   );
@@ -117,7 +127,7 @@
   const spaceWaitMs = freedPiecesPerMs > 0
     ? piecesOverSpace / freedPiecesPerMs
     : MAX_WAIT_MS;
-  return Math.min(MAX_WAIT_MS, Math.max(waitMs, spaceWaitMs));
+  return Math.max(waitMs, spaceWaitMs);
 }
 
 /** Whether more results of a size are queued than fit. */
