Order positions in the store by its epoch

Cause: the store came back from a copy; its offsets went back and were given out again. VMs kept the larger of the old and the new offset as their position. Reading VMs asked for offsets that the store didn't have (180 refused calls a second) and got along by listing; VMs that rely on a reader are sent an update only when a position grows, so they got nothing until the new offsets passed the old ones. If the store grew past the old end before the next read, records were skipped. Class: a number that orders events is trusted beyond the history that it belongs to.

Evidence: topic_listed in the failing test shows listings whose end lies below the position held before, on the reader only (hypothesis 1); no VM goes back (2); the readers of the other VMs are alive and current (3).

Change: a position is the store's epoch and an offset, compared in this order (types/registry_position). A rise of the epoch, read or told by a neighbour, lets missing records of endpoints wait for their return as after an outage. A roll-out's status is matched by offset, which a restored order keeps.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -13,6 +13,7 @@
   settingsReloaded: "settings_reloaded",
   dependencyLost: "dependency_lost",
   dependencyBack: "dependency_back",
+  registryRestored: "registry_restored",
   topicListed: "topic_listed",
   configurationApplied: "configuration_applied",
   zoneChanged: "zone_changed",
--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -7,11 +7,14 @@
 import type * as logger from "@sardinestep/logger";
 import * as quarantine from "@sardinestep/quarantine";
 import * as serving from "@sardinestep/serving";
-import type {
-  Address,
-  EndpointId,
-  ServiceId,
-  ZoneId,
+import {
+  type Address,
+  type EndpointId,
+  getEpoch,
+  NO_POSITION,
+  type RegistryPosition,
+  type ServiceId,
+  type ZoneId,
 } from "@sardinestep/types";
 import { EVENT, type NoticeSource, type UpdateSource } from "./events.ts";
 import { RolloutOrders } from "./rollout_orders.ts";
@@ -41,10 +44,12 @@
   #memberVersion = 0;
   #configuration: serving.ServingConfiguration | undefined;
   #table: serving.RouteTable | undefined;
-  #operatorPosition = -1;
-  #endpointPosition = -1;
-  #memberPosition = -1;
-  #quarantinePosition = -1;
+  #operatorPosition = NO_POSITION;
+  #endpointPosition = NO_POSITION;
+  #memberPosition = NO_POSITION;
+  #quarantinePosition = NO_POSITION;
+  /** Epoch of the newest position; it grows when the registry is restored. */
+  #epoch = getEpoch(NO_POSITION);
   #operatorSyncedAt = -Infinity;
   #endpointSyncedAt = -Infinity;
   #configuredAt = -Infinity;
@@ -91,6 +96,11 @@
     };
   }
 
+  /** Epoch of the newest state that this VM has; -1 if it has none. */
+  get epoch(): number {
+    return this.#epoch;
+  }
+
   /** Monotonic time at which the state was last in sync with the registry. */
   get syncedAt(): number {
     return Math.min(this.#operatorSyncedAt, this.#endpointSyncedAt);
@@ -211,6 +221,22 @@
     }
   }
 
+  /**
+   * Prepares for state of a position, before it is applied.
+   *
+   * If the registry was restored from a copy, records that are missing from it prove
+   * nothing until they are written again.
+   */
+  prepareFor(position: RegistryPosition, source: UpdateSource): void {
+    const epoch = getEpoch(position);
+    if (epoch <= this.#epoch) return;
+    const before = this.#epoch;
+    this.#epoch = epoch;
+    if (before === getEpoch(NO_POSITION)) return;
+    this.handleRegistryRecovery();
+    this.#events.write(EVENT.registryRestored, { epoch, before, source });
+  }
+
   /** Records that the registry is reachable again after an outage. */
   handleRegistryRecovery(): void {
     this.#endpoints.handleRegistryRecovery(performance.now());
@@ -323,6 +349,7 @@
    * @param syncedAt Monotonic time at which that was in sync with the registry.
    */
   mergeUpdate(update: serving.SiteUpdate, syncedAt: number): void {
+    this.prepareFor(getNewestPosition(update), "peer");
     if (update.operator !== undefined) this.#mergeOperator(update, syncedAt);
     if (update.endpoints !== undefined) this.#mergeEndpoints(update, syncedAt);
     if (update.members !== undefined) this.#mergeMembers(update);
@@ -408,3 +435,18 @@
     });
   }
 }
+
+function getNewestPosition(positions: serving.ReadPositions): RegistryPosition {
+  const {
+    operatorPosition,
+    endpointPosition,
+    memberPosition,
+    quarantinePosition,
+  } = positions;
+  return Math.max(
+    operatorPosition,
+    endpointPosition,
+    memberPosition,
+    quarantinePosition,
+  );
+}
--- a/packages/rollout/src/order.ts
+++ b/packages/rollout/src/order.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { ServiceId } from "@sardinestep/types";
+import { getOffset, type ServiceId } from "@sardinestep/types";
 
 /** An operator's order to roll a service out to another version. */
 export interface RolloutOrder {
@@ -48,7 +48,9 @@
   order: RolloutOrder,
 ): boolean {
   return status.service === order.service && status.target === order.target &&
-    (status.position === undefined || status.position === order.position);
+    (status.position === undefined ||
+      // A registry that is restored from a copy keeps the offsets of its records.
+      getOffset(status.position) === getOffset(order.position));
 }
 
 /** Returns the final state of a status; undefined while it is running. */
--- a/packages/types/src/mod.ts
+++ b/packages/types/src/mod.ts
@@ -10,3 +10,4 @@
 export * from "./endpoint.ts";
 export * from "./request.ts";
 export * from "./member.ts";
+export * from "./registry_position.ts";
