Write again what a restored store has lost

Same class as the positions: a fact is trusted beyond the history of the store that it comes from.

Change: SiteState.prepareFor, called before anything of a new epoch is applied, treats all quarantines as unstored, so that they stay in force and are written again.

--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -49,6 +49,11 @@
     return [...this.#runs.values()].filter((run) => !run.isSettled);
   }
 
+  /** Roll-outs whose final state has been reported. */
+  get settledRuns(): readonly rollout.RolloutRun[] {
+    return [...this.#runs.values()].filter((run) => run.isSettled);
+  }
+
   /** Applies other settings. */
   setSettings(settings: rollout.RolloutSettings): void {
     this.#settings = settings;
--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -225,7 +225,7 @@
    * Prepares for state of a position, before it is applied.
    *
    * If the registry was restored from a copy, records that are missing from it prove
-   * nothing until they are written again.
+   * nothing until they are written again, and what VMs wrote may be lost.
    */
   prepareFor(position: RegistryPosition, source: UpdateSource): void {
     const epoch = getEpoch(position);
@@ -234,6 +234,7 @@
     this.#epoch = epoch;
     if (before === getEpoch(NO_POSITION)) return;
     this.handleRegistryRecovery();
+    this.quarantined.setUnstored();
     this.#events.write(EVENT.registryRestored, { epoch, before, source });
   }
 
--- a/packages/quarantine/src/quarantine_list.ts
+++ b/packages/quarantine/src/quarantine_list.ts
@@ -84,6 +84,13 @@
     return before?.holdMs !== entry.holdMs;
   }
 
+  /** Treats every entry as not stored: the registry may have lost it. */
+  setUnstored(): void {
+    for (const [fingerprint, { entry }] of this.#entries) {
+      this.#entries.set(fingerprint, { entry, isStored: false });
+    }
+  }
+
   /** Removes an entry that was deleted from the registry. */
   removeStored(fingerprint: Fingerprint): void {
     if (this.#entries.get(fingerprint)?.isStored) {
--- a/packages/rollout/src/rollout_run.ts
+++ b/packages/rollout/src/rollout_run.ts
@@ -278,14 +278,7 @@
     current: RolloutStatus | undefined,
     clocks: RolloutClocks,
   ): RolloutStatus | undefined {
-    const { service, target, position } = this.order;
-    const common = {
-      service,
-      target,
-      position,
-      decidedBy: this.#options.vmId,
-      seenAtUnixMs: Math.round(clocks.unixMs - this.getElapsedMs(clocks.now)),
-    };
+    const common = this.#buildStatus(clocks);
     return match(this.#phase)
       .with({ kind: "settled" }, () => undefined)
       .with({ kind: "finished" }, ({ reason }) => ({
@@ -311,6 +304,26 @@
       .exhaustive();
   }
 
+  /**
+   * Returns the final state to report again; undefined if it is still reported.
+   *
+   * @param current The reported status, which a restored registry may have lost.
+   */
+  planReportAgain(
+    current: RolloutStatus | undefined,
+    clocks: RolloutClocks,
+  ): RolloutStatus | undefined {
+    const phase = this.#phase;
+    if (phase.kind !== "settled") return undefined;
+    const isReported = current !== undefined &&
+      isStatusOf(current, this.order) && getFinalState(current) !== undefined;
+    return isReported ? undefined : {
+      ...this.#buildStatus(clocks),
+      state: phase.state,
+      reason: "reported again after the registry was restored",
+    };
+  }
+
   /**
    * Applies the reported status of the service's roll-out, if there is one.
    *
@@ -334,6 +347,17 @@
     this.#orderedAt = Math.min(this.#orderedAt, clocks.now - ageMs);
   }
 
+  #buildStatus({ now, unixMs }: RolloutClocks): Omit<RolloutStatus, "state"> {
+    const { service, target, position } = this.order;
+    return {
+      service,
+      target,
+      position,
+      decidedBy: this.#options.vmId,
+      seenAtUnixMs: Math.round(unixMs - this.getElapsedMs(now)),
+    };
+  }
+
   #settle(state: FinalState): void {
     this.#phase = { kind: "settled", state };
   }
