Keep endpoints that have left out of a restored registry's listing

One that has left, is leaving or has started anew since was used again, though the VM had acted on the newer record.

Seen by the test on the parent commit: a removed and a draining worker are both usable again after the restore ([true, true, true], expected [false, false, true]).

Change: a record's version is its process (born) and its own count (sequence). For 10 s after a restore, listings and records told by VMs apply only if they are not older than what is known or was removed; a removal keeps the version. Records that are read one by one are new and always apply, so a record that is written again with its old count brings an endpoint back. A draining record counts as an announced shutdown, which nothing resets within the process. Records without born or sequence apply as before.

Measured: the test passes; a worker that registers again afterwards is used.

--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -200,11 +200,24 @@
     return now - returnedAt < ZONE_RETURN_COLD_MS;
   }
 
-  /** Applies the registry record of an endpoint. */
-  updateEndpoint(endpoint: serving.ServingEndpoint, position: number): void {
+  /** Applies a new registry record of an endpoint. */
+  updateEndpoint(
+    endpoint: serving.ServingEndpoint,
+    position: RegistryPosition,
+  ): void {
     const now = performance.now();
     const change = this.#endpoints.update(endpoint, now, position);
-    this.#logEndpointChange(change, endpoint.id, "registry", endpoint.service);
+    this.#handleEndpointRecord(change, endpoint);
+  }
+
+  /** Applies an endpoint's record of a listing, unless newer facts are known. */
+  listEndpoint(
+    endpoint: serving.ServingEndpoint,
+    position: RegistryPosition,
+  ): void {
+    const now = performance.now();
+    const change = this.#endpoints.updateListed(endpoint, now, position);
+    this.#handleEndpointRecord(change, endpoint);
   }
 
   /** Applies the deletion of an endpoint's registry record. */
@@ -233,7 +246,7 @@
     const before = this.#epoch;
     this.#epoch = epoch;
     if (before === getEpoch(NO_POSITION)) return;
-    this.handleRegistryRecovery();
+    this.#endpoints.handleRegistryRestore(performance.now());
     this.quarantined.setUnstored();
     this.#events.write(EVENT.registryRestored, { epoch, before, source });
   }
@@ -413,6 +426,9 @@
     for (const { id, change, service } of changes) {
       this.#logEndpointChange(change, id, "peer", service);
     }
+    for (const { endpoint } of update.endpoints!.changed) {
+      if (endpoint.isDraining) this.#recordDraining(endpoint);
+    }
     this.setEndpointPosition(position, syncedAt);
   }
 
@@ -421,6 +437,20 @@
     this.#memberVersion += 1;
   }
 
+  #handleEndpointRecord(
+    change: serving.EndpointChange,
+    endpoint: serving.ServingEndpoint,
+  ): void {
+    const { id, service, isDraining } = endpoint;
+    if (isDraining) this.#recordDraining(endpoint);
+    this.#logEndpointChange(change, id, "registry", service);
+  }
+
+  /** A process that has announced its shutdown never takes requests again. */
+  #recordDraining({ id, bornMs }: serving.ServingEndpoint): void {
+    this.leaving.record({ endpointId: id, bornMs }, performance.now());
+  }
+
   #logEndpointChange(
     change: serving.EndpointChange,
     endpointId: EndpointId,
--- a/packages/serving/src/endpoint_directory.ts
+++ b/packages/serving/src/endpoint_directory.ts
@@ -14,6 +14,12 @@
  */
 export const EXPIRY_GRACE_MS = 2_300;
 
+/**
+ * How long after its return a restored registry may list records of the past, in
+ * milliseconds; it drops those that nobody renews.
+ */
+export const RESTORE_GRACE_MS = 10_000;
+
 /**
  * Most removals that are kept for other VMs. A site of 100 endpoints has fewer a
  * day; a VM that is further behind gets the whole directory.
@@ -30,8 +36,11 @@
   readonly dropAt?: number;
 }
 
+/** Process and count of an endpoint's record. */
+type RecordVersion = Pick<ServingEndpoint, "bornMs" | "sequence">;
+
 /** A removed record. */
-interface Removal {
+interface Removal extends RecordVersion {
   readonly position: number;
   readonly dropAt: number;
 }
@@ -58,6 +67,7 @@
   readonly #removals = new Map<EndpointId, Removal>();
   readonly #byService = new Map<ServiceId, readonly ServingEndpoint[]>();
   #recoveredAt = -Infinity;
+  #restoredAt = -Infinity;
   /** Removals up to this position are no longer kept. */
   #discardedTo = -1;
 
@@ -66,6 +76,34 @@
     this.#recoveredAt = now;
   }
 
+  /** Records that the registry came back from a copy, with records of the past. */
+  handleRegistryRestore(now: number): void {
+    this.#restoredAt = now;
+    this.handleRegistryRecovery(now);
+  }
+
+  /**
+   * Applies a record of a listing, which may be one of the past that a restored
+   * registry has brought back.
+   *
+   * Guards against requests to an endpoint that has left or restarted since: its own
+   * count tells such a record from a new one. Parameters are those of
+   * {@link update}.
+   */
+  updateListed(
+    endpoint: ServingEndpoint,
+    now: number,
+    position = 0,
+  ): EndpointChange {
+    const known = this.#endpoints.get(endpoint.id)?.endpoint;
+    const removal = this.#removals.get(endpoint.id);
+    const isOutdated = this.#isRestoring(now) &&
+      (known === undefined
+        ? compareVersions(endpoint, removal) <= 0
+        : compareVersions(endpoint, known) < 0);
+    return isOutdated ? "none" : this.update(endpoint, now, position);
+  }
+
   /**
    * Applies a record.
    *
@@ -97,9 +135,12 @@
     if (known === undefined) return "none";
     const graceAt = this.#recoveredAt + EXPIRY_GRACE_MS;
     const isImmediate = known.endpoint.isDraining || graceAt <= now;
+    const { bornMs, sequence } = known.endpoint;
     return this.#recordRemoval(known, now, {
       position,
       dropAt: isImmediate ? now : graceAt,
+      bornMs,
+      sequence,
     });
   }
 
@@ -161,6 +202,8 @@
       .map(([id, removal]) => ({
         id,
         dropInMs: Math.round(Math.max(0, removal.dropAt - now)),
+        bornMs: removal.bornMs,
+        sequence: removal.sequence,
       }));
     return { changed, removed, isWhole };
   }
@@ -181,12 +224,15 @@
     const changes = update.changed.map(({ endpoint, ageMs }) => ({
       id: endpoint.id,
       service: endpoint.service,
-      change: this.update(endpoint, now - ageMs, position),
+      change: this.#mergeRecord(endpoint, { now, ageMs, position }),
     }));
-    const removals = update.removed.flatMap(({ id, dropInMs }) => {
+    const removals = update.removed.flatMap(({ id, dropInMs, ...version }) => {
+      const removal = { ...version, position, dropAt: now + dropInMs };
       const known = this.#endpoints.get(id);
-      if (known === undefined) return [];
-      const removal = { position, dropAt: now + dropInMs };
+      if (known === undefined) {
+        this.#removals.set(id, removal);
+        return [];
+      }
       return [{ id, change: this.#recordRemoval(known, now, removal) }];
     });
     if (!update.isWhole) return [...changes, ...removals];
@@ -196,6 +242,31 @@
     return [...changes, ...removals, ...missing];
   }
 
+  /**
+   * Applies a record that another VM has. One of a VM that started after a restore,
+   * and knows nothing of before, may be outdated.
+   */
+  #mergeRecord(
+    endpoint: ServingEndpoint,
+    at: {
+      readonly now: number;
+      readonly ageMs: number;
+      readonly position: number;
+    },
+  ): EndpointChange {
+    const { now, ageMs, position } = at;
+    const known = this.#endpoints.get(endpoint.id)?.endpoint ??
+      this.#removals.get(endpoint.id);
+    // A record that was lost may be written again with its old count.
+    const isOutdated = this.#isRestoring(now) &&
+      compareVersions(endpoint, known) < 0;
+    return isOutdated ? "none" : this.update(endpoint, now - ageMs, position);
+  }
+
+  #isRestoring(now: number): boolean {
+    return now - this.#restoredAt < RESTORE_GRACE_MS;
+  }
+
   #recordRemoval(
     known: KnownEndpoint,
     now: number,
@@ -237,3 +308,18 @@
   if (!before.isDraining && after.isDraining) return "draining";
   return before.address === after.address ? "none" : "updated";
 }
+
+/**
+ * Orders two records of an endpoint by its process and its own count: negative if the
+ * first one is older, positive if it is newer or that is unknown.
+ */
+function compareVersions(
+  a: RecordVersion,
+  b: RecordVersion | undefined,
+): number {
+  const isKnown = b !== undefined && a.bornMs !== undefined &&
+    b.bornMs !== undefined && a.sequence !== undefined &&
+    b.sequence !== undefined;
+  if (!isKnown) return 1;
+  return a.bornMs - b.bornMs || a.sequence - b.sequence;
+}
--- a/packages/serving/src/endpoint_directory_test.ts
+++ b/packages/serving/src/endpoint_directory_test.ts
@@ -1,6 +1,11 @@
 import { expect } from "chai";
 import { buildEndpoint } from "./_fixtures.ts";
-import { EndpointDirectory, EXPIRY_GRACE_MS } from "./endpoint_directory.ts";
+import {
+  EndpointDirectory,
+  EXPIRY_GRACE_MS,
+  RESTORE_GRACE_MS,
+} from "./endpoint_directory.ts";
+import type { ServingEndpoint } from "./model.ts";
 
 describe("endpoint updates between VMs", () => {
   const reader = new EndpointDirectory();
@@ -84,3 +89,46 @@
     expect(directory.getOfService("roster")).to.deep.equal([]);
   });
 });
+
+describe("an endpoint directory after a restore of the registry", () => {
+  const build = (sequence: number, more: Partial<ServingEndpoint> = {}) =>
+    buildEndpoint("e1", { sequence, ...more });
+
+  it("ignores listed records of the past, of known and of removed endpoints", () => {
+    const directory = new EndpointDirectory();
+    directory.update(build(5, { isDraining: true }), 0, 1);
+    directory.handleRegistryRestore(100);
+    expect(directory.updateListed(build(4), 200, 2)).to.equal("none");
+    expect(directory.find("e1")?.isDraining).to.equal(true);
+    directory.remove("e1", 300, 3);
+    expect(directory.updateListed(build(5), 400, 4)).to.equal("none");
+    expect(directory.find("e1")).to.equal(undefined);
+  });
+
+  it("applies records that were written since, also with the count of before", () => {
+    const directory = new EndpointDirectory();
+    directory.update(build(5), 0, 1);
+    directory.handleRegistryRestore(100);
+    directory.removeMissing(new Set(), 200, 2);
+    expect(directory.removeExpired(100 + EXPIRY_GRACE_MS)).to.deep.equal([
+      "e1",
+    ]);
+    expect(directory.update(build(5), 3_000, 3)).to.equal("added");
+    const restarted = build(1, { bornMs: 2 });
+    expect(directory.updateListed(restarted, 3_100, 4)).to.equal("restarted");
+  });
+
+  // A VM that started after the restore takes such a record for a new one.
+  it("ignores records of the past that another VM sends", () => {
+    const directory = new EndpointDirectory();
+    directory.update(build(5), 0, 1);
+    directory.handleRegistryRestore(100);
+    directory.remove("e1", 100 + EXPIRY_GRACE_MS, 2);
+    const changed = [{ endpoint: build(4), ageMs: 0 }];
+    const update = { changed, removed: [], isWhole: false };
+    directory.mergeUpdate(update, 3_000, 3);
+    expect(directory.find("e1")).to.equal(undefined);
+    directory.mergeUpdate(update, 100 + RESTORE_GRACE_MS, 4);
+    expect(directory.find("e1")?.sequence).to.equal(4);
+  });
+});
--- a/packages/serving/src/messages.ts
+++ b/packages/serving/src/messages.ts
@@ -50,6 +50,9 @@
   readonly removed: readonly {
     readonly id: EndpointId;
     readonly dropInMs: number;
+    /** Process and count of the last record. */
+    readonly bornMs?: number;
+    readonly sequence?: number;
   }[];
   /** Whether this is the complete list: endpoints not in it are removed. */
   readonly isWhole: boolean;
--- a/packages/serving/src/model.ts
+++ b/packages/serving/src/model.ts
@@ -132,6 +132,8 @@
   readonly bornMs?: number;
   /** Software version, if it is known. */
   readonly version?: string;
+  /** Counts the records of this process of the endpoint; larger is newer. */
+  readonly sequence?: number;
 }
 
 /** Registration record of a VM. */
