Keep the operator's state while a restored store lacks it

Change: the configuration goes by its version alone, and VMs tell it to each other by version too, so that a VM that starts doesn't serve the copy's earlier one. A roll-out order is recognized in the copy by its offset, and when it is written again by its content, so its run goes on; an earlier order that the copy brings back is ignored.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -339,6 +339,7 @@
       });
     }
     this.site.dropExpiredEndpoints();
+    this.site.dropUnlisted();
     this.rollouts.update();
     this.endpointTracker.update();
     this.#quarantine.update();
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -192,6 +192,7 @@
       rollouts: rollouts.getUpdates(),
       crashes: quarantine.getUpdates(),
       limits: endpointTracker.limits.getUpdates({ isForStart }),
+      configurationVersion: site.table?.version,
       leaving: site.leaving.getUpdates(performance.now(), { isForStart }),
       isStarting: this.#isStarting ? true : undefined,
     };
@@ -345,7 +346,11 @@
     const ownPositions = site.positions;
     const isStale =
       performance.now() - site.syncedAt > getRegistryIntervals().staleMs;
-    return view.operatorPosition > ownPositions.operatorPosition ||
+    const ownVersion = site.table?.version ?? Infinity;
+    const hasOlderConfiguration =
+      (view.configurationVersion ?? -Infinity) > ownVersion;
+    return hasOlderConfiguration ||
+      view.operatorPosition > ownPositions.operatorPosition ||
       view.memberPosition > ownPositions.memberPosition ||
       view.quarantinePosition > ownPositions.quarantinePosition ||
       (isStale && view.endpointPosition > ownPositions.endpointPosition);
--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -152,6 +152,12 @@
     for (const order of site.orders.getAll()) {
       const known = this.#runs.get(order.service);
       if (known?.order.position === order.position) continue;
+      if (
+        known !== undefined && site.orders.isContinuation(order, known.order)
+      ) {
+        known.setOrder(order);
+        continue;
+      }
       const run = new rollout.RolloutRun({
         order,
         vmId,
--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -6,6 +6,7 @@
  */
 import type * as logger from "@sardinestep/logger";
 import * as quarantine from "@sardinestep/quarantine";
+import type * as rollout from "@sardinestep/rollout";
 import * as serving from "@sardinestep/serving";
 import {
   type Address,
@@ -19,6 +20,20 @@
 import { EVENT, type NoticeSource, type UpdateSource } from "./events.ts";
 import { RolloutOrders } from "./rollout_orders.ts";
 
+/** A VM, by the version of its configuration. */
+interface ConfigurationHolder {
+  /** Unset if it is unknown or the VM has none. */
+  readonly configurationVersion?: number;
+}
+
+/** The operator's state besides the configuration. */
+export interface OperatorListing {
+  readonly zonesOut: readonly ZoneId[];
+  /** Services that have an order, also where its record is invalid. */
+  readonly orderedServices: readonly ServiceId[];
+  readonly rolloutOrders: readonly rollout.RolloutOrder[];
+}
+
 /** Endpoints of a zone that returns to service may be cold for this long. */
 const ZONE_RETURN_COLD_MS = 3_000;
 
@@ -39,6 +54,10 @@
   readonly #endpoints = new serving.EndpointDirectory();
   readonly #members = new Map<string, serving.ServingMember>();
   readonly #zonesOut = new Set<ZoneId>();
+  /** Zones out of service that were not read since the registry was restored. */
+  readonly #unverifiedZonesOut = new Set<ZoneId>();
+  /** Those of them that a listing lacks. */
+  readonly #unlistedZonesOut = new Set<ZoneId>();
   readonly #zoneReturnedAt = new Map<ZoneId, number>();
   #memberList: readonly serving.ServingMember[] | undefined;
   #memberVersion = 0;
@@ -53,6 +72,7 @@
   #operatorSyncedAt = -Infinity;
   #endpointSyncedAt = -Infinity;
   #configuredAt = -Infinity;
+  #restoredAt = -Infinity;
 
   /** @param events Log of state changes. */
   constructor(events: logger.EventLog) {
@@ -172,6 +192,8 @@
 
   /** Takes a zone out of service or returns it to service. */
   setZoneOut(zone: ZoneId, isOut: boolean, source: UpdateSource): void {
+    this.#unverifiedZonesOut.delete(zone);
+    this.#unlistedZonesOut.delete(zone);
     if (this.#zonesOut.has(zone) === isOut) return;
     if (isOut) this.#zonesOut.add(zone);
     else {
@@ -181,12 +203,45 @@
     this.#events.write(EVENT.zoneChanged, { zone, isOut, source });
   }
 
-  /** Replaces the set of zones that are out of service. */
-  setZonesOut(zones: ReadonlySet<ZoneId>, source: UpdateSource): void {
+  /**
+   * Applies a listing of the operator's zones out of service and roll-out orders.
+   *
+   * A restored registry may lack what the operator wrote last, until it is written
+   * again: what is missing from its listing stays in force for a while.
+   */
+  listOperatorState(
+    { zonesOut, orderedServices, rolloutOrders }: OperatorListing,
+    source: UpdateSource,
+  ): void {
+    const zones = new Set(zonesOut);
     for (const zone of [...this.#zonesOut]) {
-      if (!zones.has(zone)) this.setZoneOut(zone, false, source);
+      if (zones.has(zone)) continue;
+      const isKept = this.#isRestoring && this.#unverifiedZonesOut.has(zone);
+      if (isKept) this.#unlistedZonesOut.add(zone);
+      else this.setZoneOut(zone, false, source);
     }
     for (const zone of zones) this.setZoneOut(zone, true, source);
+    if (!this.#isRestoring) {
+      this.orders.keep(new Set(orderedServices));
+    }
+    for (const order of rolloutOrders) this.orders.apply(order, source);
+  }
+
+  /** Ends what the operator has not written again after a restore of the registry. */
+  dropUnlisted(): void {
+    if (this.#isRestoring) return;
+    for (const zone of [...this.#unlistedZonesOut]) {
+      this.setZoneOut(zone, false, "registry");
+    }
+    this.orders.dropBefore(this.#operatorEpoch);
+  }
+
+  get #isRestoring(): boolean {
+    return performance.now() - this.#restoredAt < serving.RESTORE_GRACE_MS;
+  }
+
+  get #operatorEpoch(): number {
+    return getEpoch(this.#operatorPosition);
   }
 
   /** Whether a zone is out of service, so its endpoints get no requests. */
@@ -246,7 +301,9 @@
     const before = this.#epoch;
     this.#epoch = epoch;
     if (before === getEpoch(NO_POSITION)) return;
-    this.#endpoints.handleRegistryRestore(performance.now());
+    this.#restoredAt = performance.now();
+    for (const zone of this.#zonesOut) this.#unverifiedZonesOut.add(zone);
+    this.#endpoints.handleRegistryRestore(this.#restoredAt);
     this.quarantined.setUnstored();
     this.#events.write(EVENT.registryRestored, { epoch, before, source });
   }
@@ -328,18 +385,33 @@
     this.#events.write(EVENT.memberChanged, { vmId, kind: "left" });
   }
 
+  /**
+   * Whether a VM's configuration is older than this VM's. Equal positions don't show
+   * it: a VM that starts reads an earlier version from a restored registry.
+   */
+  hasNewerConfiguration(
+    { configurationVersion }: ConfigurationHolder,
+  ): boolean {
+    const own = this.#configuration?.version;
+    return own !== undefined && configurationVersion !== undefined &&
+      own > configurationVersion;
+  }
+
   /** State that is missing on a VM that has read up to the given positions. */
   getUpdateSince(
-    positions: serving.ReadPositions,
+    holder: serving.ReadPositions & ConfigurationHolder,
   ): serving.SiteUpdate | undefined {
     const own = this.positions;
-    if (!serving.isNewer(own, positions)) return undefined;
+    const hasNewerConfiguration = this.hasNewerConfiguration(holder);
+    if (!hasNewerConfiguration && !serving.isNewer(own, holder)) {
+      return undefined;
+    }
     const now = performance.now();
     const isAhead = (name: keyof serving.ReadPositions) =>
-      own[name] > positions[name];
+      own[name] > holder[name];
     return {
       ...own,
-      operator: isAhead("operatorPosition")
+      operator: hasNewerConfiguration || isAhead("operatorPosition")
         ? {
           configuration: this.#configuration,
           zonesOut: [...this.#zonesOut],
@@ -347,7 +419,7 @@
         }
         : undefined,
       endpoints: isAhead("endpointPosition")
-        ? this.#endpoints.getUpdateSince(positions.endpointPosition, now)
+        ? this.#endpoints.getUpdateSince(holder.endpointPosition, now)
         : undefined,
       members: isAhead("memberPosition") ? this.members : undefined,
       quarantined: isAhead("quarantinePosition")
@@ -403,14 +475,17 @@
   }
 
   #mergeOperator(update: serving.SiteUpdate, syncedAt: number): void {
-    if (update.operatorPosition <= this.#operatorPosition) return;
     const { configuration, zonesOut, rolloutOrders } = update.operator!;
+    // Versions alone order configurations, whichever records they come from.
     if (configuration !== undefined) {
       this.applyConfiguration(configuration, "peer");
     }
-    this.setZonesOut(new Set(zonesOut), "peer");
-    this.orders.keep(new Set(rolloutOrders.map((order) => order.service)));
-    for (const order of rolloutOrders) this.orders.apply(order, "peer");
+    if (update.operatorPosition <= this.#operatorPosition) return;
+    const orderedServices = rolloutOrders.map(({ service }) => service);
+    this.listOperatorState(
+      { zonesOut, orderedServices, rolloutOrders },
+      "peer",
+    );
     this.setOperatorPosition(update.operatorPosition, syncedAt);
   }
 
--- a/packages/rollout/src/rollout_run.ts
+++ b/packages/rollout/src/rollout_run.ts
@@ -90,9 +90,9 @@
 
 /** Tracks one order on this VM from when it is first seen to its final state. */
 export class RolloutRun {
-  readonly order: RolloutOrder;
   readonly #options: RolloutRunOptions;
   readonly #tallies: TallyAggregator;
+  #order: RolloutOrder;
   #settings: RolloutSettings;
   #orderedAt: number;
   #isStatusKnown = false;
@@ -105,7 +105,7 @@
   /** @param options The order, this VM and the operator's settings. */
   constructor(options: RolloutRunOptions) {
     const { order, vmId, startId, zone, settings, now } = options;
-    this.order = order;
+    this.#order = order;
     this.#options = options;
     this.#settings = settings;
     this.#tallies = new TallyAggregator({ vmId, startId, zone });
@@ -118,6 +118,16 @@
     }
   }
 
+  /** The order, at its latest position in the registry. */
+  get order(): RolloutOrder {
+    return this.#order;
+  }
+
+  /** Continues with the same order at another position of a restored registry. */
+  setOrder(order: RolloutOrder): void {
+    this.#order = order;
+  }
+
   /** Current phase. */
   get phase(): RolloutPhase {
     return this.#phase;
--- a/packages/serving/src/messages.ts
+++ b/packages/serving/src/messages.ts
@@ -98,6 +98,8 @@
   readonly rollouts?: readonly rollout.RolloutUpdate[];
   /** Rate limits that endpoints announced or lifted. */
   readonly limits?: readonly LimitUpdate[];
+  /** Version of its configuration; unset before it has one. */
+  readonly configurationVersion?: number;
   /** Endpoints that announced their shutdown. */
   readonly leaving?: readonly LeavingEndpoint[];
   /** Whether it started recently and needs all that others know of endpoints. */
