--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -357,9 +357,7 @@
 
   /** Finds a known endpoint by its address. */
   findEndpointByAddress(address: Address): serving.ServingEndpoint | undefined {
-    return this.getEndpoints()
-      .map(({ endpoint }) => endpoint)
-      .find((endpoint) => endpoint.address === address);
+    return this.#endpoints.findByAddress(address);
   }
 
   /** Drops endpoints whose records were lost and not renewed in time. */
@@ -523,6 +521,7 @@
 
   /** A process that has announced its shutdown never takes requests again. */
   #recordDraining({ id, bornMs }: serving.ServingEndpoint): void {
+    if (bornMs === undefined) return;
     this.leaving.record({ endpointId: id, bornMs }, performance.now());
   }
 
--- a/packages/serving/src/endpoint_directory.ts
+++ b/packages/serving/src/endpoint_directory.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { EndpointId, ServiceId } from "@sardinestep/types";
+import type { Address, EndpointId, ServiceId } from "@sardinestep/types";
 import type { EndpointUpdate } from "./messages.ts";
 import type { ServingEndpoint } from "./model.ts";
 
@@ -66,6 +66,7 @@
   readonly #endpoints = new Map<EndpointId, KnownEndpoint>();
   readonly #removals = new Map<EndpointId, Removal>();
   readonly #byService = new Map<ServiceId, readonly ServingEndpoint[]>();
+  #byAddress: ReadonlyMap<Address, ServingEndpoint> | undefined;
   #recoveredAt = -Infinity;
   #restoredAt = -Infinity;
   /** Removals up to this position are no longer kept. */
@@ -125,7 +126,7 @@
       changedAt: isSame ? before.changedAt : position,
     });
     this.#removals.delete(endpoint.id);
-    if (!isSame) this.#byService.clear();
+    if (!isSame) this.#clearIndexes();
     return getChange(before?.endpoint, endpoint);
   }
 
@@ -160,7 +161,7 @@
       .filter(([, known]) => known.dropAt !== undefined && known.dropAt <= now)
       .map(([id]) => id);
     for (const id of dropped) this.#endpoints.delete(id);
-    if (dropped.length > 0) this.#byService.clear();
+    if (dropped.length > 0) this.#clearIndexes();
     return dropped;
   }
 
@@ -177,6 +178,15 @@
     return this.#endpoints.get(id)?.endpoint;
   }
 
+  /** Finds an endpoint by its address. */
+  findByAddress(address: Address): ServingEndpoint | undefined {
+    this.#byAddress ??= new Map(
+      [...this.#endpoints.values()]
+        .map(({ endpoint }) => [endpoint.address, endpoint]),
+    );
+    return this.#byAddress.get(address);
+  }
+
   /** Returns the endpoints of a service, including draining ones. */
   getOfService(service: ServiceId): readonly ServingEndpoint[] {
     const cached = this.#byService.get(service);
@@ -263,6 +273,11 @@
     return isOutdated ? "none" : this.update(endpoint, now - ageMs, position);
   }
 
+  #clearIndexes(): void {
+    this.#byService.clear();
+    this.#byAddress = undefined;
+  }
+
   #isRestoring(now: number): boolean {
     return now - this.#restoredAt < RESTORE_GRACE_MS;
   }
@@ -280,7 +295,7 @@
       return "lapsed";
     }
     this.#endpoints.delete(id);
-    this.#byService.clear();
+    this.#clearIndexes();
     return "removed";
   }
 
--- a/packages/serving/src/leaving_endpoints.ts
+++ b/packages/serving/src/leaving_endpoints.ts
@@ -78,9 +78,9 @@
   keep(registered: ReadonlySet<EndpointId>, now: number): void {
     for (const [id, known] of this.#leaving) {
       if (registered.has(id)) known.registeredAt = now;
-      else if (now - known.registeredAt > KEEP_UNREGISTERED_MS) {
-        this.#leaving.delete(id);
-      }
+      // Without a start time, a new record is the only sign of a restart.
+      const keepMs = known.bornMs === undefined ? 0 : KEEP_UNREGISTERED_MS;
+      if (now - known.registeredAt > keepMs) this.#leaving.delete(id);
     }
   }
 }
