--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -19,6 +19,7 @@
 } from "@sardinestep/types";
 import { EVENT, type NoticeSource, type UpdateSource } from "./events.ts";
 import { RolloutOrders } from "./rollout_orders.ts";
+import { ZonesOut } from "./zones_out.ts";
 
 /** A VM, by the version of its configuration. */
 interface ConfigurationHolder {
@@ -34,9 +35,6 @@
   readonly rolloutOrders: readonly rollout.RolloutOrder[];
 }
 
-/** Endpoints of a zone that returns to service may be cold for this long. */
-const ZONE_RETURN_COLD_MS = 3_000;
-
 /**
  * Holds the newest known state.
  *
@@ -53,12 +51,7 @@
   readonly #events: logger.EventLog;
   readonly #endpoints = new serving.EndpointDirectory();
   readonly #members = new Map<string, serving.ServingMember>();
-  readonly #zonesOut = new Set<ZoneId>();
-  /** Zones out of service that were not read since the registry was restored. */
-  readonly #unverifiedZonesOut = new Set<ZoneId>();
-  /** Those of them that a listing lacks. */
-  readonly #unlistedZonesOut = new Set<ZoneId>();
-  readonly #zoneReturnedAt = new Map<ZoneId, number>();
+  readonly #zonesOut: ZonesOut;
   #memberList: readonly serving.ServingMember[] | undefined;
   #memberVersion = 0;
   #configuration: serving.ServingConfiguration | undefined;
@@ -78,6 +71,7 @@
   constructor(events: logger.EventLog) {
     this.#events = events;
     this.orders = new RolloutOrders(events);
+    this.#zonesOut = new ZonesOut(events);
   }
 
   /** Lookup table of the current configuration, once there is one. */
@@ -192,15 +186,7 @@
 
   /** Takes a zone out of service or returns it to service. */
   setZoneOut(zone: ZoneId, isOut: boolean, source: UpdateSource): void {
-    this.#unverifiedZonesOut.delete(zone);
-    this.#unlistedZonesOut.delete(zone);
-    if (this.#zonesOut.has(zone) === isOut) return;
-    if (isOut) this.#zonesOut.add(zone);
-    else {
-      this.#zonesOut.delete(zone);
-      this.#zoneReturnedAt.set(zone, performance.now());
-    }
-    this.#events.write(EVENT.zoneChanged, { zone, isOut, source });
+    this.#zonesOut.set(zone, isOut, source);
   }
 
   /**
@@ -213,14 +199,7 @@
     { zonesOut, orderedServices, rolloutOrders }: OperatorListing,
     source: UpdateSource,
   ): void {
-    const zones = new Set(zonesOut);
-    for (const zone of [...this.#zonesOut]) {
-      if (zones.has(zone)) continue;
-      const isKept = this.#isRestoring && this.#unverifiedZonesOut.has(zone);
-      if (isKept) this.#unlistedZonesOut.add(zone);
-      else this.setZoneOut(zone, false, source);
-    }
-    for (const zone of zones) this.setZoneOut(zone, true, source);
+    this.#zonesOut.applyListing(new Set(zonesOut), source);
     if (!this.#isRestoring) {
       this.orders.keep(new Set(orderedServices));
     }
@@ -230,9 +209,7 @@
   /** Ends what the operator has not written again after a restore of the registry. */
   dropUnlisted(): void {
     if (this.#isRestoring) return;
-    for (const zone of [...this.#unlistedZonesOut]) {
-      this.setZoneOut(zone, false, "registry");
-    }
+    this.#zonesOut.dropUnlisted();
     this.orders.dropBefore(this.#operatorEpoch);
   }
 
@@ -251,8 +228,7 @@
 
   /** Whether a zone returned so recently that its endpoints may be cold. */
   isZoneRecentlyReturned(zone: ZoneId, now: number): boolean {
-    const returnedAt = this.#zoneReturnedAt.get(zone) ?? -Infinity;
-    return now - returnedAt < ZONE_RETURN_COLD_MS;
+    return this.#zonesOut.isRecentlyReturned(zone, now);
   }
 
   /** Applies a new registry record of an endpoint. */
@@ -302,7 +278,7 @@
     this.#epoch = epoch;
     if (before === getEpoch(NO_POSITION)) return;
     this.#restoredAt = performance.now();
-    for (const zone of this.#zonesOut) this.#unverifiedZonesOut.add(zone);
+    this.#zonesOut.handleRestore();
     this.#endpoints.handleRegistryRestore(this.#restoredAt);
     this.quarantined.setUnstored();
     this.#events.write(EVENT.registryRestored, { epoch, before, source });
@@ -387,7 +363,7 @@
    * Whether a VM's configuration is older than this VM's. Equal positions don't show
    * it: a VM that starts reads an earlier version from a restored registry.
    */
-  hasNewerConfiguration(
+  #hasNewerConfiguration(
     { configurationVersion }: ConfigurationHolder,
   ): boolean {
     const own = this.#configuration?.version;
@@ -400,7 +376,7 @@
     holder: serving.ReadPositions & ConfigurationHolder,
   ): serving.SiteUpdate | undefined {
     const own = this.positions;
-    const hasNewerConfiguration = this.hasNewerConfiguration(holder);
+    const hasNewerConfiguration = this.#hasNewerConfiguration(holder);
     if (!hasNewerConfiguration && !serving.isNewer(own, holder)) {
       return undefined;
     }
@@ -412,7 +388,7 @@
       operator: hasNewerConfiguration || isAhead("operatorPosition")
         ? {
           configuration: this.#configuration,
-          zonesOut: [...this.#zonesOut],
+          zonesOut: this.#zonesOut.getAll(),
           rolloutOrders: this.orders.getAll(),
         }
         : undefined,
--- a/packages/serving/src/endpoint_directory.ts
+++ b/packages/serving/src/endpoint_directory.ts
@@ -241,6 +241,7 @@
       const known = this.#endpoints.get(id);
       if (known === undefined) {
         this.#removals.set(id, removal);
+        this.#discardOldRemovals();
         return [];
       }
       return [{ id, change: this.#recordRemoval(known, now, removal) }];
