--- a/packages/gateway/src/rollout_orders.ts
+++ b/packages/gateway/src/rollout_orders.ts
@@ -6,6 +6,7 @@
 import type * as logger from "@sardinestep/logger";
 import type * as rollout from "@sardinestep/rollout";
 import { getEpoch, getOffset, type ServiceId } from "@sardinestep/types";
+import { match } from "ts-pattern";
 import { EVENT, type UpdateSource } from "./events.ts";
 
 /** Orders of a service that are remembered, to recognize them after a restore. */
@@ -48,17 +49,17 @@
   apply(order: rollout.RolloutOrder, source: UpdateSource): void {
     const before = this.#orders.get(order.service);
     if (before !== undefined && order.position <= before.position) return;
-    const match = this.#matchKnown(order);
-    if (match.kind === "outdated") return;
-    if (match.kind === "continued") {
-      this.#continued.set(order.position, match.from.position);
-    }
-    this.#orders.set(order.service, order);
-    const known = this.#known.get(order.service) ?? [];
-    this.#known.set(order.service, [...known, order].slice(-MAX_KNOWN_ORDERS));
-    if (match.kind === "new") {
-      this.#events.write(EVENT.rolloutOrdered, { ...order, source });
-    }
+    match(this.#compareToKnown(order))
+      .with({ kind: "outdated" }, () => {})
+      .with({ kind: "continued" }, ({ from }) => {
+        this.#continued.set(order.position, from.position);
+        this.#set(order);
+      })
+      .with({ kind: "new" }, () => {
+        this.#set(order);
+        this.#events.write(EVENT.rolloutOrdered, { ...order, source });
+      })
+      .exhaustive();
   }
 
   /**
@@ -96,7 +97,13 @@
     }
   }
 
-  #matchKnown(order: rollout.RolloutOrder): OrderMatch {
+  #set(order: rollout.RolloutOrder): void {
+    this.#orders.set(order.service, order);
+    const known = this.#known.get(order.service) ?? [];
+    this.#known.set(order.service, [...known, order].slice(-MAX_KNOWN_ORDERS));
+  }
+
+  #compareToKnown(order: rollout.RolloutOrder): OrderMatch {
     const epoch = getEpoch(order.position);
     const earlier = (this.#known.get(order.service) ?? [])
       .filter((known) => getEpoch(known.position) < epoch);
