--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -109,13 +109,14 @@
   }
 
   /**
-   * Checks and counts a call that releases results: rate limits and pauses apply to
-   * every call.
+   * Counts a call that releases results, if it may start: rate limits and pauses
+   * apply to every call.
    *
    * @param address Address of the endpoint; an unknown one has no limit.
-   * @param maySend Whether a limit leaves room for the call.
+   * @param maySend Whether limits and pauses let the call start.
+   * @returns Whether the call may start.
    */
-  tryStartRelease(
+  startRelease(
     address: Address,
     maySend: (endpoint: serving.ServingEndpoint, now: number) => boolean,
   ): boolean {
--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -90,7 +90,7 @@
     this.#callLog = new CallLog(options);
     this.#releaser = new ResultReleaser(options.wire, {
       tryStartCall: (address) =>
-        options.endpointTracker.tryStartRelease(
+        options.endpointTracker.startRelease(
           address,
           (endpoint, now) =>
             options.endpointTracker.limits.mayCall(endpoint, now),
--- a/packages/gateway/src/piece_leader_test.ts
+++ b/packages/gateway/src/piece_leader_test.ts
@@ -54,7 +54,7 @@
     const endpointTracker: Partial<EndpointTracker> = {
       getCallEndpoints: () => this.ids.map(buildEndpoint),
       isAvoided: () => false,
-      tryStartRelease: () => true,
+      startRelease: () => true,
       recordNoticesOf: () => {},
       recordEvidence: () => {},
       limits: limits as RateLimits,
--- a/packages/gateway/src/piece_router.ts
+++ b/packages/gateway/src/piece_router.ts
@@ -46,7 +46,7 @@
     const { endpointTracker } = options;
     this.#directReleaser = new ResultReleaser(options.wire, {
       tryStartCall: (address) =>
-        endpointTracker.tryStartRelease(
+        endpointTracker.startRelease(
           address,
           (endpoint, now) =>
             endpointTracker.limits.getWaitMs(endpoint, now) === 0,
--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -195,7 +195,7 @@
    * A restored registry may lack what the operator wrote last, until it is written
    * again: what is missing from its listing stays in force for a while.
    */
-  listOperatorState(
+  applyOperatorListing(
     { zonesOut, orderedServices, rolloutOrders }: OperatorListing,
     source: UpdateSource,
   ): void {
@@ -242,7 +242,7 @@
   }
 
   /** Applies an endpoint's record of a listing, unless newer facts are known. */
-  listEndpoint(
+  applyListedEndpoint(
     endpoint: serving.ServingEndpoint,
     position: RegistryPosition,
   ): void {
@@ -266,12 +266,12 @@
   }
 
   /**
-   * Prepares for state of a position, before it is applied.
+   * Notes the epoch of state that is about to be applied.
    *
    * If the registry was restored from a copy, records that are missing from it prove
    * nothing until they are written again, and what VMs wrote may be lost.
    */
-  prepareFor(position: RegistryPosition, source: UpdateSource): void {
+  updateEpoch(position: RegistryPosition, source: UpdateSource): void {
     const epoch = getEpoch(position);
     if (epoch <= this.#epoch) return;
     const before = this.#epoch;
@@ -409,7 +409,7 @@
    * @param syncedAt Monotonic time at which that was in sync with the registry.
    */
   mergeUpdate(update: serving.SiteUpdate, syncedAt: number): void {
-    this.prepareFor(getNewestPosition(update), "peer");
+    this.updateEpoch(getNewestPosition(update), "peer");
     if (update.operator !== undefined) this.#mergeOperator(update, syncedAt);
     if (update.endpoints !== undefined) this.#mergeEndpoints(update, syncedAt);
     if (update.members !== undefined) this.#mergeMembers(update);
@@ -456,7 +456,7 @@
     }
     if (update.operatorPosition <= this.#operatorPosition) return;
     const orderedServices = rolloutOrders.map(({ service }) => service);
-    this.listOperatorState(
+    this.applyOperatorListing(
       { zonesOut, orderedServices, rolloutOrders },
       "peer",
     );
