Let retries fetch the result of a call that outlasts its first deadline

A retry that had joined the first attempt was ended by the first one's deadline, although its own was later.

Cause: the registry of keys knew an attempt as running until its caller was answered. At the deadline of the first attempt it became "unknown", whether or not its call had ended; the call itself goes on, as runAsHolder promises ("a retry gets its answer").

Evidence: the new tests hold up the call alone: the attempt is sent, its deadline passes, and the call ends after that. All three failed before this change (a retry after the deadline, and one while the call runs: OUTCOME_UNKNOWN; one that joined before it: DEADLINE_EXCEEDED of the first attempt).

Change: an attempt stays running in the registry until its call has ended.

The test "refuses a retry if the at-most-once call was sent" expected the fault: its call had not ended. It is replaced by three: a call that broke (OUTCOME_UNKNOWN), a call that runs (HELD_ELSEWHERE, nothing sent), and one that ends late (its result); none lets the call run twice.

--- a/packages/entry/src/claimant.ts
+++ b/packages/entry/src/claimant.ts
@@ -18,6 +18,11 @@
   ) => void;
 }
 
+/** Result of a sent call. */
+export type CallEnd =
+  | { readonly kind: "completed"; readonly answer: unknown }
+  | { readonly kind: "unknown" };
+
 /**
  * Holds the state of one attempt. All rules are in `claims.applyAttemptEvent`,
  * which the model checker of the spec package explores; this class only executes
@@ -25,6 +30,8 @@
  */
 export class Claimant {
   readonly #options: ClaimantOptions;
+  readonly #callEnd: Promise<CallEnd>;
+  #resolveCallEnd: (end: CallEnd) => void = () => {};
   #state: claims.AttemptState;
   #currentDispatch = 0;
 
@@ -36,6 +43,7 @@
     const { id, keyId, fingerprint } = options.facts;
     this.claimRecord = { kind: "claim", id, keyId, fingerprint };
     this.#state = claims.openAttempt(options.facts).state;
+    this.#callEnd = new Promise((resolve) => this.#resolveCallEnd = resolve);
   }
 
   /** Current state of the attempt. */
@@ -48,6 +56,16 @@
     return this.#state.kind === "dispatched" || this.#state.kind === "done";
   }
 
+  /** Whether the result of a sent call is still to come, also after {@link giveUp}. */
+  get isCallRunning(): boolean {
+    return this.#state.kind === "dispatched";
+  }
+
+  /** Resolves with the result of the sent call, also after {@link giveUp}. */
+  waitForCallEnd(): Promise<CallEnd> {
+    return this.#callEnd;
+  }
+
   /** Applies the verdict of the log on the claim. */
   applyVerdict(verdict: claims.AttemptVerdict): void {
     this.#apply({ kind: "verdict", verdict });
@@ -103,6 +121,12 @@
       }
     }
     if (next.state !== before) this.#options.onStateChange(next.state, answer);
+    if (next.state.kind === "done") {
+      const { outcome } = next.state;
+      this.#resolveCallEnd(
+        outcome === "completed" ? { kind: outcome, answer } : { kind: outcome },
+      );
+    }
     return next.actions;
   }
 }
--- a/packages/entry/src/filters/join_duplicate.ts
+++ b/packages/entry/src/filters/join_duplicate.ts
@@ -5,7 +5,11 @@
  */
 import * as claims from "@sardinestep/claims";
 import { match } from "ts-pattern";
-import type { RequestAnswer } from "../answer.ts";
+import {
+  createCompletion,
+  createRefusal,
+  type RequestAnswer,
+} from "../answer.ts";
 import type { Filter, RequestContext } from "../context.ts";
 import {
   type KeyRegistry,
@@ -18,6 +22,8 @@
   refuseRunning,
 } from "../key_refusals.ts";
 
+const NO_COST = { calls: 0, tokens: 0, workerMs: 0 } as const;
+
 /**
  * Creates the filter.
  *
@@ -35,8 +41,10 @@
     const usage = registry.getUsage(keyId, fingerprint);
     if (usage.kind === "new" || mayRunAgain(usage, context)) {
       const answer = next();
-      registry.recordAttempt(keyId, fingerprint, answer);
+      const result = waitForResult(context, answer);
+      registry.recordAttempt(keyId, fingerprint, result);
       const finalAnswer = await answer;
+      if (!hasRunningCall(context)) await result;
       if (isProvedNotSent(context)) registry.dropUnknown(keyId);
       return finalAnswer;
     }
@@ -46,6 +54,41 @@
   return joinDuplicate;
 }
 
+/** Whether the call of an attempt continues, although its caller may be answered. */
+function hasRunningCall({ claimant }: RequestContext): boolean {
+  return claimant?.isCallRunning ?? false;
+}
+
+/**
+ * Waits for the answer of an attempt or, if its call outlasts its deadline, for the
+ * result of that call.
+ *
+ * Guards against retries that get the final answer "unknown" while the call runs:
+ * they would never fetch the result that it is about to have.
+ */
+async function waitForResult(
+  context: RequestContext,
+  answer: Promise<RequestAnswer>,
+): Promise<RequestAnswer> {
+  const firstAnswer = await answer;
+  const { claimant } = context;
+  if (firstAnswer.kind === "completed" || !claimant?.isCallRunning) {
+    return firstAnswer;
+  }
+  const end = await claimant.waitForCallEnd();
+  return match(end)
+    .with(
+      { kind: "completed" },
+      ({ answer }) => createCompletion(answer, { ...NO_COST }, true),
+    )
+    .with(
+      { kind: "unknown" },
+      () =>
+        createRefusal("OUTCOME_UNKNOWN", "The call ended without an answer"),
+    )
+    .exhaustive();
+}
+
 /**
  * Whether the at-most-once call was not sent and never will be. Without this check
  * the key would stay "unknown" only because an earlier stage has run.
