Build gossip of members without copying unchanged locations

Cause, by a profile of that file (24.4 s in the test): 19.7 s went into sending gossip between 9 controls. 8.8 s of it were the object spread in buildFacts and 4.2 s the one in mergeMissingAddresses, which runs for each member of each gossip message though nothing is missing. It is code of the product: every control pays it for every message.

Change: buildFacts copies the fields by name; mergeMissingAddresses and mergeAddress keep the location unless an address is new.

--- a/packages/membership/src/member_row.ts
+++ b/packages/membership/src/member_row.ts
@@ -146,11 +146,12 @@
   row: MemberRow,
   location: MemberLocation,
 ): void {
-  row.location = {
-    ...row.location,
-    entryRpc: row.location.entryRpc || location.entryRpc,
-    controlRpc: row.location.controlRpc || location.controlRpc,
-  };
+  const entryRpc = row.location.entryRpc || location.entryRpc;
+  const controlRpc = row.location.controlRpc || location.controlRpc;
+  // Called for each member of each gossip message, which mostly brings nothing new.
+  const isUnchanged = entryRpc === row.location.entryRpc &&
+    controlRpc === row.location.controlRpc;
+  if (!isUnchanged) row.location = { ...row.location, entryRpc, controlRpc };
 }
 
 /** Builds the facts that are sent to other processes. */
@@ -158,11 +159,17 @@
   row: MemberRow,
   state: MemberFacts["state"],
 ): MemberFacts {
+  const { location, entryInstance, heardAt } = row;
+  // Copied one by one: spreading took a third of the time of a gossip message.
   return {
-    ...row.location,
-    entryInstance: row.entryInstance,
+    vmId: location.vmId,
+    zone: location.zone,
+    site: location.site,
+    entryRpc: location.entryRpc,
+    controlRpc: location.controlRpc,
+    entryInstance,
     state,
-    heardAt: row.heardAt,
+    heardAt,
   };
 }
 
@@ -186,7 +193,8 @@
   location: MemberLocation,
   peer: PeerIdentity,
 ): MemberLocation {
-  return peer.process === "entry"
-    ? { ...location, entryRpc: peer.rpc }
-    : { ...location, controlRpc: peer.rpc };
+  const name = peer.process === "entry" ? "entryRpc" : "controlRpc";
+  return location[name] === peer.rpc
+    ? location
+    : { ...location, [name]: peer.rpc };
 }
