Prove: hold the callers' answers back from the start

What was seen: the proof "callers' connections go silent before the answer" reported 1 or 2 of 20 requests as answered, at load 30 to 44.

Cause: an order that nothing kept. The proof polled the workers' counters until 20 calls had begun and silenced the connections then; each call takes 300 ms. Where the poll and the counters take longer than that, answers pass before the moment of silence.

Change: the relay drops every answer on connections opened before the silence, so none can pass however long the steps take.

--- a/packages/prove/src/scenarios/callers.ts
+++ b/packages/prove/src/scenarios/callers.ts
@@ -49,6 +49,8 @@
   const deployment = await testbed.Deployment.start(launcher, plan);
   const { port } = new URL(deployment.vms[0]?.url ?? "");
   const relay = await SilentRelay.open({ port: Number(port) });
+  // No answer may pass between the last call and the moment of silence.
+  relay.setHoldingAnswers(true);
   try {
     const requests = Array.from({ length: REQUEST_COUNT }, (_, index) => ({
       request: buildRequest(
@@ -65,6 +67,7 @@
     );
     await waitForCalls(deployment);
     relay.silenceConnections();
+    relay.setHoldingAnswers(false);
     const results = await Promise.all(
       requests.map(({ request, key }) =>
         testbed.sendRequest(request, {
--- a/packages/testing/src/silent_relay.ts
+++ b/packages/testing/src/silent_relay.ts
@@ -34,6 +34,7 @@
   readonly #sockets = new Set<Socket>();
   #silencedCount = 0;
   #delayMs = 0;
+  #isHoldingAnswers = false;
   /** Delayed actions, in order of arrival. */
   readonly #delayed: (() => void)[] = [];
 
@@ -90,6 +91,14 @@
     }
   }
 
+  /**
+   * Drops all bytes from the target on connections that open from now on, until it
+   * is switched off; requests still arrive there.
+   */
+  setHoldingAnswers(isHolding: boolean): void {
+    this.#isHoldingAnswers = isHolding;
+  }
+
   /** Delays all traffic by this many milliseconds. */
   setDelay(delayMs: number): void {
     this.#delayMs = delayMs;
@@ -120,7 +129,10 @@
     ) {
       this.#sockets.add(socket);
       socket.setNoDelay(true);
-      socket.on("data", (data) => this.#forward(data, other));
+      const isHeld = socket === upstream && this.#isHoldingAnswers;
+      socket.on("data", (data) => {
+        if (!isHeld) this.#forward(data, other);
+      });
       socket.on("error", () => {});
       socket.on(
         "end",
