Load a few canaries at a time, in turn

Cause: the version fails under load only, and its canaries never had any. The 9% of sessions were spread over four of 66 endpoints for the whole canary phase: 62 requests in 6.9 s, 50 answers, none bad. The verdict was "good" at half of the order's time, and the version ramped up to all requests without a bad answer that it had to answer for.

Evidence: hypotheses were (1) bad answers were seen and not counted, (2) the test missed them among the engines that crash, (3) the version gave none. The lines of the roll-out say 3: 0 of 50.

Change: in the canary phase the requests go to as few canaries as their slots bear at half use, and each canary has its turn for an eighth of the order's time. Total exposure, the number of canaries and the verdict are unchanged, so one broken endpoint counts as before.

The new test of the simulation (a version that fails from four requests at once, six seeds) failed before: "succeeded". Roll-outs of good versions among faults: all tests of the simulation pass, as before.

--- a/packages/bench/src/rollout/endpoint_model.ts
+++ b/packages/bench/src/rollout/endpoint_model.ts
@@ -20,6 +20,8 @@
   readonly id: string;
   readonly fault: EndpointFault;
   readonly badVersion?: BadVersion;
+  /** Concurrent requests from which it counts as loaded. */
+  readonly loadedRequests?: number;
 }
 
 /** A request that an endpoint receives. */
@@ -41,7 +43,7 @@
 const FAULT_TO_MS = 8_000;
 /** A version with a late defect is good until then. */
 const LATE_DEFECT_FROM_MS = 4_000;
-/** Concurrent requests from which an endpoint counts as loaded. */
+/** Concurrent requests from which an endpoint counts as loaded by default. */
 const LOADED_REQUESTS = 2;
 const BAD_SHARE = 0.5;
 const SLOWDOWN_FACTOR = 8;
@@ -92,7 +94,8 @@
       case "slow":
         return true;
       case "underLoad":
-        return isAffected && this.running >= LOADED_REQUESTS;
+        return isAffected &&
+          this.running >= (this.#options.loadedRequests ?? LOADED_REQUESTS);
       case "oneRoute":
         return isAffected && route === "note";
       case "late":
--- a/packages/bench/src/rollout/rollout_model.ts
+++ b/packages/bench/src/rollout/rollout_model.ts
@@ -53,6 +53,10 @@
   readonly policy?: rollout.VerdictPolicy;
   /** Period in which the report store is unavailable. */
   readonly storeOutage?: { readonly fromMs: number; readonly toMs: number };
+  /** Concurrent requests from which an endpoint counts as loaded. */
+  readonly loadedRequests?: number;
+  /** Requests that an endpoint runs at the same time, as it registers them. */
+  readonly slots?: number;
   /** When all VMs restart and lose their state. */
   readonly restartAtMs?: number;
 }
@@ -181,6 +185,7 @@
         id: `${name}-${i}-${this.#scenario.seed}`,
         fault: getEndpointFault(sideFault, i, endpoints),
         badVersion: name === "new" ? badVersion : undefined,
+        loadedRequests: this.#scenario.loadedRequests,
       }));
   }
 
@@ -207,6 +212,7 @@
       vm.run.updatePhase({
         target: this.#target.map((endpoint) => endpoint.id),
         present: this.#present.length,
+        targetSlots: this.#scenario.slots,
       }, now);
     }
   }
--- a/packages/bench/src/rollout/rollout_model_test.ts
+++ b/packages/bench/src/rollout/rollout_model_test.ts
@@ -33,6 +33,22 @@
     });
   }
 
+  // Spread over the canaries, their requests never load one of them, and the version
+  // passes as good.
+  it("stops a version that fails only at more load than the canaries' share", () => {
+    for (const seed of [1, 2, 3, 4, 5, 6]) {
+      const outcome = run({
+        badVersion: BAD_VERSION.underLoad,
+        loadedRequests: 4,
+        endpoints: 60,
+        seed,
+      });
+      expect(getFinalStates(outcome)).to.deep.equal(["rolledBack"]);
+      const allowed = EXPOSURE.share * outcome.requests + EXPOSURE.slack;
+      expect(outcome.exposed).to.be.at.most(allowed);
+    }
+  });
+
   const TOLERABLE_FAULTS = Object.values(SIDE_FAULT)
     .filter((fault) => fault !== SIDE_FAULT.answersLost);
 
--- a/packages/bench/src/rollout/rollout_table.ts
+++ b/packages/bench/src/rollout/rollout_table.ts
@@ -121,6 +121,7 @@
   return {
     seed: 1,
     durationMs: 15_000,
+    slots: 64,
     sideFault: SIDE_FAULT.none,
     settings: {
       ...rollout.DEFAULT_SETTINGS,
--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -182,10 +182,12 @@
     const usable = site.getUsableServiceEndpoints(run.order.service);
     const isTarget = (endpoint: serving.ServingEndpoint) =>
       endpoint.version === run.order.target;
+    const target = usable.filter(isTarget);
     this.#changeRun(run, () =>
       run.updatePhase({
-        target: usable.filter(isTarget).map((endpoint) => endpoint.id),
-        present: usable.filter((endpoint) => !isTarget(endpoint)).length,
+        target: target.map((endpoint) => endpoint.id),
+        targetSlots: getFewestSlots(target),
+        present: usable.length - target.length,
       }, now));
     this.#options.metrics.setGauge(
       "rollout_target_share",
@@ -260,6 +262,13 @@
   rollout.SIDE.present,
 ];
 
+function getFewestSlots(
+  endpoints: readonly serving.ServingEndpoint[],
+): number | undefined {
+  if (endpoints.length === 0) return undefined;
+  return Math.min(...endpoints.map((endpoint) => endpoint.slots));
+}
+
 /** Reads the monotonic clock and the wall clock. */
 export function readClocks(): rollout.RolloutClocks {
   return { now: performance.now(), unixMs: Date.now() };
--- a/packages/rollout/src/exposure.ts
+++ b/packages/rollout/src/exposure.ts
@@ -35,6 +35,13 @@
  * phase.
  */
 const CANARY_ENDPOINT_RATIO = 0.6;
+/** Part of its slots that the expected requests of a loaded canary may take. */
+const LOADED_SLOT_SHARE = 0.5;
+/**
+ * Part of the order's duration for which a canary has the load, long enough for
+ * its requests to add up.
+ */
+const LOAD_TURN_SHARE = 1 / 8;
 const HASH_RANGE = 2 ** 32;
 
 /** Returns the share of sessions that the canary phase routes to the target. */
@@ -113,3 +120,41 @@
   const others = ranked.filter((id) => !firstOfGroups.includes(id));
   return new Set([...firstOfGroups, ...others].slice(0, size));
 }
+
+/** Input of {@link pickLoadedCanaries}. */
+export interface PickLoadedCanariesOptions {
+  /** Requests that are expected to run at all canaries together. */
+  readonly expectedRunning: number;
+  /** Requests that one canary runs at the same time. */
+  readonly slots: number;
+  readonly elapsedMs: number;
+  readonly durationMs: number;
+}
+
+/**
+ * Picks the canaries that take requests now; the others have their turn later.
+ *
+ * Guards against a version that fails under load only: spread over all canaries,
+ * few requests never load one, and the version would meet its first load when it
+ * serves everybody.
+ *
+ * @param canaries All canaries, from {@link pickCanaries}.
+ * @param options Expected requests, and the time that decides the turn.
+ */
+export function pickLoadedCanaries(
+  canaries: ReadonlySet<EndpointId>,
+  options: PickLoadedCanariesOptions,
+): ReadonlySet<EndpointId> {
+  const { expectedRunning, slots, elapsedMs, durationMs } = options;
+  const count = Math.max(
+    1,
+    Math.ceil(expectedRunning / (slots * LOADED_SLOT_SHARE)),
+  );
+  if (count >= canaries.size) return canaries;
+  const turn = Math.floor(elapsedMs / (durationMs * LOAD_TURN_SHARE));
+  const first = turn * count;
+  const ids = [...canaries];
+  return new Set(
+    Array.from({ length: count }, (_, i) => ids[(first + i) % ids.length]!),
+  );
+}
--- a/packages/rollout/src/rollout_run.ts
+++ b/packages/rollout/src/rollout_run.ts
@@ -18,6 +18,7 @@
   getSessionFraction,
   isWithinExposureBound,
   pickCanaries,
+  pickLoadedCanaries,
 } from "./exposure.ts";
 import {
   type FinalState,
@@ -83,6 +84,8 @@
   readonly target: readonly EndpointId[];
   /** Number of endpoints of the present version. */
   readonly present: number;
+  /** Requests that one endpoint of the target runs at the same time, if known. */
+  readonly targetSlots?: number;
 }
 
 /** Interval at which the counts of all VMs are summed. */
@@ -238,11 +241,7 @@
     });
     this.#verdictState = judged.state;
     this.#verdict = judged.verdict;
-    this.#canaries = pickCanaries({
-      order,
-      ...endpoints,
-      share: this.getShare(now),
-    });
+    this.#canaries = this.#pickCanaries(endpoints, now);
     this.#phase = planPhase({
       phase: this.#phase,
       elapsedMs: this.getElapsedMs(now),
@@ -368,6 +367,27 @@
     };
   }
 
+  #pickCanaries(
+    endpoints: RolloutEndpoints,
+    now: number,
+  ): ReadonlySet<EndpointId> {
+    const { order, tally } = this;
+    const share = this.getShare(now);
+    const canaries = pickCanaries({ order, ...endpoints, share });
+    const { targetSlots } = endpoints;
+    if (this.#phase.kind !== "canary" || targetSlots === undefined) {
+      return canaries;
+    }
+    const running = countRunning(tally, SIDE.present) +
+      countRunning(tally, SIDE.target);
+    return pickLoadedCanaries(canaries, {
+      expectedRunning: running * share,
+      slots: targetSlots,
+      elapsedMs: this.getElapsedMs(now),
+      durationMs: order.durationMs,
+    });
+  }
+
   #settle(state: FinalState): void {
     this.#phase = { kind: "settled", state };
   }
