Read what has arrived before a timeout of an answer fires

What callers saw: two streams of some 375 refused with 503 "No usable endpoint" while a healthy endpoint was free (test "keeps streams to a worker within its announced limit", at load 20). The trace of one: the connection to the endpoint without a limit "was not there within its 150 ms", and the other endpoint had reached its limit.

Cause: an order. After a pause of the process its timers fire before it reads its sockets, so a handshake that was done long ago, or an answer that has arrived, counts as missing as soon as a pause is longer than what is left of the timeout. The endpoint is then left out for the request.

Evidence: a run that holds up that step alone: the process is paused for 40 ms between the connect and its result, with a timeout of 20 ms, on an idle loopback port.

Change: a timeout of an answer calls its handler only after the event loop has read what has arrived. Timeouts of packages/rpc are not changed here.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -6,6 +6,7 @@
 import * as serving from "@sardinestep/serving";
 import type { AnswerWriter, CompleteAnswer } from "./answer_writer.ts";
 import type { EndpointTracker } from "./endpoint_tracker.ts";
+import { IoTimeout } from "./io_timeout.ts";
 import { type EventBuffer, MAX_EVENT_BYTES } from "./event_buffer.ts";
 import type {
   AnswerSink,
@@ -94,7 +95,7 @@
   readonly #resolve: (outcome: AttemptOutcome) => void;
   #call: PoolCall | undefined;
   #removeEndListener: () => void = () => {};
-  #inactivityTimer: NodeJS.Timeout | undefined;
+  #inactivityTimeout: IoTimeout | undefined;
   #status = 0;
   #headers: ReadonlyMap<string, string> = new Map();
   #answerMetadata: AnswerMetadata = { isNotRun: false, notices: {} };
@@ -133,7 +134,7 @@
     this.#removeEndListener = scope.addEndListener(() =>
       this.#finish({ kind: "ended" }, undefined)
     );
-    this.#restartInactivityTimer();
+    this.#restartInactivityTimeout();
   }
 
   handleSent(): void {
@@ -157,11 +158,11 @@
     if (isSuccess(status) && this.#answerMetadata.signature === undefined) {
       return this.#fail("Successful answer has no signature");
     }
-    this.#restartInactivityTimer();
+    this.#restartInactivityTimeout();
   }
 
   handleData(chunk: Uint8Array): void {
-    this.#restartInactivityTimer();
+    this.#restartInactivityTimeout();
     const isRelayed = this.#options.isStream && isSuccess(this.#status);
     if (isRelayed) return this.#relayChunk(chunk);
     this.#bodyChunks.push(Uint8Array.from(chunk));
@@ -205,7 +206,7 @@
     }
     if (writer.writeChunk(bytes)) return;
     this.#call?.pause();
-    clearTimeout(this.#inactivityTimer);
+    this.#inactivityTimeout?.cancel();
     writer.waitForDrain(() => this.#call?.resume());
   }
 
@@ -217,11 +218,11 @@
   }
 
   /** Fails the attempt when a dead connection sends no bytes and no reset. */
-  #restartInactivityTimer(): void {
+  #restartInactivityTimeout(): void {
     const { inactivityTimeoutMs } = this.#options;
     if (inactivityTimeoutMs === undefined || this.#isFinished) return;
-    clearTimeout(this.#inactivityTimer);
-    this.#inactivityTimer = setTimeout(
+    this.#inactivityTimeout?.cancel();
+    this.#inactivityTimeout = new IoTimeout(
       () =>
         this.#fail(
           `Endpoint sent nothing for ${Math.round(inactivityTimeoutMs)} ms`,
@@ -243,7 +244,7 @@
   ): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
-    clearTimeout(this.#inactivityTimer);
+    this.#inactivityTimeout?.cancel();
     this.#removeEndListener();
     // Has no effect if the answer was already read to its end.
     this.#call?.cancel();
--- a/packages/gateway/src/timed_connect.ts
+++ b/packages/gateway/src/timed_connect.ts
@@ -5,6 +5,7 @@
  */
 import type { Socket } from "node:net";
 import type { buildConnector } from "undici";
+import { IoTimeout } from "./io_timeout.ts";
 
 /**
  * Adds a timeout to a connector of undici.
@@ -25,12 +26,12 @@
     const finish = (...result: Parameters<buildConnector.Callback>) => {
       if (isFinished) return void result[1]?.destroy();
       isFinished = true;
-      clearTimeout(timer);
+      timeout.cancel();
       // After a failure the socket is undefined, although its type says null.
       if (result[1]) result[1].setNoDelay(true);
       callback(...result);
     };
-    const timer = setTimeout(() => {
+    const timeout = new IoTimeout(() => {
       finish(
         new Error(`Connection was not established within ${timeoutMs} ms`),
         null,
--- a/packages/gateway/src/timed_connect_test.ts
+++ b/packages/gateway/src/timed_connect_test.ts
@@ -1,7 +1,8 @@
 import { expect } from "chai";
-import { Socket } from "node:net";
+import { once } from "node:events";
+import { type AddressInfo, createServer, Socket } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
-import type { buildConnector } from "undici";
+import { buildConnector } from "undici";
 import { buildConnectorWithTimeout } from "./timed_connect.ts";
 
 const TIMEOUT_MS = 20;
@@ -54,4 +55,35 @@
     expect(socket.destroyed).to.equal(false);
     socket.destroy();
   });
+
+  // After a pause of this process longer than the timeout, an established connection
+  // was reported as failed, and a request with no other endpoint was refused.
+  it("passes on a connection that is established while the process is paused", async () => {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const connect = buildConnectorWithTimeout(
+      buildConnector({ timeout: 0 }),
+      TIMEOUT_MS,
+    );
+    const options = {
+      hostname: "127.0.0.1",
+      protocol: "http:",
+      port: String(port),
+    };
+    const result = new Promise<unknown>((resolve) =>
+      connect(options, (error, socket) => {
+        socket?.destroy();
+        resolve(error);
+      })
+    );
+    pauseProcess(TIMEOUT_MS * 2);
+    expect(await result).to.equal(null);
+    server.close();
+  });
 });
+
+function pauseProcess(ms: number): void {
+  const until = performance.now() + ms;
+  while (performance.now() < until);
+}
