Keep at most a sixth of a short grace period for the exit

Cause: a bound. A stopping VM closed its connections 700 ms before the end of its grace period, whatever that was. Of 2 s it left 1.3 s to running requests, whose deadlines of 1.5 s lie within the grace period. Whatever takes longer than 1.3 s was cut; usual runs take some 100 ms.

Change: the reserve is at most a sixth of the grace period and at most 700 ms as before, so nothing changes for grace periods of 4.2 s and more. New requests are refused by the same bound.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -56,8 +56,10 @@
  * two readiness probes one second apart, and one more second.
  */
 const CONNECT_DRAIN_MS = 3_000;
-/** Part of the grace period reserved for last responses and exit, in ms. */
-const EXIT_RESERVE_MS = 700;
+/** Most of the grace period that is reserved for last responses and exit, in ms. */
+const MAX_EXIT_RESERVE_MS = 700;
+/** Part of the grace period that is reserved at most, if that is less. */
+const MAX_EXIT_RESERVE_SHARE = 1 / 6;
 /** Interval of checks for the end of the last requests, in milliseconds. */
 const DRAIN_POLL_MS = 50;
 /** Gap between two updates from which a process pause is logged, in ms. */
@@ -203,14 +205,14 @@
     const stoppedAt = performance.now();
     this.#stopRequestedAt = stoppedAt;
     const { events } = this.#options;
-    const bounds = this.#bounds;
+    const drainMs = getDrainMs(this.#bounds);
     events.write(EVENT.processStopping, {
       active: this.#ingress.activeRequests,
     });
     this.mesh.setLeaving();
     this.#ingress.startDraining();
-    const drainUntil = stoppedAt + bounds.graceMs - EXIT_RESERVE_MS;
-    await wait(Math.min(CONNECT_DRAIN_MS, bounds.graceMs - EXIT_RESERVE_MS));
+    const drainUntil = stoppedAt + drainMs;
+    await wait(Math.min(CONNECT_DRAIN_MS, drainMs));
     while (this.#isBusy() && performance.now() < drainUntil) {
       await wait(DRAIN_POLL_MS);
     }
@@ -260,8 +262,7 @@
   #getStopState(): serving.ShutdownState | undefined {
     if (this.#stopRequestedAt === undefined) return undefined;
     const sinceMs = performance.now() - this.#stopRequestedAt;
-    const graceMs = this.#bounds.graceMs - EXIT_RESERVE_MS;
-    return { sinceMs, leftMs: graceMs - sinceMs };
+    return { sinceMs, leftMs: getDrainMs(this.#bounds) - sinceMs };
   }
 
   #buildHandlers(): rpc.Handlers {
@@ -382,3 +383,14 @@
     return { status: 200, text: this.metrics.formatPrometheus() };
   }
 }
+
+/**
+ * Returns the time that running requests have to end while the VM stops, in ms.
+ *
+ * A fixed reserve would take a third of a short grace period, and cut off requests
+ * whose deadlines lie within it.
+ */
+function getDrainMs({ graceMs }: GatewayBounds): number {
+  return graceMs -
+    Math.min(MAX_EXIT_RESERVE_MS, graceMs * MAX_EXIT_RESERVE_SHARE);
+}
