--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -54,6 +54,21 @@
   readonly body: AnswerBody;
 }
 
+/**
+ * Creates the answer to a retry from the output of an earlier attempt, whose cost
+ * was reported there.
+ *
+ * @param output Output of the last stage.
+ * @returns The answer.
+ * @example
+ * ```ts
+ * createReplay({ ticket: 7 }).isReplayed; // true
+ * ```
+ */
+export function createReplay(output: unknown): CompletedAnswer {
+  return createCompletion(output, { calls: 0, tokens: 0, workerMs: 0 }, true);
+}
+
 /**
  * Creates a refusal with a result code.
  *
--- a/packages/entry/src/filters/find_results.ts
+++ b/packages/entry/src/filters/find_results.ts
@@ -5,12 +5,10 @@
  */
 import type * as rpc from "@sardinestep/rpc";
 import type { InstanceId, StageResult } from "@sardinestep/types";
-import { createCompletion, type RequestAnswer } from "../answer.ts";
+import { createReplay, type RequestAnswer } from "../answer.ts";
 import type { Filter, RequestContext } from "../context.ts";
 
 /** The earlier attempt accounted for the stages; this one costs nothing. */
-const NO_COST = { calls: 0, tokens: 0, workerMs: 0 } as const;
-
 /** Dependencies of the filter. */
 export interface FindResultsOptions {
   /** Finds the results kept under the key of a request, and the entry that runs it. */
@@ -38,7 +36,7 @@
     const found = await options.findAll(context);
     const prior = pickPriorResults(found.results, context);
     const last = prior[context.pipeline.stages.length - 1];
-    if (last) return createCompletion(last.output, { ...NO_COST }, true);
+    if (last) return createReplay(last.output);
     // The attempt that holds the claim of an at-most-once request never waits.
     const mayWait = found.runningAt !== undefined && !context.isAtMostOnce;
     const answer = mayWait && found.runningAt
--- a/packages/entry/src/filters/join_duplicate.ts
+++ b/packages/entry/src/filters/join_duplicate.ts
@@ -5,11 +5,7 @@
  */
 import * as claims from "@sardinestep/claims";
 import { match } from "ts-pattern";
-import {
-  createCompletion,
-  createRefusal,
-  type RequestAnswer,
-} from "../answer.ts";
+import { createRefusal, createReplay, type RequestAnswer } from "../answer.ts";
 import type { Filter, RequestContext } from "../context.ts";
 import {
   type KeyRegistry,
@@ -22,8 +18,6 @@
   refuseRunning,
 } from "../key_refusals.ts";
 
-const NO_COST = { calls: 0, tokens: 0, workerMs: 0 } as const;
-
 /**
  * Creates the filter.
  *
@@ -44,7 +38,8 @@
       const result = waitForResult(context, answer);
       registry.recordAttempt(keyId, fingerprint, result);
       const finalAnswer = await answer;
-      if (!hasRunningCall(context)) await result;
+      // The caller doesn't wait for a call that outlasts its deadline.
+      if (!context.claimant?.isCallRunning) await result;
       if (isProvedNotSent(context)) registry.dropUnknown(keyId);
       return finalAnswer;
     }
@@ -54,11 +49,6 @@
   return joinDuplicate;
 }
 
-/** Whether the call of an attempt continues, although its caller may be answered. */
-function hasRunningCall({ claimant }: RequestContext): boolean {
-  return claimant?.isCallRunning ?? false;
-}
-
 /**
  * Waits for the answer of an attempt or, if its call outlasts its deadline, for the
  * result of that call.
@@ -72,14 +62,13 @@
 ): Promise<RequestAnswer> {
   const firstAnswer = await answer;
   const { claimant } = context;
-  if (firstAnswer.kind === "completed" || !claimant?.isCallRunning) {
-    return firstAnswer;
-  }
+  const hasResult = firstAnswer.kind === "completed";
+  if (hasResult || !claimant?.isCallRunning) return firstAnswer;
   const end = await claimant.waitForCallEnd();
   return match(end)
     .with(
       { kind: "completed" },
-      ({ answer }) => createCompletion(answer, { ...NO_COST }, true),
+      ({ answer }) => createReplay(answer),
     )
     .with(
       { kind: "unknown" },
--- a/packages/entry/src/holder_lookup.ts
+++ b/packages/entry/src/holder_lookup.ts
@@ -7,7 +7,7 @@
 import type * as rpc from "@sardinestep/rpc";
 import type { InstanceId, MemberFacts } from "@sardinestep/types";
 import { match } from "ts-pattern";
-import { createCompletion, type RequestAnswer } from "./answer.ts";
+import { createReplay, type RequestAnswer } from "./answer.ts";
 import type { RequestContext } from "./context.ts";
 import {
   refuseAnswerNotKept,
@@ -26,8 +26,6 @@
  * The holder of a more recent key may not have been announced yet.
  */
 const HOLDER_DISCOVERY_MS = 5_000;
-const NO_COST = { calls: 0, tokens: 0, workerMs: 0 } as const;
-
 /** Dependencies of a {@link HolderLookup}. */
 export interface HolderLookupOptions {
   readonly peers: rpc.PeerConnections;
@@ -56,7 +54,7 @@
     if (status.kind === "free") return refuseHeld("The key was just released");
     if (status.fingerprint !== context.fingerprint) return refuseReuse(context);
     if (status.kind === "completed" && status.answer !== undefined) {
-      return createCompletion(status.answer, { ...NO_COST }, true);
+      return createReplay(status.answer);
     }
     return await this.#queryHolder(context, status);
   }
@@ -97,7 +95,7 @@
     const { results } = await this.#options.findResults(context);
     const lastStage = context.pipeline.stages.length - 1;
     const last = results.find((result) => result.stage === lastStage);
-    return last && createCompletion(last.output, { ...NO_COST }, true);
+    return last && createReplay(last.output);
   }
 
   async #callHolder(
@@ -119,7 +117,7 @@
     return match(response.value)
       .with(
         { kind: "completed" },
-        ({ body }) => createCompletion(body, { ...NO_COST }, true),
+        ({ body }) => createReplay(body),
       )
       .with(
         { kind: "running" },
--- a/packages/entry/src/key_registry.ts
+++ b/packages/entry/src/key_registry.ts
@@ -9,7 +9,7 @@
 import { LRUCache } from "lru-cache";
 import {
   type CompletedAnswer,
-  createCompletion,
+  createReplay,
   type RequestAnswer,
 } from "./answer.ts";
 
@@ -87,8 +87,7 @@
     fingerprint: string,
     output: unknown,
   ): void {
-    const cost = { calls: 0, tokens: 0, workerMs: 0 };
-    const answer = createCompletion(output, cost, true);
+    const answer = createReplay(output);
     this.#keys.set(results.formatKeyId(keyId), {
       fingerprint,
       state: { kind: "completed", answer },
--- a/packages/entry/src/minted_keys.ts
+++ b/packages/entry/src/minted_keys.ts
@@ -7,7 +7,7 @@
 import type * as rpc from "@sardinestep/rpc";
 import type { CustomerId, InstanceId, MemberFacts } from "@sardinestep/types";
 import { match, P } from "ts-pattern";
-import { createCompletion, type RequestAnswer } from "./answer.ts";
+import { createReplay, type RequestAnswer } from "./answer.ts";
 import { Claimant } from "./claimant.ts";
 import type { RequestContext } from "./context.ts";
 import { runAsHolder } from "./filters/claim_key.ts";
@@ -26,7 +26,6 @@
 
 type MintedKey = Extract<claims.ParsedKey, { kind: "minted" }>;
 
-const NO_COST = { calls: 0, tokens: 0, workerMs: 0 } as const;
 const LOOK_UP_TIMEOUT_MS = 500;
 /** Hand-overs kept, enough for a rolling replacement of all VMs. */
 const MAX_HAND_OVERS = 64;
@@ -201,7 +200,7 @@
       const body = logStatus.answer;
       return body === undefined
         ? refuseAnswerNotKept(context)
-        : createCompletion(body, { ...NO_COST }, true);
+        : createReplay(body);
     }
     return refuseMinterGone(context);
   }
@@ -246,7 +245,7 @@
   return match(status)
     .with(
       { kind: "completed" },
-      ({ body }) => createCompletion(body, { ...NO_COST }, true),
+      ({ body }) => createReplay(body),
     )
     .with({ kind: "running" }, () => refuseRunning())
     .with({ kind: "unknown" }, () => refuseOutcomeUnknown(context))
--- a/packages/membership/src/member_row.ts
+++ b/packages/membership/src/member_row.ts
@@ -160,7 +160,8 @@
   state: MemberFacts["state"],
 ): MemberFacts {
   const { location, entryInstance, heardAt } = row;
-  // Copied one by one: spreading took a third of the time of a gossip message.
+  // Copied one by one: spreading is slow, and this runs for each member of each
+  // gossip message.
   return {
     vmId: location.vmId,
     zone: location.zone,
--- a/packages/rollout/src/exposure.ts
+++ b/packages/rollout/src/exposure.ts
@@ -140,6 +140,11 @@
  *
  * @param canaries All canaries, from {@link pickCanaries}.
  * @param options Expected requests, and the time that decides the turn.
+ * @returns Ids; the same on every VM that expects as many requests.
+ * @example
+ * ```ts
+ * pickLoadedCanaries(canaries, { expectedRunning: 7, slots: 64, elapsedMs, durationMs }); // one id
+ * ```
  */
 export function pickLoadedCanaries(
   canaries: ReadonlySet<EndpointId>,
--- a/packages/rollout/src/exposure_test.ts
+++ b/packages/rollout/src/exposure_test.ts
@@ -5,6 +5,7 @@
   getSessionFraction,
   isWithinExposureBound,
   pickCanaries,
+  pickLoadedCanaries,
 } from "./exposure.ts";
 
 const BOUND = { share: 0.1, slack: 50 };
@@ -84,3 +85,25 @@
     expect([...fromReversed].sort()).to.deep.equal([...canaries].sort());
   });
 });
+
+describe("pickLoadedCanaries", () => {
+  const canaries = new Set(["a", "b", "c", "d"]);
+  const pick = (expectedRunning: number, elapsedMs: number) => [
+    ...pickLoadedCanaries(canaries, {
+      expectedRunning,
+      slots: 8,
+      elapsedMs,
+      durationMs: 8_000,
+    }),
+  ];
+
+  it("gives each canary the load in its turn", () => {
+    const turns = [0, 1_000, 2_000, 3_000, 4_000].map((at) => pick(3, at));
+    expect(turns).to.deep.equal([["a"], ["b"], ["c"], ["d"], ["a"]]);
+  });
+
+  it("never expects more requests of a canary than half of its slots", () => {
+    expect(pick(5, 1_000)).to.deep.equal(["c", "d"]);
+    expect(pick(13, 1_000)).to.deep.equal(["a", "b", "c", "d"]);
+  });
+});
