Read the speed of endpoints' hosts, and know whether a site is contended

Cause: the load header's fourth figure was dropped, so no decision could use the speed of an endpoint; the parts for hard load need one predicate that turns them on.

--- /dev/null
+++ b/packages/endpoint_speed/src/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Speed of endpoints from their reports and answers, and placement by expected finish.
+ *
+ * @module
+ */
+export {};
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -56,6 +56,8 @@
   readonly scope: RequestScope;
   readonly writer: AnswerWriter;
   readonly customer?: string;
+  /** Priority at the endpoint, 0 (first) to 9. */
+  readonly priority?: number;
   readonly inputs: readonly string[];
   readonly leftMs: number;
   /** Longest idle time of a pooled connection that may be reused, in ms. */
@@ -124,6 +126,7 @@
         leftMs: this.#options.leftMs,
         endpointId: endpoint.id,
         customer: this.#options.customer,
+        priority: this.#options.priority,
         inputs: this.#options.inputs,
         lastEventId: this.#options.eventBuffer?.lastEventId,
       }),
--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -46,6 +46,7 @@
   readonly #runtimes = new Map<EndpointId, EndpointRuntime>();
   readonly #coldSends = new serving.SendRate(serving.COLD_WINDOW_MS);
   #coldLimit: serving.ColdLimit;
+  #hasHostSpeeds = false;
 
   /** @param options Site state, roll-outs, log and limits. */
   constructor(options: EndpointTrackerOptions) {
@@ -54,6 +55,11 @@
     this.limits = new RateLimits(options);
   }
 
+  /** Whether any endpoint has reported the speed of its host. */
+  get hasHostSpeeds(): boolean {
+    return this.#hasHostSpeeds;
+  }
+
   /** Sets the rate limit for cold endpoints. */
   setColdLimit(limit: serving.ColdLimit): void {
     this.#coldLimit = limit;
@@ -214,6 +220,7 @@
   recordLoad(endpoint: serving.ServingEndpoint, load: EndpointLoad): void {
     const runtime = this.#getRuntime(endpoint);
     runtime.load = load;
+    if (load.slowdown !== undefined) this.#hasHostSpeeds = true;
     runtime.loadAt = performance.now();
   }
 
--- a/packages/gateway/src/flow_types.ts
+++ b/packages/gateway/src/flow_types.ts
@@ -36,6 +36,8 @@
   readonly metrics: metrics.Metrics;
   /** Progress of this VM's shutdown; undefined unless it is stopping. */
   readonly getStopState: () => serving.ShutdownState | undefined;
+  /** Whether overload control and speed-aware placement apply. */
+  readonly isContended: () => boolean;
 }
 
 /** A caller's request with its complete body. */
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -72,6 +72,8 @@
  * 500 ms.
  */
 const STREAM_INACTIVITY_TIMEOUT_MS = 1_200;
+/** Lowest priority that an endpoint knows. */
+const MAX_ENDPOINT_PRIORITY = 9;
 /** Status of an endpoint that could not fetch its inputs. */
 const STATUS_INPUTS_MISSING = 409;
 
@@ -219,6 +221,9 @@
       scope,
       writer: request.writer,
       customer: request.customer,
+      priority: this.#deps.isContended()
+        ? Math.min(MAX_ENDPOINT_PRIORITY, request.rank)
+        : undefined,
       inputs: this.#staged.inputs,
       leftMs,
       maxIdleMs: this.#isRetryable ? RETRYABLE_IDLE_MS : ONE_SHOT_IDLE_MS,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -166,6 +166,12 @@
     this.rollouts.setSettings(bounds.rollout);
   }
 
+  /** Whether overload control and speed-aware placement apply. */
+  get isContended(): boolean {
+    return this.#bounds.isContended === true ||
+      this.endpointTracker.hasHostSpeeds;
+  }
+
   get #isStopping(): boolean {
     return this.#stopRequestedAt !== undefined;
   }
@@ -256,6 +262,7 @@
       events,
       metrics: this.metrics,
       getStopState: () => this.#getStopState(),
+      isContended: () => this.isContended,
     };
   }
 
@@ -307,6 +314,7 @@
       wire: this.#wire,
       events: this.#options.events,
       metrics: this.metrics,
+      isContended: () => this.isContended,
       releaseInputs: (owner, handles) =>
         void this.#router.release(owner.service, owner.shard, handles),
     });
--- a/packages/gateway/src/gateway_bounds.ts
+++ b/packages/gateway/src/gateway_bounds.ts
@@ -20,6 +20,12 @@
    * endpoint that leaves, a new configuration, a zone that is taken out), in ms.
    */
   readonly registryDeadlineMs: number;
+  /**
+   * Whether callers compete for capacity that is known to be short, so that
+   * overload control applies from the start. It also applies once an endpoint
+   * has reported the speed of its host.
+   */
+  readonly isContended?: boolean;
 }
 
 /** Returns the limits of the retry budget. */
--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -59,6 +59,8 @@
   readonly wire: WireAdapter;
   readonly events: logger.EventLog;
   readonly metrics: metrics.Metrics;
+  /** Whether overload control applies. */
+  readonly isContended: () => boolean;
   /** Releases results at the pool that produced them. */
   readonly releaseInputs: (
     owner: serving.InputOwner,
--- a/packages/gateway/src/piece_leader_test.ts
+++ b/packages/gateway/src/piece_leader_test.ts
@@ -69,6 +69,7 @@
       recordCompletion: () => {},
     };
     this.leader = new PieceLeader({
+      isContended: () => false,
       service: "roster",
       shard: "*",
       getPool: () => POOL,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -27,6 +27,8 @@
   readonly leftMs: number;
   readonly endpointId: EndpointId;
   readonly customer?: CustomerId;
+  /** Priority at the endpoint, 0 (first) to 9; the endpoint's default if unset. */
+  readonly priority?: number;
   /** Handles of the stage results that the request reads. */
   readonly inputs: readonly string[];
   /** Last event that the caller received; the stream resumes after it. */
@@ -62,6 +64,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How long work takes on its host now, as a multiple of the usual time. */
+  readonly slowdown?: number;
 }
 
 /** One piece in a call. */
