Plan lanes by the starts of calls; tests of overload, shares and failures

Change: planLanes takes the time until each endpoint is free; the leader keeps the expected ends of its calls.

--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -189,8 +189,7 @@
       ...this.#order.planLoad({
         queue: this.#groups.waiting,
         pool,
-        endpoints: ids.length,
-        hasIdle: this.#endpoints.getIdle(ids, now).length > 0,
+        endpointIds: ids,
         now,
       }),
     });
@@ -259,8 +258,7 @@
     const { ranked, spaceRule } = this.#order.rank({
       queue: this.#groups.waiting,
       pool,
-      endpoints: fast.size,
-      hasIdle: true,
+      endpointIds: [...fast],
       now,
     });
     for (const { id, maxPieces } of free) {
@@ -340,7 +338,12 @@
     this.#resultSpace.addBytes(endpoint.id, bytes);
     const expectedMs = pool.callMs + pieces.length * pool.pieceMs;
     const isBacklogged = this.#groups.waiting.length > 0;
-    this.#order.recordStart(endpoint.id, plan, pool, startedAt);
+    const slowdown = this.#endpoints.getSlowdown(endpoint.id);
+    this.#order.recordStart(
+      { endpointId: endpoint.id, plan, expectedMs: expectedMs * slowdown },
+      pool,
+      startedAt,
+    );
     this.#callLog.recordStart({
       endpointId: endpoint.id,
       batchSize: pool.batchSize,
@@ -362,8 +365,8 @@
         key: group.key,
         inputs: group.inputs,
       })),
-      timeoutMs: expectedMs * this.#endpoints.getSlowdown(endpoint.id) *
-          CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_MARGIN_MS,
+      timeoutMs: expectedMs * slowdown * CALL_TIMEOUT_FACTOR +
+        CALL_TIMEOUT_MARGIN_MS,
     });
     const tookMs = performance.now() - startedAt;
     this.#resultSpace.removeBytes(endpoint.id, bytes);
@@ -379,9 +382,13 @@
       CALLS_ROUTE,
       buildCallOutcome(result, tookMs / expectedMs),
     );
-    if (isBacklogged && result.kind === "done") {
-      this.#order.recordEnd(tookMs, pieces.length, pool);
-    }
+    this.#order.recordEnd(
+      endpoint.id,
+      pool,
+      isBacklogged && result.kind === "done"
+        ? { tookMs, pieces: pieces.length }
+        : undefined,
+    );
     this.#callLog.recordEnd({
       endpointId: endpoint.id,
       pieces: pieces.length,
--- a/packages/gateway/src/piece_leader_test.ts
+++ b/packages/gateway/src/piece_leader_test.ts
@@ -29,6 +29,8 @@
   readonly suspects = new Set<string>();
   ids = ["e1", "e2"];
   isContended = false;
+  /** Endpoints that have just broken calls. */
+  readonly avoided = new Set<string>();
   /** Load that an earlier leader reported. */
   reported: ReportedLoad | undefined;
   readonly leader: PieceLeader;
@@ -57,7 +59,7 @@
     };
     const endpointTracker: Partial<EndpointTracker> = {
       getCallEndpoints: () => this.ids.map(buildEndpoint),
-      isAvoided: () => false,
+      isAvoided: (id) => this.avoided.has(id),
       startRelease: () => true,
       recordNoticesOf: () => {},
       recordEvidence: () => {},
@@ -222,6 +224,49 @@
     harness.end(2);
   });
 
+  // Four endpoints that had crashed counted as capacity in the load that admission
+  // reads, for seconds.
+  it("counts no avoided endpoints in the load of a contended pool", () => {
+    harness.avoided.add("e1");
+    expect(harness.leader.getLoad().endpoints).to.equal(2);
+    harness.leader.close();
+    harness = new LeaderHarness();
+    harness.isContended = true;
+    harness.avoided.add("e1");
+    expect(harness.leader.getLoad().endpoints).to.equal(1);
+  });
+
+  it("makes a late group of a contended pool after one on time", async () => {
+    harness.ids = ["e1"];
+    harness.isContended = true;
+    const inputs: string[] = [];
+    void harness.add({ requestId: "first", pieces: 4, inputs });
+    await harness.waitForCalls(1);
+    const now = performance.now();
+    const add = (requestId: string, dueAt: number) =>
+      harness.add({
+        requestId,
+        dueAt,
+        pieces: 4,
+        resultBytes: 50,
+        expiresAt: now + 60_000,
+        giveUpAt: now + 60_000,
+        inputs,
+      });
+    const outcomes = [add("late", now - 10), add("onTime", now + 30_000)];
+    await wait(20);
+    harness.end(0);
+    await harness.waitForCalls(2);
+    harness.end(1);
+    await harness.waitForCalls(3);
+    harness.end(2);
+    for (const { kind } of await Promise.all(outcomes)) {
+      expect(kind).to.equal("made");
+    }
+    expect(harness.calls.map(({ call }) => call.pieces[0]!.requestId))
+      .to.deep.equal(["first", "onTime", "late"]);
+  });
+
   // An endpoint that crashes on one request loses all other pieces of the call.
   it("sends a suspect in a call of its own and the others together", async () => {
     harness.suspects.add("f-suspect");
--- a/packages/gateway/src/pool_order.ts
+++ b/packages/gateway/src/pool_order.ts
@@ -31,12 +31,17 @@
   readonly queue: readonly ActiveGroup[];
   readonly pool: serving.PoolSpec;
   /** Endpoints that take calls. */
-  readonly endpoints: number;
-  /** Whether one of them is idle. */
-  readonly hasIdle: boolean;
+  readonly endpointIds: readonly EndpointId[];
   readonly now: number;
 }
 
+/** A call that starts. */
+export interface OrderedCall {
+  readonly endpointId: EndpointId;
+  readonly plan: readonly serving.PlannedPieces[];
+  readonly expectedMs: number;
+}
+
 /** The queue in service order, and which groups may take scarce space. */
 export interface RankedQueue {
   readonly ranked: readonly ActiveGroup[];
@@ -61,6 +66,8 @@
   readonly #pieceWork = new overload.PieceWork();
   /** Since when an idle endpoint has waited for space. */
   readonly #waitingSince = new Map<EndpointId, number>();
+  /** Expected end of the call that runs at an endpoint. */
+  readonly #busyUntil = new Map<EndpointId, number>();
   #plan: LanePlan | undefined;
   #deferredCount = 0;
 
@@ -129,15 +136,15 @@
     return true;
   }
 
-  /** Records the start of a call: its customers' work, at full calls. */
+  /** Records the start of a call: its expected end and its customers' work. */
   recordStart(
-    endpointId: EndpointId,
-    plan: readonly serving.PlannedPieces[],
+    { endpointId, plan, expectedMs }: OrderedCall,
     pool: serving.PoolSpec,
     now: number,
   ): void {
     this.#waitingSince.delete(endpointId);
     if (!this.isOn) return;
+    this.#busyUntil.set(endpointId, now + expectedMs);
     this.#plan = undefined;
     this.#adoptUsage(now);
     const pieceMs = this.#getPieceMs(pool);
@@ -147,14 +154,20 @@
     }
   }
 
-  /** Records the end of a call that left groups waiting when it started. */
-  recordEnd(tookMs: number, pieces: number, pool: serving.PoolSpec): void {
-    if (!this.isOn) return;
+  /** Records the end of a call, with its duration if it left groups waiting. */
+  recordEnd(
+    endpointId: EndpointId,
+    pool: serving.PoolSpec,
+    backlogged?: { readonly tookMs: number; readonly pieces: number },
+  ): void {
+    this.#busyUntil.delete(endpointId);
+    if (!this.isOn || backlogged === undefined) return;
+    const { tookMs, pieces } = backlogged;
     this.#pieceWork.record(tookMs, pieces * getFullCallPieceMs(pool));
   }
 
   #planLanes(state: QueueState): LanePlan {
-    const { queue, pool, endpoints, hasIdle, now } = state;
+    const { queue, pool, endpointIds, now } = state;
     const newest = queue.at(-1);
     const last = this.#plan;
     const isReusable = last !== undefined && last.newest === newest &&
@@ -163,12 +176,9 @@
     this.#adoptUsage(now);
     const pieceMs = this.#getPieceMs(pool);
     const fullCallMs = pieceMs * pool.batchSize;
-    // Calls end one after the other, half of that interval from now on average.
-    const firstFreeMs = hasIdle ? 0 : fullCallMs / Math.max(1, endpoints) / 2;
     const lanes = overload.planLanes({
       groups: queue.map((queued) => buildEntry(queued, pieceMs)),
-      endpoints,
-      firstFreeMs,
+      freeInMs: endpointIds.map((id) => (this.#busyUntil.get(id) ?? now) - now),
       fullCallMs,
       usage: this.#usage,
       now,
--- a/packages/overload/src/plan_lanes.ts
+++ b/packages/overload/src/plan_lanes.ts
@@ -28,10 +28,8 @@
 /** Options of {@link planLanes}. */
 export interface PlanLanesOptions<G extends LaneGroup> {
   readonly groups: readonly G[];
-  /** Endpoints that take calls. */
-  readonly endpoints: number;
-  /** Time until the first of them is free, in milliseconds. */
-  readonly firstFreeMs: number;
+  /** Time until each endpoint that takes calls is free, in milliseconds. */
+  readonly freeInMs: readonly number[];
   /** Time of one full call, in milliseconds. */
   readonly fullCallMs: number;
   /** Work that the pool did recently, by customer. */
@@ -66,11 +64,14 @@
  */
 const LAST_CHANCE_MARGIN_MS = 50;
 
+/** Share of a call that is taken as a rounding error of sums of work. */
+const ROUNDING = 1e-6;
+
 /**
  * Plans which groups are served on time.
  *
- * Goes through the groups by latest start. As soon as one can't start in time behind
- * those kept so far, kept groups are deferred: the least urgent rank first; within a
+ * Goes through the groups by latest start. As soon as the last piece of one can't
+ * start in time behind those kept so far, kept groups are deferred: the least urgent rank first; within a
  * rank late groups at their last chance, then groups of the customer with the most
  * work, then the group with the most work. If every group can start in time, none is
  * compared with another.
@@ -83,7 +84,7 @@
  * @returns Both lanes in service order; groups past their expiry are in neither.
  * @example
  * ```ts
- * const { onTime, deferred } = planLanes({ groups, endpoints: 11, firstFreeMs: 0, fullCallMs: 276, usage, now });
+ * const { onTime, deferred } = planLanes({ groups, freeInMs: [0, 40], fullCallMs: 276, usage, now });
  * ```
  */
 export function planLanes<G extends LaneGroup>(
@@ -116,8 +117,7 @@
   const startedMs = started.reduce((sum, { workMs }) => sum + workMs, 0);
   keepFeasible(entries, {
     startedMs,
-    endpoints: Math.max(1, options.endpoints),
-    freeAt: now + options.firstFreeMs,
+    getStart: createCallStarts(options),
     customerMs: [...customers.keys()]
       .map((customer) => usage.getWorkMs(customer, now)),
   });
@@ -133,24 +133,42 @@
 interface PlanState {
   /** Work of started groups, in milliseconds. */
   readonly startedMs: number;
-  readonly endpoints: number;
-  readonly freeAt: number;
+  /** Returns the start of the call that contains the end of some work. */
+  readonly getStart: (untilMs: number) => number;
   /** Work by customer: used recently, and kept in this plan. */
   readonly customerMs: number[];
 }
 
+/**
+ * Returns a function for the start of the call that contains the end of some work,
+ * if full calls start one after the other wherever an endpoint is free.
+ *
+ * Work divided by the number of endpoints is too early when calls start in bunches:
+ * after a bunch no endpoint is free for the time of a whole call.
+ */
+function createCallStarts(
+  { freeInMs, fullCallMs, now }: PlanLanesOptions<LaneGroup>,
+): (untilMs: number) => number {
+  const firstStarts = freeInMs.length === 0
+    ? [0]
+    : freeInMs.map((ms) => Math.max(0, ms)).sort((a, b) => a - b);
+  return (untilMs) => {
+    const call = Math.max(0, Math.ceil(untilMs / fullCallMs - ROUNDING) - 1);
+    const round = Math.floor(call / firstStarts.length);
+    return now + firstStarts[call % firstStarts.length]! + round * fullCallMs;
+  };
+}
+
 function keepFeasible<G extends LaneGroup>(
   entries: readonly Entry<G>[],
-  { startedMs, endpoints, freeAt, customerMs }: PlanState,
+  { startedMs, getStart, customerMs }: PlanState,
 ): void {
   let keptMs = startedMs;
   for (const [index, entry] of entries.entries()) {
     const { workMs } = entry.group;
     customerMs[entry.customerIndex]! += workMs;
     keptMs += workMs;
-    while (
-      entry.isKept && freeAt + (keptMs - workMs) / endpoints > entry.startBy
-    ) {
+    while (entry.isKept && getStart(keptMs) > entry.startBy) {
       const dropped = pickDeferred(entries, index, customerMs);
       dropped.isKept = false;
       keptMs -= dropped.group.workMs;
--- a/packages/serving/src/call_plan_test.ts
+++ b/packages/serving/src/call_plan_test.ts
@@ -156,6 +156,56 @@
       .to.deep.equal([["one", 1], ["tiny", 1]]);
   });
 
+  describe("with lanes", () => {
+    const buildQueue = () => [
+      buildQueued({
+        requestId: "first",
+        dueAt: 200,
+        pieces: 5,
+        resultBytes: 30_000,
+      }),
+      buildQueued({
+        requestId: "second",
+        dueAt: 210,
+        pieces: 3,
+        resultBytes: 30_000,
+      }),
+    ];
+    const endpoint = { ...ENDPOINT, freeBytes: 100_000 };
+
+    // At a pool that is short of space calls were 0.8 full while 70 to 90 groups
+    // waited: each group that was nearly late and didn't fit stopped the others.
+    it("starts groups that fit behind a nearly late one of usual size", () => {
+      const spaceRule = { kind: "lanes", deferred: new Set() };
+      const queue = buildQueue();
+      expect(planPieces(queue, { endpoint })).to.deep.equal([]);
+      expect(planPieces(queue, { endpoint, spaceRule }))
+        .to.deep.equal([["second", 3]]);
+      expect(plan(queue, { endpoint, spaceRule }).lacksSpace)
+        .to.equal(queue[0]);
+    });
+
+    it("still keeps space for a nearly late group that is large", () => {
+      const spaceRule = { kind: "lanes", deferred: new Set() };
+      const large = buildQueued({ dueAt: 200, pieces: 8, resultBytes: 40_000 });
+      expect(planPieces([large, buildQueue()[1]!], { endpoint, spaceRule }))
+        .to.deep.equal([]);
+    });
+
+    // A deferred group would take the space for which a group on time waits.
+    it("starts no deferred group of usual size while one on time lacks space", () => {
+      const queue = buildQueue();
+      const spaceRule = { kind: "lanes", deferred: new Set([queue[1]]) };
+      const tiny = buildQueued({ requestId: "tiny", dueAt: 900, pieces: 1 });
+      spaceRule.deferred.add(tiny);
+      expect(planPieces([...queue, tiny], { endpoint, spaceRule }))
+        .to.deep.equal([["tiny", 1]]);
+      const roomy = { ...ENDPOINT, freeBytes: 300_000 };
+      expect(planPieces(queue, { endpoint: roomy, spaceRule }))
+        .to.deep.equal([["first", 5], ["second", 3]]);
+    });
+  });
+
   it("waits for the zone that stores large inputs while there is time", () => {
     const queue = [buildQueued({ localBytes: { b: 5_000_000 }, dueAt: 900 })];
     expect(planPieces(queue)).to.deep.equal([]);
--- a/packages/serving/src/pool_load_test.ts
+++ b/packages/serving/src/pool_load_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { buildQueued, POOL } from "./_fixtures.ts";
+import type { QueuedGroup } from "./piece_queue.ts";
 import {
   estimateLoad,
   type EstimateLoadOptions,
@@ -88,6 +89,20 @@
     expect(isShort([400_000, 0], 1_000)).to.equal(false);
   });
 
+  // Deferred groups are served after a new one that can be on time. Counted in its
+  // wait, they would refuse requests that the pool can serve.
+  it("counts only groups kept on time if they are planned, late all", () => {
+    const queue = [
+      buildQueued({ requestId: "kept", pieces: 20 }),
+      buildQueued({ requestId: "deferred", pieces: 20, isInvested: true }),
+    ];
+    const isKeptOnTime = ({ group }: QueuedGroup) => group.requestId === "kept";
+    expect(wait({ queue, isKeptOnTime })).to.equal(250);
+    expect(wait({ queue, isKeptOnTime }, { isLate: true })).to.equal(500);
+    queue[1]!.startedIn = "a";
+    expect(wait({ queue, isKeptOnTime })).to.equal(500);
+  });
+
   // Sixty groups were late and waited for a stalled pool. Only groups that could be
   // on time were counted, so the pool reported no queue, and for five seconds each
   // new request was accepted, held and dropped.
