--- a/packages/overload/src/plan_lanes.ts
+++ b/packages/overload/src/plan_lanes.ts
@@ -49,12 +49,14 @@
   readonly deferred: readonly G[];
 }
 
-/** A group in the plan; numbers replace map look-ups in the inner loop. */
+/** A group in the plan, with what the inner loop compares as plain numbers. */
 interface Entry<G> {
   readonly group: G;
   readonly startBy: number;
-  readonly isLate: boolean;
+  /** Twice the rank, plus one for a late group; larger is deferred first. */
+  readonly deferOrder: number;
   readonly customerIndex: number;
+  readonly workMs: number;
   isKept: boolean;
 }
 
@@ -110,7 +112,14 @@
     const startBy = isLate ? group.expiresAt : group.dueAt;
     const customerIndex = customers.get(group.customer) ?? customers.size;
     customers.set(group.customer, customerIndex);
-    entries.push({ group, startBy, isLate, customerIndex, isKept: true });
+    entries.push({
+      group,
+      startBy,
+      deferOrder: 2 * group.rank + (isLate ? 1 : 0),
+      customerIndex,
+      workMs: group.workMs,
+      isKept: true,
+    });
   }
   started.sort((a, b) => a.dueAt - b.dueAt);
   entries.sort((a, b) => a.startBy - b.startBy);
@@ -163,47 +172,45 @@
   entries: readonly Entry<G>[],
   { startedMs, getStart, customerMs }: PlanState,
 ): void {
+  const kept: Entry<G>[] = [];
   let keptMs = startedMs;
-  for (const [index, entry] of entries.entries()) {
-    const { workMs } = entry.group;
-    customerMs[entry.customerIndex]! += workMs;
-    keptMs += workMs;
+  for (const entry of entries) {
+    kept.push(entry);
+    customerMs[entry.customerIndex]! += entry.workMs;
+    keptMs += entry.workMs;
     while (entry.isKept && getStart(keptMs) > entry.startBy) {
-      const dropped = pickDeferred(entries, index, customerMs);
-      dropped.isKept = false;
-      keptMs -= dropped.group.workMs;
-      customerMs[dropped.customerIndex]! -= dropped.group.workMs;
+      const [deferred] = kept.splice(findDeferredIndex(kept, customerMs), 1);
+      deferred!.isKept = false;
+      keptMs -= deferred!.workMs;
+      customerMs[deferred!.customerIndex]! -= deferred!.workMs;
     }
   }
 }
 
-/** Picks the kept entry, up to and including an index, that is deferred next. */
-function pickDeferred<G extends LaneGroup>(
-  entries: readonly Entry<G>[],
-  last: number,
+/** Finds the kept entry that is deferred next; of equal ones the last. */
+function findDeferredIndex(
+  kept: readonly Entry<LaneGroup>[],
   customerMs: readonly number[],
-): Entry<G> {
-  let worst = entries[last]!;
-  for (let index = 0; index < last; index++) {
-    const entry = entries[index]!;
-    if (entry.isKept && isDeferredBefore(entry, worst, customerMs)) {
-      worst = entry;
+): number {
+  let worstIndex = kept.length - 1;
+  for (let index = 0; index < kept.length - 1; index++) {
+    if (isDeferredBefore(kept[index]!, kept[worstIndex]!, customerMs)) {
+      worstIndex = index;
     }
   }
-  return worst;
+  return worstIndex;
 }
 
-function isDeferredBefore<G extends LaneGroup>(
-  a: Entry<G>,
-  b: Entry<G>,
+function isDeferredBefore(
+  a: Entry<LaneGroup>,
+  b: Entry<LaneGroup>,
   customerMs: readonly number[],
 ): boolean {
-  if (a.group.rank !== b.group.rank) return a.group.rank > b.group.rank;
-  if (a.isLate !== b.isLate) return a.isLate;
+  if (a.deferOrder !== b.deferOrder) return a.deferOrder > b.deferOrder;
   if (a.customerIndex !== b.customerIndex) {
     const workA = customerMs[a.customerIndex]!;
     const workB = customerMs[b.customerIndex]!;
     if (workA !== workB) return workA > workB;
   }
-  return a.group.workMs > b.group.workMs;
+  return a.workMs > b.workMs;
 }
