Admission over the chain, with margins learned from earlier forecasts

Cause: the time from the last result to the first event is 165 to 300 ms at the median where 150 ms are assumed, so due times are too late; requests that are late but could be answered are refused, and callers who return are refused again. Change: package forecast (ForecastErrors, AheadWork, decideChainAdmission, planReturn); on contended sites requests with stages are on time, deferred or refused on arrival, due times include the learned margin and full calls, accepted requests stay queued until their caller can't be reached, groups carry their customer. The latest start that reaches the caller excludes the margin, since a deferred request may only just be in time.

--- /dev/null
+++ b/packages/forecast/src/chain_admission.ts
@@ -0,0 +1,103 @@
+/**
+ * Admission of requests whose stages run in pools.
+ *
+ * @module
+ */
+
+/** Why a request of a chain is refused. */
+export const REFUSAL_REASON = {
+  /** The queues are so long that the answer would miss the deadline. */
+  busy: "busy",
+  /** The answer would miss the deadline even if nothing were queued. */
+  deadlineOutOfReach: "deadlineOutOfReach",
+  /** Results of a stage would be dropped before the next stage reads them. */
+  resultsExpire: "resultsExpire",
+} as const;
+/** A value of {@link REFUSAL_REASON}. */
+export type RefusalReason = typeof REFUSAL_REASON[keyof typeof REFUSAL_REASON];
+
+/** Input of {@link decideChainAdmission}; all times are in milliseconds. */
+export interface ChainAdmissionInput {
+  /** Time of all stages with full calls and without queueing. */
+  readonly stagesMs: number;
+  /** Expected wait along the longest path behind groups that are on time. */
+  readonly waitMs: number;
+  /** Expected wait along the longest path behind all queued groups. */
+  readonly deferredWaitMs: number;
+  /** Longest time that results wait for the next stage behind all groups. */
+  readonly heldMs: number;
+  /** Shortest time that pools keep results; Infinity without pools. */
+  readonly resultTtlMs: number;
+  /** Time from the last stage result to the first event. */
+  readonly firstEventMs: number;
+  /** Margin for errors of the forecast. */
+  readonly marginMs: number;
+  /** Wait behind work that was admitted and isn't queued at its pool yet. */
+  readonly aheadMs: number;
+  readonly objectiveMs: number;
+  /** Time until the caller's deadline or the route's timeout. */
+  readonly timeoutMs: number;
+  /** How long the caller waits for the first event. */
+  readonly patienceMs?: number;
+  /** The caller was refused before and retried after the time it was given. */
+  readonly isReturn: boolean;
+}
+
+/** Lane of a request, and the expected time behind the decision. */
+export type ChainAdmission =
+  | { readonly kind: "onTime"; readonly expectedMs: number }
+  | { readonly kind: "deferred"; readonly expectedMs: number }
+  | {
+    readonly kind: "refused";
+    readonly reason: RefusalReason;
+    readonly expectedMs: number;
+    /** Time until the queues leave room for such a request. */
+    readonly roomMs: number;
+  };
+
+/**
+ * Decides whether a request is served on time, late, or not at all.
+ *
+ * Answers a load above what the bottleneck pool can serve: requests that can't be
+ * answered before their deadline are refused before they use any pool.
+ *
+ * A return is refused only if groups that are on time, which always go first, leave
+ * no time for its answer. The whole queue isn't counted: late groups are served by
+ * deadline, and a return's deadline is earlier than those of first attempts.
+ */
+export function decideChainAdmission(
+  input: ChainAdmissionInput,
+): ChainAdmission {
+  const { stagesMs, firstEventMs, objectiveMs, marginMs, aheadMs } = input;
+  const limitMs = Math.min(input.timeoutMs, input.patienceMs ?? Infinity);
+  const serviceMs = stagesMs + firstEventMs;
+  const refuse = (
+    reason: RefusalReason,
+    expectedMs: number,
+    roomMs: number,
+  ): ChainAdmission => ({ kind: "refused", reason, expectedMs, roomMs });
+  if (serviceMs > limitMs) {
+    return refuse(REFUSAL_REASON.deadlineOutOfReach, serviceMs, 0);
+  }
+  if (input.isReturn) {
+    const expectedMs = input.waitMs + serviceMs;
+    return expectedMs > limitMs
+      ? refuse(REFUSAL_REASON.busy, expectedMs, expectedMs - limitMs)
+      : { kind: "deferred", expectedMs };
+  }
+  const onTimeMs = input.waitMs + aheadMs + serviceMs;
+  const isUndelayed = input.waitMs + aheadMs === 0;
+  // Idle pools can't serve a request any faster, whatever the margin.
+  if (onTimeMs + marginMs <= Math.min(objectiveMs, limitMs) || isUndelayed) {
+    return { kind: "onTime", expectedMs: onTimeMs };
+  }
+  const deferredWaitMs = Math.max(input.waitMs, input.deferredWaitMs);
+  const deferredMs = deferredWaitMs + aheadMs + serviceMs;
+  const overMs = deferredMs + marginMs - limitMs;
+  if (overMs > 0) return refuse(REFUSAL_REASON.busy, deferredMs, overMs);
+  const overTtlMs = input.heldMs - input.resultTtlMs;
+  if (overTtlMs > 0) {
+    return refuse(REFUSAL_REASON.resultsExpire, deferredMs, overTtlMs);
+  }
+  return { kind: "deferred", expectedMs: deferredMs };
+}
--- a/packages/gateway/src/final_answer.ts
+++ b/packages/gateway/src/final_answer.ts
@@ -14,6 +14,7 @@
   RoutedRequest,
 } from "./flow_types.ts";
 import { END_REASON } from "./request_scope.ts";
+import type { StageForecast } from "./stage_forecast.ts";
 import type { StageRunOutcome } from "./stage_run.ts";
 
 /** Retry delay for callers when no endpoint is available, in milliseconds. */
@@ -101,13 +102,15 @@
     .exhaustive();
 }
 
-/** Records the time to the first event of a stream. */
+/** Records the time to the first event of a stream, and learns from it. */
 export function recordFirstEvent(
   deps: FlowDependencies,
   request: RoutedRequest,
+  stageForecast: StageForecast | undefined,
 ): void {
   const { route, scope, requestId } = request;
   const firstEventMs = scope.ageMs;
+  stageForecast?.recordFirstEvent(firstEventMs);
   deps.metrics.recordMs("first_event_ms", { route: route.name }, firstEventMs);
   deps.events.write(EVENT.streamStarted, {
     requestId,
--- a/packages/gateway/src/flow_types.ts
+++ b/packages/gateway/src/flow_types.ts
@@ -19,6 +19,7 @@
 import type { RequestScope } from "./request_scope.ts";
 import type { Rollouts } from "./rollouts.ts";
 import type { SiteState } from "./site_state.ts";
+import type { ForecastState } from "./stage_forecast.ts";
 
 /** The parts of the gateway that process requests. */
 export interface FlowDependencies {
@@ -34,6 +35,7 @@
   readonly quarantine: RequestQuarantine;
   readonly events: logger.EventLog;
   readonly metrics: metrics.Metrics;
+  readonly forecast: ForecastState;
   /** Progress of this VM's shutdown; undefined unless it is stopping. */
   readonly getStopState: () => serving.ShutdownState | undefined;
   /** Whether overload control and speed-aware placement apply. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import * as forecast from "@sardinestep/forecast";
 import type * as logger from "@sardinestep/logger";
 import * as metrics from "@sardinestep/metrics";
 import * as rpc from "@sardinestep/rpc";
@@ -261,6 +262,10 @@
       router: this.#router,
       events,
       metrics: this.metrics,
+      forecast: {
+        errors: new forecast.ForecastErrors(),
+        ahead: new forecast.AheadWork(),
+      },
       getStopState: () => this.#getStopState(),
       isContended: () => this.isContended,
     };
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -7,6 +7,7 @@
 import * as quarantine from "@sardinestep/quarantine";
 import * as serving from "@sardinestep/serving";
 import { match } from "ts-pattern";
+import { decideChainLane } from "./chain_lane.ts";
 import { EVENT } from "./events.ts";
 import {
   buildStageFailure,
@@ -29,6 +30,7 @@
   planShards,
 } from "./request_loads.ts";
 import { END_REASON } from "./request_scope.ts";
+import { StageForecast } from "./stage_forecast.ts";
 import { StageRun, type StageRunOutcome } from "./stage_run.ts";
 
 /**
@@ -138,8 +140,9 @@
 ): Promise<void> {
   const { scope, route } = request;
   deps.retryBudget.recordRequest(request.service, performance.now());
-  const run = createStageRun(deps, request);
-  const refusal = checkAdmission(deps, request, run);
+  const stageForecast = createStageForecast(deps, request);
+  const run = createStageRun(deps, request, stageForecast);
+  const refusal = checkAdmission(deps, request, run, stageForecast);
   if (refusal !== undefined) return refuseRequest(deps, request, refusal);
   const timer = setTimeout(
     () => scope.end(END_REASON.timedOut),
@@ -153,7 +156,7 @@
     ? await sendRequest(deps, request, {
       staged,
       handleInputsRead: () => run.release(),
-      handleFirstEvent: () => recordFirstEvent(deps, request),
+      handleFirstEvent: () => recordFirstEvent(deps, request, stageForecast),
       rerunStages: async () => {
         run.release();
         const rerun = await run.run();
@@ -162,14 +165,34 @@
     })
     : buildStageFailure(staged, request.timeoutMs - scope.ageMs);
   clearTimeout(timer);
+  // Routes without events have their first event with the answer.
+  if (result.kind === "answered") {
+    stageForecast?.recordFirstEvent(scope.ageMs);
+  }
   run.release();
   writeFinalAnswer(deps, request, result);
   scope.end(END_REASON.done);
 }
 
+/** Creates the forecast of a request with stages where overload control applies. */
+function createStageForecast(
+  deps: FlowDependencies,
+  request: RoutedRequest,
+): StageForecast | undefined {
+  const hasPieces = getPieceServices(request).size > 0;
+  if (!deps.isContended() || !hasPieces) return undefined;
+  return new StageForecast({
+    ...deps.forecast,
+    route: request.route,
+    defaultFirstEventMs: EXPECTED_FIRST_EVENT_MS,
+    isReturn: isRetryAfterRefusal(request),
+  });
+}
+
 function createStageRun(
   deps: FlowDependencies,
   request: RoutedRequest,
+  stageForecast: StageForecast | undefined,
 ): StageRun {
   const { route, session, table, service, caller } = request;
   const candidates = deps.endpointTracker.getCandidates(
@@ -188,11 +211,13 @@
     pieceCounts: caller.pieceCounts,
     pieceKey: caller.pieceKey,
     rank: request.rank,
+    customer: request.customer,
     readerZone,
     getShard,
     getLoad: (pieceService) =>
       deps.mesh.leaders.getLoad(pieceService, getShard(pieceService)),
-    firstEventMs: EXPECTED_FIRST_EVENT_MS,
+    firstEventMs: stageForecast?.firstEventMs ?? EXPECTED_FIRST_EVENT_MS,
+    forecast: stageForecast,
     objectiveMs: route.objectiveMs,
     // Results that are ready after the caller has left are of no use.
     leftMs: Math.min(request.timeoutMs, route.patienceMs ?? Infinity),
@@ -222,8 +247,9 @@
   deps: FlowDependencies,
   request: RoutedRequest,
   run: StageRun,
+  stageForecast: StageForecast | undefined,
 ): codes.Failure | undefined {
-  const { route, rank, caller } = request;
+  const { route } = request;
   const services = getPieceServices(request);
   const loads = getPoolLoads(
     deps,
@@ -234,6 +260,19 @@
   const stagesMs = run.getExpectedMs();
   const rateLimitFailure = checkRateLimit(deps, request, stagesMs);
   if (rateLimitFailure !== undefined) return rateLimitFailure;
+  const waits = route.stages.map((_, stage) => Math.round(getWaitMs(stage)));
+  if (stageForecast !== undefined) {
+    const decision = decideChainLane(request, { run, stageForecast, loads });
+    const { lane, marginMs, expectedMs, failure } = decision;
+    writeAdmission(deps, request, {
+      decision: lane === "refused" ? "refused" : "admitted",
+      lane,
+      marginMs: Math.round(marginMs),
+      expectedMs: Math.round(expectedMs),
+      waits,
+    });
+    return failure;
+  }
   const decision = serving.decideAdmission({
     stagesMs,
     waitMs: run.getExpectedMs(getWaitMs) - stagesMs,
@@ -243,21 +282,10 @@
     patienceMs: route.patienceMs,
     isReturn: isRetryAfterRefusal(request),
   });
-  deps.events.write(EVENT.requestAdmitted, {
-    requestId: request.requestId,
-    fingerprint: request.fingerprint,
-    route: route.name,
-    service: request.service,
-    customer: request.customer,
-    rank,
-    leftMs: request.timeoutMs,
-    isReturn: isRetryAfterRefusal(request),
-    session: request.session?.id,
-    pieces: caller.pieceCounts,
+  writeAdmission(deps, request, {
     decision: decision.kind,
     expectedMs: Math.round(decision.expectedMs),
-    waits: route.stages.map((_, stage) => Math.round(getWaitMs(stage))),
-    configuration: request.table.version,
+    waits,
   });
   return match(decision)
     .with({ kind: "admitted" }, () => undefined)
@@ -275,6 +303,33 @@
     .exhaustive();
 }
 
+function writeAdmission(
+  deps: FlowDependencies,
+  request: RoutedRequest,
+  fields: {
+    readonly decision: "admitted" | "refused";
+    readonly lane?: string;
+    readonly marginMs?: number;
+    readonly expectedMs: number;
+    readonly waits: readonly number[];
+  },
+): void {
+  deps.events.write(EVENT.requestAdmitted, {
+    requestId: request.requestId,
+    fingerprint: request.fingerprint,
+    route: request.route.name,
+    service: request.service,
+    customer: request.customer,
+    rank: request.rank,
+    leftMs: request.timeoutMs,
+    isReturn: isRetryAfterRefusal(request),
+    session: request.session?.id,
+    pieces: request.caller.pieceCounts,
+    ...fields,
+    configuration: request.table.version,
+  });
+}
+
 function refuse(
   code: codes.CodeName,
   message: string,
--- a/packages/gateway/src/request_loads.ts
+++ b/packages/gateway/src/request_loads.ts
@@ -79,22 +79,29 @@
   }));
 }
 
-/** Returns a function for the expected wait of a stage, by its pool's load. */
+/**
+ * Returns a function for the expected wait of a stage, by its pool's load.
+ *
+ * @param order Which queued groups precede the request; by default those that
+ * precede its rank, or all of them if it is a retry after a refusal.
+ */
 export function buildStageWaits(
   request: RoutedRequest,
   loads: ReadonlyMap<ServiceId, serving.PoolLoad>,
+  order: Pick<serving.GroupDemand, "rank" | "isLate"> = {
+    rank: request.rank,
+    isLate: isRetryAfterRefusal(request),
+  },
 ): (stage: number) => number {
-  const { route, caller, rank } = request;
-  const isLate = isRetryAfterRefusal(request);
+  const { route, caller } = request;
   return (stage) => {
     const { service, resultBytes } = route.stages[stage]!;
     const pieces = caller.pieceCounts[stage] ?? 0;
     const load = loads.get(service);
     return load === undefined ? 0 : serving.getExpectedWait(load, {
-      rank,
+      ...order,
       pieces,
       resultBytes,
-      isLate,
     });
   };
 }
--- a/packages/gateway/src/stage_run.ts
+++ b/packages/gateway/src/stage_run.ts
@@ -5,11 +5,12 @@
  */
 import type * as logger from "@sardinestep/logger";
 import * as serving from "@sardinestep/serving";
-import type { ServiceId, ZoneId } from "@sardinestep/types";
+import type { CustomerId, ServiceId, ZoneId } from "@sardinestep/types";
 import { match } from "ts-pattern";
 import { EVENT } from "./events.ts";
 import type { PieceRouter } from "./piece_router.ts";
 import type { RequestScope } from "./request_scope.ts";
+import type { StageForecast } from "./stage_forecast.ts";
 
 /** How the stages of a request ended. */
 export type StageRunOutcome =
@@ -32,6 +33,7 @@
   readonly pieceCounts: readonly number[];
   readonly pieceKey?: string;
   readonly rank: number;
+  readonly customer?: CustomerId;
   /** Zone in which the request itself will probably run. */
   readonly readerZone?: ZoneId;
   /** Gives the shard of a service's pool that works on the request. */
@@ -39,6 +41,8 @@
   /** Gives the load of that shard, if known. */
   readonly getLoad: (service: ServiceId) => serving.PoolLoad | undefined;
   readonly firstEventMs: number;
+  /** Set where overload control applies. */
+  readonly forecast?: StageForecast;
   readonly objectiveMs: number;
   readonly leftMs: number;
   /** Whether the caller retries after a refusal. */
@@ -50,6 +54,8 @@
 
 /** Maximum number of times that the stages run when results are lost. */
 const MAX_GRAPH_RUNS = 3;
+/** Share of a full batch that calls have under overload. */
+const CONTENDED_CALL_FILL = 1;
 
 /**
  * Starts each stage once its inputs are complete and releases results as early as
@@ -79,11 +85,18 @@
     return this.#options.getShard(service);
   }
 
+  /** Identifies the shard of a pool that runs a stage. */
+  getPoolKey(stage: number): string {
+    const { service } = this.#options.route.stages[stage]!;
+    return `${service}\0${this.getShard(service)}`;
+  }
+
   /** Runs all stages until they are done, fail, or the request ends. */
   async run(): Promise<StageRunOutcome> {
     let outcome: StageRunOutcome = { kind: "ended" };
     for (let runIndex = 0; runIndex < MAX_GRAPH_RUNS; runIndex++) {
       if (runIndex > 0) this.#graph = this.#createGraph();
+      this.#options.forecast?.dropForecasts();
       const result = await this.#runGraph();
       if (result.kind !== "inputGone") return result;
       this.release();
@@ -94,15 +107,23 @@
 
   /** Releases every result that is still kept. */
   release(): void {
+    this.#options.forecast?.release();
     this.#releaseGraph(this.#graph);
   }
 
+  get #callFill(): number | undefined {
+    return this.#options.forecast === undefined
+      ? undefined
+      : CONTENDED_CALL_FILL;
+  }
+
   #createGraph(): serving.StageGraph {
     const { route, pieceCounts, services } = this.#options;
     return new serving.StageGraph({
       stages: route.stages,
       pieceCounts,
       services,
+      callFill: this.#callFill,
     });
   }
 
@@ -139,6 +160,7 @@
               .with({ kind: "made" }, ({ results }) => {
                 graph.recordResults(start.stage, results);
                 if (isOver) return this.#releaseGraph(graph);
+                this.#recordForecast(graph, start);
                 this.#releaseHandles(
                   graph,
                   graph.getReleasableHandles(start.stage),
@@ -171,15 +193,23 @@
     const spec = route.stages[start.stage]!;
     const now = performance.now();
     const pool = this.#options.services.get(spec.service)?.pool;
-    const callMs = pool === undefined ? 0 : serving.getExpectedCallMs(pool);
+    const callMs = pool === undefined
+      ? 0
+      : serving.getExpectedCallMs(pool, this.#callFill);
+    const { forecast } = this.#options;
+    forecast?.removeAhead(start.stage);
+    const marginMs = forecast?.getMarginMs(start.stage) ?? 0;
     const remainingMs = callMs + start.downstreamMs +
       this.#options.firstEventMs;
     // A request that is retried after a refusal is late from the start.
     const objectiveMs = this.#options.isReturn ? 0 : this.#options.objectiveMs;
-    const dueAt = scope.startedAt + objectiveMs - remainingMs;
+    const dueAt = scope.startedAt + objectiveMs - remainingMs - marginMs;
+    // Without the margin: an answer that only may be too late is still worth a start.
     const expiresAt = scope.startedAt + this.#options.leftMs - remainingMs;
     const { isInvested } = start;
-    const giveUpAt = serving.planGiveUp({
+    // Admission refuses what can't be answered, so an accepted request that is late
+    // stays queued for as long as its caller can be reached.
+    const giveUpAt = forecast !== undefined ? expiresAt : serving.planGiveUp({
       isInvested,
       isReturn: this.#options.isReturn,
       now,
@@ -206,6 +236,7 @@
       resultBytes: spec.resultBytes,
       inputOwner: this.#findEarlyReleaseOwner(start),
       rank: this.#options.rank,
+      customer: this.#options.customer,
       isInvested,
       localBytes: this.#getLocalBytes(start, spec.resultBytes),
       dueAt,
@@ -222,6 +253,28 @@
     return outcome;
   }
 
+  #recordForecast(graph: serving.StageGraph, start: serving.StageStart): void {
+    const { forecast, route, rank, pieceCounts, getLoad, scope } =
+      this.#options;
+    if (forecast === undefined) return;
+    const getWaitMs = (stage: number) => {
+      const { service, resultBytes } = route.stages[stage]!;
+      const load = getLoad(service);
+      const pieces = pieceCounts[stage] ?? 0;
+      const isLate = false;
+      return load === undefined
+        ? 0
+        : serving.getExpectedWait(load, { rank, pieces, resultBytes, isLate });
+    };
+    forecast.recordResult({
+      stage: start.stage,
+      ageMs: scope.ageMs,
+      downstreamMs: start.downstreamMs,
+      downstreamWithWaitsMs: graph.getDownstreamMs(start.stage, getWaitMs),
+      isLast: graph.isDone,
+    });
+  }
+
   /**
    * Finds the pool at which a stage's inputs are released early, if its result space
    * is short: as soon as the inputs are read instead of when the stage is done, which
--- a/packages/serving/src/piece_queue.ts
+++ b/packages/serving/src/piece_queue.ts
@@ -3,7 +3,12 @@
  *
  * @module
  */
-import type { EndpointId, ServiceId, ZoneId } from "@sardinestep/types";
+import type {
+  CustomerId,
+  EndpointId,
+  ServiceId,
+  ZoneId,
+} from "@sardinestep/types";
 import type { ShardId } from "./leaders.ts";
 
 /** The shard that made a group's inputs and stores them. */
@@ -28,6 +33,7 @@
   readonly inputOwner?: InputOwner;
   /** Rank of the request; 0 is the most urgent. */
   readonly rank: number;
+  readonly customer?: CustomerId;
   /**
    * Bytes that don't cross zones if the group is made in a zone: inputs stored
    * there, once for each piece that reads them, and results that are read there.
--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -43,6 +43,8 @@
   /** Number of pieces of each stage; 0 skips the stage. */
   readonly pieceCounts: readonly number[];
   readonly services: ReadonlyMap<string, ServiceSpec>;
+  /** Share of a full batch that calls are expected to have. */
+  readonly callFill?: number;
 }
 
 /** Average share of a full batch in a call; used for expected times only. */
@@ -93,6 +95,21 @@
     return Math.max(0, ...stages);
   }
 
+  /**
+   * Returns the expected time from the end of a stage to the end of its branch, in
+   * milliseconds.
+   *
+   * @param getWaitMs Wait of a stage before its calls.
+   */
+  getDownstreamMs(
+    stage: number,
+    getWaitMs: (stage: number) => number,
+  ): number {
+    if (this.#countPieces(stage) === 0) return 0;
+    return this.#getBranchMs(stage, getWaitMs) - getWaitMs(stage) -
+      this.#getStageMs(stage);
+  }
+
   /** Whether every stage has its results. */
   get isDone(): boolean {
     return this.#states.every((state) => state.kind === "made");
@@ -190,7 +207,9 @@
   #getStageMs(stage: number): number {
     const service = this.#options.stages[stage]!.service;
     const pool = this.#options.services.get(service)?.pool;
-    return pool === undefined ? DEFAULT_STAGE_MS : getExpectedCallMs(pool);
+    return pool === undefined
+      ? DEFAULT_STAGE_MS
+      : getExpectedCallMs(pool, this.#options.callFill);
   }
 
   #countBytes(stages: readonly number[]): Record<string, number> {
@@ -247,7 +266,14 @@
   }
 }
 
-/** Returns the expected time of a call with an average number of pieces. */
-export function getExpectedCallMs(pool: PoolSpec): number {
-  return pool.callMs + pool.batchSize * EXPECTED_CALL_FILL * pool.pieceMs;
+/**
+ * Returns the expected time of a call, in milliseconds.
+ *
+ * @param callFill Share of a full batch that the call has.
+ */
+export function getExpectedCallMs(
+  pool: PoolSpec,
+  callFill = EXPECTED_CALL_FILL,
+): number {
+  return pool.callMs + pool.batchSize * callFill * pool.pieceMs;
 }
