--- a/packages/gateway/src/chain_lane_test.ts
+++ b/packages/gateway/src/chain_lane_test.ts
@@ -9,7 +9,7 @@
 import { runRequest } from "./request_flow.ts";
 
 /** Runs the admission of one request and returns its log line. */
-async function admit(harness: ChainHarness, deadlineMs?: number) {
+async function runAdmission(harness: ChainHarness, deadlineMs?: number) {
   const { request, deps } = harness.createRequest(deadlineMs);
   // The request ends after its admission.
   harness.runPieces = () =>
@@ -20,7 +20,7 @@
 
 describe("admission of a chain", () => {
   it("logs lane and margin of a request on time", async () => {
-    const line = await admit(new ChainHarness());
+    const line = await runAdmission(new ChainHarness());
     expect(line).to.include({
       decision: "admitted",
       lane: "onTime",
@@ -32,7 +32,7 @@
   it("defers a request that is late and can be answered", async () => {
     const harness = new ChainHarness();
     harness.loads.set("b", buildLoad(900, 900));
-    const line = await admit(harness);
+    const line = await runAdmission(harness);
     expect(line).to.include({ decision: "admitted", lane: "deferred" });
   });
 
@@ -40,7 +40,7 @@
   it("refuses at once what can't be answered, with a time to return", async () => {
     const harness = new ChainHarness();
     harness.loads.set("b", buildLoad(900, 1_900));
-    const line = await admit(harness);
+    const line = await runAdmission(harness);
     expect(line).to.include({ decision: "refused", lane: "refused" });
     expect(harness.groups).to.have.length(0);
     const [failure] = harness.failures;
@@ -53,7 +53,7 @@
   it("accepts a return behind a queue that refuses first attempts", async () => {
     const harness = new ChainHarness();
     harness.loads.set("b", buildLoad(1_500, 1_500));
-    const line = await admit(harness, 3_500);
+    const line = await runAdmission(harness, 3_500);
     expect(line).to.include({ isReturn: true, lane: "deferred" });
   });
 
@@ -61,7 +61,7 @@
   it("admits requests without load reports", async () => {
     const harness = new ChainHarness();
     harness.loads.set("b", serving.UNKNOWN_LOAD);
-    expect(await admit(harness)).to.include({ lane: "onTime" });
+    expect(await runAdmission(harness)).to.include({ lane: "onTime" });
   });
 
   // Guards against bursts that find later pools idle because no report has them yet.
@@ -69,7 +69,7 @@
     const harness = new ChainHarness();
     harness.loads.set("c", buildLoad(0, 0));
     harness.state.ahead.add(`c\0${serving.WHOLE_POOL}`, 2_000);
-    expect(await admit(harness)).to.include({ lane: "deferred" });
+    expect(await runAdmission(harness)).to.include({ lane: "deferred" });
   });
 
   // Guards against new behaviour at deployments that don't call for it.
@@ -77,7 +77,7 @@
     const harness = new ChainHarness();
     harness.isContended = false;
     harness.loads.set("b", buildLoad(900, 900));
-    const line = await admit(harness);
+    const line = await runAdmission(harness);
     expect(line).to.include({ decision: "refused", expectedMs: 1_710 });
     expect(line).to.not.have.any.keys("lane", "marginMs");
   });
--- a/packages/gateway/src/stage_forecast.ts
+++ b/packages/gateway/src/stage_forecast.ts
@@ -26,10 +26,10 @@
   readonly stage: number;
   /** Age of the request in ms. */
   readonly ageMs: number;
-  /** Expected time of the later stages in ms, without queueing. */
-  readonly downstreamMs: number;
+  /** Expected time of the remaining stages in ms, without queueing. */
+  readonly remainingMs: number;
   /** The same with the reported waits, in ms. */
-  readonly downstreamWithWaitsMs: number;
+  readonly remainingWithWaitsMs: number;
   /** Whether no further stage has to run. */
   readonly isLast: boolean;
 }
@@ -87,14 +87,14 @@
     const { route, isReturn } = this.#options;
     const { stage, ageMs, isLast } = result;
     const { firstEventMs } = this;
-    const expectedAgeMs = ageMs + result.downstreamMs + firstEventMs;
+    const expectedAgeMs = ageMs + result.remainingMs + firstEventMs;
     this.#pending.push({
       ageMs,
       forecast: {
         route: route.name,
         stage,
         // Waits that the load reports predict aren't errors of the forecast.
-        predictedMs: result.downstreamWithWaitsMs + firstEventMs,
+        predictedMs: result.remainingWithWaitsMs + firstEventMs,
         isOnTime: !isReturn && expectedAgeMs <= route.objectiveMs,
         isLast,
       },
--- a/packages/gateway/src/stage_run.ts
+++ b/packages/gateway/src/stage_run.ts
@@ -160,7 +160,7 @@
               .with({ kind: "made" }, ({ results }) => {
                 graph.recordResults(start.stage, results);
                 if (isOver) return this.#releaseGraph(graph);
-                this.#recordForecast(graph, start);
+                this.#recordForecast(graph, start.stage);
                 this.#releaseHandles(
                   graph,
                   graph.getReleasableHandles(start.stage),
@@ -253,24 +253,24 @@
     return outcome;
   }
 
-  #recordForecast(graph: serving.StageGraph, start: serving.StageStart): void {
+  #recordForecast(graph: serving.StageGraph, stage: number): void {
     const { forecast, route, rank, pieceCounts, getLoad, scope } =
       this.#options;
     if (forecast === undefined) return;
-    const getWaitMs = (stage: number) => {
-      const { service, resultBytes } = route.stages[stage]!;
+    const getWaitMs = (later: number) => {
+      const { service, resultBytes } = route.stages[later]!;
       const load = getLoad(service);
-      const pieces = pieceCounts[stage] ?? 0;
+      const pieces = pieceCounts[later] ?? 0;
       const isLate = false;
       return load === undefined
         ? 0
         : serving.getExpectedWait(load, { rank, pieces, resultBytes, isLate });
     };
     forecast.recordResult({
-      stage: start.stage,
+      stage,
       ageMs: scope.ageMs,
-      downstreamMs: start.downstreamMs,
-      downstreamWithWaitsMs: graph.getDownstreamMs(start.stage, getWaitMs),
+      remainingMs: graph.getRemainingMs(),
+      remainingWithWaitsMs: graph.getRemainingMs(getWaitMs),
       isLast: graph.isDone,
     });
   }
--- a/packages/gateway/src/stage_run_test.ts
+++ b/packages/gateway/src/stage_run_test.ts
@@ -9,7 +9,7 @@
 import { END_REASON } from "./request_scope.ts";
 
 /** Teaches a VM that first events take a time after the last stage. */
-function learnFirstEvents(harness: ChainHarness, actualMs: number): void {
+function recordFirstEvents(harness: ChainHarness, actualMs: number): void {
   for (let i = 0; i < 50; i++) {
     harness.state.errors.recordError({
       route: ROUTE.name,
@@ -25,7 +25,7 @@
   // Guards against due times that leave less time than first events take.
   it("sets due times with full calls, learned first events and margin", async () => {
     const harness = new ChainHarness();
-    learnFirstEvents(harness, 400);
+    recordFirstEvents(harness, 400);
     const { run, scope } = harness.createRun();
     expect((await run.run()).kind).to.equal("made");
     const [first, , last] = harness.groups;
--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -96,18 +96,19 @@
   }
 
   /**
-   * Returns the expected time from the end of a stage to the end of its branch, in
-   * milliseconds.
+   * Returns the expected time of the remaining stages along the longest path, in
+   * milliseconds. A running stage counts as if it had just started.
    *
-   * @param getWaitMs Wait of a stage before its calls.
+   * @param getWaitMs Wait of a stage before its calls; none by default.
    */
-  getDownstreamMs(
-    stage: number,
-    getWaitMs: (stage: number) => number,
-  ): number {
-    if (this.#countPieces(stage) === 0) return 0;
-    return this.#getBranchMs(stage, getWaitMs) - getWaitMs(stage) -
-      this.#getStageMs(stage);
+  getRemainingMs(getWaitMs?: (stage: number) => number): number {
+    const branches = this.#states.map(({ kind }, stage) => {
+      if (kind === "made") return 0;
+      return getWaitMs === undefined
+        ? this.#branchMs[stage]!
+        : this.#getBranchMs(stage, getWaitMs);
+    });
+    return Math.max(0, ...branches);
   }
 
   /** Whether every stage has its results. */
@@ -156,7 +157,7 @@
   }
 
   #findStarts(): StageStart[] {
-    const remainingMs = this.#getRemainingMs();
+    const remainingMs = this.getRemainingMs();
     return this.#options.stages.flatMap((spec, stage) => {
       if (this.#states[stage]!.kind !== "waiting") return [];
       if (!spec.after.every((input) => this.#states[input]!.kind === "made")) {
@@ -181,17 +182,6 @@
     });
   }
 
-  /** Returns the expected time of the remaining stages along the longest path. */
-  #getRemainingMs(): number {
-    const waiting = this.#branchMs.filter((_, stage) =>
-      this.#states[stage]!.kind === "waiting"
-    );
-    const running = this.#branchMs.filter((_, stage) =>
-      this.#states[stage]!.kind === "running"
-    );
-    return Math.max(0, ...waiting, ...running);
-  }
-
   /** Expected time from the start of a stage to the end of its branch. */
   #getBranchMs(
     stage: number,
--- a/packages/serving/src/stage_graph_test.ts
+++ b/packages/serving/src/stage_graph_test.ts
@@ -41,6 +41,35 @@
     expect(starts()).to.deep.equal([0, 3]);
   });
 
+  // A forecast at the result of a short branch that leaves out the parallel chain
+  // counts the time of that chain as its error.
+  it("gives the time of the remaining stages, with waits", () => {
+    const graph = buildGraph([2, 1, 6, 16]);
+    const stageMs = graph.getRemainingMs() / 3;
+    graph.startStages();
+    graph.recordResults(1, buildResults(1, 1));
+    expect(graph.getRemainingMs()).to.be.closeTo(2 * stageMs, 1e-9);
+    expect(graph.getRemainingMs((stage) => stage * 100))
+      .to.be.closeTo(2 * stageMs + 500, 1e-9);
+    graph.recordResults(0, buildResults(0, 2));
+    expect(graph.getRemainingMs()).to.be.closeTo(2 * stageMs, 1e-9);
+    for (const stage of [2, 3]) graph.recordResults(stage, []);
+    expect(graph.getRemainingMs()).to.equal(0);
+  });
+
+  // Under overload calls are full; due times that assume less are too late.
+  it("expects calls of the given fill", () => {
+    const build = (callFill?: number) =>
+      new StageGraph({
+        stages: [{ service: "roster", after: [], resultBytes: 1 }],
+        pieceCounts: [1],
+        services: new Map([["roster", buildService("roster", { pool: POOL })]]),
+        callFill,
+      }).getExpectedMs();
+    expect(build(1)).to.equal(POOL.callMs + POOL.batchSize * POOL.pieceMs);
+    expect(build(1)).to.be.above(build());
+  });
+
   it("starts a stage without parallel stages at once", () => {
     const graph = buildGraph([3, 0, 0, 0]);
     expect(graph.startStages().map((start) => start.stage)).to.deep.equal([0]);
