--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -43,6 +43,8 @@
   /** Number of pieces of each stage; 0 skips the stage. */
   readonly pieceCounts: readonly number[];
   readonly services: ReadonlyMap<string, ServiceSpec>;
+  /** Share of a full batch that calls are expected to have. */
+  readonly callFill?: number;
 }
 
 /** Average share of a full batch in a call; used for expected times only. */
@@ -93,6 +95,22 @@
     return Math.max(0, ...stages);
   }
 
+  /**
+   * Returns the expected time of the remaining stages along the longest path, in
+   * milliseconds. A running stage counts as if it had just started.
+   *
+   * @param getWaitMs Wait of a stage before its calls; none by default.
+   */
+  getRemainingMs(getWaitMs?: (stage: number) => number): number {
+    const branches = this.#states.map(({ kind }, stage) => {
+      if (kind === "made") return 0;
+      return getWaitMs === undefined
+        ? this.#branchMs[stage]!
+        : this.#getBranchMs(stage, getWaitMs);
+    });
+    return Math.max(0, ...branches);
+  }
+
   /** Whether every stage has its results. */
   get isDone(): boolean {
     return this.#states.every((state) => state.kind === "made");
@@ -139,7 +157,7 @@
   }
 
   #findStarts(): StageStart[] {
-    const remainingMs = this.#getRemainingMs();
+    const remainingMs = this.getRemainingMs();
     return this.#options.stages.flatMap((spec, stage) => {
       if (this.#states[stage]!.kind !== "waiting") return [];
       if (!spec.after.every((input) => this.#states[input]!.kind === "made")) {
@@ -164,17 +182,6 @@
     });
   }
 
-  /** Returns the expected time of the remaining stages along the longest path. */
-  #getRemainingMs(): number {
-    const waiting = this.#branchMs.filter((_, stage) =>
-      this.#states[stage]!.kind === "waiting"
-    );
-    const running = this.#branchMs.filter((_, stage) =>
-      this.#states[stage]!.kind === "running"
-    );
-    return Math.max(0, ...waiting, ...running);
-  }
-
   /** Expected time from the start of a stage to the end of its branch. */
   #getBranchMs(
     stage: number,
@@ -190,7 +197,9 @@
   #getStageMs(stage: number): number {
     const service = this.#options.stages[stage]!.service;
     const pool = this.#options.services.get(service)?.pool;
-    return pool === undefined ? DEFAULT_STAGE_MS : getExpectedCallMs(pool);
+    return pool === undefined
+      ? DEFAULT_STAGE_MS
+      : getExpectedCallMs(pool, this.#options.callFill);
   }
 
   #countBytes(stages: readonly number[]): Record<string, number> {
@@ -247,7 +256,14 @@
   }
 }
 
-/** Returns the expected time of a call with an average number of pieces. */
-export function getExpectedCallMs(pool: PoolSpec): number {
-  return pool.callMs + pool.batchSize * EXPECTED_CALL_FILL * pool.pieceMs;
+/**
+ * Returns the expected time of a call, in milliseconds.
+ *
+ * @param callFill Share of a full batch that the call has.
+ */
+export function getExpectedCallMs(
+  pool: PoolSpec,
+  callFill = EXPECTED_CALL_FILL,
+): number {
+  return pool.callMs + pool.batchSize * callFill * pool.pieceMs;
 }
