Overload: defer no less urgent group for one that is late anyhow

Cause: an urgent group that couldn't start in time even alone deferred every less urgent group before it was deferred itself. Change: such a group is deferred at once.

--- a/packages/overload/src/plan_lanes.ts
+++ b/packages/overload/src/plan_lanes.ts
@@ -179,6 +179,12 @@
   const kept: Entry<G>[] = [];
   let keptMs = startedMs;
   for (const entry of entries) {
+    // Deferring less urgent groups for it would make them late and gain nothing.
+    const leastMs = startedMs + entry.workMs + countMoreUrgentMs(kept, entry);
+    if (getStart(leastMs) > entry.startBy) {
+      entry.isKept = false;
+      continue;
+    }
     kept.push(entry);
     customerMs[entry.customerIndex]! += entry.workMs;
     keptMs += entry.workMs;
@@ -191,6 +197,17 @@
   }
 }
 
+function countMoreUrgentMs(
+  kept: readonly Entry<LaneGroup>[],
+  { deferOrder }: Entry<LaneGroup>,
+): number {
+  let sumMs = 0;
+  for (const other of kept) {
+    if (other.deferOrder < deferOrder) sumMs += other.workMs;
+  }
+  return sumMs;
+}
+
 /** Finds the kept entry that is deferred next; of equal ones the last to be due. */
 function findDeferredIndex(
   kept: readonly Entry<LaneGroup>[],
--- a/packages/overload/src/plan_lanes_test.ts
+++ b/packages/overload/src/plan_lanes_test.ts
@@ -58,6 +58,16 @@
       .to.deep.equal({ onTime: ["x", "small"], deferred: ["y"] });
   });
 
+  // A group that is late anyhow made every less urgent group late as well.
+  it("defers none for an urgent group that can't be on time anyhow", () => {
+    const groups = [
+      buildGroup("usual", { dueAt: 150, rank: 1 }),
+      buildGroup("urgent", { dueAt: 160, workMs: 250 }),
+    ];
+    expect(plan(groups))
+      .to.deep.equal({ onTime: ["usual"], deferred: ["urgent"] });
+  });
+
   it("serves started groups first, and deferred ones by expiry", () => {
     const groups = [
       buildGroup("late", { dueAt: -10, expiresAt: 4_000 }),
