Buffer answers of slow readers within one memory budget

Cause: an endpoint was read only as fast as its caller read, and cut off the response after 2 s without progress; answers that callers had not read were not counted, and one endpoint could hold all bodies of a VM. Change: packages/buffer_budget with BufferBudget, decideRelay, planEvictions, EndpointBytes and ByteQueue; Ingress, AnswerWriter and Attempt use it where the site is contended; the bound of 48 MB for bodies stays elsewhere. Metrics, event response_evicted. Body bytes are counted by an account that closes with the response, which also covers a caller that disconnects while its body becomes complete.

--- /dev/null
+++ b/packages/buffer_budget/src/buffer_budget.ts
@@ -0,0 +1,246 @@
+/**
+ * Counts the bytes that a process holds, by kind and by response.
+ *
+ * @module
+ */
+import { decideRelay, type RelayDecision } from "./decide_relay.ts";
+import { EndpointBytes } from "./endpoint_bytes.ts";
+import { planEvictions } from "./plan_evictions.ts";
+
+/** What bytes are held for. */
+export const BUFFER_KIND = {
+  /** The body of a caller's request. */
+  body: "body",
+  /** An answer that is read to its end before it is passed on. */
+  answer: "answer",
+  /** Bytes of a response that the caller has not read. */
+  unread: "unread",
+} as const;
+/** A value of {@link BUFFER_KIND}. */
+export type BufferKind = typeof BUFFER_KIND[keyof typeof BUFFER_KIND];
+
+/**
+ * Largest part of the budget that bodies for one endpoint may take: an endpoint that
+ * stops reading must leave most of it to requests for others.
+ */
+const ENDPOINT_SHARE = 0.25;
+/** Interval of checks for room that no response could be ended for, in ms. */
+const NO_ROOM_CHECK_MS = 250;
+
+/** Options of {@link BufferBudget}. */
+export interface BufferBudgetOptions {
+  readonly limitBytes: number;
+  /** Milliseconds on a monotonic clock; for tests. */
+  readonly getNow?: () => number;
+}
+
+/** What ended a response to free memory. */
+export interface EvictionCause {
+  readonly unreadBytes: number;
+  readonly unreadMs: number;
+}
+
+/** Whether a response is read on, after room was made if that was needed. */
+export type RelayStep = Exclude<RelayDecision, { kind: "makeRoom" }>;
+
+/** The memory budget of one process. */
+export class BufferBudget {
+  readonly limitBytes: number;
+  readonly endpoints: EndpointBytes;
+  readonly getNow: () => number;
+  readonly #accounts = new Map<number, BufferAccount>();
+  readonly #heldBytes = { body: 0, answer: 0, unread: 0 };
+  #nextId = 1;
+  #evictedTotal = 0;
+  #pausedTotal = 0;
+
+  /** @param options Limit in bytes, and the clock. */
+  constructor({ limitBytes, getNow }: BufferBudgetOptions) {
+    this.limitBytes = limitBytes;
+    this.endpoints = new EndpointBytes(limitBytes * ENDPOINT_SHARE);
+    this.getNow = getNow ?? (() => performance.now());
+  }
+
+  /** Responses that were ended to free memory. */
+  get evictedTotal(): number {
+    return this.#evictedTotal;
+  }
+
+  /** Pauses of responses because their share was used up. */
+  get pausedTotal(): number {
+    return this.#pausedTotal;
+  }
+
+  /** Bytes held of all kinds. */
+  get heldBytes(): number {
+    const { body, answer, unread } = this.#heldBytes;
+    return body + answer + unread;
+  }
+
+  /** Bytes held of one kind. */
+  getHeldBytes(kind: BufferKind): number {
+    return this.#heldBytes[kind];
+  }
+
+  /** Opens the account of a response; its owner closes it. */
+  openAccount(handleEvicted: (cause: EvictionCause) => void): BufferAccount {
+    const id = this.#nextId++;
+    const account = new BufferAccount(this, {
+      id,
+      handleEvicted,
+      handleHeld: (kind, bytes) => {
+        this.#heldBytes[kind] += bytes;
+      },
+      handlePaused: () => {
+        this.#pausedTotal += 1;
+      },
+      handleClosed: () => this.#accounts.delete(id),
+    });
+    this.#accounts.set(id, account);
+    return account;
+  }
+
+  /**
+   * Whether what is held is within the limit, if need be after responses to callers
+   * that don't read were ended.
+   */
+  hasRoom(): boolean {
+    const excessBytes = this.heldBytes - this.limitBytes;
+    return excessBytes <= 0 || this.releaseUnread(excessBytes);
+  }
+
+  /** Ends responses to callers that don't read; false if that can't free enough. */
+  releaseUnread(neededBytes: number): boolean {
+    const ids = planEvictions(this.#accounts.values(), neededBytes);
+    for (const id of ids) {
+      this.#evictedTotal += 1;
+      this.#accounts.get(id)?.evict();
+    }
+    return ids.length > 0;
+  }
+}
+
+interface AccountHandlers {
+  readonly id: number;
+  readonly handleEvicted: (cause: EvictionCause) => void;
+  readonly handleHeld: (kind: BufferKind, bytes: number) => void;
+  readonly handlePaused: () => void;
+  readonly handleClosed: () => void;
+}
+
+/** What the budget holds for one request and its response. */
+export class BufferAccount {
+  readonly #budget: BufferBudget;
+  readonly #handlers: AccountHandlers;
+  readonly #heldBytes = { body: 0, answer: 0, unread: 0 };
+  #readAt = 0;
+  #allowanceBytes = 0;
+  #pausedAt: number | undefined;
+  #isClosed = false;
+
+  /** @param budget The budget. @param handlers Callbacks of the budget. */
+  constructor(budget: BufferBudget, handlers: AccountHandlers) {
+    this.#budget = budget;
+    this.#handlers = handlers;
+  }
+
+  /** Identifies the account within its budget. */
+  get id(): number {
+    return this.#handlers.id;
+  }
+
+  /** Bodies by endpoint. */
+  get endpoints(): EndpointBytes {
+    return this.#budget.endpoints;
+  }
+
+  /** Bytes that the caller has not read. */
+  get unreadBytes(): number {
+    return this.#heldBytes.unread;
+  }
+
+  /** Time since the caller last read, in ms; 0 if nothing is unread. */
+  get unreadMs(): number {
+    return this.unreadBytes === 0 ? 0 : this.#budget.getNow() - this.#readAt;
+  }
+
+  /** Counts bytes as held; has no effect once the account is closed. */
+  add(kind: BufferKind, bytes: number): void {
+    if (this.#isClosed) return;
+    if (kind === BUFFER_KIND.unread && this.unreadBytes === 0) {
+      this.#readAt = this.#budget.getNow();
+    }
+    this.#heldBytes[kind] += bytes;
+    this.#handlers.handleHeld(kind, bytes);
+  }
+
+  /** Gives bytes back, at most as many as are held. */
+  release(kind: BufferKind, bytes: number): void {
+    const released = Math.min(bytes, this.#heldBytes[kind]);
+    this.#heldBytes[kind] -= released;
+    this.#handlers.handleHeld(kind, -released);
+  }
+
+  /** Gives back bytes that the caller has read. */
+  recordRead(bytes: number): void {
+    this.#readAt = this.#budget.getNow();
+    this.release(BUFFER_KIND.unread, bytes);
+  }
+
+  /** Decides whether the response is read on, and makes room for it if needed. */
+  updateRelay(): RelayStep {
+    const decision = this.#decideRelay();
+    if (decision.kind !== "makeRoom") return this.#applyStep(decision);
+    if (this.#budget.releaseUnread(decision.neededBytes) && !this.#isClosed) {
+      const retried = this.#decideRelay();
+      if (retried.kind !== "makeRoom") return this.#applyStep(retried);
+    }
+    return { kind: "pause", checkAfterMs: NO_ROOM_CHECK_MS };
+  }
+
+  /** Ends the response to free its memory. */
+  evict(): void {
+    const { unreadBytes, unreadMs } = this;
+    this.close();
+    this.#handlers.handleEvicted({ unreadBytes, unreadMs });
+  }
+
+  /** Gives everything back; later calls have no effect. */
+  close(): void {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    for (const kind of Object.values(BUFFER_KIND)) {
+      this.release(kind, this.#heldBytes[kind]);
+    }
+    this.#handlers.handleClosed();
+  }
+
+  #decideRelay(): RelayDecision {
+    const budget = this.#budget;
+    return decideRelay({
+      limitBytes: budget.limitBytes,
+      heldBytes: budget.heldBytes,
+      unreadBytes: budget.getHeldBytes(BUFFER_KIND.unread),
+      connectionBytes: this.unreadBytes,
+      allowanceBytes: this.#allowanceBytes,
+      pausedMs: this.#pausedAt === undefined
+        ? undefined
+        : budget.getNow() - this.#pausedAt,
+    });
+  }
+
+  #applyStep(step: RelayStep): RelayStep {
+    switch (step.kind) {
+      case "read":
+        this.#pausedAt = undefined;
+        this.#allowanceBytes = step.allowanceBytes;
+        return step;
+      case "pause":
+        if (this.#pausedAt === undefined) {
+          this.#pausedAt = this.#budget.getNow();
+          this.#handlers.handlePaused();
+        }
+        return step;
+    }
+  }
+}
--- a/packages/buffer_budget/src/mod.ts
+++ b/packages/buffer_budget/src/mod.ts
@@ -3,4 +3,8 @@
  *
  * @module
  */
-export {};
+export * from "./buffer_budget.ts";
+export * from "./byte_queue.ts";
+export * from "./decide_relay.ts";
+export * from "./endpoint_bytes.ts";
+export * from "./plan_evictions.ts";
--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -3,8 +3,10 @@
  *
  * @module
  */
+import type * as bufferBudget from "@sardinestep/buffer_budget";
 import * as codes from "@sardinestep/codes";
 import type { ServerResponse } from "node:http";
+import { CallerQueue } from "./caller_queue.ts";
 
 /** Hop-by-hop headers, and those that are set anew for the caller. */
 const NOT_FORWARDED_HEADERS = new Set([
@@ -51,11 +53,25 @@
 /** Writes the answer to one caller; only one answer can be started. */
 export class AnswerWriter {
   readonly #response: ServerResponse;
+  /** Counts what is held for this response; undefined if nothing but bodies is. */
+  readonly account: bufferBudget.BufferAccount | undefined;
+  readonly #queue: CallerQueue | undefined;
   #isStreaming = false;
 
-  /** @param response The response to the caller. */
-  constructor(response: ServerResponse) {
+  /**
+   * @param response The response to the caller.
+   * @param account Set if unread bytes are queued within a memory budget; otherwise
+   *   an endpoint is read only as fast as the caller reads.
+   */
+  constructor(
+    response: ServerResponse,
+    account?: bufferBudget.BufferAccount,
+  ) {
     this.#response = response;
+    this.account = account;
+    if (account !== undefined) {
+      this.#queue = new CallerQueue(response, account);
+    }
   }
 
   /** Whether an answer was started. */
@@ -70,7 +86,12 @@
       answer.status,
       buildCallerHeaders(answer.headers).flat(),
     );
-    this.#response.end(answer.body);
+    if (this.#queue === undefined) {
+      this.#response.end(answer.body);
+      return;
+    }
+    this.#queue.write(answer.body);
+    this.#queue.end();
   }
 
   /** Writes a failure of the gateway as JSON, unless an answer was started. */
@@ -103,17 +124,20 @@
   /** Writes bytes of a stream; false if the caller reads too slowly. */
   writeChunk(chunk: Uint8Array): boolean {
     if (this.#response.destroyed || chunk.length === 0) return true;
+    if (this.#queue !== undefined) return this.#queue.write(chunk);
     return this.#response.write(chunk);
   }
 
-  /** Calls a function once when the write buffer is empty again. */
+  /** Calls a function once when more may be written. */
   waitForDrain(handle: () => void): void {
-    this.#response.once("drain", handle);
+    if (this.#queue === undefined) this.#response.once("drain", handle);
+    else this.#queue.waitForRoom(handle);
   }
 
   /** Ends a complete stream. */
   endStream(): void {
-    this.#response.end();
+    if (this.#queue === undefined) this.#response.end();
+    else this.#queue.end();
   }
 
   /** Closes the connection, so that the caller sees an incomplete answer. */
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import * as bufferBudget from "@sardinestep/buffer_budget";
 import * as serving from "@sardinestep/serving";
 import type { AnswerWriter, CompleteAnswer } from "./answer_writer.ts";
 import type { EndpointTracker } from "./endpoint_tracker.ts";
@@ -103,6 +104,7 @@
   #answerMetadata: AnswerMetadata = { isNotRun: false, notices: {} };
   #bodyChunks: Uint8Array[] = [];
   #bodyBytes = 0;
+  #releaseBody: (() => void) | undefined;
   #isStreaming = false;
   #isFinished = false;
 
@@ -118,6 +120,10 @@
     const { request, endpoint, wire, pool, endpointTracker, scope } =
       this.#options;
     endpointTracker.recordStart(endpoint);
+    if (!this.#holdBody()) {
+      const message = "The endpoint holds too many bytes of request bodies";
+      return this.#finish({ kind: "notSent", message }, undefined);
+    }
     this.#call = pool.send({
       address: endpoint.address,
       method: request.method,
@@ -170,6 +176,10 @@
     if (isRelayed) return this.#relayChunk(chunk);
     this.#bodyChunks.push(Uint8Array.from(chunk));
     this.#bodyBytes += chunk.length;
+    this.#options.writer.account?.add(
+      bufferBudget.BUFFER_KIND.answer,
+      chunk.length,
+    );
     if (this.#bodyBytes > MAX_ANSWER_BYTES) this.#fail("Answer is too large");
   }
 
@@ -195,6 +205,17 @@
     this.#finish(failure, serving.EVIDENCE.broken);
   }
 
+  /** Counts the body toward the endpoint; false if the endpoint has no room. */
+  #holdBody(): boolean {
+    const { writer, request, endpoint } = this.#options;
+    if (writer.account === undefined) return true;
+    this.#releaseBody = writer.account.endpoints.addBody(
+      endpoint.id,
+      request.body?.length ?? 0,
+    );
+    return this.#releaseBody !== undefined;
+  }
+
   #relayChunk(chunk: Uint8Array): void {
     const { eventBuffer, writer, handleFirstEvent } = this.#options;
     const bytes = eventBuffer === undefined
@@ -249,6 +270,11 @@
     this.#isFinished = true;
     this.#inactivityTimeout?.cancel();
     this.#removeEndListener();
+    this.#releaseBody?.();
+    this.#options.writer.account?.release(
+      bufferBudget.BUFFER_KIND.answer,
+      this.#bodyBytes,
+    );
     // Has no effect if the answer was already read to its end.
     this.#call?.cancel();
     this.#options.endpointTracker.recordEnd(this.#options.endpoint, evidence);
--- /dev/null
+++ b/packages/gateway/src/caller_queue.ts
@@ -0,0 +1,113 @@
+/**
+ * Bytes of a response that its caller has not read yet.
+ *
+ * @module
+ */
+import * as bufferBudget from "@sardinestep/buffer_budget";
+import type { ServerResponse } from "node:http";
+
+/**
+ * Bytes that are handed to the socket at a time. Each such write shows that the
+ * caller reads, so smaller ones notice a slow reader sooner.
+ */
+const MAX_WRITE_BYTES = 65_536;
+
+/** Queues a response within the budget of the process. */
+export class CallerQueue {
+  readonly #response: ServerResponse;
+  readonly #account: bufferBudget.BufferAccount;
+  readonly #queue = new bufferBudget.ByteQueue();
+  /** Bytes that the socket has not passed to the kernel yet. */
+  #writtenBytes = 0;
+  #isEnding = false;
+  #handleRoom: (() => void) | undefined;
+  #checkTimer: NodeJS.Timeout | undefined;
+
+  /** @param response The response. @param account Counts what is queued. */
+  constructor(
+    response: ServerResponse,
+    account: bufferBudget.BufferAccount,
+  ) {
+    this.#response = response;
+    this.#account = account;
+    response.once("close", () => this.#close());
+  }
+
+  /** Queues bytes; false if no more should be read from the endpoint now. */
+  write(bytes: Uint8Array): boolean {
+    if (this.#response.destroyed || bytes.length === 0) return true;
+    this.#account.add(bufferBudget.BUFFER_KIND.unread, bytes.length);
+    if (this.#mayWriteAtOnce(bytes)) this.#writeBytes(bytes);
+    else {
+      this.#queue.add(bytes);
+      this.#flush();
+    }
+    return this.#account.updateRelay().kind === "read";
+  }
+
+  /** Ends the response when everything is written. */
+  end(): void {
+    this.#isEnding = true;
+    this.#flush();
+  }
+
+  /** Calls a function once when reading from the endpoint may go on. */
+  waitForRoom(handle: () => void): void {
+    this.#handleRoom = handle;
+    this.#checkRoom();
+  }
+
+  #mayWriteAtOnce(bytes: Uint8Array): boolean {
+    return this.#queue.length === 0 && bytes.length <= MAX_WRITE_BYTES &&
+      this.#writtenBytes < MAX_WRITE_BYTES;
+  }
+
+  #flush(): void {
+    while (this.#queue.length > 0 && this.#writtenBytes < MAX_WRITE_BYTES) {
+      this.#writeBytes(this.#queue.take(MAX_WRITE_BYTES));
+    }
+    if (!this.#isEnding || this.#queue.length > 0) return;
+    this.#isEnding = false;
+    this.#response.end();
+  }
+
+  #writeBytes(bytes: Uint8Array): void {
+    this.#writtenBytes += bytes.length;
+    this.#response.write(bytes, () => this.#handleWritten(bytes.length));
+  }
+
+  #handleWritten(bytes: number): void {
+    if (this.#response.destroyed) return;
+    this.#writtenBytes -= bytes;
+    this.#account.recordRead(bytes);
+    if (this.#queue.length > 0) this.#flush();
+    if (this.#handleRoom !== undefined) this.#checkRoom();
+  }
+
+  #checkRoom(): void {
+    clearTimeout(this.#checkTimer);
+    if (this.#response.destroyed) return this.#notifyRoom();
+    const step = this.#account.updateRelay();
+    switch (step.kind) {
+      case "read":
+        return this.#notifyRoom();
+      case "pause":
+        this.#checkTimer = setTimeout(
+          () => this.#checkRoom(),
+          step.checkAfterMs,
+        );
+    }
+  }
+
+  #notifyRoom(): void {
+    const handle = this.#handleRoom;
+    this.#handleRoom = undefined;
+    handle?.();
+  }
+
+  #close(): void {
+    clearTimeout(this.#checkTimer);
+    this.#queue.drop();
+    this.#handleRoom = undefined;
+  }
+}
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -40,6 +40,7 @@
   streamStarted: "stream_started",
   requestAnswered: "request_answered",
   requestCancelled: "request_cancelled",
+  responseEvicted: "response_evicted",
   stageQueued: "stage_queued",
   stageDone: "stage_done",
   callStarted: "call_started",
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -147,6 +147,7 @@
       site: this.site,
       events,
       runRequest: (request) => runRequest(deps, request),
+      isContended: () => this.isContended,
     });
   }
 
@@ -372,9 +373,15 @@
 
   #answerMetrics(): { status: number; text: string } {
     const now = performance.now();
+    const { budget } = this.#ingress;
     const gauges: Record<string, number> = {
       requests_active: this.#ingress.activeRequests,
-      held_body_bytes: this.#ingress.bufferedBodyBytes,
+      held_body_bytes: budget.getHeldBytes("body"),
+      held_answer_bytes: budget.getHeldBytes("answer"),
+      held_unread_bytes: budget.getHeldBytes("unread"),
+      sent_body_bytes: budget.endpoints.totalBytes,
+      responses_evicted_total: budget.evictedTotal,
+      relays_paused_total: budget.pausedTotal,
       memory_rss_bytes: process.memoryUsage.rss(),
       configuration_version: this.site.table?.version ?? 0,
       configuration_age_seconds: (now - this.site.configuredAt) / 1_000,
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import * as bufferBudget from "@sardinestep/buffer_budget";
 import * as codes from "@sardinestep/codes";
 import type * as logger from "@sardinestep/logger";
 import {
@@ -22,7 +23,8 @@
 /** Hard limit of the header size, in bytes; the configured limit is lower. */
 const MAX_HEADER_BYTES = 65_536;
 /**
- * Limit of all buffered request bodies, in bytes: a fifth of the smallest VM's
+ * Limit of all buffered request bodies, and on a contended site of everything that
+ * is held for callers and endpoints, in bytes: a fifth of the smallest VM's
  * memory, next to about 120 MB of the runtime and the socket buffers.
  */
 export const MAX_BUFFERED_BODY_BYTES = 48 * 1_048_576;
@@ -44,6 +46,10 @@
   readonly site: SiteState;
   readonly events: logger.EventLog;
   readonly runRequest: (request: ArrivedRequest) => Promise<void>;
+  /** Whether answers share the budget of bodies; otherwise only bodies count. */
+  readonly isContended: () => boolean;
+  /** Limit in bytes, {@link MAX_BUFFERED_BODY_BYTES} by default; for tests. */
+  readonly bufferLimitBytes?: number;
 }
 
 /**
@@ -57,13 +63,16 @@
   readonly #options: IngressOptions;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
-  #bufferedBytes = 0;
+  readonly #budget: bufferBudget.BufferBudget;
   #activeRequests = 0;
   #isDraining = false;
 
   /** @param options Handler, configuration and log. */
   constructor(options: IngressOptions) {
     this.#options = options;
+    this.#budget = new bufferBudget.BufferBudget({
+      limitBytes: options.bufferLimitBytes ?? MAX_BUFFERED_BODY_BYTES,
+    });
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_MS,
@@ -85,9 +94,9 @@
     return this.#activeRequests;
   }
 
-  /** Total size of the buffered request bodies. */
-  get bufferedBodyBytes(): number {
-    return this.#bufferedBytes;
+  /** What is held for callers and endpoints. */
+  get budget(): bufferBudget.BufferBudget {
+    return this.#budget;
   }
 
   /** Starts listening. */
@@ -134,15 +143,20 @@
     response: ServerResponse,
   ): Promise<void> {
     const scope = new RequestScope();
-    const writer = new AnswerWriter(response);
+    const account = this.#openAccount(request, response);
+    const writer = new AnswerWriter(
+      response,
+      this.#options.isContended() ? account : undefined,
+    );
     this.#activeRequests += 1;
     response.once("close", () => {
       this.#activeRequests -= 1;
+      account.close();
       if (!response.writableFinished) scope.end(END_REASON.callerDisconnected);
     });
     this.#applyLimits();
     if (this.#isDraining) response.setHeader("connection", "close");
-    const body = await this.#readBody(request);
+    const body = await this.#readBody(request, account);
     if ("failure" in body) {
       response.setHeader("connection", "close");
       writer.writeFailure(body.failure);
@@ -150,10 +164,6 @@
       request.resume();
       return;
     }
-    const releaseBody = () => {
-      this.#bufferedBytes -= body.bytes.length;
-    };
-    response.once("close", releaseBody);
     if (response.destroyed) return;
     try {
       await this.#options.runRequest({
@@ -171,6 +181,22 @@
     }
   }
 
+  /** Opens the account of a request; it closes with the response. */
+  #openAccount(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): bufferBudget.BufferAccount {
+    return this.#budget.openAccount(({ unreadBytes, unreadMs }) => {
+      this.#options.events.write(EVENT.responseEvicted, {
+        requestId: this.#options.wire.readCaller(request.headers).requestId,
+        unreadBytes,
+        unreadMs: Math.round(unreadMs),
+        heldBytes: this.#budget.heldBytes,
+      });
+      response.destroy();
+    });
+  }
+
   #applyLimits(): void {
     const limits = this.#options.site.table?.limits;
     if (limits === undefined) return;
@@ -181,6 +207,7 @@
   /** Reads the body into memory, unless it exceeds a limit. */
   async #readBody(
     request: IncomingMessage,
+    account: bufferBudget.BufferAccount,
   ): Promise<{ bytes: Uint8Array } | { failure: codes.Failure }> {
     const refusal = this.#checkRequestHead(request);
     if (refusal !== undefined) return { failure: refusal };
@@ -190,17 +217,17 @@
     try {
       for await (const chunk of request) {
         bytes += chunk.length;
-        this.#bufferedBytes += chunk.length;
+        account.add(bufferBudget.BUFFER_KIND.body, chunk.length);
         const failure = this.#checkBodySize(bytes, limit);
         if (failure !== undefined) {
-          this.#bufferedBytes -= bytes;
+          account.release(bufferBudget.BUFFER_KIND.body, bytes);
           return { failure };
         }
         chunks.push(chunk);
       }
     } catch {
       // The caller disconnected, so nobody will read this failure.
-      this.#bufferedBytes -= bytes;
+      account.release(bufferBudget.BUFFER_KIND.body, bytes);
       return {
         failure: codes.createFailure(
           "INVALID_REQUEST",
@@ -248,12 +275,18 @@
         `Body of ${bytes} bytes exceeds the limit of ${limit} bytes`,
       );
     }
-    if (this.#bufferedBytes <= MAX_BUFFERED_BODY_BYTES) return undefined;
+    if (this.#hasBodyRoom()) return undefined;
     return codes.createFailure("QUEUE_FULL", "Request body memory is full", {
       retryAfterMs: BODY_MEMORY_RETRY_AFTER_MS,
     });
   }
 
+  #hasBodyRoom(): boolean {
+    if (this.#options.isContended()) return this.#budget.hasRoom();
+    const bodyBytes = this.#budget.getHeldBytes(bufferBudget.BUFFER_KIND.body);
+    return bodyBytes <= this.#budget.limitBytes;
+  }
+
   #handleInternalError(
     request: IncomingMessage,
     writer: AnswerWriter,
--- /dev/null
+++ b/packages/gateway/src/slow_readers_test.ts
@@ -0,0 +1,231 @@
+import { expect } from "chai";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { setTimeout as wait } from "node:timers/promises";
+import {
+  type Harness,
+  type HarnessOptions,
+  openHarness,
+  waitUntil,
+} from "./slow_reader_harness.ts";
+
+const MEBIBYTE = 1_048_576;
+const PIECE_BYTES = 65_536;
+/** Time without progress after which the endpoint cuts a response off. */
+const CUT_OFF_MS = 2_000;
+/**
+ * Larger than what the kernel buffers on the two connections of a response (about
+ * 6 MB each way on Linux), so that a caller that stops reading is noticed.
+ */
+const LARGE_BYTES = 48 * MEBIBYTE;
+/** Longer than the cut-off, so that an endpoint without progress shows. */
+const STALL_MS = 3_500;
+const EVENTS = 40;
+const EVENT_INTERVAL_MS = 50;
+
+function buildPiece(index: number): Buffer {
+  return Buffer.alloc(PIECE_BYTES, index % 251);
+}
+
+function buildLarge(bytes: number): Buffer {
+  const pieces = Array.from(
+    { length: bytes / PIECE_BYTES },
+    (_, i) => buildPiece(i),
+  );
+  return Buffer.concat(pieces);
+}
+
+/** Writes as fast as it is read, and cuts off a response that stays unread. */
+function writeLarge(response: ServerResponse, bytes: number): void {
+  let index = 0;
+  let cutOff: NodeJS.Timeout | undefined;
+  response.once("close", () => clearTimeout(cutOff));
+  const writeNext = () => {
+    while (index < bytes / PIECE_BYTES) {
+      if (response.write(buildPiece(index++))) continue;
+      cutOff = setTimeout(() => response.destroy(), CUT_OFF_MS);
+      response.once("drain", () => {
+        clearTimeout(cutOff);
+        writeNext();
+      });
+      return;
+    }
+    response.end();
+  };
+  writeNext();
+}
+
+function writeEvents(response: ServerResponse): void {
+  let index = 0;
+  const timer = setInterval(() => {
+    response.write(`data: ${index++}\n\n`);
+    if (index < EVENTS) return;
+    clearInterval(timer);
+    response.end();
+  }, EVENT_INTERVAL_MS);
+  response.once("close", () => clearInterval(timer));
+}
+
+function respond(incoming: IncomingMessage, response: ServerResponse): void {
+  const [, , kind, size] = incoming.url!.split("/");
+  switch (kind) {
+    case "events":
+      incoming.resume();
+      return writeEvents(response);
+    case "large":
+      incoming.resume();
+      return writeLarge(response, Number(size) * MEBIBYTE);
+    case "broken":
+      incoming.resume();
+      response.write(buildPiece(0));
+      setTimeout(() => response.destroy(), 50);
+      return;
+    case "deaf":
+      // Never reads the body and never answers.
+      return;
+  }
+}
+
+describe("Slow readers", function () {
+  let harness: Harness | undefined;
+
+  async function open(
+    options: Partial<HarnessOptions> = {},
+  ): Promise<Harness> {
+    harness = await openHarness({
+      isContended: true,
+      bufferLimitBytes: 48 * MEBIBYTE,
+      respond,
+      ...options,
+    });
+    return harness;
+  }
+
+  /** A leak would refuse all bodies after some hours. */
+  async function expectReleased({ ingress }: Harness): Promise<void> {
+    await waitUntil(() => ingress.activeRequests === 0);
+    expect(ingress.budget.heldBytes).to.equal(0);
+    expect(ingress.budget.endpoints.totalBytes).to.equal(0);
+  }
+
+  afterEach(() => {
+    harness?.close();
+    harness = undefined;
+  });
+
+  // Without the budget the endpoint cuts the response off after 2 s.
+  it("keeps the response of a caller that stops reading for 3.5 s", async () => {
+    const site = await open();
+    const call = await site.call(`/stream/large/${LARGE_BYTES / MEBIBYTE}`);
+    await wait(STALL_MS);
+    expect(site.ingress.budget.pausedTotal).to.be.above(0);
+    const { bytes, isComplete } = await call.readAll();
+    expect(isComplete).to.equal(true);
+    expect(bytes.equals(buildLarge(LARGE_BYTES))).to.equal(true);
+    expect(site.outcomes.map(({ kind }) => kind)).to.deep.equal(["streamed"]);
+    await expectReleased(site);
+  });
+
+  // Shows that the endpoint of these tests does cut off, and guards the behaviour
+  // of sites that are not contended.
+  it("pauses at once where the site is not contended", async () => {
+    const site = await open({ isContended: false });
+    const call = await site.call(`/stream/large/${LARGE_BYTES / MEBIBYTE}`);
+    await wait(STALL_MS);
+    expect(site.ingress.budget.getHeldBytes("unread")).to.equal(0);
+    const { isComplete } = await call.readAll();
+    expect(isComplete).to.equal(false);
+    await expectReleased(site);
+  });
+
+  // One stuck caller must not delay or drop events of the others.
+  it("passes on another caller's events while callers don't read", async () => {
+    const site = await open();
+    const stuck = await Promise.all(
+      [1, 2, 3].map(() => site.call("/stream/large/48")),
+    );
+    await waitUntil(() => site.ingress.budget.pausedTotal > 0);
+    const reader = await site.call("/stream/events");
+    const gapsMs: number[] = [];
+    let lastAt = performance.now();
+    reader.response.on("data", () => {
+      gapsMs.push(performance.now() - lastAt);
+      lastAt = performance.now();
+    });
+    const { bytes, isComplete } = await reader.readAll();
+    expect(isComplete).to.equal(true);
+    expect(bytes.toString().match(/\d+/g)?.map(Number))
+      .to.deep.equal(Array.from({ length: EVENTS }, (_, i) => i));
+    expect(Math.max(...gapsMs)).to.be.below(1_000);
+    for (const call of stuck) call.leave();
+    await expectReleased(site);
+  });
+
+  // Callers that don't read would otherwise refuse the bodies of all others.
+  it("ends an unread response when bodies need its memory", async () => {
+    const site = await open({ bufferLimitBytes: 8 * MEBIBYTE });
+    const stuck = await site.call("/stream/large/48");
+    await waitUntil(() => site.ingress.budget.pausedTotal > 0);
+    await wait(1_100);
+    const body = new Uint8Array(6 * MEBIBYTE);
+    const served = await site.call("/stream/events", body);
+    expect(served.response.statusCode).to.equal(200);
+    expect((await served.readAll()).isComplete).to.equal(true);
+    expect(site.ingress.budget.evictedTotal).to.equal(1);
+    expect(site.events).to.deep.equal(["response_evicted"]);
+    expect((await stuck.readAll()).isComplete).to.equal(false);
+    await expectReleased(site);
+  });
+
+  it("gives the bytes back when a caller leaves while its answer is unread", async () => {
+    const site = await open();
+    const call = await site.call("/stream/large/48");
+    await waitUntil(() => site.ingress.budget.getHeldBytes("unread") > 0);
+    call.leave();
+    await expectReleased(site);
+    await waitUntil(() => site.runs.active === 0);
+    expect(site.outcomes.map(({ kind }) => kind)).to.deep.equal(["ended"]);
+  });
+
+  it("gives the bytes back when the endpoint breaks its stream off", async () => {
+    const site = await open();
+    const call = await site.call("/stream/broken", new Uint8Array(MEBIBYTE));
+    expect((await call.readAll()).isComplete).to.equal(false);
+    await expectReleased(site);
+  });
+
+  it("counts a whole answer until its caller has read it", async () => {
+    const site = await open();
+    const call = await site.call("/whole/large/8");
+    await waitUntil(() => site.outcomes.length === 1);
+    const { bytes, isComplete } = await call.readAll();
+    expect(isComplete).to.equal(true);
+    expect(bytes.equals(buildLarge(8 * MEBIBYTE))).to.equal(true);
+    await expectReleased(site);
+  });
+
+  it("gives the bytes back when a whole answer is too large", async () => {
+    const site = await open();
+    await site.call("/whole/large/9").then(
+      () => expect.fail("The answer must not arrive"),
+      () => {},
+    );
+    expect(site.outcomes.map(({ kind }) => kind)).to.deep.equal(["lost"]);
+    await expectReleased(site);
+  });
+
+  // An endpoint that stops reading bodies must not take the budget of the others.
+  it("bounds the bodies of an endpoint that doesn't read them", async () => {
+    const site = await open();
+    const body = new Uint8Array(8 * MEBIBYTE);
+    const first = site.call("/stream/deaf", body).catch(() => "cut off");
+    await waitUntil(() => site.ingress.budget.endpoints.totalBytes > 0);
+    const second = site.call("/stream/deaf", body).catch(() => "cut off");
+    expect(await second).to.equal("cut off");
+    expect(site.outcomes.map(({ kind }) => kind)).to.deep.equal(["notSent"]);
+    const reader = await site.call("/stream/events");
+    expect((await reader.readAll()).isComplete).to.equal(true);
+    site.ingress.destroy();
+    expect(await first).to.equal("cut off");
+    await expectReleased(site);
+  });
+});
