End complete answers that their callers never read

Cause: an answer that is queued to its end has no deadline any more, so a caller that never reads held its bytes until the VM stopped. Change: such an answer ends 30 s after the last read, twice the longest timeout of a route.

--- a/packages/buffer_budget/src/buffer_budget.ts
+++ b/packages/buffer_budget/src/buffer_budget.ts
@@ -27,9 +27,18 @@
 /** Interval of checks for room that no response could be ended for, in ms. */
 const NO_ROOM_CHECK_MS = 250;
 
+/**
+ * Time without a read after which a complete answer is given up, in milliseconds:
+ * twice the longest timeout of a route that is in use, so the caller has left even
+ * if its host sent no end of the connection.
+ */
+const MAX_UNREAD_MS = 30_000;
+
 /** Options of {@link BufferBudget}. */
 export interface BufferBudgetOptions {
   readonly limitBytes: number;
+  /** Time without a read after which a complete answer is given up, in ms. */
+  readonly maxUnreadMs?: number;
   /** Milliseconds on a monotonic clock; for tests. */
   readonly getNow?: () => number;
 }
@@ -46,6 +55,7 @@
 /** The memory budget of one process. */
 export class BufferBudget {
   readonly limitBytes: number;
+  readonly maxUnreadMs: number;
   readonly endpoints: EndpointBytes;
   readonly getNow: () => number;
   readonly #accounts = new Map<number, BufferAccount>();
@@ -54,14 +64,15 @@
   #evictedTotal = 0;
   #pausedTotal = 0;
 
-  /** @param options Limit in bytes, and the clock. */
-  constructor({ limitBytes, getNow }: BufferBudgetOptions) {
+  /** @param options Limits in bytes and ms, and the clock. */
+  constructor({ limitBytes, maxUnreadMs, getNow }: BufferBudgetOptions) {
     this.limitBytes = limitBytes;
+    this.maxUnreadMs = maxUnreadMs ?? MAX_UNREAD_MS;
     this.endpoints = new EndpointBytes(limitBytes * ENDPOINT_SHARE);
     this.getNow = getNow ?? (() => performance.now());
   }
 
-  /** Responses that were ended to free memory. */
+  /** Responses that were ended because their callers don't read. */
   get evictedTotal(): number {
     return this.#evictedTotal;
   }
@@ -87,13 +98,16 @@
     const id = this.#nextId++;
     const account = new BufferAccount(this, {
       id,
-      handleEvicted,
       handleHeld: (kind, bytes) => {
         this.#heldBytes[kind] += bytes;
       },
       handlePaused: () => {
         this.#pausedTotal += 1;
       },
+      handleEvicted: (cause) => {
+        this.#evictedTotal += 1;
+        handleEvicted(cause);
+      },
       handleClosed: () => this.#accounts.delete(id),
     });
     this.#accounts.set(id, account);
@@ -112,10 +126,7 @@
   /** Ends responses to callers that don't read; false if that can't free enough. */
   releaseUnread(neededBytes: number): boolean {
     const ids = planEvictions(this.#accounts.values(), neededBytes);
-    for (const id of ids) {
-      this.#evictedTotal += 1;
-      this.#accounts.get(id)?.evict();
-    }
+    for (const id of ids) this.#accounts.get(id)?.evict();
     return ids.length > 0;
   }
 }
@@ -198,8 +209,14 @@
     return { kind: "pause", checkAfterMs: NO_ROOM_CHECK_MS };
   }
 
+  /** Time until a complete answer is given up if its caller doesn't read, in ms. */
+  get leftMs(): number {
+    return Math.max(0, this.#budget.maxUnreadMs - this.unreadMs);
+  }
+
   /** Ends the response to free its memory. */
   evict(): void {
+    if (this.#isClosed) return;
     const { unreadBytes, unreadMs } = this;
     this.close();
     this.#handlers.handleEvicted({ unreadBytes, unreadMs });
--- a/packages/buffer_budget/src/buffer_budget_test.ts
+++ b/packages/buffer_budget/src/buffer_budget_test.ts
@@ -105,6 +105,17 @@
     expect(evicted).to.deep.equal([]);
   });
 
+  it("gives up a complete answer 30 s after the last read", () => {
+    const account = createBudget(1_000).openAccount(() => {});
+    account.add("unread", 500);
+    now = 10_000;
+    account.recordRead(100);
+    now = 39_000;
+    expect(account.leftMs).to.equal(1_000);
+    now = 41_000;
+    expect(account.leftMs).to.equal(0);
+  });
+
   it("waits if its caller reads and no room can be made", () => {
     const budget = createBudget(1_000_000);
     const account = budget.openAccount(() => evicted.push("own"));
--- a/packages/gateway/src/caller_queue.ts
+++ b/packages/gateway/src/caller_queue.ts
@@ -22,6 +22,7 @@
   #isEnding = false;
   #handleRoom: (() => void) | undefined;
   #checkTimer: NodeJS.Timeout | undefined;
+  #unreadTimer: NodeJS.Timeout | undefined;
 
   /** @param response The response. @param account Counts what is queued. */
   constructor(
@@ -45,10 +46,11 @@
     return this.#account.updateRelay().kind === "read";
   }
 
-  /** Ends the response when everything is written. */
+  /** Ends the response when everything is written, or if it stays unread. */
   end(): void {
     this.#isEnding = true;
     this.#flush();
+    this.#checkUnread();
   }
 
   /** Calls a function once when reading from the endpoint may go on. */
@@ -99,6 +101,17 @@
     }
   }
 
+  /**
+   * Ends a complete answer that stays unread. No deadline ends it any more: the
+   * request is done for the gateway, and its endpoint serves others.
+   */
+  #checkUnread(): void {
+    if (this.#response.destroyed || this.#account.unreadBytes === 0) return;
+    const { leftMs } = this.#account;
+    if (leftMs === 0) return this.#account.evict();
+    this.#unreadTimer = setTimeout(() => this.#checkUnread(), leftMs);
+  }
+
   #notifyRoom(): void {
     const handle = this.#handleRoom;
     this.#handleRoom = undefined;
@@ -107,6 +120,7 @@
 
   #close(): void {
     clearTimeout(this.#checkTimer);
+    clearTimeout(this.#unreadTimer);
     this.#queue.drop();
     this.#handleRoom = undefined;
   }
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -48,8 +48,8 @@
   readonly runRequest: (request: ArrivedRequest) => Promise<void>;
   /** Whether answers share the budget of bodies; otherwise only bodies count. */
   readonly isContended: () => boolean;
-  /** Limit in bytes, {@link MAX_BUFFERED_BODY_BYTES} by default; for tests. */
-  readonly bufferLimitBytes?: number;
+  /** By default {@link MAX_BUFFERED_BODY_BYTES} are held at most; for tests. */
+  readonly budget?: bufferBudget.BufferBudgetOptions;
 }
 
 /**
@@ -70,9 +70,9 @@
   /** @param options Handler, configuration and log. */
   constructor(options: IngressOptions) {
     this.#options = options;
-    this.#budget = new bufferBudget.BufferBudget({
-      limitBytes: options.bufferLimitBytes ?? MAX_BUFFERED_BODY_BYTES,
-    });
+    this.#budget = new bufferBudget.BufferBudget(
+      options.budget ?? { limitBytes: MAX_BUFFERED_BODY_BYTES },
+    );
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_MS,
--- a/packages/gateway/src/slow_reader_harness.ts
+++ b/packages/gateway/src/slow_reader_harness.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type * as bufferBudget from "@sardinestep/buffer_budget";
 import type * as logger from "@sardinestep/logger";
 import type * as serving from "@sardinestep/serving";
 import { once } from "node:events";
@@ -32,7 +33,7 @@
 /** Options of {@link openHarness}. */
 export interface HarnessOptions {
   readonly isContended: boolean;
-  readonly bufferLimitBytes: number;
+  readonly budget: bufferBudget.BufferBudgetOptions;
   /** Answers requests like an endpoint. */
   readonly respond: (
     request: IncomingMessage,
@@ -140,7 +141,7 @@
     } as unknown as logger.EventLog,
     runRequest: run,
     isContended: () => options.isContended,
-    bufferLimitBytes: options.bufferLimitBytes,
+    budget: options.budget,
   });
   await ingress.start("127.0.0.1", 0);
 
--- a/packages/gateway/src/slow_readers_test.ts
+++ b/packages/gateway/src/slow_readers_test.ts
@@ -93,7 +93,7 @@
   ): Promise<Harness> {
     harness = await openHarness({
       isContended: true,
-      bufferLimitBytes: 48 * MEBIBYTE,
+      budget: { limitBytes: 48 * MEBIBYTE },
       respond,
       ...options,
     });
@@ -162,7 +162,7 @@
 
   // Callers that don't read would otherwise refuse the bodies of all others.
   it("ends an unread response when bodies need its memory", async () => {
-    const site = await open({ bufferLimitBytes: 8 * MEBIBYTE });
+    const site = await open({ budget: { limitBytes: 8 * MEBIBYTE } });
     const stuck = await site.call("/stream/large/48");
     await waitUntil(() => site.ingress.budget.pausedTotal > 0);
     await wait(1_100);
@@ -176,6 +176,31 @@
     await expectReleased(site);
   });
 
+  // The endpoint is done, so no deadline ends the response of such a caller.
+  it("ends a complete answer that its caller never reads", async () => {
+    const site = await open({
+      budget: { limitBytes: 48 * MEBIBYTE, maxUnreadMs: 1_500 },
+    });
+    await site.call("/stream/large/16");
+    await waitUntil(() => site.outcomes.length === 1);
+    expect(site.outcomes.map(({ kind }) => kind)).to.deep.equal(["streamed"]);
+    expect(site.ingress.budget.getHeldBytes("unread")).to.be.above(0);
+    await expectReleased(site);
+    expect(site.events).to.deep.equal(["response_evicted"]);
+  });
+
+  // A stop of the VM cuts off callers that don't read.
+  it("gives the bytes back when the VM closes its connections", async () => {
+    const site = await open();
+    const calls = await Promise.all(
+      ["/stream/large/48", "/whole/large/8"].map((path) => site.call(path)),
+    );
+    await waitUntil(() => site.ingress.budget.pausedTotal > 0);
+    site.ingress.destroy();
+    await expectReleased(site);
+    for (const call of calls) call.leave();
+  });
+
   it("gives the bytes back when a caller leaves while its answer is unread", async () => {
     const site = await open();
     const call = await site.call("/stream/large/48");
