Name the functions of the buffer budget by the verbs of the project

Cause: take, evict and flush are not in docs/VERBS.md. Change: removeFirst, cancelResponse and writeQueued in their place; no behaviour changes.

--- a/packages/buffer_budget/src/buffer_budget.ts
+++ b/packages/buffer_budget/src/buffer_budget.ts
@@ -126,7 +126,7 @@
   /** Ends responses to callers that don't read; false if that can't free enough. */
   releaseUnread(neededBytes: number): boolean {
     const ids = planEvictions(this.#accounts.values(), neededBytes);
-    for (const id of ids) this.#accounts.get(id)?.evict();
+    for (const id of ids) this.#accounts.get(id)?.cancelResponse();
     return ids.length > 0;
   }
 }
@@ -215,7 +215,7 @@
   }
 
   /** Ends the response to free its memory. */
-  evict(): void {
+  cancelResponse(): void {
     if (this.#isClosed) return;
     const { unreadBytes, unreadMs } = this;
     this.close();
--- a/packages/buffer_budget/src/buffer_budget_test.ts
+++ b/packages/buffer_budget/src/buffer_budget_test.ts
@@ -162,13 +162,13 @@
       const chunk = new Uint8Array(sizes[i % sizes.length]!).fill(i);
       queue.add(chunk);
       added.push(chunk);
-      if (i % 3 === 0) taken.push(queue.take(65_536).slice());
+      if (i % 3 === 0) taken.push(queue.removeFirst(65_536).slice());
     }
     const lengths = added.reduce((sum, { length }) => sum + length, 0);
     const before = taken.reduce((sum, { length }) => sum + length, 0);
     expect(queue.length).to.equal(lengths - before);
-    while (queue.length > 0) taken.push(queue.take(65_536).slice());
+    while (queue.length > 0) taken.push(queue.removeFirst(65_536).slice());
     expect(Buffer.concat(taken).equals(Buffer.concat(added))).to.equal(true);
-    expect(queue.take(1)).to.have.length(0);
+    expect(queue.removeFirst(1)).to.have.length(0);
   });
 });
--- a/packages/buffer_budget/src/byte_queue.ts
+++ b/packages/buffer_budget/src/byte_queue.ts
@@ -19,7 +19,7 @@
  * ```ts
  * const queue = new ByteQueue();
  * queue.add(Buffer.from("abc"));
- * queue.take(2); // "ab"
+ * queue.removeFirst(2); // "ab"
  * ```
  */
 export class ByteQueue {
@@ -47,8 +47,8 @@
     this.#blockUsed += bytes.length;
   }
 
-  /** Takes 1 to `maxBytes` bytes from the front; none if the queue is empty. */
-  take(maxBytes: number): Uint8Array {
+  /** Removes and returns 1 to `maxBytes` bytes from the front; none if the queue is empty. */
+  removeFirst(maxBytes: number): Uint8Array {
     if (this.#chunks.length === 0) this.#closeBlock();
     const [first] = this.#chunks;
     if (first === undefined) return new Uint8Array(0);
--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -91,7 +91,7 @@
       return;
     }
     this.#queue.write(answer.body);
-    this.#queue.end();
+    this.#queue.close();
   }
 
   /** Writes a failure of the gateway as JSON, unless an answer was started. */
@@ -137,7 +137,7 @@
   /** Ends a complete stream. */
   endStream(): void {
     if (this.#queue === undefined) this.#response.end();
-    else this.#queue.end();
+    else this.#queue.close();
   }
 
   /** Closes the connection, so that the caller sees an incomplete answer. */
--- a/packages/gateway/src/caller_queue.ts
+++ b/packages/gateway/src/caller_queue.ts
@@ -31,7 +31,7 @@
   ) {
     this.#response = response;
     this.#account = account;
-    response.once("close", () => this.#close());
+    response.once("close", () => this.#release());
   }
 
   /** Queues bytes; false if no more should be read from the endpoint now. */
@@ -41,15 +41,15 @@
     if (this.#mayWriteAtOnce(bytes)) this.#writeBytes(bytes);
     else {
       this.#queue.add(bytes);
-      this.#flush();
+      this.#writeQueued();
     }
     return this.#account.updateRelay().kind === "read";
   }
 
   /** Ends the response when everything is written, or if it stays unread. */
-  end(): void {
+  close(): void {
     this.#isEnding = true;
-    this.#flush();
+    this.#writeQueued();
     this.#checkUnread();
   }
 
@@ -64,9 +64,9 @@
       this.#writtenBytes < MAX_WRITE_BYTES;
   }
 
-  #flush(): void {
+  #writeQueued(): void {
     while (this.#queue.length > 0 && this.#writtenBytes < MAX_WRITE_BYTES) {
-      this.#writeBytes(this.#queue.take(MAX_WRITE_BYTES));
+      this.#writeBytes(this.#queue.removeFirst(MAX_WRITE_BYTES));
     }
     if (!this.#isEnding || this.#queue.length > 0) return;
     this.#isEnding = false;
@@ -82,17 +82,17 @@
     if (this.#response.destroyed) return;
     this.#writtenBytes -= bytes;
     this.#account.recordRead(bytes);
-    if (this.#queue.length > 0) this.#flush();
+    if (this.#queue.length > 0) this.#writeQueued();
     if (this.#handleRoom !== undefined) this.#checkRoom();
   }
 
   #checkRoom(): void {
     clearTimeout(this.#checkTimer);
-    if (this.#response.destroyed) return this.#notifyRoom();
+    if (this.#response.destroyed) return this.#handleRoomFound();
     const step = this.#account.updateRelay();
     switch (step.kind) {
       case "read":
-        return this.#notifyRoom();
+        return this.#handleRoomFound();
       case "pause":
         this.#checkTimer = setTimeout(
           () => this.#checkRoom(),
@@ -108,17 +108,17 @@
   #checkUnread(): void {
     if (this.#response.destroyed || this.#account.unreadBytes === 0) return;
     const { leftMs } = this.#account;
-    if (leftMs === 0) return this.#account.evict();
+    if (leftMs === 0) return this.#account.cancelResponse();
     this.#unreadTimer = setTimeout(() => this.#checkUnread(), leftMs);
   }
 
-  #notifyRoom(): void {
+  #handleRoomFound(): void {
     const handle = this.#handleRoom;
     this.#handleRoom = undefined;
     handle?.();
   }
 
-  #close(): void {
+  #release(): void {
     clearTimeout(this.#checkTimer);
     clearTimeout(this.#unreadTimer);
     this.#queue.drop();
--- a/packages/gateway/src/slow_reader_harness.ts
+++ b/packages/gateway/src/slow_reader_harness.ts
@@ -69,7 +69,7 @@
   }
 }
 
-async function listen(server: Server): Promise<number> {
+async function openServer(server: Server): Promise<number> {
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
   return (server.address() as AddressInfo).port;
@@ -89,7 +89,7 @@
     response.on("error", () => {});
     options.respond(incoming, response);
   });
-  const endpointPort = await listen(endpointServer);
+  const endpointPort = await openServer(endpointServer);
   const endpointTracker = {
     recordStart: () => {},
     recordEnd: () => {},
@@ -106,7 +106,7 @@
     }),
   } as unknown as WireAdapter;
 
-  async function run(arrived: ArrivedRequest): Promise<void> {
+  async function runArrived(arrived: ArrivedRequest): Promise<void> {
     const outcome = await runAttempt({
       request: { ...arrived, requestId: "r" },
       endpoint: {
@@ -139,7 +139,7 @@
     events: {
       write: (event: string) => events.push(event),
     } as unknown as logger.EventLog,
-    runRequest: run,
+    runRequest: runArrived,
     isContended: () => options.isContended,
     budget: options.budget,
   });
