Report: ends of requests by route and customer, causes, endpoints, connections

The report told outcomes by route and window only: not which customer was refused, whether at once, what became of deferred requests and returns, and whether slowed endpoints answered later.

A tracker follows each request through its lines; four accumulators count ends, causes, sends with first events, and connections by process. Values that lines lack read unknown. process_stopped logs the connections to endpoints that the process opened. Answers with any code that says not run now count as refused in the tables by window too; before, only DEADLINE_OUT_OF_REACH did.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -225,6 +225,7 @@
     events.write(EVENT.processStopped, {
       active: this.#ingress.activeRequests,
       tookMs: Math.round(performance.now() - stoppedAt),
+      connections: this.pool.openedTotal,
     });
     this.close();
   }
--- a/packages/report/src/build_report.ts
+++ b/packages/report/src/build_report.ts
@@ -4,8 +4,12 @@
  * @module
  */
 import * as hdr from "hdr-histogram-js";
+import { ConnectionStatistics } from "./connection_statistics.ts";
+import { EndpointStatistics } from "./endpoint_statistics.ts";
 import type { LogLine, ReadCounts } from "./log_lines.ts";
 import { PoolStatistics } from "./pool_statistics.ts";
+import { CauseStatistics, RequestStatistics } from "./request_statistics.ts";
+import { type RequestEnd, RequestTracker } from "./request_tracker.ts";
 import { RouteStatistics } from "./route_statistics.ts";
 import {
   type LatencyPercentiles,
@@ -37,6 +41,27 @@
   readonly #routes = new RouteStatistics();
   readonly #pools = new PoolStatistics();
   readonly #vms = new Map<string, VmCounts>();
+  readonly #byRoute = new RequestStatistics();
+  readonly #byCustomer = new RequestStatistics();
+  readonly #causes = new CauseStatistics();
+  readonly #endpoints = new EndpointStatistics();
+  readonly #connections = new ConnectionStatistics();
+  readonly #tracker = new RequestTracker({
+    handleArrival: (request) => {
+      this.#byRoute.addArrival(request.route, request);
+      this.#byCustomer.addArrival(request.customer, request);
+    },
+    handleEnd: (request, end, line) => {
+      this.#byRoute.addEnd(request.route, request, end);
+      this.#byCustomer.addEnd(request.customer, request, end);
+      this.#causes.addEnd(end);
+      if (isServed(end)) this.#connections.addServed(line);
+    },
+    handleCause: (cause) => this.#causes.addRefusalCause(cause),
+    handleSend: (request, send) => this.#endpoints.addSend(request, send),
+    handleFirstEvent: (request, send, tookMs) =>
+      this.#endpoints.addFirstEvent(request, send, tookMs),
+  });
   #startMs = Infinity;
 
   /** Adds one line. */
@@ -46,11 +71,15 @@
     const window = Math.floor(timeMs / WINDOW_MS);
     this.#routes.add(line, window);
     this.#pools.add(line, window);
+    this.#tracker.add(line);
+    this.#connections.add(line);
     this.#countVm(line);
   }
 
   /** Returns the report of all added lines. */
   build(counts: ReadCounts): SiteReport {
+    const byRoute = this.#byRoute.getGroups();
+    const unended = byRoute.reduce((sum, { all }) => sum + all.unended, 0);
     const hasLines = Number.isFinite(this.#startMs);
     const firstWindow = Math.floor(this.#startMs / WINDOW_MS);
     const getStartMs = (window: number) => (window - firstWindow) * WINDOW_MS;
@@ -65,6 +94,11 @@
       vms: [...this.#vms]
         .map(([vm, vmCounts]): VmSummary => ({ vm, ...vmCounts }))
         .sort((a, b) => a.vm.localeCompare(b.vm)),
+      requests: { byRoute, byCustomer: this.#byCustomer.getGroups() },
+      causes: this.#causes.getCauses(unended),
+      endpoints: this.#endpoints.getEndpoints(),
+      slowdowns: this.#endpoints.getBands(),
+      connections: this.#connections.getSummary(),
     };
   }
 
@@ -87,6 +121,10 @@
   }
 }
 
+function isServed({ kind }: RequestEnd): boolean {
+  return kind === "inTime" || kind === "late" || kind === "servedUnknown";
+}
+
 function buildPercentiles(histogram: hdr.Histogram): LatencyPercentiles {
   return {
     count: histogram.totalCount,
--- a/packages/report/src/log_lines.ts
+++ b/packages/report/src/log_lines.ts
@@ -42,6 +42,21 @@
   }
 }
 
+/**
+ * Returns a numeric field of a line, or undefined if the line lacks it.
+ *
+ * @example
+ * ```ts
+ * getNumber(line, "tookMs");
+ * ```
+ */
+export function getNumber(line: LogLine, field: string): number | undefined {
+  const value = line[field];
+  return typeof value === "number" && Number.isFinite(value)
+    ? value
+    : undefined;
+}
+
 /** Numbers of lines read from a file. */
 export interface ReadCounts {
   readonly lines: number;
--- a/packages/report/src/report_text.ts
+++ b/packages/report/src/report_text.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { buildRequestTables } from "./request_tables.ts";
 import type { PoolWindow, RouteWindow, SiteReport } from "./site_report.ts";
 
 /** A table with column names and rows of cells. */
@@ -20,7 +21,8 @@
  * Builds the tables of a report.
  *
  * @param report The report.
- * @returns Tables of route totals, routes and pools by window, latencies and VMs.
+ * @returns Tables of route totals, routes and pools by window, latencies and VMs, then
+ * those of {@link buildRequestTables}.
  */
 export function buildReportTables(report: SiteReport): ReportTable[] {
   return [
@@ -77,6 +79,7 @@
         String(summary.linesDropped),
       ]),
     },
+    ...buildRequestTables(report),
   ];
 }
 
--- a/packages/report/src/route_statistics.ts
+++ b/packages/report/src/route_statistics.ts
@@ -5,6 +5,7 @@
  */
 import * as hdr from "hdr-histogram-js";
 import type { LogLine } from "./log_lines.ts";
+import { OUTCOME_KIND, parseOutcome } from "./outcomes.ts";
 import type {
   LatencyPercentiles,
   RouteLatencies,
@@ -39,8 +40,6 @@
   objectiveMs: number;
 }
 
-/** Outcomes of answers that were delivered completely. */
-const SERVED_OUTCOME = /^(streamed|2\d\d)$/;
 /** Upper bound of the latency histograms, in milliseconds. */
 const MAX_LATENCY_MS = 600_000;
 
@@ -123,10 +122,11 @@
   #recordAnswer(requestId: string, line: LogLine): void {
     const { counts, isStarted, isLate } = this.#removeOpenRequest(requestId);
     const outcome = String(line.outcome);
-    if (!SERVED_OUTCOME.test(outcome)) {
+    const kind = parseOutcome(outcome);
+    if (kind !== OUTCOME_KIND.served) {
       // A request that was given up before it ran is told to retry, like one refused at
       // admission.
-      if (outcome === "DEADLINE_OUT_OF_REACH") counts.refused += 1;
+      if (kind === OUTCOME_KIND.refused) counts.refused += 1;
       else counts.failed += 1;
       const reason = String(line.reason ?? "").replace(/\d+/g, "#");
       return addReason(counts, `${outcome}: ${reason}`);
--- a/packages/report/src/site_report.ts
+++ b/packages/report/src/site_report.ts
@@ -4,6 +4,14 @@
  * @module
  */
 
+import type {
+  CauseCount,
+  ConnectionSummary,
+  EndpointSummary,
+  RequestGroup,
+  SlowdownBand,
+} from "./request_report.ts";
+
 /** Length of a window, in milliseconds: a burst covers three or more windows. */
 export const WINDOW_MS = 2_000;
 
@@ -87,4 +95,13 @@
   readonly pools: readonly PoolWindow[];
   readonly times: readonly RouteLatencies[];
   readonly vms: readonly VmSummary[];
+  readonly requests: {
+    readonly byRoute: readonly RequestGroup[];
+    readonly byCustomer: readonly RequestGroup[];
+  };
+  /** Causes of requests that were not served, the most frequent first. */
+  readonly causes: readonly CauseCount[];
+  readonly endpoints: readonly EndpointSummary[];
+  readonly slowdowns: readonly SlowdownBand[];
+  readonly connections: ConnectionSummary;
 }
