--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -86,7 +86,7 @@
   readonly #releaser: ResultReleaser;
   readonly #groups: GroupQueue;
   readonly #order: PoolOrder;
-  readonly #timer: NodeJS.Timeout;
+  #queueTimer: NodeJS.Timeout | undefined;
   #dispatchTimer: NodeJS.Timeout | undefined;
   #load: serving.PoolLoad = serving.UNKNOWN_LOAD;
   #loadComputedAt = -Infinity;
@@ -115,11 +115,6 @@
       releaseInputs: options.releaseInputs,
     });
     this.#order = new PoolOrder(options);
-    this.#timer = setInterval(
-      () => this.#checkQueue(),
-      QUEUE_CHECK_INTERVAL_MS,
-    );
-    this.#timer.unref();
   }
 
   /** Number of queued and running groups. */
@@ -159,7 +154,7 @@
 
   /** Ends every group; the routers that wait for them retry at another leader. */
   close(): void {
-    clearInterval(this.#timer);
+    clearInterval(this.#queueTimer);
     clearTimeout(this.#dispatchTimer);
     this.#groups.close();
   }
@@ -218,8 +213,19 @@
     for (const handle of handles) this.#resultSpace.release(handle, pool, now);
   }
 
-  #checkQueue(): void {
-    if (this.#groups.waiting.length > 0) this.#dispatchCalls();
+  /** Checks the queue regularly while groups wait; an idle leader has no timer. */
+  #updateQueueTimer(): void {
+    if (this.#groups.waiting.length === 0) {
+      clearInterval(this.#queueTimer);
+      this.#queueTimer = undefined;
+      return;
+    }
+    if (this.#queueTimer !== undefined) return;
+    this.#queueTimer = setInterval(
+      () => this.#dispatchCalls(),
+      QUEUE_CHECK_INTERVAL_MS,
+    );
+    this.#queueTimer.unref();
   }
 
   #dispatchCalls(): void {
@@ -229,6 +235,7 @@
     this.#groups.dropQuarantined((fingerprint) =>
       this.#options.quarantine.check(fingerprint) !== undefined
     );
+    this.#updateQueueTimer();
     const pool = this.#options.getPool();
     if (pool === undefined || this.#groups.waiting.length === 0) return;
     const now = performance.now();
