Place requests by the speed that endpoints report

Cause: 15 in 100 engines are slowed by up to 2.5 for 0.6 s at a time, and placement by utilization alone does not see it.

--- a/packages/endpoint_speed/src/mod.ts
+++ b/packages/endpoint_speed/src/mod.ts
@@ -3,4 +3,7 @@
  *
  * @module
  */
-export {};
+export * from "./evidence_decay.ts";
+export * from "./expected_finish.ts";
+export * from "./host_speeds.ts";
+export * from "./speed_evidence.ts";
--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -14,6 +14,7 @@
 } from "@sardinestep/types";
 import { EVENT } from "./events.ts";
 import type { EndpointLoad, EndpointNotices } from "./ports.ts";
+import { EndpointSpeeds } from "./endpoint_speeds.ts";
 import { RateLimits } from "./rate_limits.ts";
 import type { Rollouts } from "./rollouts.ts";
 import type { SiteState } from "./site_state.ts";
@@ -42,11 +43,12 @@
 export class EndpointTracker {
   /** Rate limits that endpoints announce. */
   readonly limits: RateLimits;
+  /** How long work takes at each endpoint now. */
+  readonly speeds = new EndpointSpeeds();
   readonly #options: EndpointTrackerOptions;
   readonly #runtimes = new Map<EndpointId, EndpointRuntime>();
   readonly #coldSends = new serving.SendRate(serving.COLD_WINDOW_MS);
   #coldLimit: serving.ColdLimit;
-  #hasHostSpeeds = false;
 
   /** @param options Site state, roll-outs, log and limits. */
   constructor(options: EndpointTrackerOptions) {
@@ -57,7 +59,16 @@
 
   /** Whether any endpoint has reported the speed of its host. */
   get hasHostSpeeds(): boolean {
-    return this.#hasHostSpeeds;
+    return this.speeds.hasReports;
+  }
+
+  /**
+   * Returns how long work is expected to take at an endpoint, for calls of pieces too.
+   *
+   * @returns A multiple of the usual time, 0.1 to 100; 1 where nothing is known.
+   */
+  getSlowdown(id: EndpointId, now: number): number {
+    return this.speeds.getSlowdown(id, now);
   }
 
   /** Sets the rate limit for cold endpoints. */
@@ -148,6 +159,7 @@
     const runtime = this.#getRuntime(endpoint);
     runtime.inFlight += 1;
     this.limits.recordSend(endpoint);
+    this.speeds.recordSend(endpoint.id);
     if (runtime.coldUntil > performance.now()) {
       this.#coldSends.record(endpoint.id, performance.now());
     }
@@ -220,8 +232,8 @@
   recordLoad(endpoint: serving.ServingEndpoint, load: EndpointLoad): void {
     const runtime = this.#getRuntime(endpoint);
     runtime.load = load;
-    if (load.slowdown !== undefined) this.#hasHostSpeeds = true;
     runtime.loadAt = performance.now();
+    this.speeds.recordLoad(endpoint.id, load, runtime.loadAt);
   }
 
   /** Records that an endpoint is cold for the given time. */
@@ -247,6 +259,7 @@
       if (!ids.has(id) && runtime.inFlight <= 0) this.#runtimes.delete(id);
     }
     this.limits.keep(ids);
+    this.speeds.keep(ids);
     this.#options.site.leaving.keep(ids, performance.now());
     this.#coldSends.keep(ids);
     for (const { endpoint, ageMs } of registered) {
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -13,6 +13,7 @@
   runAttempt,
   STATUS_FAILURE_MIN,
 } from "./attempt.ts";
+import { pickRequestEndpoint } from "./endpoint_choice.ts";
 import { EventBuffer } from "./event_buffer.ts";
 import { EVENT } from "./events.ts";
 import { UNAVAILABLE_RETRY_AFTER_MS } from "./final_answer.ts";
@@ -155,19 +156,11 @@
   }
 
   #pickEndpointOfSide(side: rollout.Side): serving.ServingEndpoint | undefined {
-    const { service, table, session } = this.#request;
-    const id = serving.pickEndpoint({
-      candidates: this.#deps.endpointTracker.getCandidates(
-        table.services.get(service),
-        service,
-        side,
-      ),
-      session,
+    return pickRequestEndpoint(this.#deps, this.#request, {
+      side,
       inputBytes: this.#staged.inputBytes,
-      ownZone: this.#deps.zone,
       tried: this.#triedIds,
     });
-    return id === undefined ? undefined : this.#deps.endpointTracker.find(id);
   }
 
   /** Runs one attempt and records its outcome for roll-outs and quarantine. */
@@ -175,12 +168,17 @@
     const { rollouts } = this.#deps;
     const { route } = this.#request;
     const startedAt = performance.now();
+    const { speeds } = this.#deps.endpointTracker;
+    const slowdown = speeds.getSlowdown(endpoint.id, startedAt);
     let firstEventMs: number | undefined;
     rollouts.recordSent(endpoint, route.name);
     const outcome = await this.#runAttempt(endpoint, () => {
       firstEventMs ??= performance.now() - startedAt;
     });
     const tookMs = performance.now() - startedAt;
+    if (firstEventMs !== undefined && this.#deps.isContended()) {
+      speeds.recordFirstEvent(endpoint, firstEventMs, slowdown);
+    }
     const end = buildRequestOutcome(outcome, {
       firstEventMs,
       tookMs,
@@ -211,6 +209,7 @@
       inputs: this.#staged.inputs.length,
       send: this.#attempts + 1,
       lastEventId: this.#eventBuffer?.lastEventId,
+      ...this.#buildSpeedFields(endpoint),
     });
     return runAttempt({
       request,
@@ -240,6 +239,13 @@
     });
   }
 
+  /** Builds the log fields of what is known of an endpoint's speed. */
+  #buildSpeedFields(endpoint: serving.ServingEndpoint) {
+    if (!this.#deps.isContended()) return {};
+    const { speeds } = this.#deps.endpointTracker;
+    return speeds.buildLogFields(endpoint.id, performance.now());
+  }
+
   /**
    * Releases the inputs of a non-retryable request soon after it was sent.
    *
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import * as endpointSpeed from "@sardinestep/endpoint_speed";
 import * as membership from "@sardinestep/membership";
 import type { EndpointId, ZoneId } from "@sardinestep/types";
 import type { PromptPart } from "./prompt_session.ts";
@@ -18,6 +19,10 @@
   readonly reported?: number;
   /** Whether other endpoints are tried first. */
   readonly isAvoided: boolean;
+  /** Requests that this VM sent there since the report; unset if not contended. */
+  readonly sentSinceReport?: number;
+  /** Multiple of the usual time that work takes there; unset if not contended. */
+  readonly slowdown?: number;
 }
 
 /** Options of {@link pickEndpoint}. */
@@ -32,6 +37,14 @@
   readonly tried: ReadonlySet<EndpointId>;
 }
 
+/** Options of {@link pickEndpointBySpeed}. */
+export interface PickEndpointBySpeedOptions extends PickEndpointOptions {
+  /** Seed of random choices. */
+  readonly requestId: string;
+  /** Usual time to the first event, in milliseconds. */
+  readonly usualMs: number;
+}
+
 /**
  * Utilization up to which a session returns to its endpoint. Above it, processing
  * the prompt again elsewhere takes less time than the slower tokens here.
@@ -46,6 +59,16 @@
 const CROSS_ZONE_BYTES_PER_TOKEN = 5_000;
 /** Utilization by which an endpoint of another zone must be lower. */
 const MIN_ZONE_GAIN = 0.5;
+/**
+ * Speed at which an endpoint reads a prompt: the slower one of two deployments whose
+ * engines read 32 and 70 tokens/ms, so that a session doesn't move too early.
+ */
+const READ_TOKENS_PER_MS = 32;
+/**
+ * Endpoints that a slowed session may move to: the next ones of its ranking, which
+ * are the same on all VMs, so that its later requests find the prompt there.
+ */
+const SESSION_ALTERNATIVES = 2;
 
 /**
  * Picks an endpoint.
@@ -62,15 +85,71 @@
 export function pickEndpoint(
   options: PickEndpointOptions,
 ): EndpointId | undefined {
+  const usable = getUsable(options);
+  if (usable.length === 0) return undefined;
+  return options.session === undefined
+    ? pickLeastUtilized(usable, options.ownZone)
+    : pickForSession(
+      buildSessionRanking(usable, options.session),
+      options.session,
+      options.inputBytes ?? {},
+    ).id;
+}
+
+/**
+ * Picks an endpoint where endpoints change their speed within a second.
+ *
+ * Requests without a session go to the earliest expected finish of a few random
+ * endpoints. A session goes where {@link pickEndpoint} sends it, unless that endpoint
+ * is slowed so much that one of the next ones of its ranking answers earlier, with
+ * the time to read the prompt and to move the inputs.
+ *
+ * @param options Candidates with their slowdown, and the request.
+ * @returns The endpoint's id; undefined if there is none.
+ */
+export function pickEndpointBySpeed(
+  options: PickEndpointBySpeedOptions,
+): EndpointId | undefined {
+  const usable = getUsable(options);
+  if (usable.length === 0) return undefined;
+  const { session, inputBytes = {}, requestId, ownZone, usualMs } = options;
+  if (session === undefined) {
+    return endpointSpeed.pickByExpectedFinish(usable, {
+      requestId,
+      ownZone,
+      otherZoneCost: MIN_ZONE_GAIN,
+    });
+  }
+  const ranked = buildSessionRanking(usable, session);
+  const home = pickForSession(ranked, session, inputBytes);
+  // Differences of load alone are left to pickForSession.
+  const others = getAvailable(ranked)
+    .slice(0, SESSION_ALTERNATIVES + 1)
+    .filter((other) => isFaster(other, home));
+  if (others.length === 0) return home.id;
+  const getCost = buildSessionCost(ranked[0]!, session, inputBytes);
+  const choices = [home, ...others].map((candidate) => ({
+    ...candidate,
+    readMs: getCost(candidate) / READ_TOKENS_PER_MS,
+  }));
+  return endpointSpeed.pickForSession(choices, usualMs);
+}
+
+/** Whether the known speeds of two endpoints differ enough for a session to move. */
+function isFaster(other: PlacementCandidate, home: PlacementCandidate) {
+  const otherSlowdown = other.slowdown ?? 1;
+  const homeSlowdown = home.slowdown ?? 1;
+  return otherSlowdown < homeSlowdown &&
+    !endpointSpeed.isSameSpeed(otherSlowdown, homeSlowdown);
+}
+
+/** Returns the untried candidates, without avoided ones if there are others. */
+function getUsable(options: PickEndpointOptions): PlacementCandidate[] {
   const untried = options.candidates.filter((candidate) =>
     !options.tried.has(candidate.id)
   );
   const healthy = untried.filter((candidate) => !candidate.isAvoided);
-  const usable = healthy.length > 0 ? healthy : untried;
-  if (usable.length === 0) return undefined;
-  return options.session === undefined
-    ? pickLeastUtilized(usable, options.ownZone)
-    : pickForSession(usable, options.session, options.inputBytes ?? {});
+  return healthy.length > 0 ? healthy : untried;
 }
 
 /** Returns the zone of a session's preferred endpoint. */
@@ -82,36 +161,57 @@
     ?.zone;
 }
 
-function pickForSession(
+function buildSessionRanking(
   usable: readonly PlacementCandidate[],
   session: PromptPart,
-  inputBytes: Readonly<Record<ZoneId, number>>,
-): EndpointId | undefined {
-  const ranked = membership.buildRanking(
+): PlacementCandidate[] {
+  return membership.buildRanking(
     session.id,
     usable,
     (candidate) => candidate.id,
   );
-  const mean = usable.reduce((sum, candidate) => sum + candidate.inFlight, 0) /
-    usable.length;
-  const available = ranked.filter((candidate) =>
+}
+
+function pickForSession(
+  ranked: readonly PlacementCandidate[],
+  session: PromptPart,
+  inputBytes: Readonly<Record<ZoneId, number>>,
+): PlacementCandidate {
+  const available = getAvailable(ranked);
+  const choices = available.length > 0 ? available : ranked;
+  const getCost = buildSessionCost(ranked[0]!, session, inputBytes);
+  return choices.reduce((best, candidate) =>
+    getCost(candidate) < getCost(best) ? candidate : best
+  );
+}
+
+/** Returns the endpoints that a session may use, by utilization. */
+function getAvailable(
+  ranked: readonly PlacementCandidate[],
+): PlacementCandidate[] {
+  const mean = ranked.reduce((sum, candidate) => sum + candidate.inFlight, 0) /
+    ranked.length;
+  return ranked.filter((candidate) =>
     getUtilization(candidate) < SESSION_MAX_UTILIZATION &&
     candidate.inFlight <= mean + SESSION_MAX_EXTRA_REQUESTS
   );
-  const choices = available.length > 0 ? available : ranked;
+}
+
+/** Builds the cost of a candidate: tokens read again and bytes moved, in tokens. */
+function buildSessionCost(
+  first: PlacementCandidate,
+  session: PromptPart,
+  inputBytes: Readonly<Record<ZoneId, number>>,
+): (candidate: PlacementCandidate) => number {
   const allBytes = Object.values(inputBytes).reduce(
     (sum, bytes) => sum + bytes,
     0,
   );
-  const getCost = (candidate: PlacementCandidate) => {
+  return (candidate) => {
     const movedBytes = allBytes - (inputBytes[candidate.zone] ?? 0);
-    const reprocessedTokens = candidate === ranked[0] ? 0 : session.tokens;
+    const reprocessedTokens = candidate === first ? 0 : session.tokens;
     return reprocessedTokens + movedBytes / CROSS_ZONE_BYTES_PER_TOKEN;
   };
-  return choices.reduce((best, candidate) =>
-    getCost(candidate) < getCost(best) ? candidate : best
-  )
-    .id;
 }
 
 function pickLeastUtilized(
