Share the speeds that endpoints report between VMs

Cause: a VM of a large deployment sees an engine about every 10 s, and a slow period lasts 0.6 s, so its own reports are mostly out of date. Change: MemberView.hostSpeeds (at most 32 figures, at most 1 s old) goes to the first live candidate of one pool's leadership, which every VM calls anyway, and its reply carries what it collected; not on sites without reports or above 96 members. Heard figures are bounded, weighted by how far own reports confirm them, and one request in 16 is placed without them.

--- a/packages/endpoint_speed/src/speed_evidence.ts
+++ b/packages/endpoint_speed/src/speed_evidence.ts
@@ -59,6 +59,11 @@
     return now - figure.at < MAX_EVIDENCE_AGE_MS ? figure : undefined;
   }
 
+  /** Returns the last figures of all endpoints. */
+  getAll(): Iterable<readonly [EndpointId, SpeedFigure]> {
+    return this.#figures;
+  }
+
   /** Returns the expected slowdown; undefined without a valid figure. */
   getEstimate(id: EndpointId, now: number): number | undefined {
     const figure = this.find(id, now);
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -51,7 +51,7 @@
   const id = deps.isContended()
     ? serving.pickEndpointBySpeed({
       ...choice,
-      candidates: speeds.addSpeeds(candidates, performance.now()),
+      candidates: speeds.addSpeeds(candidates, requestId, performance.now()),
       requestId,
       usualMs: speeds.getUsualMs(service),
     })
--- a/packages/gateway/src/endpoint_speeds.ts
+++ b/packages/gateway/src/endpoint_speeds.ts
@@ -85,14 +85,28 @@
     return this.#speeds.getSlowdown(id, now);
   }
 
-  /** Adds to candidates what a choice by expected finish needs. */
+  /** Records figures that another VM passed on. */
+  recordShared(speeds: readonly endpointSpeed.SharedSpeed[]): void {
+    this.#speeds.recordShared(speeds, performance.now());
+  }
+
+  /** Returns figures to pass on to other VMs. */
+  getShared(source: endpointSpeed.ShareSource): endpointSpeed.SharedSpeed[] {
+    return this.#speeds.getShared(performance.now(), source);
+  }
+
+  /** Adds to the candidates of a request what a choice by expected finish needs. */
   addSpeeds(
     candidates: readonly serving.PlacementCandidate[],
+    requestId: string,
     now: number,
   ): serving.PlacementCandidate[] {
+    const isOwnOnly = endpointSpeed.isPlacedByOwnEvidence(requestId);
     return candidates.map((candidate) => ({
       ...candidate,
-      slowdown: this.getSlowdown(candidate.id, now),
+      slowdown: isOwnOnly
+        ? this.#speeds.getOwnSlowdown(candidate.id, now)
+        : this.#speeds.getSlowdown(candidate.id, now),
       sentSinceReport: this.#sentSinceReport.get(candidate.id) ?? 0,
     }));
   }
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import * as endpointSpeed from "@sardinestep/endpoint_speed";
 import type * as logger from "@sardinestep/logger";
 import * as rpc from "@sardinestep/rpc";
 import * as serving from "@sardinestep/serving";
@@ -17,6 +18,7 @@
 import type { EndpointTracker } from "./endpoint_tracker.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { SiteState } from "./site_state.ts";
+import { planSpeedSharing, type SpeedSharing } from "./speed_sharing.ts";
 
 /** Interval of view exchanges with leader candidates, in milliseconds. */
 const EXCHANGE_INTERVAL_MS = 250;
@@ -134,13 +136,18 @@
   handleExchange(view: serving.MemberView): serving.ExchangeReply {
     const { site, member } = this.#options;
     this.#recordView(view);
+    const { speeds } = this.#options.endpointTracker;
     if (this.#needsUpdate(view)) void this.#fetchUpdate(view.member.rpc);
     const isSameZone = view.member.zone === member.zone;
     return {
-      view: this.#buildView(
-        isSameZone ? this.leaders.getDirectLoads() : [],
-        view.isStarting,
-      ),
+      view: {
+        ...this.#buildView(
+          isSameZone ? this.leaders.getDirectLoads() : [],
+          view.isStarting,
+        ),
+        hostSpeeds: view.hostSpeeds &&
+          speeds.getShared(endpointSpeed.SHARE_SOURCE.all),
+      },
       news: site.getUpdateSince(view),
     };
   }
@@ -228,14 +235,29 @@
     this.#round += 1;
     // One view per round: for each view a leader scans all its queues.
     const view = this.#buildView([]);
+    const speeds = this.#planSpeedSharing();
     for (const address of this.#planExchanges()) {
-      void this.#exchange(address, view);
+      const isShared = speeds?.peers.has(address);
+      const hostSpeeds = isShared ? speeds?.hostSpeeds : undefined;
+      void this.#exchange(address, { ...view, hostSpeeds });
     }
     const random = this.#pickRandomPeer();
     if (random === undefined) return;
     void this.#exchange(random, view, rpc.callOnce<"exchangeViews">);
   }
 
+  #planSpeedSharing(): SpeedSharing | undefined {
+    const { site, member, endpointTracker } = this.#options;
+    return planSpeedSharing({
+      member,
+      members: site.members.length,
+      services: [...site.table?.services.values() ?? []],
+      leaders: this.leaders,
+      isAlive: (vmId) => this.#isAlive(vmId),
+      speeds: endpointTracker.speeds,
+    });
+  }
+
   #planExchanges(): ReadonlySet<Address> {
     const { site, member, seeds } = this.#options;
     const addresses = new Set<Address>();
@@ -321,6 +343,7 @@
     rollouts.mergeUpdates(view.rollouts ?? []);
     quarantine.mergeUpdates(view.crashes ?? []);
     endpointTracker.limits.mergeUpdates(view.limits ?? []);
+    endpointTracker.speeds.recordShared(view.hostSpeeds ?? []);
     for (const leaving of view.leaving ?? []) {
       site.recordLeaving(leaving, "peer");
     }
--- a/packages/serving/src/messages.ts
+++ b/packages/serving/src/messages.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type * as endpointSpeed from "@sardinestep/endpoint_speed";
 import type * as quarantine from "@sardinestep/quarantine";
 import type * as rollout from "@sardinestep/rollout";
 import type { EndpointId, ServiceId, ZoneId } from "@sardinestep/types";
@@ -106,6 +107,11 @@
   readonly isStarting?: boolean;
   /** Endpoint crashes that it learned of recently. */
   readonly crashes?: readonly quarantine.CrashUpdate[];
+  /**
+   * Speeds that endpoints reported recently, at most 32; set only towards the VM that
+   * collects them, and in its reply.
+   */
+  readonly hostSpeeds?: readonly endpointSpeed.SharedSpeed[];
 }
 
 /** Response of a VM to another VM's view. */
