--- a/packages/endpoint_speed/src/expected_finish.ts
+++ b/packages/endpoint_speed/src/expected_finish.ts
@@ -34,6 +34,8 @@
   readonly ownZone: ZoneId;
   /** What another zone costs, as a share of the usual time of one request. */
   readonly otherZoneCost: number;
+  /** Adds the speed; called for the compared candidates only, to save time. */
+  readonly addSpeed?: (candidate: SpeedCandidate) => SpeedCandidate;
 }
 
 /** An endpoint that may take a request of a session. */
@@ -73,7 +75,7 @@
   candidates: readonly SpeedCandidate[],
   options: ExpectedFinishOptions,
 ): EndpointId | undefined {
-  const { requestId, ownZone, otherZoneCost } = options;
+  const { requestId, ownZone, otherZoneCost, addSpeed } = options;
   const own = candidates.filter(({ zone }) => zone === ownZone);
   const others = candidates.filter(({ zone }) => zone !== ownZone);
   const choices = own.length === 0
@@ -85,7 +87,8 @@
   const getCost = (candidate: SpeedCandidate) =>
     getExpectedFinish(candidate) +
     (candidate.zone === ownZone ? 0 : otherZoneCost);
-  return pickLeast(choices, getCost)?.id;
+  const known = addSpeed === undefined ? choices : choices.map(addSpeed);
+  return pickLeast(known, getCost)?.id;
 }
 
 /**
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -48,12 +48,13 @@
     tried: options.tried,
   };
   const { speeds } = endpointTracker;
+  const now = performance.now();
   const id = deps.isContended()
     ? serving.pickEndpointBySpeed({
       ...choice,
-      candidates: speeds.addSpeeds(candidates, requestId, performance.now()),
       requestId,
       usualMs: speeds.getUsualMs(service),
+      getSpeed: (endpointId) => speeds.getSpeed(endpointId, requestId, now),
     })
     : serving.pickEndpoint(choice);
   return id === undefined ? undefined : endpointTracker.find(id);
--- a/packages/gateway/src/endpoint_speeds.ts
+++ b/packages/gateway/src/endpoint_speeds.ts
@@ -95,20 +95,19 @@
     return this.#speeds.getShared(performance.now(), source);
   }
 
-  /** Adds to the candidates of a request what a choice by expected finish needs. */
-  addSpeeds(
-    candidates: readonly serving.PlacementCandidate[],
+  /** Returns what the choice of an endpoint for a request needs to know of one. */
+  getSpeed(
+    id: EndpointId,
     requestId: string,
     now: number,
-  ): serving.PlacementCandidate[] {
+  ): serving.EndpointSpeed {
     const isOwnOnly = endpointSpeed.isPlacedByOwnEvidence(requestId);
-    return candidates.map((candidate) => ({
-      ...candidate,
+    return {
       slowdown: isOwnOnly
-        ? this.#speeds.getOwnSlowdown(candidate.id, now)
-        : this.#speeds.getSlowdown(candidate.id, now),
-      sentSinceReport: this.#sentSinceReport.get(candidate.id) ?? 0,
-    }));
+        ? this.#speeds.getOwnSlowdown(id, now)
+        : this.#speeds.getSlowdown(id, now),
+      sentSinceReport: this.#sentSinceReport.get(id) ?? 0,
+    };
   }
 
   /** Builds the log fields on the speed of an endpoint. */
--- a/packages/serving/src/_endpoint_load.ts
+++ b/packages/serving/src/_endpoint_load.ts
@@ -5,11 +5,11 @@
  */
 import * as endpointSpeed from "@sardinestep/endpoint_speed";
 import murmurhash from "murmurhash";
-import type { PlacementCandidate } from "./placement.ts";
+import type { EndpointSpeed, PlacementCandidate } from "./placement.ts";
 
 /** Placement of one request. */
 export type PickForLoad = (
-  candidates: readonly PlacementCandidate[],
+  candidates: readonly (PlacementCandidate & EndpointSpeed)[],
   request: { readonly id: string; readonly ownZone: string },
 ) => string | undefined;
 
@@ -80,7 +80,7 @@
     id: string,
     more: { readonly zone: string; readonly slots: number },
     now: number,
-  ): PlacementCandidate {
+  ): PlacementCandidate & EndpointSpeed {
     const known = this.loads.get(id);
     const isFresh = known !== undefined &&
       now - known.at < MAX_LOAD_REPORT_AGE_MS;
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -19,10 +19,14 @@
   readonly reported?: number;
   /** Whether other endpoints are tried first. */
   readonly isAvoided: boolean;
-  /** Requests that this VM sent there since the report; unset if not contended. */
-  readonly sentSinceReport?: number;
-  /** Multiple of the usual time that work takes there; unset if not contended. */
-  readonly slowdown?: number;
+}
+
+/** What a VM knows of an endpoint's speed. */
+export interface EndpointSpeed {
+  /** Multiple of the usual time that work takes there. */
+  readonly slowdown: number;
+  /** Requests that this VM sent there since the endpoint's last report. */
+  readonly sentSinceReport: number;
 }
 
 /** Options of {@link pickEndpoint}. */
@@ -43,6 +47,8 @@
   readonly requestId: string;
   /** Usual time to the first event, in milliseconds. */
   readonly usualMs: number;
+  /** Returns what is known of an endpoint's speed; called for few candidates. */
+  readonly getSpeed: (id: EndpointId) => EndpointSpeed;
 }
 
 /**
@@ -112,35 +118,37 @@
 ): EndpointId | undefined {
   const usable = getUsable(options);
   if (usable.length === 0) return undefined;
-  const { session, inputBytes = {}, requestId, ownZone, usualMs } = options;
+  const { session, inputBytes = {}, requestId, ownZone, usualMs, getSpeed } =
+    options;
   if (session === undefined) {
     return endpointSpeed.pickByExpectedFinish(usable, {
       requestId,
       ownZone,
       otherZoneCost: MIN_ZONE_GAIN,
+      addSpeed: (candidate) => ({ ...candidate, ...getSpeed(candidate.id) }),
     });
   }
   const ranked = buildSessionRanking(usable, session);
-  const home = pickForSession(ranked, session, inputBytes);
+  const addSpeed = (candidate: PlacementCandidate) => ({
+    ...candidate,
+    ...getSpeed(candidate.id),
+    readMs: getCost(candidate) / READ_TOKENS_PER_MS,
+  });
+  const getCost = buildSessionCost(ranked[0]!, session, inputBytes);
+  const home = addSpeed(pickForSession(ranked, session, inputBytes));
   // Differences of load alone are left to pickForSession.
   const others = getAvailable(ranked)
     .slice(0, SESSION_ALTERNATIVES + 1)
+    .map(addSpeed)
     .filter((other) => isFaster(other, home));
   if (others.length === 0) return home.id;
-  const getCost = buildSessionCost(ranked[0]!, session, inputBytes);
-  const choices = [home, ...others].map((candidate) => ({
-    ...candidate,
-    readMs: getCost(candidate) / READ_TOKENS_PER_MS,
-  }));
-  return endpointSpeed.pickForSession(choices, usualMs);
+  return endpointSpeed.pickForSession([home, ...others], usualMs);
 }
 
 /** Whether the known speeds of two endpoints differ enough for a session to move. */
-function isFaster(other: PlacementCandidate, home: PlacementCandidate) {
-  const otherSlowdown = other.slowdown ?? 1;
-  const homeSlowdown = home.slowdown ?? 1;
-  return otherSlowdown < homeSlowdown &&
-    !endpointSpeed.isSameSpeed(otherSlowdown, homeSlowdown);
+function isFaster(other: EndpointSpeed, home: EndpointSpeed): boolean {
+  return other.slowdown < home.slowdown &&
+    !endpointSpeed.isSameSpeed(other.slowdown, home.slowdown);
 }
 
 /** Returns the untried candidates, without avoided ones if there are others. */
--- a/packages/serving/src/placement_load_test.ts
+++ b/packages/serving/src/placement_load_test.ts
@@ -42,6 +42,7 @@
     requestId: request.id,
     tried: new Set(),
     usualMs: 110,
+    getSpeed: (id) => candidates.find((candidate) => candidate.id === id)!,
   });
 }
 
