--- a/packages/endpoint_speed/src/host_speeds_test.ts
+++ b/packages/endpoint_speed/src/host_speeds_test.ts
@@ -1,3 +1,4 @@
+import { expectSnapshot } from "@sardinestep/testing";
 import { expect } from "chai";
 import { HostSpeeds } from "./host_speeds.ts";
 
@@ -20,6 +21,20 @@
     expect(values.at(-1)).to.be.closeTo(1, 0.1);
   });
 
+  // Guards the estimate that placement multiplies with, by age of the report.
+  it("estimates the slowdown by age before any pair is observed", function () {
+    const speeds = new HostSpeeds();
+    speeds.recordReport("e1", 1, 0);
+    speeds.recordReport("slow", 2.5, 0);
+    const ages = [0, 100, 300, 600, 1_200, 3_000, 10_000, 60_000];
+    expectSnapshot(
+      this,
+      ages.map((age) =>
+        `${age} ms: ${speeds.getSlowdown("slow", age).toFixed(2)}`
+      ),
+    );
+  });
+
   // Guards against a fixed validity: hosts that stay slow for long would be forgotten.
   it("learns how long reports remain valid", () => {
     const run = (periodMs: number) => {
--- a/packages/gateway/src/endpoint_speeds.ts
+++ b/packages/gateway/src/endpoint_speeds.ts
@@ -85,9 +85,16 @@
     return this.#speeds.getSlowdown(id, now);
   }
 
-  /** Records figures that another VM passed on. */
-  recordShared(speeds: readonly endpointSpeed.SharedSpeed[]): void {
-    this.#speeds.recordShared(speeds, performance.now());
+  /**
+   * Records figures that another VM passed on.
+   *
+   * @param builtAt Earliest time at which the message may have been built.
+   */
+  recordShared(
+    speeds: readonly endpointSpeed.SharedSpeed[],
+    builtAt: number,
+  ): void {
+    this.#speeds.recordShared(speeds, builtAt);
   }
 
   /** Returns figures to pass on to other VMs. */
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -171,6 +171,15 @@
     const { speeds } = this.#deps.endpointTracker;
     const slowdown = speeds.getSlowdown(endpoint.id, startedAt);
     let firstEventMs: number | undefined;
+    if (this.#deps.isContended()) {
+      const { service } = endpoint;
+      const percent = 100 * slowdown;
+      this.#deps.metrics.recordMs(
+        "sent_slowdown_percent",
+        { service },
+        percent,
+      );
+    }
     rollouts.recordSent(endpoint, route.name);
     const outcome = await this.#runAttempt(endpoint, () => {
       firstEventMs ??= performance.now() - startedAt;
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -330,20 +330,21 @@
   #handleAnswer(answer: serving.ExchangeReply, sentAt: number): void {
     const { site } = this.#options;
     const { view, news } = answer;
-    this.#recordView(view);
+    this.#recordView(view, sentAt);
     const syncedAt = sentAt - view.factsAgeMs;
     if (news !== undefined) site.mergeUpdate(news, syncedAt);
     if (!serving.isNewer(view, site.positions)) site.recordSynced(syncedAt);
   }
 
-  #recordView(view: serving.MemberView): void {
+  /** @param builtAt Earliest time at which the view may have been built. */
+  #recordView(view: serving.MemberView, builtAt = performance.now()): void {
     const { site, member, events, rollouts, quarantine, endpointTracker } =
       this.#options;
     if (view.member.vmId === member.vmId) return;
     rollouts.mergeUpdates(view.rollouts ?? []);
     quarantine.mergeUpdates(view.crashes ?? []);
     endpointTracker.limits.mergeUpdates(view.limits ?? []);
-    endpointTracker.speeds.recordShared(view.hostSpeeds ?? []);
+    endpointTracker.speeds.recordShared(view.hostSpeeds ?? [], builtAt);
     for (const leaving of view.leaving ?? []) {
       site.recordLeaving(leaving, "peer");
     }
