--- a/packages/endpoint_speed/src/mod.ts
+++ b/packages/endpoint_speed/src/mod.ts
@@ -3,4 +3,8 @@
  *
  * @module
  */
-export {};
+export * from "./evidence_decay.ts";
+export * from "./expected_finish.ts";
+export * from "./heard_speeds.ts";
+export * from "./host_speeds.ts";
+export * from "./speed_evidence.ts";
