--- a/packages/gateway/src/stage_forecast.ts
+++ b/packages/gateway/src/stage_forecast.ts
@@ -27,7 +27,7 @@
   /** Age of the request in ms. */
   readonly ageMs: number;
   /** Expected time of the remaining stages in ms, without queueing. */
-  readonly remainingMs: number;
+  readonly restMs: number;
   /** The same with the reported waits, in ms. */
   readonly remainingWithWaitsMs: number;
   /** Whether no further stage has to run. */
@@ -87,7 +87,7 @@
     const { route, isReturn } = this.#options;
     const { stage, ageMs, isLast } = result;
     const { firstEventMs } = this;
-    const expectedAgeMs = ageMs + result.remainingMs + firstEventMs;
+    const expectedAgeMs = ageMs + result.restMs + firstEventMs;
     this.#pending.push({
       ageMs,
       forecast: {
--- a/packages/gateway/src/stage_run.ts
+++ b/packages/gateway/src/stage_run.ts
@@ -269,7 +269,7 @@
     forecast.recordResult({
       stage,
       ageMs: scope.ageMs,
-      remainingMs: graph.getRemainingMs(),
+      restMs: graph.getRemainingMs(),
       remainingWithWaitsMs: graph.getRemainingMs(getWaitMs),
       isLast: graph.isDone,
     });
