Forecast: a fifth of a pool for deferred requests; returns are due before their last chance

Change: both shares 0.2; a return is due 400 ms before its last chance; the margin doesn't count where a group waits for its zone.

--- a/packages/forecast/src/chain_admission.ts
+++ b/packages/forecast/src/chain_admission.ts
@@ -57,15 +57,15 @@
 
 /**
  * Share of a pool that first attempts may claim as deferred requests. A deferred
- * group goes first at its last chance, so a larger share takes more than a tenth of
- * the pool from groups that could be on time.
+ * group goes first at its last chance, so a larger share takes more of the pool from
+ * groups that could be on time: with 0.3 less than 0.9 of a burst is on time.
  */
-const DEFERRED_SHARE = 0.1;
+const DEFERRED_SHARE = 0.2;
 /**
  * The same for returns. A larger share refuses fewer returns, but takes as much from
  * groups on time, which are then refused and return themselves.
  */
-const RETURN_SHARE = 0.1;
+const RETURN_SHARE = 0.2;
 
 /**
  * Returns how long a deferred request waits at a pool, in milliseconds.
--- a/packages/gateway/src/stage_run.ts
+++ b/packages/gateway/src/stage_run.ts
@@ -54,6 +54,11 @@
 
 /** Maximum number of times that the stages run when results are lost. */
 const MAX_GRAPH_RUNS = 3;
+/**
+ * Time before its last chance at which a return is due on a contended site, in
+ * milliseconds: one full call, and half of one for the wait for an endpoint.
+ */
+const RETURN_DUE_LEAD_MS = 400;
 /** Share of a full batch that calls have under overload. */
 const CONTENDED_CALL_FILL = 1;
 
@@ -203,9 +208,14 @@
       this.#options.firstEventMs;
     // A request that is retried after a refusal is late from the start.
     const objectiveMs = this.#options.isReturn ? 0 : this.#options.objectiveMs;
-    const dueAt = scope.startedAt + objectiveMs - remainingMs - marginMs;
+    const objectiveDueAt = scope.startedAt + objectiveMs - remainingMs -
+      marginMs;
     // Without the margin: an answer that only may be too late is still worth a start.
     const expiresAt = scope.startedAt + this.#options.leftMs - remainingMs;
+    // Its last chance to be answered is what a return has left to meet.
+    const dueAt = forecast !== undefined && this.#options.isReturn
+      ? expiresAt - RETURN_DUE_LEAD_MS
+      : objectiveDueAt;
     const { isInvested } = start;
     // Admission refuses what can't be answered, so an accepted request that is late
     // stays queued for as long as its caller can be reached.
@@ -240,6 +250,7 @@
       isInvested,
       localBytes: this.#getLocalBytes(start, spec.resultBytes),
       dueAt,
+      marginMs,
       expiresAt,
       giveUpAt,
     });
--- a/packages/serving/src/call_plan.ts
+++ b/packages/serving/src/call_plan.ts
@@ -280,7 +280,9 @@
 
   #isEligible({ group, startedIn }: QueuedGroup): boolean {
     const { endpoint, now, poolZones } = this.#options;
-    if (group.dueAt - now < ZONE_WAIT_MS) return true;
+    // The margin is no reason to carry results to another zone.
+    const latestMs = group.dueAt + (group.marginMs ?? 0) - now;
+    if (latestMs < ZONE_WAIT_MS) return true;
     // Results of one stage are read together, so they are made in one zone.
     if (startedIn !== undefined) {
       return startedIn === endpoint.zone || !poolZones.has(startedIn);
--- a/packages/serving/src/piece_queue.ts
+++ b/packages/serving/src/piece_queue.ts
@@ -44,6 +44,8 @@
   readonly isInvested: boolean;
   /** Latest start with which the request meets its objective. */
   readonly dueAt: number;
+  /** Part of the time to the objective that is kept for errors of the forecast, in ms. */
+  readonly marginMs?: number;
   /** Latest start that still reaches the caller. */
   readonly expiresAt: number;
   /** Time at which it is dropped if none of its pieces has started. */
