--- a/packages/endpoint_speed/src/host_speeds.ts
+++ b/packages/endpoint_speed/src/host_speeds.ts
@@ -32,9 +32,10 @@
 /**
  * Estimates the slowdown of endpoints whose speed changes many times a second.
  *
- * The newest report of the endpoint counts first, got by this VM or passed on. The observed ratio of actual to expected
- * time counts for endpoints without a valid report. Without either, the mean of the
- * reports of all endpoints is returned, which is 1 if there are none.
+ * The newest report of the endpoint counts first, got by this VM or passed on. The
+ * observed ratio of actual to expected time counts for endpoints without a valid
+ * report. Without either, the mean of the reports of all endpoints is returned, which
+ * is 1 if there are none.
  */
 export class HostSpeeds {
   readonly #reported = new SpeedEvidence();
--- a/packages/gateway/src/chain_lane.ts
+++ b/packages/gateway/src/chain_lane.ts
@@ -1,5 +1,7 @@
 /**
- * Lane of a request whose stages run in pools, from the loads of these pools.
+ * Lane of a request whose stages run in pools, from the loads of these pools. It
+ * decides whether the request is refused and is logged; the leader of each pool plans
+ * its own lanes.
  *
  * @module
  */
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -336,7 +336,11 @@
     if (!serving.isNewer(view, site.positions)) site.recordSynced(syncedAt);
   }
 
-  /** @param builtAt Earliest time at which the view may have been built. */
+  /**
+   * @param view A view of another VM.
+   * @param builtAt Earliest time at which it may have been built; a view that a peer
+   * sent by itself is taken as built when it arrives.
+   */
   #recordView(view: serving.MemberView, builtAt = performance.now()): void {
     const { site, member, events, rollouts, quarantine, endpointTracker } =
       this.#options;
--- a/packages/gateway/src/pool_order.ts
+++ b/packages/gateway/src/pool_order.ts
@@ -118,6 +118,7 @@
     now: number,
   ): boolean {
     if (!this.isOn || lacksSpace === undefined || pieces.length === 0) {
+      this.#waitingSince.delete(endpointId);
       return false;
     }
     const since = this.#waitingSince.get(endpointId) ?? now;
--- a/packages/gateway/src/stage_forecast.ts
+++ b/packages/gateway/src/stage_forecast.ts
@@ -17,7 +17,7 @@
   readonly route: serving.Route;
   /** Time to the first event in ms, used until it is learned. */
   readonly defaultFirstEventMs: number;
-  /** Whether the caller retries after a refusal and can't be on time. */
+  /** Whether the caller retries after a refusal; its answer is late in any case. */
   readonly isReturn: boolean;
 }
 
--- a/packages/overload/src/customer_usage.ts
+++ b/packages/overload/src/customer_usage.ts
@@ -50,7 +50,8 @@
   /**
    * Adds work of a call that starts.
    *
-   * @param customer The customer; undefined work without one is counted together.
+   * @param customer The customer; undefined for work of requests without one, which
+   * counts as that of a single customer.
    * @param workMs Endpoint time in milliseconds.
    * @param now Monotonic time in milliseconds.
    */
@@ -78,9 +79,16 @@
    */
   getLargest(count: number, now: number): CustomerWork[] {
     const scale = this.#getScale(now);
-    return [...this.#scaledWork]
-      .sort(([, a], [, b]) => b - a)
-      .slice(0, count)
+    // One pass: leaders report often, and may know thousands of customers.
+    const largest: [string, number][] = [];
+    for (const entry of this.#scaledWork) {
+      const [, least] = largest[count - 1] ?? ["", -Infinity];
+      if (entry[1] <= least) continue;
+      const index = largest.findIndex(([, scaled]) => scaled < entry[1]);
+      largest.splice(index < 0 ? largest.length : index, 0, entry);
+      if (largest.length > count) largest.pop();
+    }
+    return largest
       .map(([customer, scaled]) => ({
         customer,
         workMs: Math.round(scaled / scale),
