Endpoint speed: figures of other VMs are relayed, in the usual terms

Cause: a read of the diff found names and comments in figurative words. Change: RelayedSpeeds; comments. Measured: the tests of the changed packages pass.

--- a/packages/buffer_budget/src/plan_evictions.ts
+++ b/packages/buffer_budget/src/plan_evictions.ts
@@ -24,7 +24,7 @@
  *
  * Load: callers that don't read hold the whole budget while others need it. Callers
  * that read, however slowly, are never chosen. If all who don't read hold less than
- * is needed, none is ended, because that would harm them and help nobody.
+ * is needed, none is ended, because that would harm them without a gain.
  *
  * @param responses All responses with unread bytes.
  * @param neededBytes Bytes to free.
--- a/packages/cli/src/report_commands_test.ts
+++ b/packages/cli/src/report_commands_test.ts
@@ -10,7 +10,7 @@
   const folder = mkdtempSync(join(tmpdir(), "sardinestep-report-"));
   after(() => rmSync(folder, { recursive: true }));
 
-  // Two VMs use the same request id; each file tells how its own request ended.
+  // Two VMs use the same request id; each file has the end of its own request.
   it("tells how requests of two VMs ended, as text, data and page", async () => {
     const requestId = "a1";
     const admitted = { requestId, route: "drafts", customer: "dairy" };
--- a/packages/endpoint_speed/src/host_speeds.ts
+++ b/packages/endpoint_speed/src/host_speeds.ts
@@ -6,11 +6,11 @@
 import type { EndpointId } from "@sardinestep/types";
 import { isSameSpeed } from "./evidence_decay.ts";
 import {
-  HeardSpeeds,
   MAX_SHARED_AGE_MS,
   MAX_SHARED_SPEEDS,
+  RelayedSpeeds,
   type SharedSpeed,
-} from "./heard_speeds.ts";
+} from "./relayed_speeds.ts";
 import { SpeedEvidence, type SpeedFigure } from "./speed_evidence.ts";
 
 /** Bounds of a credible figure, as multiples of the usual time. */
@@ -20,7 +20,7 @@
 export const SHARE_SOURCE = {
   /** Reports that this VM got itself. */
   own: "own",
-  /** These and the ones that it heard, for a VM that collects them. */
+  /** These and the ones that it relayed, for a VM that collects them. */
   all: "all",
 } as const;
 /** One of {@link SHARE_SOURCE}. */
@@ -40,7 +40,7 @@
 export class HostSpeeds {
   readonly #reported = new SpeedEvidence();
   readonly #observed = new SpeedEvidence();
-  readonly #heard = new HeardSpeeds();
+  readonly #relayed = new RelayedSpeeds();
 
   /**
    * Records a report of an endpoint.
@@ -53,7 +53,7 @@
     const isCredible = slowdown >= MIN_SLOWDOWN && slowdown <= MAX_SLOWDOWN;
     if (!isCredible) return false;
     const mean = this.#reported.getMean(now);
-    this.#heard.recordReport(id, { slowdown, at: now }, mean);
+    this.#relayed.recordReport(id, { slowdown, at: now }, mean);
     this.#reported.record(id, slowdown, now);
     return true;
   }
@@ -81,7 +81,7 @@
    * ```
    */
   getSlowdown(id: EndpointId, now: number): number {
-    return this.#getHeardEstimate(id, now) ?? this.getOwnSlowdown(id, now);
+    return this.#getRelayedEstimate(id, now) ?? this.getOwnSlowdown(id, now);
   }
 
   /** The same from this VM's own evidence, without what other VMs passed on. */
@@ -98,7 +98,7 @@
   /** Records figures that another VM passed on. */
   recordShared(speeds: readonly SharedSpeed[], now: number): void {
     for (const speed of speeds.slice(0, MAX_SHARED_SPEEDS)) {
-      this.#heard.record(speed, now);
+      this.#relayed.record(speed, now);
     }
   }
 
@@ -106,7 +106,7 @@
    * Returns the newest figures to pass on, unusual ones first. Usual ones end the
    * effect of earlier unusual ones.
    *
-   * @param source Whether figures heard from other VMs are passed on too.
+   * @param source Whether figures received from other VMs are passed on too.
    * @returns At most 32 figures of at most 1 s of age.
    */
   getShared(now: number, source: ShareSource): SharedSpeed[] {
@@ -115,7 +115,7 @@
       case SHARE_SOURCE.own:
         break;
       case SHARE_SOURCE.all:
-        for (const [id, figure] of this.#heard.getAll()) {
+        for (const [id, figure] of this.#relayed.getAll()) {
           const at = newest.get(id)?.at ?? -Infinity;
           if (figure.at > at) newest.set(id, figure);
         }
@@ -140,22 +140,22 @@
   }
 
   /** Returns the estimate from another VM's figure if that is the newest one. */
-  #getHeardEstimate(id: EndpointId, now: number): number | undefined {
-    const heard = this.#heard.find(id);
-    if (heard === undefined || now - heard.at > MAX_SHARED_AGE_MS) {
+  #getRelayedEstimate(id: EndpointId, now: number): number | undefined {
+    const relayed = this.#relayed.find(id);
+    if (relayed === undefined || now - relayed.at > MAX_SHARED_AGE_MS) {
       return undefined;
     }
     const own = this.#reported.find(id, now);
-    if (own !== undefined && own.at >= heard.at) return undefined;
+    if (own !== undefined && own.at >= relayed.at) return undefined;
     const mean = this.#reported.getMean(now);
     return mean +
-      this.#heard.getWeight(now - heard.at) * (heard.slowdown - mean);
+      this.#relayed.getWeight(now - relayed.at) * (relayed.slowdown - mean);
   }
 
   /** Removes all endpoints but the given ones. */
   keep(ids: ReadonlySet<EndpointId>): void {
     this.#reported.keep(ids);
     this.#observed.keep(ids);
-    this.#heard.keep(ids);
+    this.#relayed.keep(ids);
   }
 }
--- a/packages/endpoint_speed/src/mod.ts
+++ b/packages/endpoint_speed/src/mod.ts
@@ -5,6 +5,6 @@
  */
 export * from "./evidence_decay.ts";
 export * from "./expected_finish.ts";
-export * from "./heard_speeds.ts";
+export * from "./relayed_speeds.ts";
 export * from "./host_speeds.ts";
 export * from "./speed_evidence.ts";
--- a/packages/endpoint_speed/src/heard_speeds.ts
+++ b/packages/endpoint_speed/src/relayed_speeds.ts
@@ -13,10 +13,10 @@
 /** Age from which a figure is not passed on, in ms: slow periods last 0.6 s. */
 export const MAX_SHARED_AGE_MS = 1_000;
 /**
- * Largest deviation that is believed without an own report: twice what endpoints
+ * Largest deviation that is accepted without an own report: twice what endpoints
  * of the two contended deployments show.
  */
-const MAX_HEARD_SLOWDOWN = 5;
+const MAX_RELAYED_SLOWDOWN = 5;
 
 /**
  * One request of so many is placed by own evidence only, so that an endpoint of which
@@ -37,7 +37,7 @@
 }
 
 /** Keeps figures of other VMs, and learns from own reports how far they hold. */
-export class HeardSpeeds {
+export class RelayedSpeeds {
   readonly #figures = new Map<EndpointId, SpeedFigure>();
   readonly #decay = new EvidenceDecay();
 
@@ -48,19 +48,19 @@
     const at = now - ageMs;
     if ((this.#figures.get(id)?.at ?? -Infinity) >= at) return;
     const bounded = Math.min(
-      MAX_HEARD_SLOWDOWN,
-      Math.max(1 / MAX_HEARD_SLOWDOWN, slowdown),
+      MAX_RELAYED_SLOWDOWN,
+      Math.max(1 / MAX_RELAYED_SLOWDOWN, slowdown),
     );
     this.#figures.set(id, { slowdown: bounded, at });
   }
 
-  /** Compares what was heard with a report that this VM got itself. */
+  /** Compares what was relayed with a report that this VM got itself. */
   recordReport(id: EndpointId, report: SpeedFigure, mean: number): void {
-    const heard = this.#figures.get(id);
-    if (heard === undefined || isSameSpeed(heard.slowdown, mean)) return;
+    const relayed = this.#figures.get(id);
+    if (relayed === undefined || isSameSpeed(relayed.slowdown, mean)) return;
     this.#decay.recordPair(
-      report.at - heard.at,
-      isSameSpeed(heard.slowdown, report.slowdown),
+      report.at - relayed.at,
+      isSameSpeed(relayed.slowdown, report.slowdown),
     );
   }
 
@@ -69,7 +69,7 @@
     return this.#figures.get(id);
   }
 
-  /** Returns the weight of a heard figure against the mean of all. */
+  /** Returns the weight of a relayed figure against the mean of all. */
   getWeight(ageMs: number): number {
     return this.#decay.getWeight(ageMs);
   }
--- a/packages/endpoint_speed/src/heard_speeds_test.ts
+++ b/packages/endpoint_speed/src/relayed_speeds_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { pickByExpectedFinish } from "./expected_finish.ts";
-import { isPlacedByOwnEvidence, type SharedSpeed } from "./heard_speeds.ts";
+import { isPlacedByOwnEvidence, type SharedSpeed } from "./relayed_speeds.ts";
 import { HostSpeeds, SHARE_SOURCE } from "./host_speeds.ts";
 
 function buildShared(more: Partial<SharedSpeed> = {}): SharedSpeed {
@@ -8,7 +8,7 @@
 }
 
 describe("HostSpeeds with figures of other VMs", () => {
-  it("uses the newest figure, own or heard", () => {
+  it("uses the newest figure, own or relayed", () => {
     const speeds = new HostSpeeds();
     speeds.recordReport("e1", 1, 1_000);
     speeds.recordShared([buildShared({ ageMs: 100 })], 1_050);
@@ -20,7 +20,7 @@
   });
 
   // Failure: a view arrives late, or its sender dies and sends no correction.
-  it("ignores late figures and forgets heard ones within seconds", () => {
+  it("ignores late figures and forgets relayed ones within seconds", () => {
     const speeds = new HostSpeeds();
     speeds.recordShared([buildShared({ ageMs: 1_500 })], 2_000);
     expect(speeds.getSlowdown("e1", 2_000)).to.equal(1);
@@ -79,15 +79,15 @@
     for (let i = 0; i < 100; i++) {
       speeds.recordReport(`e${i}`, i % 10 === 0 ? 2.5 : 1, i);
     }
-    speeds.recordShared([buildShared({ id: "heard", ageMs: 20 })], 100);
+    speeds.recordShared([buildShared({ id: "relayed", ageMs: 20 })], 100);
     const own = speeds.getShared(100, SHARE_SOURCE.own);
     const all = speeds.getShared(100, SHARE_SOURCE.all);
     expect(own).to.have.length(32);
     expect(own.slice(0, 10).every(({ slowdown }) => slowdown === 2.5)).to.equal(
       true,
     );
-    expect(own.some(({ id }) => id === "heard")).to.equal(false);
-    expect(all.some(({ id }) => id === "heard")).to.equal(true);
+    expect(own.some(({ id }) => id === "relayed")).to.equal(false);
+    expect(all.some(({ id }) => id === "relayed")).to.equal(true);
     expect(JSON.stringify(all).length).to.be.lessThan(1_600);
     expect(speeds.getShared(2_000, SHARE_SOURCE.all)).to.deep.equal([]);
   });
--- a/packages/overload/src/plan_lanes.ts
+++ b/packages/overload/src/plan_lanes.ts
@@ -78,7 +78,7 @@
  * work, then the group that is due last. If every group can start in time, none is
  * compared with another.
  *
- * Groups of one customer are not told apart by their work: with the largest deferred
+ * Groups of one customer are not distinguished by their work: with the largest deferred
  * first, large requests were on time for 0.47 of their pieces and small ones for all,
  * at 1.4 times the capacity.
  *
--- a/packages/report/src/request_report.ts
+++ b/packages/report/src/request_report.ts
@@ -11,12 +11,12 @@
   readonly asked: number;
   readonly inTime: number;
   readonly late: number;
-  /** Served; the lines don't tell whether in time. */
+  /** Served; the lines don't show whether in time. */
   readonly servedUnknown: number;
   /** Refused on arrival or within an eighth of the objective. */
   readonly refusedAtOnce: number;
   readonly refusedLate: number;
-  /** Refused; the lines don't tell whether at once. */
+  /** Refused; the lines don't show whether at once. */
   readonly refusedUnknown: number;
   readonly failed: number;
   /** Requests whose caller disconnected before the answer was complete. */
@@ -33,9 +33,9 @@
   readonly deferred?: EndCounts;
   /** Requests whose line has no lane. */
   readonly withoutLane: number;
-  /** Returns after a refusal; undefined if no line tells. */
+  /** Returns after a refusal; undefined if no line shows it. */
   readonly returns?: EndCounts;
-  /** Requests whose line doesn't tell whether they are returns. */
+  /** Requests whose line doesn't show whether they are returns. */
   readonly withoutReturn: number;
   /** Mean margin of admission, in milliseconds, over the lines that have one. */
   readonly meanMarginMs?: number;
--- a/packages/report/src/request_tracker.ts
+++ b/packages/report/src/request_tracker.ts
@@ -6,7 +6,7 @@
 import { getNumber, type LogLine } from "./log_lines.ts";
 import { formatCause, OUTCOME_KIND, parseOutcome } from "./outcomes.ts";
 
-/** Name of a route, customer, service or cause that no line tells. */
+/** Name of a route, customer, service or cause that no line gives. */
 export const UNKNOWN = "unknown";
 /** Part of the objective within which a refusal counts as one at once. */
 const AT_ONCE_SHARE = 1 / 8;
