--- a/packages/gateway/src/slow_readers_load_test.ts
+++ b/packages/gateway/src/slow_readers_load_test.ts
@@ -1,7 +1,11 @@
 import { expect } from "chai";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as wait } from "node:timers/promises";
-import { type Harness, openHarness, waitUntil } from "./slow_reader_harness.ts";
+import {
+  type Harness,
+  openHarness,
+  waitUntil,
+} from "./_slow_reader_harness.ts";
 
 const MEBIBYTE = 1_048_576;
 const LIMIT_BYTES = 48 * MEBIBYTE;
--- a/packages/gateway/src/slow_readers_test.ts
+++ b/packages/gateway/src/slow_readers_test.ts
@@ -6,7 +6,7 @@
   type HarnessOptions,
   openHarness,
   waitUntil,
-} from "./slow_reader_harness.ts";
+} from "./_slow_reader_harness.ts";
 
 const MEBIBYTE = 1_048_576;
 const PIECE_BYTES = 65_536;
