One piece time, one stand-in stream, and speeds read only where they count

Cause: a last read of the diff. The time of a piece in a full call and the count of reserved pieces were each written again in the gateway, two tests had the same stand-in stream of events, two pass-through methods of speeds had no caller in the product, and every request of sites that aren't contended looked up a speed that nothing used. A request that is under way when a site becomes contended no longer teaches its first event.

--- a/packages/gateway/src/_slow_reader_harness.ts
+++ b/packages/gateway/src/_slow_reader_harness.ts
@@ -190,3 +190,18 @@
     leave: () => sent.destroy(),
   };
 }
+
+/** Time between two events of {@link writeEvents}, in milliseconds. */
+const EVENT_INTERVAL_MS = 50;
+
+/** Writes numbered events at regular times, then ends the response. */
+export function writeEvents(response: ServerResponse, count: number): void {
+  let index = 0;
+  const timer = setInterval(() => {
+    response.write(`data: ${index++}\n\n`);
+    if (index < count) return;
+    clearInterval(timer);
+    response.end();
+  }, EVENT_INTERVAL_MS);
+  response.once("close", () => clearInterval(timer));
+}
--- a/packages/gateway/src/chain_lane.ts
+++ b/packages/gateway/src/chain_lane.ts
@@ -117,7 +117,7 @@
     const pool = table.services.get(service)?.pool;
     const pieces = caller.pieceCounts[stage] ?? 0;
     if (pool === undefined || pieces === 0) return;
-    const workMs = pieces * (pool.callMs / pool.batchSize + pool.pieceMs);
+    const workMs = pieces * serving.getFullCallPieceMs(pool);
     stageForecast.addAhead(stage, run.getPoolKey(stage), workMs);
   });
 }
--- a/packages/gateway/src/endpoint_speeds.ts
+++ b/packages/gateway/src/endpoint_speeds.ts
@@ -62,7 +62,11 @@
     slowdown: number,
   ): void {
     const usualMs = this.getUsualMs(endpoint.service);
-    this.recordRatio(endpoint.id, firstEventMs / usualMs, performance.now());
+    this.#speeds.recordRatio(
+      endpoint.id,
+      firstEventMs / usualMs,
+      performance.now(),
+    );
     const newestMs = firstEventMs / slowdown;
     this.#usualMs.set(
       endpoint.service,
@@ -70,11 +74,6 @@
     );
   }
 
-  /** Records the ratio of actual to expected time of an answer of an endpoint. */
-  recordRatio(id: EndpointId, ratio: number, now: number): void {
-    this.#speeds.recordRatio(id, ratio, now);
-  }
-
   /** Returns a service's usual time to the first event, in milliseconds. */
   getUsualMs(service: ServiceId): number {
     return this.#usualMs.get(service) ?? ASSUMED_FIRST_EVENT_MS;
--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -62,15 +62,6 @@
     return this.speeds.hasReports;
   }
 
-  /**
-   * Returns how long work is expected to take at an endpoint, for calls of pieces too.
-   *
-   * @returns A multiple of the usual time, 0.1 to 100; 1 where nothing is known.
-   */
-  getSlowdown(id: EndpointId, now: number): number {
-    return this.speeds.getSlowdown(id, now);
-  }
-
   /** Sets the rate limit for cold endpoints. */
   setColdLimit(limit: serving.ColdLimit): void {
     this.#coldLimit = limit;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -168,24 +168,15 @@
     const { rollouts } = this.#deps;
     const { route } = this.#request;
     const startedAt = performance.now();
-    const { speeds } = this.#deps.endpointTracker;
-    const slowdown = speeds.getSlowdown(endpoint.id, startedAt);
+    const slowdown = this.#recordSlowdown(endpoint, startedAt);
     let firstEventMs: number | undefined;
-    if (this.#deps.isContended()) {
-      const { service } = endpoint;
-      const percent = 100 * slowdown;
-      this.#deps.metrics.recordMs(
-        "sent_slowdown_percent",
-        { service },
-        percent,
-      );
-    }
     rollouts.recordSent(endpoint, route.name);
     const outcome = await this.#runAttempt(endpoint, () => {
       firstEventMs ??= performance.now() - startedAt;
     });
     const tookMs = performance.now() - startedAt;
-    if (firstEventMs !== undefined && this.#deps.isContended()) {
+    if (firstEventMs !== undefined && slowdown !== undefined) {
+      const { speeds } = this.#deps.endpointTracker;
       speeds.recordFirstEvent(endpoint, firstEventMs, slowdown);
     }
     const end = buildRequestOutcome(outcome, {
@@ -248,6 +239,21 @@
     });
   }
 
+  /** Records the slowdown to expect; undefined where speeds don't count. */
+  #recordSlowdown(
+    { id, service }: serving.ServingEndpoint,
+    now: number,
+  ): number | undefined {
+    if (!this.#deps.isContended()) return undefined;
+    const slowdown = this.#deps.endpointTracker.speeds.getSlowdown(id, now);
+    this.#deps.metrics.recordMs(
+      "sent_slowdown_percent",
+      { service },
+      100 * slowdown,
+    );
+    return slowdown;
+  }
+
   /** Builds the log fields of what is known of an endpoint's speed. */
   #buildSpeedFields(endpoint: serving.ServingEndpoint) {
     if (!this.#deps.isContended()) return {};
--- a/packages/gateway/src/pool_order.ts
+++ b/packages/gateway/src/pool_order.ts
@@ -164,7 +164,7 @@
     this.#busyUntil.delete(endpointId);
     if (!this.isOn || backlogged === undefined) return;
     const { tookMs, pieces } = backlogged;
-    this.#pieceWork.record(tookMs, pieces * getFullCallPieceMs(pool));
+    this.#pieceWork.record(tookMs, pieces * serving.getFullCallPieceMs(pool));
   }
 
   #planLanes(state: QueueState): LanePlan {
@@ -206,20 +206,13 @@
   }
 
   #getPieceMs(pool: serving.PoolSpec): number {
-    return getFullCallPieceMs(pool) * this.#pieceWork.getRatio();
+    return serving.getFullCallPieceMs(pool) * this.#pieceWork.getRatio();
   }
 }
 
-function getFullCallPieceMs(pool: serving.PoolSpec): number {
-  return pool.callMs / pool.batchSize + pool.pieceMs;
-}
-
 function buildEntry(queued: ActiveGroup, pieceMs: number): LaneEntry {
   const { group, waiting, reserved, startedIn } = queued;
-  let pieces = waiting.length;
-  for (const reservedPieces of reserved.values()) {
-    pieces += reservedPieces.length;
-  }
+  const pieces = waiting.length + serving.countReserved(queued);
   return {
     queued,
     id: group.requestId,
--- a/packages/gateway/src/slow_readers_load_test.ts
+++ b/packages/gateway/src/slow_readers_load_test.ts
@@ -5,6 +5,7 @@
   type Harness,
   openHarness,
   waitUntil,
+  writeEvents,
 } from "./_slow_reader_harness.ts";
 
 const MEBIBYTE = 1_048_576;
@@ -17,7 +18,6 @@
 const STUCK_BYTES = 64 * MEBIBYTE;
 const SLOW_BYTES = 2 * MEBIBYTE;
 const EVENTS = 60;
-const EVENT_INTERVAL_MS = 50;
 const SAMPLE_INTERVAL_MS = 5;
 
 function writePieces(response: ServerResponse, bytes: number): void {
@@ -37,14 +37,7 @@
 function respond({ url }: IncomingMessage, response: ServerResponse): void {
   if (url === "/stream/stuck") return writePieces(response, STUCK_BYTES);
   if (url === "/stream/slow") return writePieces(response, SLOW_BYTES);
-  let index = 0;
-  const timer = setInterval(() => {
-    response.write(`data: ${index++}\n\n`);
-    if (index < EVENTS) return;
-    clearInterval(timer);
-    response.end();
-  }, EVENT_INTERVAL_MS);
-  response.once("close", () => clearInterval(timer));
+  writeEvents(response, EVENTS);
 }
 
 // Load: a third of the callers never reads, some read slowly, the rest wait for
--- a/packages/gateway/src/slow_readers_test.ts
+++ b/packages/gateway/src/slow_readers_test.ts
@@ -6,6 +6,7 @@
   type HarnessOptions,
   openHarness,
   waitUntil,
+  writeEvents,
 } from "./_slow_reader_harness.ts";
 
 const MEBIBYTE = 1_048_576;
@@ -20,7 +21,6 @@
 /** Longer than the cut-off, so that an endpoint without progress shows. */
 const STALL_MS = 3_500;
 const EVENTS = 40;
-const EVENT_INTERVAL_MS = 50;
 
 function buildPiece(index: number): Buffer {
   return Buffer.alloc(PIECE_BYTES, index % 251);
@@ -54,23 +54,12 @@
   writeNext();
 }
 
-function writeEvents(response: ServerResponse): void {
-  let index = 0;
-  const timer = setInterval(() => {
-    response.write(`data: ${index++}\n\n`);
-    if (index < EVENTS) return;
-    clearInterval(timer);
-    response.end();
-  }, EVENT_INTERVAL_MS);
-  response.once("close", () => clearInterval(timer));
-}
-
 function respond(incoming: IncomingMessage, response: ServerResponse): void {
   const [, , kind, size] = incoming.url!.split("/");
   switch (kind) {
     case "events":
       incoming.resume();
-      return writeEvents(response);
+      return writeEvents(response, EVENTS);
     case "large":
       incoming.resume();
       return writeLarge(response, Number(size) * MEBIBYTE);
--- a/packages/serving/src/pool_load.ts
+++ b/packages/serving/src/pool_load.ts
@@ -192,7 +192,7 @@
   options: EstimateLoadOptions,
 ): Backlog {
   const { pool, endpoints, freeBytes, now } = options;
-  const perPieceMs = pool.callMs / pool.batchSize + pool.pieceMs;
+  const perPieceMs = getFullCallPieceMs(pool);
   const reservedPieces = sum(ahead.map(countReserved));
   const smaller = ahead.filter(({ group }) => group.resultBytes <= resultBytes);
   const queuedPieces = sum(smaller.map((queued) => queued.waiting.length));
@@ -218,10 +218,16 @@
   return { waitMs: Math.round(Math.max(backlogMs, oldestMs)), queuedPieces };
 }
 
-function countReserved(queued: QueuedGroup): number {
+/** Returns the pieces of a group that have space reserved at endpoints. */
+export function countReserved(queued: QueuedGroup): number {
   return sum([...queued.reserved.values()].map((pieces) => pieces.length));
 }
 
+/** Returns the endpoint time of one piece of a full call, in milliseconds. */
+export function getFullCallPieceMs(pool: PoolSpec): number {
+  return pool.callMs / pool.batchSize + pool.pieceMs;
+}
+
 function countFitting(
   freeBytes: readonly number[],
   resultBytes: number,
