A stopping VM accepts no request that its exit could cut off

Callers saw: a request that a VM accepted shortly after its SIGTERM lost its answer when the VM exited, although another VM could have served it.

Cause: mayServeWhileStopping accepted every request for the first 35% of a shutdown (at most 2.5 s), whatever its deadline. One that then took longer than the rest of the grace period was cut off.

Change: a stopping VM accepts a request only if the time to its deadline is shorter than the time to the exit, and refuses it at once as not run otherwise. This works since nothing but its deadline bounds how long a request runs, and the deadline is kept by the VM itself.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -276,7 +276,7 @@
   #getStopState(): serving.ShutdownState | undefined {
     if (this.#stopRequestedAt === undefined) return undefined;
     const sinceMs = performance.now() - this.#stopRequestedAt;
-    return { sinceMs, leftMs: getDrainMs(this.#bounds) - sinceMs };
+    return { leftMs: getDrainMs(this.#bounds) - sinceMs };
   }
 
   #buildHandlers(): rpc.Handlers {
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -109,7 +109,8 @@
     caller.deadlineMs ?? route.timeoutMs,
     route.timeoutMs,
   );
-  if (!serving.mayServeWhileStopping(deps.getStopState(), timeoutMs)) {
+  const leftMs = timeoutMs - arrived.scope.ageMs;
+  if (!serving.mayServeWhileStopping(deps.getStopState(), leftMs)) {
     return refuse(
       "SHUTTING_DOWN",
       "This VM is shutting down; retry on another VM",
--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -126,42 +126,24 @@
 
 /** Shutdown progress of a VM. */
 export interface ShutdownState {
-  /** Time since the stop signal, in milliseconds. */
-  readonly sinceMs: number;
-  /** Time until the process exits, in milliseconds. */
+  /** Time until running requests are ended, in milliseconds. */
   readonly leftMs: number;
 }
 
-/**
- * How long a stopping VM accepts every request, in milliseconds. Its answers tell
- * callers on open connections to reconnect elsewhere, and two health checks one
- * second apart remove it for new connections.
- */
-const STOPPING_ACCEPT_MS = 2_500;
-/**
- * Bound of that time as a share of the shutdown, for short shutdowns: with an exit
- * 1.3 s after the signal, requests were accepted until the exit cut them off.
- */
-const STOPPING_ACCEPT_SHARE = 0.35;
-
 /**
  * Decides whether a stopping VM accepts a request.
  *
- * Prevents answers from being cut off by the exit. The symptom is a stream that
- * starts seconds after the stop signal and ends early when the grace period is
- * over.
+ * Only the deadline of a request bounds how long it runs, so a request whose deadline
+ * lies after the exit is refused at once; another VM can serve it completely.
  *
  * @param stop Shutdown progress; undefined while the VM isn't stopping.
- * @param timeoutMs Longest time that the request may take, in milliseconds.
+ * @param leftMs Time until the deadline of the request, in milliseconds.
  */
 export function mayServeWhileStopping(
   stop: ShutdownState | undefined,
-  timeoutMs: number,
+  leftMs: number,
 ): boolean {
-  if (stop === undefined) return true;
-  const acceptMs = (stop.sinceMs + stop.leftMs) * STOPPING_ACCEPT_SHARE;
-  if (stop.sinceMs < Math.min(STOPPING_ACCEPT_MS, acceptMs)) return true;
-  return timeoutMs < stop.leftMs;
+  return stop === undefined || leftMs < stop.leftMs;
 }
 
 function buildRejection(
--- a/packages/serving/src/admission_test.ts
+++ b/packages/serving/src/admission_test.ts
@@ -82,30 +82,20 @@
 });
 
 describe("mayServeWhileStopping", () => {
-  // A VM gets its stop signal. 3.5 s later a caller starts a stream of five seconds
-  // on an open connection; the exit cuts it off, although another VM could have
-  // served it completely.
-  it("accepts requests late in a shutdown only if they end before the exit", () => {
-    const earlyStop = { sinceMs: 100, leftMs: 7_200 };
-    const lateStop = { sinceMs: 3_500, leftMs: 3_800 };
+  // A stopping VM accepted requests that its exit then cut off.
+  it("accepts requests only if their deadlines lie before the exit", () => {
     expect(mayServeWhileStopping(undefined, 15_000)).to.equal(true);
-    expect(mayServeWhileStopping(earlyStop, 15_000)).to.equal(true);
-    expect(mayServeWhileStopping(lateStop, 15_000)).to.equal(false);
-    expect(mayServeWhileStopping(lateStop, 600)).to.equal(true);
+    expect(mayServeWhileStopping({ leftMs: 7_200 }, 15_000)).to.equal(false);
+    expect(mayServeWhileStopping({ leftMs: 7_200 }, 6_000)).to.equal(true);
+    expect(mayServeWhileStopping({ leftMs: 3_800 }, 15_000)).to.equal(false);
+    expect(mayServeWhileStopping({ leftMs: 3_800 }, 600)).to.equal(true);
   });
-});
 
-describe("mayServeWhileStopping with a short grace period", () => {
-  // A VM exits 1.3 s after its stop signal. Callers keep sending on their open
-  // connections, and the exit cut off the last requests because the VM still
-  // accepted everything.
-  it("rejects what the exit would cut off", () => {
-    expect(mayServeWhileStopping({ sinceMs: 300, leftMs: 1_000 }, 1_500))
-      .to.equal(true);
-    expect(mayServeWhileStopping({ sinceMs: 900, leftMs: 400 }, 1_500))
-      .to.equal(false);
-    expect(mayServeWhileStopping({ sinceMs: 900, leftMs: 400 }, 300))
-      .to.equal(true);
+  it("does so from the signal on with a short grace period", () => {
+    expect(mayServeWhileStopping({ leftMs: 1_000 }, 1_500)).to.equal(false);
+    expect(mayServeWhileStopping({ leftMs: 400 }, 1_500)).to.equal(false);
+    expect(mayServeWhileStopping({ leftMs: 400 }, 400)).to.equal(false);
+    expect(mayServeWhileStopping({ leftMs: 400 }, 300)).to.equal(true);
   });
 });
 
