Requests that are unfinished at the exit of a VM get a final answer

Callers saw: a request that had arrived before the SIGTERM and outlasted the grace period ended with a closed connection. They could not tell whether it had run, even if it still waited for its stages.

Cause: stop() destroyed every connection at the end of the drain, with requests in it. After a pause of the process it did so before answers that had already arrived were read, since timers run first.

Change: after the drain one turn of the event loop reads what has arrived, then every open request is ended with its own reason. One that no endpoint was sent gets SHUTTING_DOWN, others OUTCOME_UNKNOWN or STAGE_FAILED, with half of the exit reserve to be written. This works since each step of a request already ends with its scope. A stream that has begun still breaks off.

--- a/packages/gateway/src/final_answer.ts
+++ b/packages/gateway/src/final_answer.ts
@@ -13,12 +13,26 @@
   ForwardResult,
   RoutedRequest,
 } from "./flow_types.ts";
-import { END_REASON } from "./request_scope.ts";
+import { END_REASON, type EndReason } from "./request_scope.ts";
 import type { StageForecast } from "./stage_forecast.ts";
 import type { StageRunOutcome } from "./stage_run.ts";
 
 /** Retry delay for callers when no endpoint is available, in milliseconds. */
 export const UNAVAILABLE_RETRY_AFTER_MS = 500;
+/**
+ * Retry delay while this VM is stopping, in milliseconds. The caller opens a new
+ * connection to another VM, which serves it at once.
+ */
+const STOPPING_RETRY_AFTER_MS = 50;
+
+/** Builds the refusal of a request that another VM can serve. */
+export function buildStoppingRefusal(): codes.Failure {
+  return codes.createFailure(
+    "SHUTTING_DOWN",
+    "This VM is shutting down; retry on another VM",
+    { retryAfterMs: STOPPING_RETRY_AFTER_MS },
+  );
+}
 
 /** Builds the result of a request whose stages were not completed. */
 export function buildStageFailure(
@@ -87,21 +101,25 @@
         return;
       }
       if (writer.hasStarted) return writer.abort();
-      const failure = mayHaveRun
-        ? codes.createFailure("DEADLINE_EXCEEDED", "The deadline has passed")
-        : codes.createFailure(
-          "DEADLINE_OUT_OF_REACH",
-          "The deadline has passed",
-          {
-            retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS,
-          },
-        );
+      const failure = buildEndedFailure(mayHaveRun, scope.endedBy);
       writer.writeFailure(failure);
       recordAnswer(deps, request, failure.code, failure.message);
     })
     .exhaustive();
 }
 
+function buildEndedFailure(
+  mayHaveRun: boolean,
+  endedBy: EndReason | undefined,
+): codes.Failure {
+  const message = "The deadline has passed";
+  if (mayHaveRun) return codes.createFailure("DEADLINE_EXCEEDED", message);
+  if (endedBy === END_REASON.stopping) return buildStoppingRefusal();
+  return codes.createFailure("DEADLINE_OUT_OF_REACH", message, {
+    retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS,
+  });
+}
+
 /** Records the time to the first event of a stream, and learns from it. */
 export function recordFirstEvent(
   deps: FlowDependencies,
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -16,12 +16,16 @@
 import { pickRequestEndpoint } from "./endpoint_choice.ts";
 import { EventBuffer } from "./event_buffer.ts";
 import { EVENT } from "./events.ts";
-import { UNAVAILABLE_RETRY_AFTER_MS } from "./final_answer.ts";
+import {
+  buildStoppingRefusal,
+  UNAVAILABLE_RETRY_AFTER_MS,
+} from "./final_answer.ts";
 import type {
   FlowDependencies,
   ForwardResult,
   RoutedRequest,
 } from "./flow_types.ts";
+import { END_REASON } from "./request_scope.ts";
 import { buildRequestOutcome } from "./version_evidence.ts";
 
 /** Stage results that the request reads as inputs. */
@@ -408,6 +412,10 @@
   }
 
   #buildEnded(): ForwardResult {
+    if (this.#request.scope.endedBy === END_REASON.stopping) {
+      const message = "This VM stopped before the request was done";
+      return this.#giveUp(message, buildStoppingRefusal());
+    }
     return { kind: "ended", mayHaveRun: this.#mayHaveRun };
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,7 +9,7 @@
 import * as rpc from "@sardinestep/rpc";
 import * as serving from "@sardinestep/serving";
 import type { Address, ServiceId } from "@sardinestep/types";
-import { setTimeout as wait } from "node:timers/promises";
+import { setImmediate, setTimeout as wait } from "node:timers/promises";
 import { EndpointTracker } from "./endpoint_tracker.ts";
 import { EVENT } from "./events.ts";
 import { HttpPool } from "./http_pool.ts";
@@ -24,6 +24,7 @@
 import type { WireAdapter } from "./ports.ts";
 import { runRequest } from "./request_flow.ts";
 import { RequestQuarantine } from "./request_quarantine.ts";
+import { END_REASON } from "./request_scope.ts";
 import { Rollouts } from "./rollouts.ts";
 import { SiteState } from "./site_state.ts";
 
@@ -206,13 +207,15 @@
   /**
    * Stops gracefully, without truncating a response: reports not ready at once,
    * waits while new callers move to other VMs, then lets running requests end
-   * within the grace period.
+   * within the grace period. What is unfinished then is answered as not run or as
+   * unknown; a stream that has begun breaks off.
    */
   async stop(): Promise<void> {
     if (this.#isStopping) return;
     const stoppedAt = performance.now();
     this.#stopRequestedAt = stoppedAt;
     const { events } = this.#options;
+    const { graceMs } = this.#bounds;
     const drainMs = getDrainMs(this.#bounds);
     events.write(EVENT.processStopping, {
       active: this.#ingress.activeRequests,
@@ -224,7 +227,10 @@
     while (this.#isBusy() && performance.now() < drainUntil) {
       await wait(DRAIN_POLL_MS);
     }
+    const ended = this.#ingress.activeRequests;
+    await this.#endRequests((drainUntil + stoppedAt + graceMs) / 2);
     events.write(EVENT.processStopped, {
+      ended,
       active: this.#ingress.activeRequests,
       tookMs: Math.round(performance.now() - stoppedAt),
       connections: this.pool.openedTotal,
@@ -232,6 +238,16 @@
     this.close();
   }
 
+  /** Ends unfinished requests, and waits until their answers are written. */
+  async #endRequests(until: number): Promise<void> {
+    // After a pause of the process, answers that have arrived are read first.
+    await setImmediate();
+    this.#ingress.endRequests(END_REASON.stopping);
+    while (this.#ingress.activeRequests > 0 && performance.now() < until) {
+      await wait(DRAIN_POLL_MS);
+    }
+  }
+
   /** Closes all connections, listeners and queues at once. */
   close(): void {
     clearInterval(this.#updateTimer);
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -17,7 +17,7 @@
 import { EVENT } from "./events.ts";
 import type { WireAdapter } from "./ports.ts";
 import type { ArrivedRequest } from "./flow_types.ts";
-import { END_REASON, RequestScope } from "./request_scope.ts";
+import { END_REASON, type EndReason, RequestScope } from "./request_scope.ts";
 import type { SiteState } from "./site_state.ts";
 
 /** Hard limit of the header size, in bytes; the configured limit is lower. */
@@ -63,8 +63,9 @@
   readonly #options: IngressOptions;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  /** Requests whose responses are not closed yet. */
+  readonly #scopes = new Set<RequestScope>();
   readonly #budget: bufferBudget.BufferBudget;
-  #activeRequests = 0;
   #isDraining = false;
 
   /** @param options Handler, configuration and log. */
@@ -91,7 +92,7 @@
 
   /** Number of requests that have no final answer yet. */
   get activeRequests(): number {
-    return this.#activeRequests;
+    return this.#scopes.size;
   }
 
   /** What is held for callers and endpoints. */
@@ -121,6 +122,11 @@
     this.#isDraining = true;
   }
 
+  /** Ends all requests; each gets the answer that holds for its state. */
+  endRequests(reason: EndReason): void {
+    for (const scope of this.#scopes) scope.end(reason);
+  }
+
   /** Stops listening and closes idle connections. */
   close(): void {
     this.#server.close();
@@ -148,9 +154,9 @@
       response,
       this.#options.isContended() ? account : undefined,
     );
-    this.#activeRequests += 1;
+    this.#scopes.add(scope);
     response.once("close", () => {
-      this.#activeRequests -= 1;
+      this.#scopes.delete(scope);
       account.close();
       if (!response.writableFinished) scope.end(END_REASON.callerDisconnected);
     });
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -11,6 +11,7 @@
 import { EVENT } from "./events.ts";
 import {
   buildStageFailure,
+  buildStoppingRefusal,
   recordFirstEvent,
   refuseRequest,
   UNAVAILABLE_RETRY_AFTER_MS,
@@ -45,11 +46,6 @@
  * milliseconds; another VM may be allowed to send earlier.
  */
 const MAX_RATE_LIMIT_RETRY_AFTER_MS = 1_000;
-/**
- * Retry delay while this VM is stopping, in milliseconds. The caller opens a new
- * connection to another VM, which serves it at once.
- */
-const STOPPING_RETRY_AFTER_MS = 50;
 
 /** Processes one request up to its final answer. */
 export async function runRequest(
@@ -111,13 +107,7 @@
   );
   const leftMs = timeoutMs - arrived.scope.ageMs;
   if (!serving.mayServeWhileStopping(deps.getStopState(), leftMs)) {
-    return refuse(
-      "SHUTTING_DOWN",
-      "This VM is shutting down; retry on another VM",
-      {
-        retryAfterMs: STOPPING_RETRY_AFTER_MS,
-      },
-    );
+    return { failure: buildStoppingRefusal() };
   }
   return {
     request: {
--- a/packages/gateway/src/request_scope.ts
+++ b/packages/gateway/src/request_scope.ts
@@ -8,6 +8,8 @@
 export const END_REASON = {
   callerDisconnected: "callerDisconnected",
   timedOut: "timedOut",
+  /** The VM exits before the request is done. */
+  stopping: "stopping",
   done: "done",
 } as const;
 /** A value of {@link END_REASON}. */
