A second SIGTERM does not end a stop that is under way

Callers saw: nothing yet; found while the class of the cut at a stop was looked for. A supervisor that repeats its SIGTERM would cut off every running request of the VM.

Cause: stop() returned at once if a stop was under way, and the program exits as soon as stop() returns. So the second signal ended the process in the middle of the first one's drain.

Evidence: stop_test "go on with their stop when it is requested again": before the change the second call of stop() returned with a stream of 1.44 s still running and no process_stopped. That the program then exits is read from main.ts; it was not run with two signals.

Change: all calls of stop() return the promise of the one stop.

Measured: 4 tests of stop_test pass; types, formatter and linter green.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -89,6 +89,7 @@
   #updateTimer: NodeJS.Timeout | undefined;
   #updatedAt = performance.now();
   #stopRequestedAt: number | undefined;
+  #stopped: Promise<void> | undefined;
   #wasReady = false;
 
   /** @param options Names, addresses, limits and the protocol adapter. */
@@ -209,9 +210,15 @@
    * waits while new callers move to other VMs, then lets running requests end
    * within the grace period. What is unfinished then is answered as not run or as
    * unknown; a stream that has begun breaks off.
+   *
+   * @returns Settles when the VM has stopped, also if the stop had already begun.
    */
-  async stop(): Promise<void> {
-    if (this.#isStopping) return;
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stopGracefully();
+    return this.#stopped;
+  }
+
+  async #stopGracefully(): Promise<void> {
     const stoppedAt = performance.now();
     this.#stopRequestedAt = stoppedAt;
     const { events } = this.#options;
