A stopping VM keeps the time of its exit when its bounds change

Callers saw: nothing yet; found while the class of the cut at a stop was looked for. A reload with a longer grace period during a stop let the VM accept requests that its exit then cut off.

Cause: stop() computed its end once, while the decision on new requests computed it again from the current bounds.

Evidence: stop_test "keep the time of their exit when their bounds change": grace 2 s, set to 60 s during the stop. Before the change a request of 3 s ran at an endpoint and ended with the exit (502); now it is refused as not run (503).

Change: the end of the drain is set once, and both use it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -88,7 +88,8 @@
   #internalServers: InternalServer[] = [];
   #updateTimer: NodeJS.Timeout | undefined;
   #updatedAt = performance.now();
-  #stopRequestedAt: number | undefined;
+  /** Monotonic time at which unfinished requests are ended; set while stopping. */
+  #drainUntil: number | undefined;
   #stopped: Promise<void> | undefined;
   #wasReady = false;
 
@@ -177,7 +178,7 @@
   }
 
   get #isStopping(): boolean {
-    return this.#stopRequestedAt !== undefined;
+    return this.#drainUntil !== undefined;
   }
 
   /** Whether callers should send requests to this VM. */
@@ -220,16 +221,16 @@
 
   async #stopGracefully(): Promise<void> {
     const stoppedAt = performance.now();
-    this.#stopRequestedAt = stoppedAt;
     const { events } = this.#options;
     const { graceMs } = this.#bounds;
     const drainMs = getDrainMs(this.#bounds);
+    const drainUntil = stoppedAt + drainMs;
+    this.#drainUntil = drainUntil;
     events.write(EVENT.processStopping, {
       active: this.#ingress.activeRequests,
     });
     this.mesh.setLeaving();
     this.#ingress.startDraining();
-    const drainUntil = stoppedAt + drainMs;
     await wait(Math.min(CONNECT_DRAIN_MS, drainMs));
     while (this.#isBusy() && performance.now() < drainUntil) {
       await wait(DRAIN_POLL_MS);
@@ -297,9 +298,8 @@
   }
 
   #getStopState(): serving.ShutdownState | undefined {
-    if (this.#stopRequestedAt === undefined) return undefined;
-    const sinceMs = performance.now() - this.#stopRequestedAt;
-    return { leftMs: getDrainMs(this.#bounds) - sinceMs };
+    if (this.#drainUntil === undefined) return undefined;
+    return { leftMs: this.#drainUntil - performance.now() };
   }
 
   #buildHandlers(): rpc.Handlers {
