A stopping entry accepts no request that its exit could cut off

Callers saw: nothing yet; found while the class of the cut at a stop was looked for. The product's own entry has the same fault as the gateway: while it waits for the load balancer it accepts every request, and its exit cuts off those that outlast shutdownBoundMs.

Cause: the filter on admission knew whether the entry refuses requests, but not when it exits.

Evidence: key_filters_test "refuses a request whose deadline lies after the exit"; the filter took no deadline before, so the test doesn't compile against the earlier code.

Change: the filter asks whether requests with this deadline are served; they are if it lies before the end of the shutdown.

Open: a request that arrived before the stop and outlasts it still ends with a closed connection at the entry.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -75,6 +75,8 @@
   #claimSequence = 0;
   #state: rpc.ProcessStatus["state"] = "starting";
   #isRefusingRequests = false;
+  /** Monotonic milliseconds; infinite unless this entry is stopping. */
+  #closesAt = Infinity;
 
   constructor(options: settings.EntrySettings) {
     this.#settings = options;
@@ -154,9 +156,9 @@
    * Stops gracefully, without aborting running requests.
    *
    * First reports not ready, while requests that the load balancer still sends are
-   * served. Then new requests are refused as not run, running ones get the rest of
-   * the shutdown timeout, and the state of minted keys is handed over to other
-   * entries.
+   * served if their deadlines lie before the exit. Then new requests are refused as
+   * not run, running ones get the rest of the shutdown timeout, and the state of
+   * minted keys is handed over to other entries.
    */
   async stop(): Promise<void> {
     if (this.#state === "leaving") return;
@@ -164,6 +166,7 @@
     const { shutdownBoundMs, leaveNoticeMs } = this.#settings;
     this.#logger.info("leaving", `Stopping within ${shutdownBoundMs} ms`);
     const endAt = readMonotonicMs() + shutdownBoundMs;
+    this.#closesAt = endAt;
     await sleep(Math.min(leaveNoticeMs, shutdownBoundMs));
     this.#isRefusingRequests = true;
     await this.#waitForRequests(endAt);
@@ -293,7 +296,8 @@
     const filters = buildFilters({
       registry: this.#registry,
       dispatcher: this.#dispatcher,
-      isLeaving: () => this.#isRefusingRequests,
+      mayServe: (deadlineAt) =>
+        !this.#isRefusingRequests && deadlineAt < this.#closesAt,
       readNow: readMonotonicMs,
       findResults: {
         findAll: (context) => this.#resultKeeper.findAll(context),
--- a/packages/entry/src/filter_list.ts
+++ b/packages/entry/src/filter_list.ts
@@ -23,7 +23,8 @@
 export interface FilterListOptions {
   readonly registry: KeyRegistry;
   readonly dispatcher: Dispatcher;
-  readonly isLeaving: () => boolean;
+  /** Whether requests with this deadline, in monotonic milliseconds, are served. */
+  readonly mayServe: (deadlineAt: number) => boolean;
   readonly readNow: () => number;
   readonly findResults: FindResultsOptions;
   readonly claimKey: ClaimKeyOptions;
@@ -45,7 +46,7 @@
     readDeadline,
     readKey,
     createJoinDuplicate(options.registry, options.readNow),
-    createCheckAdmission(options.dispatcher, options.isLeaving),
+    createCheckAdmission(options.dispatcher, options.mayServe),
     createClaimKey(options.claimKey),
     createFindResults(options.findResults),
     createRunStages(options.dispatcher),
--- a/packages/entry/src/filters/check_admission.ts
+++ b/packages/entry/src/filters/check_admission.ts
@@ -12,15 +12,16 @@
  * load costs no append to the log.
  *
  * @param dispatcher Checks admission against the current load.
- * @param isLeaving Whether this entry is shutting down.
+ * @param mayServe Whether this entry runs until a deadline (monotonic milliseconds)
+ *   and takes requests; without the deadline, its exit would cut long ones off.
  * @returns The filter.
  */
 export function createCheckAdmission(
   dispatcher: Dispatcher,
-  isLeaving: () => boolean,
+  mayServe: (deadlineAt: number) => boolean,
 ): Filter {
   return async (context, next) => {
-    if (isLeaving()) {
+    if (!mayServe(context.deadlineAt)) {
       const message = "Entry is shutting down; retry at another entry";
       return createRefusal("SHUTTING_DOWN", message, { retryAfterMs: 0 });
     }
--- a/packages/entry/src/filters/key_filters_test.ts
+++ b/packages/entry/src/filters/key_filters_test.ts
@@ -255,7 +255,7 @@
       const dispatcher = { checkAdmission: () => admission };
       const filter = createCheckAdmission(
         dispatcher as unknown as Dispatcher,
-        () => isLeaving,
+        () => !isLeaving,
       );
       const context = buildContext();
       const { next, count } = createNext();
@@ -264,4 +264,21 @@
       expect(count()).to.equal(name === "OK" ? 1 : 0);
     });
   }
+
+  // A stopping entry accepted requests that its exit then cut off.
+  it("refuses a request whose deadline lies after the exit", async () => {
+    const dispatcher = { checkAdmission: () => Ok(undefined) };
+    const filter = createCheckAdmission(
+      dispatcher as unknown as Dispatcher,
+      (deadlineAt) => deadlineAt < 1_000,
+    );
+    const run = async (deadlineAt: number) => {
+      const context = { ...buildContext(), deadlineAt };
+      return getAnswerSummary(
+        await filter(context, () => createNext().next(context)),
+      ).name;
+    };
+    expect([await run(999), await run(1_000)])
+      .to.deep.equal(["OK", "SHUTTING_DOWN"]);
+  });
 });
