A stop that has nothing left to end closes without another turn

Cause: waits one turn of the event loop before it ends unfinished requests, also if there are none. A VM that exits early, since it is idle, could read a new request in that turn, send it to an endpoint and end it as unknown, although it had time to finish. Change: the turn and the end of requests come only where requests are unfinished; an idle VM closes in the same turn in which it found that it is idle, as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -236,7 +236,8 @@
       await wait(DRAIN_POLL_MS);
     }
     const ended = this.#ingress.activeRequests;
-    await this.#endRequests((drainUntil + stoppedAt + graceMs) / 2);
+    const killedAt = stoppedAt + graceMs;
+    if (ended > 0) await this.#endRequests((drainUntil + killedAt) / 2);
     events.write(EVENT.processStopped, {
       ended,
       active: this.#ingress.activeRequests,
