Requests that are unfinished when an entry exits are answered as unknown

Callers saw: nothing yet; the product's own entry has the same fault as the gateway. A request that arrived before the stop and outlasted it lost its connection without an answer, a stream its last event.

Cause: stop() closed all connections after the shutdown timeout, with requests still running.

Change: after the timeout the entry answers what is unfinished as unknown, which holds whatever the call does afterwards, and then closes.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -157,8 +157,8 @@
    *
    * First reports not ready, while requests that the load balancer still sends are
    * served if their deadlines lie before the exit. Then new requests are refused as
-   * not run, running ones get the rest of the shutdown timeout, and the state of
-   * minted keys is handed over to other entries.
+   * not run, running ones get the rest of the shutdown timeout and are then answered
+   * as unknown, and the state of minted keys is handed over to other entries.
    */
   async stop(): Promise<void> {
     if (this.#state === "leaving") return;
@@ -170,11 +170,14 @@
     await sleep(Math.min(leaveNoticeMs, shutdownBoundMs));
     this.#isRefusingRequests = true;
     await this.#waitForRequests(endAt);
+    const cutOff = this.#service.running;
+    this.#service.cancelRequests();
+    // Their answers are written in the next turn.
+    if (cutOff > 0) await sleep(DRAIN_POLL_MS);
     await this.#handOver();
     await this.#controlLink.waitForPendingRecords(
       Math.max(0, endAt - readMonotonicMs()),
     );
-    const cutOff = this.#service.running;
     await this.close();
     this.#logger.info("stopped", "Stopped", { cutOff });
   }
--- a/packages/entry/src/request_service.ts
+++ b/packages/entry/src/request_service.ts
@@ -38,7 +38,8 @@
 /** Runs requests through the filters; records their answers in metrics and timeline. */
 export class RequestService {
   readonly #options: RequestServiceOptions;
-  #running = 0;
+  /** Answers each running request when the entry exits. */
+  readonly #exitHandlers = new Set<() => void>();
 
   constructor(options: RequestServiceOptions) {
     this.#options = options;
@@ -46,7 +47,12 @@
 
   /** Number of requests without a final answer. */
   get running(): number {
-    return this.#running;
+    return this.#exitHandlers.size;
+  }
+
+  /** Answers running requests as unknown, since the entry exits before they end. */
+  cancelRequests(): void {
+    for (const handleExit of [...this.#exitHandlers]) handleExit();
   }
 
   /** Runs one request and returns its final answer. */
@@ -58,7 +64,6 @@
     const site = this.#options.getSite();
     if (!site) return refuseWithoutConfiguration(incoming);
     const context = createContext(incoming, site, { callerConnection, sink });
-    this.#running += 1;
     const { requestId, key, pipeline } = incoming;
     this.#options.timeline.record("request_arrived", {
       requestId,
@@ -67,14 +72,24 @@
     try {
       const answer = applyKeyOutcome(
         context,
-        await runFilters(this.#options.filters, context),
+        await this.#runUntilExit(context),
       );
       this.#recordAnswer(context, answer);
       return answer;
     } catch (error) {
       return this.#refuseInternalError(incoming, error);
+    }
+  }
+
+  /** Runs the filters; the exit of the entry answers first if they take longer. */
+  async #runUntilExit(context: RequestContext): Promise<RequestAnswer> {
+    const { promise, resolve } = createExitAnswer(context);
+    this.#exitHandlers.add(resolve);
+    try {
+      const answer = runFilters(this.#options.filters, context);
+      return await Promise.race([answer, promise]);
     } finally {
-      this.#running -= 1;
+      this.#exitHandlers.delete(resolve);
     }
   }
 
@@ -108,6 +123,19 @@
   }
 }
 
+/** Creates the answer that a request gets if the entry exits before it is done. */
+function createExitAnswer(context: RequestContext) {
+  let resolve = () => {};
+  const promise = new Promise<RequestAnswer>((resolveAnswer) => {
+    resolve = () => {
+      const code = context.isAtMostOnce ? "OUTCOME_UNKNOWN" : "STAGE_FAILED";
+      const message = "Entry stopped before the request was done";
+      resolveAnswer(createRefusal(code, message));
+    };
+  });
+  return { promise, resolve };
+}
+
 function applyKeyOutcome(
   context: RequestContext,
   answer: RequestAnswer,
