Entry: one promise for a request that the exit may answer

The answer of an exit was built from a promise, a resolver and a race for each request; an answer that may be retried did not say when, as the table of codes says it does. Change: one promise that the filters or the exit resolve; STAGE_FAILED at the exit tells to retry at once, as SHUTTING_DOWN does.

--- a/packages/entry/src/request_service.ts
+++ b/packages/entry/src/request_service.ts
@@ -82,15 +82,14 @@
   }
 
   /** Runs the filters; the exit of the entry answers first if they take longer. */
-  async #runUntilExit(context: RequestContext): Promise<RequestAnswer> {
-    const { promise, resolve } = createExitAnswer(context);
-    this.#exitHandlers.add(resolve);
-    try {
-      const answer = runFilters(this.#options.filters, context);
-      return await Promise.race([answer, promise]);
-    } finally {
-      this.#exitHandlers.delete(resolve);
-    }
+  #runUntilExit(context: RequestContext): Promise<RequestAnswer> {
+    return new Promise((resolve, reject) => {
+      const handleExit = () => resolve(buildExitAnswer(context));
+      this.#exitHandlers.add(handleExit);
+      runFilters(this.#options.filters, context)
+        .finally(() => this.#exitHandlers.delete(handleExit))
+        .then(resolve, reject);
+    });
   }
 
   /** Answers INTERNAL, so that an error in one request doesn't crash the process. */
@@ -123,17 +122,12 @@
   }
 }
 
-/** Creates the answer that a request gets if the entry exits before it is done. */
-function createExitAnswer(context: RequestContext) {
-  let resolve = () => {};
-  const promise = new Promise<RequestAnswer>((resolveAnswer) => {
-    resolve = () => {
-      const code = context.isAtMostOnce ? "OUTCOME_UNKNOWN" : "STAGE_FAILED";
-      const message = "Entry stopped before the request was done";
-      resolveAnswer(createRefusal(code, message));
-    };
-  });
-  return { promise, resolve };
+/** Builds the answer to a request that is unfinished when the entry exits. */
+function buildExitAnswer(context: RequestContext): RequestAnswer {
+  const message = "Entry stopped before the request was done";
+  return context.isAtMostOnce
+    ? createRefusal("OUTCOME_UNKNOWN", message)
+    : createRefusal("STAGE_FAILED", message, { retryAfterMs: 0 });
 }
 
 function applyKeyOutcome(
