Logs name the version of each send and the stream that a caller takes up

Change: version in request_sent and stream_resumed, resumes and lastEventId in request_admitted. No decision changes.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -213,6 +213,7 @@
       inputs: this.#staged.inputs.length,
       send: this.#attempts + 1,
       lastEventId: this.#eventBuffer?.lastEventId,
+      version: endpoint.version,
       ...this.#buildSpeedFields(endpoint),
     });
     return runAttempt({
@@ -308,7 +309,10 @@
         ({ status }) => this.#handleNotRun(endpoint, status),
       )
       .with({ kind: "notSent" }, ({ message }) => this.#handleNotSent(message))
-      .with({ kind: "lost" }, ({ message }) => this.#handleLost(message))
+      .with(
+        { kind: "lost" },
+        ({ message }) => this.#handleLost(endpoint, message),
+      )
       .exhaustive();
   }
 
@@ -366,12 +370,17 @@
       : this.#giveUp(message);
   }
 
-  #handleLost(message: string): ForwardResult | undefined {
+  #handleLost(
+    endpoint: serving.ServingEndpoint,
+    message: string,
+  ): ForwardResult | undefined {
     this.#mayHaveRun = true;
     this.#attempts += 1;
     this.#eventBuffer?.dropPartial();
     if (this.#tryRetry(message)) {
-      if (this.#request.writer.hasStarted) this.#recordResume(message);
+      if (this.#request.writer.hasStarted) {
+        this.#recordResume(endpoint, message);
+      }
       return undefined;
     }
     if (this.#request.writer.hasStarted) {
@@ -380,10 +389,11 @@
     return this.#giveUp(message);
   }
 
-  #recordResume(message: string): void {
+  #recordResume({ version }: serving.ServingEndpoint, message: string): void {
     this.#deps.events.write(EVENT.streamResumed, {
       requestId: this.#request.requestId,
       lastEventId: this.#eventBuffer?.lastEventId,
+      version,
       reason: message,
     });
   }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -20,6 +20,10 @@
   readonly pieceCounts: readonly number[];
   /** Key that first stages get as their input. */
   readonly pieceKey?: string;
+  /** Earlier request that began the stream which this one takes up again. */
+  readonly resumes?: string;
+  /** Last event of that stream that the caller received. */
+  readonly lastEventId?: string;
 }
 
 /** Data that the gateway adds to the caller's headers of a forwarded request. */
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -316,6 +316,8 @@
     isReturn: isRetryAfterRefusal(request),
     session: request.session?.id,
     pieces: request.caller.pieceCounts,
+    resumes: request.caller.resumes,
+    lastEventId: request.caller.lastEventId,
     ...fields,
     configuration: request.table.version,
   });
