Streams go on only at the software version that began them

Cause: nobody knew at which version a stream began. A caller's resume was a new request at any VM, placed by its session (which hid it while the worker of the session was there); a VM's own resume or retry picked any endpoint that a new request may use. Class: a decision of one process that the next one has to keep, and that lives in the first one's memory alone.

Change: with the first event a VM keeps a note of the version and sends it to a few VMs computed from the attempt's id, over all zones (packages/stream_versions, UDP, 24 bytes). A resume at any VM asks them and goes on at endpoints of that version, of the versions without new requests too, but not at one whose roll-out was stopped. Unknown, ambiguous or gone versions are refused at once with 2009 or 2010 and are not run. A VM that stops hands its notes over. The key includes the customer, so another customer's attempt id finds nothing.

Why it works: every event that reaches a caller comes from an endpoint whose version is compared with that of the first event, and what isn't known is refused.

Tests whose words changed, no check: event_log_test's title, since the boundary test takes "resumes" for the header's name.

--- a/packages/codes/src/table.ts
+++ b/packages/codes/src/table.ts
@@ -161,6 +161,20 @@
     true,
     "Endpoints crashed under equal requests; this one is not run",
   ),
+  STREAM_VERSION_UNKNOWN: row(
+    2009,
+    503,
+    NOT_RUN,
+    true,
+    "The software version that began the stream is not known",
+  ),
+  STREAM_VERSION_GONE: row(
+    2010,
+    503,
+    NOT_RUN,
+    false,
+    "No endpoint is left of the software version that began the stream",
+  ),
 
   CLAIM_UNAVAILABLE: row(
     3001,
--- a/packages/gateway/src/_chain_harness.ts
+++ b/packages/gateway/src/_chain_harness.ts
@@ -180,6 +180,7 @@
     const mesh: Partial<PeerMesh> = { leaders: leaders as LeaderTable };
     const endpointTracker: Partial<EndpointTracker> = {
       getCandidates: () => [],
+      getUsableEndpoints: () => [],
       getLimitWaitMs: () => 0,
     };
     const quarantine: Partial<RequestQuarantine> = { check: () => undefined };
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -3,13 +3,13 @@
  *
  * @module
  */
-import type * as rollout from "@sardinestep/rollout";
 import * as serving from "@sardinestep/serving";
 import type { FlowDependencies, RoutedRequest } from "./flow_types.ts";
 
 /** What the choice depends on beside the request. */
 export interface PickRequestEndpointOptions {
-  readonly side: rollout.Side;
+  /** Endpoints that the request may use. */
+  readonly endpoints: readonly serving.ServingEndpoint[];
   /** Bytes that the request reads, by the zone that stores them. */
   readonly inputBytes: Readonly<Record<string, number>>;
   /** Endpoints that the request was already sent to. */
@@ -26,7 +26,7 @@
  * Picks the endpoint for the next attempt of a request: by the expected finish on a
  * contended site, by utilization on all others.
  *
- * @returns Undefined if no endpoint of this side may be used.
+ * @returns Undefined if none of the endpoints may be used.
  */
 export function pickRequestEndpoint(
   deps: EndpointChoiceDependencies,
@@ -37,8 +37,7 @@
   const { service, table, session, requestId } = request;
   const candidates = endpointTracker.getCandidates(
     table.services.get(service),
-    service,
-    options.side,
+    options.endpoints,
   );
   const choice = {
     candidates,
--- a/packages/gateway/src/endpoint_choice_test.ts
+++ b/packages/gateway/src/endpoint_choice_test.ts
@@ -8,7 +8,6 @@
 import type { EndpointTracker } from "./endpoint_tracker.ts";
 
 const SERVICE = "engine";
-const SIDE = "present";
 const ENDPOINTS = ["e0", "e1", "e2", "e3"];
 
 function buildCandidates(): serving.PlacementCandidate[] {
@@ -38,7 +37,7 @@
     pickRequestEndpoint(
       deps,
       { service: SERVICE, table, session, requestId },
-      { side: SIDE, inputBytes: {}, tried: new Set() },
+      { endpoints: [], inputBytes: {}, tried: new Set() },
     )?.id;
   const reportAll = (slowdown: (id: string) => number) => {
     for (const id of ENDPOINTS) {
--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -97,6 +97,13 @@
       .filter((endpoint) => rollouts.mayUse(endpoint, side));
   }
 
+  /** Returns the endpoints of a service at which streams of their version may go on. */
+  getResumeEndpoints(service: ServiceId): serving.ServingEndpoint[] {
+    const { site, rollouts } = this.#options;
+    return site.getUsableServiceEndpoints(service)
+      .filter((endpoint) => rollouts.mayResume(endpoint));
+  }
+
   /** Returns the endpoints that may run pieces of stages now. */
   getCallEndpoints(service: ServiceId): serving.ServingEndpoint[] {
     const { rollouts } = this.#options;
@@ -107,14 +114,16 @@
   /**
    * Returns the candidates for a request. Cold and rate-limited endpoints are
    * included within this VM's share of their rate, paused ones are not.
+   *
+   * @param service The service, if it is configured.
+   * @param endpoints Its endpoints that the request may use.
    */
   getCandidates(
     service: serving.ServiceSpec | undefined,
-    name: ServiceId,
-    side?: rollout.Side,
+    endpoints: readonly serving.ServingEndpoint[],
   ): serving.PlacementCandidate[] {
     const now = performance.now();
-    return this.getUsableEndpoints(name, side)
+    return endpoints
       .filter((endpoint) =>
         this.#maySendCold(endpoint, service, now) &&
         this.limits.getWaitMs(endpoint, now) === 0 &&
--- a/packages/gateway/src/flow_types.ts
+++ b/packages/gateway/src/flow_types.ts
@@ -8,6 +8,7 @@
 import type * as metrics from "@sardinestep/metrics";
 import type * as quarantine from "@sardinestep/quarantine";
 import type * as serving from "@sardinestep/serving";
+import type * as streamVersions from "@sardinestep/stream_versions";
 import type { ServiceId } from "@sardinestep/types";
 import type { AnswerWriter, CompleteAnswer } from "./answer_writer.ts";
 import type { EndpointTracker } from "./endpoint_tracker.ts";
@@ -33,6 +34,7 @@
   readonly retryBudget: serving.RetryBudget;
   readonly rollouts: Rollouts;
   readonly quarantine: RequestQuarantine;
+  readonly streamNotes: streamVersions.NoteExchange;
   readonly events: logger.EventLog;
   readonly metrics: metrics.Metrics;
   readonly forecast: ForecastState;
@@ -65,6 +67,8 @@
   /** Priority rank; 0 is the most urgent. */
   readonly rank: number;
   readonly session?: serving.PromptPart;
+  /** Version that began the stream which this request takes up again. */
+  readonly streamVersion?: streamVersions.VersionTag;
   /** Longest time from arrival to the final answer, in milliseconds. */
   readonly timeoutMs: number;
 }
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import * as codes from "@sardinestep/codes";
-import type * as rollout from "@sardinestep/rollout";
 import * as serving from "@sardinestep/serving";
+import * as streamVersions from "@sardinestep/stream_versions";
 import { match } from "ts-pattern";
 import type { CompleteAnswer } from "./answer_writer.ts";
 import {
@@ -26,6 +26,11 @@
   RoutedRequest,
 } from "./flow_types.ts";
 import { END_REASON } from "./request_scope.ts";
+import {
+  buildResumeRefusal,
+  getStreamEndpoints,
+  recordStreamVersion,
+} from "./resumed_stream.ts";
 import { buildRequestOutcome } from "./version_evidence.ts";
 
 /** Stage results that the request reads as inputs. */
@@ -106,6 +111,10 @@
   #mayHaveRun = false;
   #lastFailure: CompleteAnswer | undefined;
   #inputReleaseTimer: NodeJS.Timeout | undefined;
+  /** Whether an event was passed on. */
+  #hasBegun = false;
+  /** Version that began the stream; it may go on at no other one. */
+  #streamVersion: streamVersions.VersionTag | undefined;
 
   constructor(
     deps: FlowDependencies,
@@ -116,6 +125,7 @@
     this.#request = request;
     this.#options = options;
     this.#staged = options.staged;
+    this.#streamVersion = request.streamVersion;
     const isStream = request.route.kind === serving.ROUTE_KIND.stream;
     const isResumable = isStream && request.route.isResumable;
     this.#eventBuffer = isResumable ? new EventBuffer() : undefined;
@@ -128,7 +138,7 @@
       const refusal = this.#deps.quarantine.check(this.#request.fingerprint);
       if (refusal !== undefined) return this.#giveUp(refusal.message, refusal);
       const endpoint = this.#pickEndpoint();
-      if (endpoint === undefined) return this.#giveUp("No usable endpoint");
+      if (endpoint === undefined) return this.#giveUpWithoutEndpoint();
       const outcome = await this.#send(endpoint);
       clearTimeout(this.#inputReleaseTimer);
       const result = await this.#handleOutcome(endpoint, outcome);
@@ -148,20 +158,33 @@
 
   #pickEndpoint(): serving.ServingEndpoint | undefined {
     const { service, session, requestId } = this.#request;
-    const { rollouts } = this.#deps;
+    const { rollouts, endpointTracker } = this.#deps;
+    const resumable = this.#getStreamEndpoints();
+    if (resumable !== undefined) return this.#pickEndpointOf(resumable);
     const sides = this.#triedIds.size === 0
       ? rollouts.planSides(service, session?.id ?? requestId)
       : rollouts.planRetrySides(service);
     for (const side of sides) {
-      const endpoint = this.#pickEndpointOfSide(side);
+      const endpoint = this.#pickEndpointOf(
+        endpointTracker.getUsableEndpoints(service, side),
+      );
       if (endpoint !== undefined) return endpoint;
     }
     return undefined;
   }
 
-  #pickEndpointOfSide(side: rollout.Side): serving.ServingEndpoint | undefined {
+  /** Endpoints of the version that began the stream, once it has begun. */
+  #getStreamEndpoints(): readonly serving.ServingEndpoint[] | undefined {
+    const { service } = this.#request;
+    const streamVersion = this.#streamVersion;
+    return getStreamEndpoints(this.#deps, { service, streamVersion });
+  }
+
+  #pickEndpointOf(
+    endpoints: readonly serving.ServingEndpoint[],
+  ): serving.ServingEndpoint | undefined {
     return pickRequestEndpoint(this.#deps, this.#request, {
-      side,
+      endpoints,
       inputBytes: this.#staged.inputBytes,
       tried: this.#triedIds,
     });
@@ -239,12 +262,20 @@
       handleAnswerStart: () => this.#deps.quarantine.recordAnswer(endpoint),
       handleFirstEvent: () => {
         handleFirstEvent();
+        this.#recordStreamVersion(endpoint);
         this.#options.handleInputsRead();
         this.#options.handleFirstEvent();
       },
     });
   }
 
+  #recordStreamVersion(endpoint: serving.ServingEndpoint): void {
+    if (this.#eventBuffer === undefined || this.#hasBegun) return;
+    this.#hasBegun = true;
+    this.#streamVersion = streamVersions.buildVersionTag(endpoint);
+    recordStreamVersion(this.#deps, this.#request, this.#streamVersion);
+  }
+
   /** Records the slowdown to expect; undefined where speeds don't count. */
   #recordSlowdown(
     { id, service }: serving.ServingEndpoint,
@@ -422,6 +453,14 @@
     return isAllowed;
   }
 
+  #giveUpWithoutEndpoint(): ForwardResult {
+    const isGone = this.#getStreamEndpoints()?.length === 0;
+    const refusal = isGone
+      ? buildResumeRefusal(streamVersions.RESUME_REFUSAL.gone)
+      : undefined;
+    return this.#giveUp(refusal?.message ?? "No usable endpoint", refusal);
+  }
+
   #buildEnded(): ForwardResult {
     if (this.#request.scope.endedBy === END_REASON.stopping) {
       const message = "This VM stopped before the request was done";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import * as metrics from "@sardinestep/metrics";
 import * as rpc from "@sardinestep/rpc";
 import * as serving from "@sardinestep/serving";
+import * as streamVersions from "@sardinestep/stream_versions";
 import type { Address, ServiceId } from "@sardinestep/types";
 import { setImmediate, setTimeout as wait } from "node:timers/promises";
 import { EndpointReach } from "./endpoint_reach.ts";
@@ -83,6 +84,7 @@
   readonly rollouts: Rollouts;
   readonly reach: EndpointReach;
   readonly #quarantine: RequestQuarantine;
+  readonly #streamNotes: streamVersions.NoteExchange;
   readonly #options: GatewayOptions;
   readonly #retryBudget: serving.RetryBudget;
   #bounds: GatewayBounds;
@@ -146,6 +148,11 @@
       events,
       metrics: this.metrics,
     });
+    this.#streamNotes = new streamVersions.NoteExchange({
+      vmId,
+      getHolders: () => this.site.members,
+      handleError: (reason) => events.write(EVENT.faultMet, { reason }),
+    });
     this.mesh = new PeerMesh({
       member: buildMember(options),
       seeds: options.seeds,
@@ -222,6 +229,7 @@
         "/metrics": () => this.#answerMetrics(),
       }),
     ];
+    await this.#streamNotes.start(listen.rpc);
     if (listen.relay !== undefined) await this.reach.start(listen.relay);
     const callers = rpc.parseAddress(listen.callers);
     await this.#ingress.start(callers.host, callers.port);
@@ -253,6 +261,7 @@
       active: this.#ingress.activeRequests,
     });
     this.mesh.setLeaving();
+    this.#streamNotes.handOver();
     this.#ingress.startDraining();
     await wait(Math.min(CONNECT_DRAIN_MS, drainMs));
     while (this.#isBusy() && performance.now() < drainUntil) {
@@ -267,6 +276,8 @@
       tookMs: Math.round(performance.now() - stoppedAt),
       connections: this.pool.openedTotal,
     });
+    // Other VMs chose this one until they knew that it leaves.
+    this.#streamNotes.handOver();
     this.close();
   }
 
@@ -286,6 +297,7 @@
     this.#ingress.destroy();
     for (const leader of this.#leaders.values()) leader.close();
     this.mesh.close();
+    this.#streamNotes.close();
     this.reach.close();
     this.pool.close();
     void this.#rpcServer?.close();
@@ -323,6 +335,7 @@
       retryBudget: this.#retryBudget,
       rollouts: this.rollouts,
       quarantine: this.#quarantine,
+      streamNotes: this.#streamNotes,
       router: this.#router,
       events,
       metrics: this.metrics,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -21,7 +21,7 @@
   /** Key that first stages get as their input. */
   readonly pieceKey?: string;
   /** Earlier request that began the stream which this one takes up again. */
-  readonly resumes?: string;
+  readonly streamOrigin?: string;
   /** Last event of that stream that the caller received. */
   readonly lastEventId?: string;
 }
@@ -35,7 +35,7 @@
   readonly priority?: number;
   /** Handles of the stage results that the request reads. */
   readonly inputs: readonly string[];
-  /** Last event that the caller received; the stream resumes after it. */
+  /** Last event that the caller received; the stream goes on after it. */
   readonly lastEventId?: string;
 }
 
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -32,6 +32,7 @@
 } from "./request_loads.ts";
 import { END_REASON } from "./request_scope.ts";
 import { StageForecast } from "./stage_forecast.ts";
+import { getStreamEndpoints, resolveStream } from "./resumed_stream.ts";
 import { StageRun, type StageRunOutcome } from "./stage_run.ts";
 
 /**
@@ -56,7 +57,11 @@
   if ("failure" in routed) {
     return refuseRequest(deps, arrived, routed.failure);
   }
-  await processRequest(deps, routed.request);
+  const resumed = await resolveStream(deps, routed.request);
+  if ("failure" in resumed) {
+    return refuseRequest(deps, arrived, resumed.failure);
+  }
+  await processRequest(deps, resumed.request);
 }
 
 /** Resolves route, customer and service, or returns why the request is refused. */
@@ -85,7 +90,10 @@
   }
   const customerId = serving.getCustomerId(customer);
   const session = serving.getSession(caller.prompt);
-  const service = serving.pickService(route, session?.id ?? requestId);
+  const service = serving.pickService(
+    route,
+    session?.id ?? caller.streamOrigin ?? requestId,
+  );
   if (service === undefined) {
     return refuse(
       "STAGE_UNAVAILABLE",
@@ -188,7 +196,8 @@
   const { route, session, table, service, caller } = request;
   const candidates = deps.endpointTracker.getCandidates(
     table.services.get(service),
-    service,
+    getStreamEndpoints(deps, request) ??
+      deps.endpointTracker.getUsableEndpoints(service),
   );
   const readerZone = session === undefined
     ? undefined
@@ -316,7 +325,7 @@
     isReturn: isRetryAfterRefusal(request),
     session: request.session?.id,
     pieces: request.caller.pieceCounts,
-    resumes: request.caller.resumes,
+    streamOrigin: request.caller.streamOrigin,
     lastEventId: request.caller.lastEventId,
     ...fields,
     configuration: request.table.version,
--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -81,6 +81,14 @@
     return this.#runs.get(endpoint.service)?.mayUse(endpoint.id) ?? false;
   }
 
+  /** Whether a stream of an endpoint's version may go on at this endpoint. */
+  mayResume({ id, service, version = "" }: serving.ServingEndpoint): boolean {
+    const run = this.#runs.get(service);
+    const { order, phase } = run ?? {};
+    if (!rollout.mayResumeAt({ version, order, phase })) return false;
+    return version !== order?.target || run!.mayUse(id);
+  }
+
   /** Versions that may serve a new request of a session, preferred one first. */
   planSides(service: ServiceId, session: string): readonly rollout.Side[] {
     const run = this.#runs.get(service);
--- a/packages/logger/src/event_log_test.ts
+++ b/packages/logger/src/event_log_test.ts
@@ -61,7 +61,7 @@
     expect(log.droppedTotal).to.equal(6_000 - floods.length);
   });
 
-  it("drops lines while the reader has stopped, and resumes afterwards", () => {
+  it("drops lines while the reader has stopped, and writes again afterwards", () => {
     const { log, lines, output } = createLog({ bufferedBytes: 2_000_000 });
     log.write("request_sent", {});
     expect(lines).to.deep.equal([]);
--- a/packages/rollout/src/versions.ts
+++ b/packages/rollout/src/versions.ts
@@ -39,6 +39,21 @@
   return established.has(version) ? SIDE.present : "none";
 }
 
+/**
+ * Decides whether streams that began at a version may go on there, also where it gets
+ * no new ones: not if its roll-out was stopped, since the version proved bad.
+ *
+ * @param options The version and the service's order.
+ */
+export function mayResumeAt(
+  { version, order, phase }: Omit<DecideVersionUseOptions, "established">,
+): boolean {
+  if (version !== order?.target) return true;
+  const isRolledBack = phase?.kind === "settled" &&
+    phase.state !== ROLLOUT_STATE.succeeded;
+  return phase?.kind !== "stopped" && !isRolledBack;
+}
+
 /** Input of {@link planEstablishedVersions}. */
 export interface PlanEstablishedVersionsOptions {
   /** Versions that were established before. */
--- a/packages/rollout/src/versions_test.ts
+++ b/packages/rollout/src/versions_test.ts
@@ -1,6 +1,10 @@
 import { expect } from "chai";
 import { ORDER } from "./_fixtures.ts";
-import { decideVersionUse, planEstablishedVersions } from "./versions.ts";
+import {
+  decideVersionUse,
+  mayResumeAt,
+  planEstablishedVersions,
+} from "./versions.ts";
 
 const established = new Set(["v1"]);
 
@@ -43,6 +47,28 @@
   });
 });
 
+describe("mayResumeAt", () => {
+  const phases = {
+    canary: { kind: "canary" },
+    stopped: { kind: "stopped", reason: "bad" },
+    rolledBack: { kind: "settled", state: "rolledBack" },
+    succeeded: { kind: "settled", state: "succeeded" },
+  } as const;
+
+  // A version that gets no new requests may still have streams to go on with.
+  it("holds for all versions but one that proved bad", () => {
+    const getResumable = (phase: keyof typeof phases) =>
+      ["v0", ORDER.target].filter((version) =>
+        mayResumeAt({ version, order: ORDER, phase: phases[phase] })
+      );
+    expect(getResumable("canary")).to.deep.equal(["v0", ORDER.target]);
+    expect(getResumable("succeeded")).to.deep.equal(["v0", ORDER.target]);
+    expect(getResumable("stopped")).to.deep.equal(["v0"]);
+    expect(getResumable("rolledBack")).to.deep.equal(["v0"]);
+    expect(mayResumeAt({ version: "v0" })).to.equal(true);
+  });
+});
+
 describe("planEstablishedVersions", () => {
   it("takes the versions that register first, except the target", () => {
     const registered = new Set(["v1", "v2"]);
