Stages run again after they were done and their results are gone

Cause: StageRun.run() returned the results of its finished graph, which had been released with the first event; the endpoint refused them again.

Change: a run after the first begins with a new graph. Evidence: the new test gave stages 0, 1, 2 once before, and twice now; the stage and chain tests and end_to_end's stages pass.

--- a/packages/gateway/src/stage_run.ts
+++ b/packages/gateway/src/stage_run.ts
@@ -73,6 +73,7 @@
   readonly #options: StageRunOptions;
   readonly #released = new Set<string>();
   #graph: serving.StageGraph;
+  #hasRun = false;
 
   /** @param options The request and its stages. */
   constructor(options: StageRunOptions) {
@@ -100,7 +101,8 @@
   async run(): Promise<StageRunOutcome> {
     let outcome: StageRunOutcome = { kind: "ended" };
     for (let runIndex = 0; runIndex < MAX_GRAPH_RUNS; runIndex++) {
-      if (runIndex > 0) this.#graph = this.#createGraph();
+      if (this.#hasRun) this.#graph = this.#createGraph();
+      this.#hasRun = true;
       this.#options.forecast?.dropForecasts();
       const result = await this.#runGraph();
       if (result.kind !== "inputGone") return result;
--- a/packages/gateway/src/stage_run_test.ts
+++ b/packages/gateway/src/stage_run_test.ts
@@ -66,6 +66,18 @@
     expect(first!.giveUpAt).to.be.below(first!.expiresAt);
   });
 
+  // Guards against results that were released or lost and are sent once more.
+  it("makes new results when it runs again after it was done", async () => {
+    const harness = new ChainHarness();
+    const { run } = harness.createRun();
+    const outcomes = [await run.run()];
+    run.release();
+    outcomes.push(await run.run());
+    expect(outcomes.map(({ kind }) => kind)).to.deep.equal(["made", "made"]);
+    const stages = harness.groups.map(({ stage }) => stage);
+    expect(stages).to.deep.equal([0, 1, 2, 0, 1, 2]);
+  });
+
   it("learns from the first event after the results", async () => {
     const harness = new ChainHarness();
     for (let i = 0; i < 8; i++) {
