Logs name the prompt parts of requests that an endpoint's crash lost

Cause: of a request's prompt the logs told the session only, so a shared part that crashes endpoints could not be seen. No decision changes.

--- a/packages/gateway/src/endpoint_losses.ts
+++ b/packages/gateway/src/endpoint_losses.ts
@@ -13,6 +13,8 @@
 export interface LostRequest {
   readonly requestId: string;
   readonly fingerprint: quarantine.Fingerprint;
+  /** Parts of its prompt that other requests may share. */
+  readonly parts?: readonly string[];
   /** Time since the request was sent to the endpoint, in milliseconds. */
   readonly ageMs: number;
 }
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -215,6 +215,7 @@
     this.#deps.quarantine.recordOutcome(endpoint, outcome, {
       requestId: this.#request.requestId,
       fingerprint: this.#request.fingerprint,
+      parts: this.#request.caller.prompt.slice(0, -1).map(({ id }) => id),
       ageMs: tookMs,
     });
     return outcome;
