Prompt parts that crash endpoints are quarantined

Each crash broke off 1 to 15 sound streams.

Cause: the quarantine knew whole requests. Each request with the part was new, so no crash counted toward the next one. Class: evidence that is collected for one identity while the fault belongs to another.

Change: a crash names the shared parts of the requests that it lost, as keys of the service, model and part. Different requests with a part in crashes at three moments make it the cause, unless an endpoint of that version wrote a whole answer on it within a minute; of parts in the same crashes the more specific one. Crashes within 100 ms are one moment. A part that all requests share is spared while nothing is answered. The verdict, its list, store topic and probation are those of requests. Requests with a part that is suspected of two crashes are not repeated by the VM.

Why it works: the cause is in every crash and never in an answer; parts that sound requests share are in answers, and a session beside it is in some of the crashes, which the cause explains.

Only the call of recordCompletion in crash_log_test.ts has another form.

--- a/packages/gateway/src/endpoint_losses.ts
+++ b/packages/gateway/src/endpoint_losses.ts
@@ -13,8 +13,9 @@
 export interface LostRequest {
   readonly requestId: string;
   readonly fingerprint: quarantine.Fingerprint;
-  /** Parts of its prompt that other requests may share. */
+  /** Parts of its prompt that other requests may share, by the caller's ids. */
   readonly parts?: readonly string[];
+  readonly partKeys?: readonly quarantine.PartKey[];
   /** Time since the request was sent to the endpoint, in milliseconds. */
   readonly ageMs: number;
 }
--- a/packages/gateway/src/flow_types.ts
+++ b/packages/gateway/src/flow_types.ts
@@ -60,6 +60,8 @@
 export interface RoutedRequest extends ArrivedRequest {
   readonly requestId: string;
   readonly fingerprint: quarantine.Fingerprint;
+  /** Parts of its prompt that other requests may share. */
+  readonly partKeys: readonly quarantine.PartKey[];
   readonly table: serving.RouteTable;
   readonly route: serving.Route;
   readonly service: ServiceId;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -135,7 +135,7 @@
     while (true) {
       if (this.#request.scope.endedBy !== undefined) return this.#buildEnded();
       // The request may have been quarantined while its stages ran.
-      const refusal = this.#deps.quarantine.check(this.#request.fingerprint);
+      const refusal = this.#deps.quarantine.check(this.#request);
       if (refusal !== undefined) return this.#giveUp(refusal.message, refusal);
       const endpoint = this.#pickEndpoint();
       if (endpoint === undefined) return this.#giveUpWithoutEndpoint();
@@ -216,6 +216,7 @@
       requestId: this.#request.requestId,
       fingerprint: this.#request.fingerprint,
       parts: this.#request.caller.prompt.slice(0, -1).map(({ id }) => id),
+      partKeys: this.#request.partKeys,
       ageMs: tookMs,
     });
     return outcome;
@@ -409,7 +410,9 @@
     this.#mayHaveRun = true;
     this.#attempts += 1;
     this.#eventBuffer?.dropPartial();
-    if (this.#tryRetry(message)) {
+    // One more crash would tell nothing new.
+    const isSuspect = this.#deps.quarantine.hasSuspectPart(this.#request);
+    if (!isSuspect && this.#tryRetry(message)) {
       if (this.#request.writer.hasStarted) {
         this.#recordResume(endpoint, message);
       }
--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -238,7 +238,7 @@
     this.#dispatchTimer = undefined;
     this.#groups.dropExpired();
     this.#groups.dropQuarantined((fingerprint) =>
-      this.#options.quarantine.check(fingerprint) !== undefined
+      this.#options.quarantine.check({ fingerprint }) !== undefined
     );
     this.#updateQueueTimer();
     const pool = this.#options.getPool();
@@ -479,10 +479,8 @@
           since: startedAt,
         };
         const { fingerprint } = called.queued.group;
-        this.#options.quarantine.recordCompletion(
-          this.#options.service,
-          fingerprint,
-        );
+        const { service } = this.#options;
+        this.#options.quarantine.recordCompletion({ service, fingerprint });
         this.#resultSpace.keep(
           stored,
           this.#options.getPool(),
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -14,6 +14,8 @@
   /** How long the caller waits for the answer, in milliseconds. */
   readonly deadlineMs?: number;
   readonly apiKey?: string;
+  /** Model that the request is for, if it names one. */
+  readonly model?: string;
   /** Parts of the prompt that other requests may share, in their order. */
   readonly prompt: readonly serving.PromptPart[];
   /** Number of pieces of each stage. */
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -107,7 +107,12 @@
     ...arrived,
     customer: customerId,
   });
-  const refusal = deps.quarantine.check(fingerprint);
+  const partKeys = quarantine.buildPartKeys({
+    service,
+    model: caller.model,
+    partIds: caller.prompt.map(({ id }) => id),
+  });
+  const refusal = deps.quarantine.check({ fingerprint, partKeys });
   if (refusal !== undefined) return { failure: refusal };
   const timeoutMs = Math.min(
     caller.deadlineMs ?? route.timeoutMs,
@@ -122,6 +127,7 @@
       ...arrived,
       requestId,
       fingerprint,
+      partKeys,
       table,
       route,
       service,
--- a/packages/gateway/src/request_quarantine.ts
+++ b/packages/gateway/src/request_quarantine.ts
@@ -8,9 +8,8 @@
 import type * as metrics from "@sardinestep/metrics";
 import * as quarantine from "@sardinestep/quarantine";
 import type * as serving from "@sardinestep/serving";
-import type { ServiceId } from "@sardinestep/types";
 import { match } from "ts-pattern";
-import type { AttemptOutcome } from "./attempt.ts";
+import { type AttemptOutcome, STATUS_FAILURE_MIN } from "./attempt.ts";
 import {
   type EndpointLoss,
   EndpointLossCollector,
@@ -26,8 +25,16 @@
   readonly metrics: metrics.Metrics;
 }
 
+/** What a request is judged by. */
+export interface QuarantineSubject {
+  readonly fingerprint: quarantine.Fingerprint;
+  readonly partKeys?: readonly quarantine.PartKey[];
+}
+
 /** Requests of one crash that a VM reports; the most recent ones are kept. */
 const MAX_REPORTED_SUSPECTS = 16;
+/** Moments of crashes from which requests with a part are not repeated. */
+const MIN_SUSPECT_MOMENTS = 2;
 
 /** Collects evidence from this VM and others, and quarantines requests. */
 export class RequestQuarantine {
@@ -37,6 +44,8 @@
   readonly #log = new quarantine.CrashLog();
   #judgedCount = 0;
   #judgedVersion = 0;
+  #suspectMoments: ReadonlyMap<quarantine.PartKey, number> = new Map();
+  #suspectVersion = 0;
 
   /** @param options Site state, log and metrics. */
   constructor(options: RequestQuarantineOptions) {
@@ -48,15 +57,22 @@
   }
 
   /** Returns why a request is refused; undefined if it may run. */
-  check(fingerprint: quarantine.Fingerprint): codes.Failure | undefined {
+  check(
+    { fingerprint, partKeys = [] }: QuarantineSubject,
+  ): codes.Failure | undefined {
     const { quarantined } = this.#options.site;
-    const retryAfterMs = quarantined.getRemainingMs(fingerprint, Date.now());
-    if (retryAfterMs === 0) return undefined;
-    const entry = quarantined.find(fingerprint)!;
+    const unixMs = Date.now();
+    const key = [fingerprint, ...partKeys]
+      .find((subject) => quarantined.getRemainingMs(subject, unixMs) > 0);
+    if (key === undefined) return undefined;
+    const { crashes } = quarantined.find(key)!;
+    const kind = quarantine.isPartKey(key)
+      ? "requests with the same part of the prompt"
+      : "an identical request";
     return codes.createFailure(
       "REQUEST_QUARANTINED",
-      `Endpoints crashed ${entry.crashes} times while running an identical request`,
-      { retryAfterMs },
+      `Endpoints crashed ${crashes} times while running ${kind}`,
+      { retryAfterMs: quarantined.getRemainingMs(key, unixMs) },
     );
   }
 
@@ -65,18 +81,34 @@
     return this.#log.isSuspect(fingerprint);
   }
 
+  /** Whether several crashes are suspected of a part of the request's prompt. */
+  hasSuspectPart({ partKeys = [] }: QuarantineSubject): boolean {
+    if (partKeys.length === 0) return false;
+    const moments = this.#getSuspectMoments();
+    return partKeys.some((part) =>
+      (moments.get(part) ?? 0) >= MIN_SUSPECT_MOMENTS
+    );
+  }
+
   /** Records what the outcome of an attempt shows about its request. */
   recordOutcome(
     endpoint: serving.ServingEndpoint,
     outcome: AttemptOutcome,
     request: LostRequest,
   ): void {
+    const { service, version } = endpoint;
+    const { fingerprint, partKeys: parts } = request;
     match(outcome)
       .with(
-        { kind: "answered" },
         { kind: "streamed" },
-        () => this.recordCompletion(endpoint.service, request.fingerprint),
+        () => this.recordCompletion({ service, version, fingerprint, parts }),
       )
+      .with({ kind: "answered" }, ({ answer }) => {
+        // A failure may have been answered without reading the prompt.
+        const hasWritten = answer.status < STATUS_FAILURE_MIN;
+        const written = hasWritten ? { version, parts } : {};
+        this.recordCompletion({ service, fingerprint, ...written });
+      })
       .with(
         { kind: "lost", isDisconnect: true },
         () => this.losses.record(endpoint, [request]),
@@ -91,12 +123,9 @@
       .exhaustive();
   }
 
-  /** Records that an endpoint of a service completed a request. */
-  recordCompletion(
-    service: ServiceId,
-    fingerprint: quarantine.Fingerprint,
-  ): void {
-    this.#log.recordCompletion(service, fingerprint, performance.now());
+  /** Records that an endpoint completed a request. */
+  recordCompletion(completion: quarantine.Completion): void {
+    this.#log.recordCompletion(completion, performance.now());
   }
 
   /** Records that an endpoint is alive. */
@@ -123,16 +152,39 @@
     this.#judgedVersion = this.#log.version;
     this.#judgedCount = crashes.length;
     const unixMs = Date.now();
-    const { site } = this.#options;
-    const poison = quarantine.findPoisonRequests({
+    const { quarantined } = this.#options.site;
+    const onProbation = quarantined.getOnProbation(unixMs);
+    const parts = quarantine.findPoisonParts({
       crashes,
-      known: site.quarantined.getRefused(unixMs),
-      onProbation: site.quarantined.getOnProbation(unixMs),
+      known: quarantined.getRefused(unixMs),
+      onProbation,
+      isAnswering: (crash) => this.#log.isAnswering(crash, performance.now()),
+    });
+    for (const { part, crashes } of parts) {
+      this.#quarantine({ fingerprint: part, crashes }, unixMs);
+    }
+    const known = quarantined.getRefused(unixMs);
+    const poison = quarantine.findPoisonRequests({
+      crashes: crashes.filter((crash) =>
+        !quarantine.isExplainedByPart(crash, known)
+      ),
+      known,
+      onProbation,
     });
-    for (const request of poison) this.#quarantineRequest(request, unixMs);
+    for (const request of poison) this.#quarantine(request, unixMs);
+  }
+
+  #getSuspectMoments(): ReadonlyMap<quarantine.PartKey, number> {
+    if (this.#suspectVersion !== this.#log.version) {
+      this.#suspectVersion = this.#log.version;
+      this.#suspectMoments = quarantine.countSuspectMoments(
+        this.#log.getAll(),
+      );
+    }
+    return this.#suspectMoments;
   }
 
-  #quarantineRequest(
+  #quarantine(
     { fingerprint, crashes }: quarantine.PoisonRequest,
     unixMs: number,
   ): void {
@@ -149,14 +201,16 @@
     const suspects = [...requests]
       .sort((a, b) => a.ageMs - b.ageMs)
       .slice(0, MAX_REPORTED_SUSPECTS)
-      .map(({ fingerprint, ageMs }) => ({
+      .map(({ fingerprint, ageMs, partKeys }) => ({
         fingerprint,
         runMs: Math.round(ageMs),
         isCleared: false,
+        parts: partKeys,
       }));
     this.#log.record({
       id: getIncarnationId(endpoint),
       service: endpoint.service,
+      version: endpoint.version,
       at,
       suspects,
     }, performance.now());
--- a/packages/quarantine/src/crash_log.ts
+++ b/packages/quarantine/src/crash_log.ts
@@ -10,6 +10,7 @@
  */
 import type { ServiceId } from "@sardinestep/types";
 import type { Fingerprint } from "./fingerprint.ts";
+import type { PartKey } from "./part_key.ts";
 
 /** A request that was running at an endpoint when it crashed. */
 export interface Suspect {
@@ -18,6 +19,8 @@
   readonly runMs: number;
   /** Whether an endpoint of the service answered an equal request. */
   readonly isCleared: boolean;
+  /** Parts of its prompt that other requests may share, in their order. */
+  readonly parts?: readonly PartKey[];
 }
 
 /** A crash of an endpoint. */
@@ -30,6 +33,18 @@
   /** Whether the endpoint answered afterwards, so only connections were cut. */
   readonly isVoid: boolean;
   readonly suspects: readonly Suspect[];
+  /** Software version of the endpoint, if it is known. */
+  readonly version?: string;
+  /** Parts on which an endpoint of that version wrote a whole answer. */
+  readonly clearedParts?: readonly PartKey[];
+}
+
+/** A request that an endpoint completed. */
+export interface Completion {
+  readonly service: ServiceId;
+  readonly version?: string;
+  readonly fingerprint: Fingerprint;
+  readonly parts?: readonly PartKey[];
 }
 
 /** A {@link Crash} as sent to another VM, with its age in place of its time. */
@@ -63,12 +78,17 @@
 const MAX_ALIVE_MS = 1_000;
 /** An answer up to this long before a crash clears the request. */
 const COMPLETION_WINDOW_MS = 10_000;
+/** The same for a part of its prompt. */
+const PART_COMPLETION_WINDOW_MS = 60_000;
 const MAX_COMPLETIONS = 2_048;
 
 /** Collects the crashes of this VM and of others, and what clears suspects. */
 export class CrashLog {
   readonly #crashes = new Map<string, KnownCrash>();
   readonly #completions = new Map<string, number>();
+  readonly #partCompletions = new Map<string, number>();
+  /** Monotonic times of the last completions of services. */
+  readonly #answeredAt = new Map<ServiceId, number>();
   /** Cached fingerprints of open suspects; undefined after a change. */
   #suspects: ReadonlySet<Fingerprint> | undefined;
   #version = 0;
@@ -90,30 +110,29 @@
     }
   }
 
-  /** Clears a request of suspicion, since an endpoint of the service answered it. */
-  recordCompletion(
-    service: ServiceId,
-    fingerprint: Fingerprint,
-    now: number,
-  ): void {
-    const key = buildKey(service, fingerprint);
-    this.#completions.delete(key);
-    this.#completions.set(key, now);
-    if (this.#completions.size > MAX_COMPLETIONS) {
-      this.#completions.delete(this.#completions.keys().next().value!);
-    }
-    if (!this.isSuspect(fingerprint)) return;
-    for (const { crash } of [...this.#crashes.values()]) {
-      if (crash.service !== service) continue;
-      this.#change({
-        ...crash,
-        suspects: crash.suspects.map((suspect) =>
-          suspect.fingerprint === fingerprint
-            ? { ...suspect, isCleared: true }
-            : suspect
-        ),
-      }, now);
+  /**
+   * Clears a request and the parts of its prompt of suspicion, since an endpoint of the
+   * service wrote a whole answer.
+   */
+  recordCompletion(completion: Completion, now: number): void {
+    const { service, fingerprint, version, parts = [] } = completion;
+    this.#answeredAt.set(service, now);
+    setLatest(this.#completions, buildKey(service, fingerprint), now);
+    for (const part of parts) {
+      setLatest(
+        this.#partCompletions,
+        buildPartKey(service, version, part),
+        now,
+      );
     }
+    this.#clearRequest(service, fingerprint, now);
+    this.#clearParts(completion, now);
+  }
+
+  /** Whether an endpoint of a service completed a request lately. */
+  isAnswering({ service }: Pick<Crash, "service">, now: number): boolean {
+    const answeredAt = this.#answeredAt.get(service) ?? -Infinity;
+    return now - answeredAt < PART_COMPLETION_WINDOW_MS;
   }
 
   /** Voids a recent crash of an endpoint, since the endpoint has answered. */
@@ -135,12 +154,15 @@
     return this.#suspects.has(fingerprint);
   }
 
+  /** Returns all crashes. */
+  getAll(): Crash[] {
+    return [...this.#crashes.values()].map(({ crash }) => crash);
+  }
+
   /** Returns crashes old enough for the other VMs to have sent their evidence. */
   getSettled(now: number): Crash[] {
     this.#dropOld(now);
-    return [...this.#crashes.values()]
-      .map(({ crash }) => crash)
-      .filter(({ at }) => now - at >= SETTLE_MS);
+    return this.getAll().filter(({ at }) => now - at >= SETTLE_MS);
   }
 
   /** Returns the recent changes to send to other VMs; undefined if none. */
@@ -154,6 +176,33 @@
     return changed.length === 0 ? undefined : changed;
   }
 
+  #clearRequest(
+    service: ServiceId,
+    fingerprint: Fingerprint,
+    now: number,
+  ): void {
+    if (!this.isSuspect(fingerprint)) return;
+    for (const { crash } of [...this.#crashes.values()]) {
+      if (crash.service !== service) continue;
+      this.#change({
+        ...crash,
+        suspects: crash.suspects.map((suspect) =>
+          suspect.fingerprint === fingerprint
+            ? { ...suspect, isCleared: true }
+            : suspect
+        ),
+      }, now);
+    }
+  }
+
+  #clearParts({ service, version, parts = [] }: Completion, now: number): void {
+    if (parts.length === 0) return;
+    for (const { crash } of [...this.#crashes.values()]) {
+      if (crash.service !== service || crash.version !== version) continue;
+      this.#change(addClearedParts(crash, parts), now);
+    }
+  }
+
   #merge(received: Crash, now: number): void {
     const { crash: known } = this.#crashes.get(received.id) ??
       { crash: received };
@@ -162,12 +211,21 @@
         ...suspect,
         isCleared: suspect.isCleared || this.#hasCompleted(received, suspect),
       }));
-    this.#change({
+    const merged = addClearedParts({
       ...known,
       at: Math.min(known.at, received.at),
       isVoid: known.isVoid || received.isVoid,
       suspects,
-    }, now);
+    }, received.clearedParts ?? []);
+    const completed = suspects.flatMap(({ parts = [] }) => parts)
+      .filter((part) => this.#hasPartCompleted(merged, part));
+    this.#change(addClearedParts(merged, completed), now);
+  }
+
+  #hasPartCompleted({ service, version, at }: Crash, part: PartKey): boolean {
+    const key = buildPartKey(service, version, part);
+    const completedAt = this.#partCompletions.get(key) ?? -Infinity;
+    return completedAt > at - PART_COMPLETION_WINDOW_MS;
   }
 
   #hasCompleted({ service, at }: Crash, { fingerprint }: Suspect): boolean {
@@ -216,6 +274,7 @@
       fingerprint: suspect.fingerprint,
       runMs: Math.min(before.runMs, suspect.runMs),
       isCleared: before.isCleared || suspect.isCleared,
+      parts: before.parts ?? suspect.parts,
     });
   }
   return [...merged.values()]
@@ -226,8 +285,34 @@
 function isSameEvidence(a: Crash, b: Crash): boolean {
   const countCleared = ({ suspects }: Crash) =>
     suspects.filter((suspect) => suspect.isCleared).length;
+  const countClearedParts = ({ clearedParts = [] }: Crash) =>
+    clearedParts.length;
   return a.isVoid === b.isVoid && a.suspects.length === b.suspects.length &&
-    countCleared(a) === countCleared(b);
+    countCleared(a) === countCleared(b) &&
+    countClearedParts(a) === countClearedParts(b);
+}
+
+/** Adds those of some parts that suspects of a crash have. */
+function addClearedParts(crash: Crash, parts: readonly PartKey[]): Crash {
+  const own = new Set(crash.suspects.flatMap((suspect) => suspect.parts ?? []));
+  const added = parts.filter((part) => own.has(part));
+  const clearedParts = [...new Set([...crash.clearedParts ?? [], ...added])];
+  return added.length === 0 ? crash : { ...crash, clearedParts };
+}
+
+/** Sets the entry of a map that keeps the latest ones. */
+function setLatest(map: Map<string, number>, key: string, now: number): void {
+  map.delete(key);
+  map.set(key, now);
+  if (map.size > MAX_COMPLETIONS) map.delete(map.keys().next().value!);
+}
+
+function buildPartKey(
+  service: ServiceId,
+  version: string | undefined,
+  part: PartKey,
+): string {
+  return `${service}\0${version ?? ""}\0${part}`;
 }
 
 function buildKey(service: ServiceId, fingerprint: Fingerprint): string {
--- a/packages/quarantine/src/crash_log_test.ts
+++ b/packages/quarantine/src/crash_log_test.ts
@@ -52,7 +52,7 @@
   // at nearly all endpoints when a zone fails.
   it("clears requests answered shortly before, on this or another VM", () => {
     const [here, there] = [new CrashLog(), new CrashLog()];
-    there.recordCompletion("engine", "hot", 0);
+    there.recordCompletion({ service: "engine", fingerprint: "hot" }, 0);
     for (const id of ["e1", "e2", "e3"]) recordCrash(here, id, ["hot"], 100);
     there.merge(here.getUpdates(100)!, 200);
     here.merge(there.getUpdates(300)!, 400);
@@ -62,9 +62,9 @@
   it("clears requests answered later, only by the same service", () => {
     const log = new CrashLog();
     for (const id of ["e1", "e2", "e3"]) recordCrash(log, id, ["p"], 0);
-    log.recordCompletion("archive", "p", 2_000);
+    log.recordCompletion({ service: "archive", fingerprint: "p" }, 2_000);
     expect(find(log, 2_000)).to.deep.equal(["p"]);
-    log.recordCompletion("engine", "p", 2_100);
+    log.recordCompletion({ service: "engine", fingerprint: "p" }, 2_100);
     expect(find(log, 2_200)).to.deep.equal([]);
     expect(log.isSuspect("p")).to.equal(false);
   });
