--- a/packages/gateway/src/event_buffer.ts
+++ b/packages/gateway/src/event_buffer.ts
@@ -47,6 +47,25 @@
   }
 }
 
+/** Tells whether a stream that is passed on as it arrives ended after a whole event. */
+export class EventTail {
+  #last = Buffer.alloc(0);
+
+  /** Whether the stream ended inside an event. */
+  get hasPartial(): boolean {
+    return this.#last.length > 0 &&
+      findLastEventEnd(this.#last) < this.#last.length;
+  }
+
+  /** Appends bytes of the stream. */
+  add(chunk: Uint8Array): void {
+    this.#last = Buffer.concat([this.#last, chunk]).subarray(-EVENT_END_BYTES);
+  }
+}
+
+/** Bytes that show the longest end of an event: LF CR LF. */
+const EVENT_END_BYTES = 3;
+
 /** Events end with an empty line; lines end with LF or CR LF. */
 function findLastEventEnd(bytes: Buffer): number {
   for (let i = bytes.length - 1; i > 0; i--) {
