--- a/packages/gateway/src/endpoint_reach.ts
+++ b/packages/gateway/src/endpoint_reach.ts
@@ -141,10 +141,13 @@
    */
   update(): void {
     const { site, isStopping } = this.#options;
-    const endpoints = site.getEndpoints();
-    this.#paths.keep(
-      new Set(endpoints.map(({ endpoint }) => endpoint.address)),
+    const addresses = new Set(
+      site.getEndpoints().map(({ endpoint }) => endpoint.address),
     );
+    this.#paths.keep(addresses);
+    for (const address of this.#checkedAt.keys()) {
+      if (!addresses.has(address)) this.#checkedAt.delete(address);
+    }
     this.#relays.keep(site.members);
     if (isStopping()) this.#tunnels?.closeIdle();
     for (const address of this.#paths.getDueProbes(performance.now())) {
