Requests with different prompts are not taken for equal ones

Cause: the fingerprint left the prompt out, so different sound requests with equal bodies counted as one that is in every crash; crashes whose poison request was lost with its VM were not explained by the part, and three of them made a verdict. Change: the ids of the prompt's parts belong to the fingerprint.

--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -103,15 +103,14 @@
       },
     );
   }
+  const partIds = caller.prompt.map(({ id }) => id);
   const fingerprint = quarantine.buildFingerprint({
     ...arrived,
     customer: customerId,
+    partIds,
   });
-  const partKeys = quarantine.buildPartKeys({
-    service,
-    model: caller.model,
-    partIds: caller.prompt.map(({ id }) => id),
-  });
+  const { model } = caller;
+  const partKeys = quarantine.buildPartKeys({ service, model, partIds });
   const refusal = deps.quarantine.check({ fingerprint, partKeys });
   if (refusal !== undefined) return { failure: refusal };
   const timeoutMs = Math.min(
--- a/packages/quarantine/src/fingerprint.ts
+++ b/packages/quarantine/src/fingerprint.ts
@@ -17,13 +17,15 @@
   /** Undefined on routes without API keys. */
   readonly customer?: CustomerId;
   readonly body?: Uint8Array;
+  /** Ids of the parts of the prompt, if it has one. */
+  readonly partIds?: readonly string[];
 }
 
 const FINGERPRINT_LENGTH = 12;
 
 /**
- * Builds the fingerprint of a request. Headers are excluded, since ids and deadlines
- * differ between attempts.
+ * Builds the fingerprint of a request. Headers other than the prompt are excluded,
+ * since ids and deadlines differ between attempts.
  *
  * @example
  * ```ts
@@ -33,9 +35,9 @@
  * ```
  */
 export function buildFingerprint(input: FingerprintInput): Fingerprint {
-  const { method, host, path, customer = "", body } = input;
+  const { method, host, path, customer = "", body, partIds = [] } = input;
   const hash = createHash("sha256");
-  hash.update(JSON.stringify([method, host, path, customer]));
+  hash.update(JSON.stringify([method, host, path, customer, ...partIds]));
   if (body !== undefined) hash.update(body);
   return hash.digest("base64url").slice(0, FINGERPRINT_LENGTH);
 }
--- a/packages/quarantine/src/fingerprint_test.ts
+++ b/packages/quarantine/src/fingerprint_test.ts
@@ -15,6 +15,15 @@
       .to.equal(buildFingerprint(facts));
   });
 
+  // Sound requests without a body counted as one that was in all crashes.
+  it("differs with the parts of the prompt", () => {
+    const prompts = [undefined, ["a"], ["a", "b"], ["b", "a"], ["ab"]];
+    const all = prompts.map((partIds) =>
+      buildFingerprint({ ...facts, partIds })
+    );
+    expect(new Set(all).size).to.equal(all.length);
+  });
+
   it("differs with method, host, path, customer and body", () => {
     const others = [
       { ...facts, method: "PUT" },
