Answers without length count on direct connections only

There the stand-in relay threw away what it had not written yet when one side ended; it now delivers it, as a network does. A VM that relays a connection for another one could cut an answer in the same way as it exits, so an answer over such a connection is lost as before (test: fails without the change).

--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -96,6 +96,7 @@
   idleSince = 0;
   isClosed = false;
   #socket: Socket | undefined;
+  #isDirect = false;
 
   constructor(address: Address, connect: endpointPaths.Connector) {
     this.client = new Client(`http://${address}`, {
@@ -106,6 +107,8 @@
       connect: ((options, callback) =>
         connect(options, (error, socket) => {
           this.#socket = socket ?? undefined;
+          this.#isDirect = socket !== null && socket !== undefined &&
+            `${socket.remoteAddress}:${socket.remotePort}` === address;
           // A failure comes without a socket, which the types don't show.
           callback(error as null, socket as Socket);
         })) as endpointPaths.Connector,
@@ -113,9 +116,12 @@
     this.client.on("disconnect", () => this.close());
   }
 
-  /** Whether the endpoint closed the connection in order: undici hides a reset. */
+  /**
+   * Whether the endpoint closed the connection in order. undici hides a reset, and a
+   * VM that relays a connection ends it too when it exits.
+   */
   get hasEnded(): boolean {
-    return this.#socket?.readableEnded ?? false;
+    return this.#isDirect && this.#socket?.readableEnded === true;
   }
 
   close(): void {
--- a/packages/gateway/src/http_pool_test.ts
+++ b/packages/gateway/src/http_pool_test.ts
@@ -3,6 +3,7 @@
 import { readFileSync } from "node:fs";
 import { createServer, type Server, type Socket } from "node:net";
 import {
+  connectOverTcp,
   HttpPool,
   IDLE_CONNECTION_TIMEOUT_MS,
   type PoolFailure,
@@ -82,11 +83,15 @@
     return await endpoint.start();
   }
 
-  function send(address: string, overrides: Partial<PoolRequest> = {}) {
+  function send(
+    address: string,
+    overrides: Partial<PoolRequest> = {},
+    usedPool = pool,
+  ) {
     return new Promise<SendResult>((resolve) => {
       let status = 0;
       let body = "";
-      pool.send({
+      usedPool.send({
         address,
         method: "GET",
         path: "/",
@@ -184,6 +189,20 @@
     expect(failure).to.include({ kind: "lost", isDisconnect: true });
   });
 
+  // A VM that relays a connection ends it when it exits.
+  it("rejects an answer without length that came through another VM", async () => {
+    const address = await open((socket) =>
+      socket.end("HTTP/1.1 200 OK\r\n\r\nhalf of it")
+    );
+    const port = address.split(":")[1];
+    const relayed = new HttpPool({
+      connect: (options, callback) =>
+        connectOverTcp({ ...options, hostname: "127.0.0.1" }, callback),
+    });
+    const { failure } = await send(`127.0.0.2:${port}`, {}, relayed);
+    expect(failure?.kind).to.equal("lost");
+  });
+
   it("accepts an answer without length of an endpoint that goes on", async () => {
     const address = await open((socket) =>
       socket.end("HTTP/1.1 200 OK\r\n\r\nall of it")
--- a/packages/testing/src/silent_relay.ts
+++ b/packages/testing/src/silent_relay.ts
@@ -161,7 +161,8 @@
   /** Closes both sides when either ends, except on silenced connections. */
   #closeConnection(connection: Connection): void {
     if (!this.#connections.delete(connection)) return;
-    connection.client.destroy();
-    connection.upstream.destroy();
+    // What has arrived is still delivered, as a network does.
+    connection.client.destroySoon();
+    connection.upstream.destroySoon();
   }
 }
