--- a/packages/testing/src/silent_relay.ts
+++ b/packages/testing/src/silent_relay.ts
@@ -161,8 +161,7 @@
   /** Closes both sides when either ends, except on silenced connections. */
   #closeConnection(connection: Connection): void {
     if (!this.#connections.delete(connection)) return;
-    // What has arrived is still delivered, as a network does.
-    connection.client.destroySoon();
-    connection.upstream.destroySoon();
+    connection.client.destroy();
+    connection.upstream.destroy();
   }
 }
