Completed requests look at crashes only while a part of theirs is open

The open parts are cached now, as the open requests beside them are. No verdict changes: a part that is cleared in all crashes is not cleared again.

--- a/packages/quarantine/src/crash_log.ts
+++ b/packages/quarantine/src/crash_log.ts
@@ -91,6 +91,8 @@
   readonly #answeredAt = new Map<ServiceId, number>();
   /** Cached fingerprints of open suspects; undefined after a change. */
   #suspects: ReadonlySet<Fingerprint> | undefined;
+  /** Cached parts that are not cleared in all crashes; undefined after a change. */
+  #openParts: ReadonlySet<PartKey> | undefined;
   #version = 0;
 
   /** Incremented with each change of the crashes. */
@@ -196,7 +198,8 @@
   }
 
   #clearParts({ service, version, parts = [] }: Completion, now: number): void {
-    if (parts.length === 0) return;
+    this.#openParts ??= new Set(this.getAll().flatMap(getOpenParts));
+    if (!parts.some((part) => this.#openParts!.has(part))) return;
     for (const { crash } of [...this.#crashes.values()]) {
       if (crash.service !== service || crash.version !== version) continue;
       this.#change(addClearedParts(crash, parts), now);
@@ -245,6 +248,7 @@
 
   #handleChanged(): void {
     this.#suspects = undefined;
+    this.#openParts = undefined;
     this.#version += 1;
   }
 
@@ -292,6 +296,12 @@
     countClearedParts(a) === countClearedParts(b);
 }
 
+/** Returns the parts of a crash's suspects that aren't cleared. */
+function getOpenParts({ suspects, clearedParts = [] }: Crash): PartKey[] {
+  return suspects.flatMap(({ parts = [] }) => parts)
+    .filter((part) => !clearedParts.includes(part));
+}
+
 /** Adds those of some parts that suspects of a crash have. */
 function addClearedParts(crash: Crash, parts: readonly PartKey[]): Crash {
   const own = new Set(crash.suspects.flatMap((suspect) => suspect.parts ?? []));
