--- a/packages/gateway/src/event_buffer.ts
+++ b/packages/gateway/src/event_buffer.ts
@@ -47,7 +47,7 @@
   }
 }
 
-/** Tells whether a stream that is passed on as it arrives ended after a whole event. */
+/** Follows a stream that is passed on as it arrives, up to the end of its events. */
 export class EventTail {
   #last = Buffer.alloc(0);
 
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -410,7 +410,7 @@
     this.#mayHaveRun = true;
     this.#attempts += 1;
     this.#eventBuffer?.dropPartial();
-    // One more crash would tell nothing new.
+    // Another crash would be no further evidence.
     const isSuspect = this.#deps.quarantine.hasSuspectPart(this.#request);
     if (!isSuspect && this.#tryRetry(message)) {
       if (this.#request.writer.hasStarted) {
--- a/packages/quarantine/src/part_key.ts
+++ b/packages/quarantine/src/part_key.ts
@@ -17,7 +17,7 @@
   readonly partIds: readonly string[];
 }
 
-/** Tells part keys from fingerprints of requests, which share a list. */
+/** Distinguishes part keys from fingerprints of requests, which share a list. */
 const PART_PREFIX = "part.";
 const HASH_LENGTH = 12;
 /** Most parts of a request that are kept: the most specific ones. */
--- a/packages/stream_versions/src/lookup.ts
+++ b/packages/stream_versions/src/lookup.ts
@@ -8,7 +8,7 @@
 /** What is known of the version at which a stream began. */
 export type LookupResult =
   | { readonly kind: "known"; readonly version: VersionTag }
-  /** Nobody who was asked knows it, or there are two answers. */
+  /** No VM that was asked has a note of it, or their notes differ. */
   | {
     readonly kind: "unknown";
     /** Whether some VMs did not reply, so that asking again may help. */
--- a/packages/stream_versions/src/stream_note.ts
+++ b/packages/stream_versions/src/stream_note.ts
@@ -25,7 +25,7 @@
   readonly customer?: CustomerId;
 }
 
-/** The parts of an endpoint's record that tell its version. */
+/** The fields of an endpoint's record that identify its version. */
 export interface VersionedEndpoint {
   readonly id: EndpointId;
   readonly service: ServiceId;
@@ -54,8 +54,8 @@
 }
 
 /**
- * Builds the tag of an endpoint's version. An endpoint that names no version shares
- * one with nobody, and not with its own earlier processes.
+ * Builds the tag of an endpoint's version. Without a version, the tag is that of this
+ * process of the endpoint alone.
  *
  * @example
  * ```ts
