A VM that stops announces it to those it relays for

Callers at a VM without links saw streams break off, and requests that may run once answered 502 "other side closed", while another VM stopped.

Cause: a stopping relay opened no new tunnels and closed idle ones, but the VMs kept their busy tunnels and sent each next request on them. Such a tunnel is never idle, and the exit cuts it. An idle one could be closed as a request crossed it.

Change: tunnels name the RPC address of their VM. A VM that stops sends its view to those addresses at once, if they are members'; a connection through a VM that leaves carries no further request (HttpPool asks before each reuse). Idle tunnels are closed only after the announcement, and the stop waits for it.

--- a/packages/endpoint_paths/src/path_connector.ts
+++ b/packages/endpoint_paths/src/path_connector.ts
@@ -30,6 +30,8 @@
   readonly isRelayable: (address: Address) => boolean;
   /** Gives the VMs that may relay connections. */
   readonly getRelays: () => readonly Relay[];
+  /** RPC address of this VM. */
+  readonly callerRpc?: Address;
   /** Longest time for a connection, in milliseconds. */
   readonly timeoutMs: number;
   /** Called when the direct path to an endpoint is lost or back. */
@@ -58,6 +60,11 @@
     this.#options = options;
   }
 
+  /** Finds the VM that relays a connection; undefined if it is direct. */
+  findRelay(socket: Socket): string | undefined {
+    return relayBySocket.get(socket);
+  }
+
   /** Opens a connection on the path that the table plans. */
   readonly connect: Connector = (target, callback) => {
     const { isRelayable, connect, paths } = this.#options;
@@ -97,6 +104,9 @@
   }
 }
 
+/** The VM of each connection that goes through one. */
+const relayBySocket = new WeakMap<Socket, string>();
+
 interface AttemptInput {
   readonly target: buildConnector.Options;
   readonly address: Address;
@@ -189,11 +199,12 @@
   }
 
   async #askRelay(relay: Relay): Promise<void> {
-    const { relays, timeoutMs } = this.#options;
+    const { relays, callerRpc, timeoutMs } = this.#options;
     this.#openTunnels += 1;
     const opened = await openTunnel({
       relay: relay.address,
       target: this.#input.address,
+      callerRpc,
       timeoutMs,
       signal: this.#abort.signal,
     });
@@ -206,6 +217,7 @@
     if (opened.isErr()) return this.#askNext();
     this.#recordRelayed(RELAY_RESULT.established);
     opened.value.setNoDelay(true);
+    relayBySocket.set(opened.value, relay.vmId);
     this.#succeed(opened.value);
   }
 
--- a/packages/endpoint_paths/src/tunnel_client.ts
+++ b/packages/endpoint_paths/src/tunnel_client.ts
@@ -18,6 +18,8 @@
   /** Address of the endpoint. */
   readonly target: Address;
   readonly timeoutMs: number;
+  /** RPC address of this VM, at which the relay announces its stop. */
+  readonly callerRpc?: Address;
   /** Ends the attempt. */
   readonly signal?: AbortSignal;
 }
@@ -28,6 +30,8 @@
   typeof RELAY_ANSWER.established
 >;
 
+/** Names the RPC address of the VM that asks for a tunnel. */
+export const CALLER_HEADER = "x-vm-rpc";
 const STATUS_OK = 200;
 /** The relay did not reach the target. */
 export const STATUS_UNREACHABLE = 502;
@@ -51,12 +55,13 @@
 export function openTunnel(
   options: TunnelOptions,
 ): Promise<Result<Socket, TunnelFailure>> {
-  const { relay, target, timeoutMs, signal } = options;
+  const { relay, target, timeoutMs, callerRpc, signal } = options;
   return new Promise((resolve) => {
     const sent = openRequest({
       ...rpc.parseAddress(relay),
       method: "CONNECT",
       path: target,
+      headers: callerRpc === undefined ? {} : { [CALLER_HEADER]: callerRpc },
       agent: false,
     });
     const finish = (result: Result<Socket, TunnelFailure>) => {
--- a/packages/endpoint_paths/src/tunnel_server.ts
+++ b/packages/endpoint_paths/src/tunnel_server.ts
@@ -8,7 +8,11 @@
 import { createServer, type Server } from "node:http";
 import type { Socket } from "node:net";
 import type { Connector } from "./timed_connect.ts";
-import { STATUS_REFUSED, STATUS_UNREACHABLE } from "./tunnel_client.ts";
+import {
+  CALLER_HEADER,
+  STATUS_REFUSED,
+  STATUS_UNREACHABLE,
+} from "./tunnel_client.ts";
 
 /** Options of {@link openTunnelServer}. */
 export interface TunnelServerOptions {
@@ -24,9 +28,14 @@
   readonly size: number;
   /** Number of tunnels opened so far. */
   readonly openedTotal: number;
+  /** RPC addresses of the VMs that have tunnels open, as they gave them. */
+  getCallers(): ReadonlySet<Address>;
   /** Tunnels that carry a request whose answer has not ended. */
   countBusy(now?: number): number;
-  /** Closes tunnels without a request, so that their VMs open new ones elsewhere. */
+  /**
+   * Closes tunnels without a request. Their VMs must know by then, or they may just
+   * have sent one.
+   */
   closeIdle(): void;
   /** Stops listening and closes every tunnel. */
   close(): void;
@@ -45,6 +54,8 @@
 const KEEP_ALIVE_DELAY_MS = 5_000;
 
 interface Tunnel {
+  /** RPC address of the VM that opened it, if it gave one. */
+  readonly callerRpc: Address | undefined;
   readonly caller: Socket;
   readonly endpoint: Socket;
   lastFrom: "caller" | "endpoint";
@@ -86,6 +97,13 @@
 
 const STATUS_NOT_FOUND = 404;
 
+interface TunnelRequest {
+  /** Address of the endpoint. */
+  readonly target: Address;
+  readonly caller: Socket;
+  readonly callerRpc: Address | undefined;
+}
+
 class TunnelSet implements TunnelServer {
   readonly #server: Server;
   readonly #options: TunnelServerOptions;
@@ -99,7 +117,10 @@
     this.#options = options;
     server.on(
       "connect",
-      (request, socket: Socket) => this.#handle(request.url ?? "", socket),
+      ({ url = "", headers }, socket: Socket) => {
+        const callerRpc = headers[CALLER_HEADER]?.toString();
+        this.#handle({ target: url, caller: socket, callerRpc });
+      },
     );
   }
 
@@ -107,6 +128,11 @@
     return this.#tunnels.size;
   }
 
+  getCallers(): ReadonlySet<Address> {
+    const addresses = [...this.#tunnels].map(({ callerRpc }) => callerRpc);
+    return new Set(addresses.filter((address) => address !== undefined));
+  }
+
   countBusy(now = performance.now()): number {
     return [...this.#tunnels].filter((tunnel) => !isIdle(tunnel, now)).length;
   }
@@ -125,16 +151,18 @@
     for (const { caller } of this.#tunnels) caller.destroy();
   }
 
-  #handle(target: Address, caller: Socket): void {
+  #handle(asked: TunnelRequest): void {
+    const { target, caller } = asked;
     caller.on("error", () => caller.destroy());
     const isFull = this.#tunnels.size + this.#pending.size >= MAX_TUNNELS;
     if (isFull || !this.#options.mayOpen(target)) {
       return sendStatus(caller, STATUS_REFUSED);
     }
-    this.#connect(target, caller);
+    this.#connect(asked);
   }
 
-  #connect(target: Address, caller: Socket): void {
+  #connect(asked: TunnelRequest): void {
+    const { target, caller } = asked;
     this.#pending.add(caller);
     const { host, port } = rpc.parseAddress(target);
     const options = { hostname: host, protocol: "http:", port: String(port) };
@@ -142,12 +170,17 @@
       this.#pending.delete(caller);
       if (error !== null) return sendStatus(caller, STATUS_UNREACHABLE);
       if (caller.destroyed) return void endpoint.destroy();
-      this.#openTunnel(caller, endpoint as Socket);
+      if (!this.#options.mayOpen(target)) {
+        endpoint.destroy();
+        return sendStatus(caller, STATUS_REFUSED);
+      }
+      this.#openTunnel(asked, endpoint as Socket);
     });
   }
 
-  #openTunnel(caller: Socket, endpoint: Socket): void {
+  #openTunnel({ caller, callerRpc }: TunnelRequest, endpoint: Socket): void {
     const tunnel: Tunnel = {
+      callerRpc,
       caller,
       endpoint,
       lastFrom: "endpoint",
--- a/packages/gateway/src/endpoint_reach.ts
+++ b/packages/gateway/src/endpoint_reach.ts
@@ -8,6 +8,7 @@
 import type * as metrics from "@sardinestep/metrics";
 import type * as serving from "@sardinestep/serving";
 import type { Address } from "@sardinestep/types";
+import type { Socket } from "node:net";
 import { EVENT } from "./events.ts";
 import { CONNECT_TIMEOUT_MS, connectOverTcp } from "./http_pool.ts";
 import type { SiteState } from "./site_state.ts";
@@ -19,10 +20,16 @@
   readonly site: SiteState;
   readonly events: logger.EventLog;
   readonly metrics: metrics.Metrics;
+  /** RPC address of this VM, at which relays announce their stop. */
+  readonly callerRpc?: Address;
+  /** Whether a VM has announced its stop. */
+  readonly isLeaving: (vmId: string) => boolean;
   /** Gives the other VMs that accept work. */
   readonly getPeers: () => readonly RelayPeer[];
   /** Whether this VM accepts no new work. */
   readonly isStopping: () => boolean;
+  /** Whether the VMs that it relays for know that it stops. */
+  readonly hasAnnouncedStop: () => boolean;
   /** Called when the direct path to an endpoint is lost. */
   readonly handleLost: (endpoint: serving.ServingEndpoint) => void;
   /** Called when it is back. */
@@ -72,6 +79,7 @@
       relays: this.#relays,
       isRelayable: (address) => this.#findEndpoint(address) !== undefined,
       getRelays: () => this.#getRelays(),
+      callerRpc: options.callerRpc,
       timeoutMs: CONNECT_TIMEOUT_MS,
       handleChange: (address, change) => this.#handleChange(address, change),
     });
@@ -82,6 +90,20 @@
     return this.#connector.connect;
   }
 
+  /**
+   * Whether a connection may carry another request. A relay that stops waits for the
+   * requests on its tunnels, which never ends if new ones follow.
+   */
+  mayReuse(socket: Socket): boolean {
+    const relay = this.#connector.findRelay(socket);
+    return relay === undefined || !this.#options.isLeaving(relay);
+  }
+
+  /** RPC addresses of the VMs that this one relays for. */
+  get tunnelCallers(): ReadonlySet<Address> {
+    return this.#tunnels?.getCallers() ?? new Set();
+  }
+
   /** Whether this VM lost its direct paths to several endpoints. */
   get isCutOff(): boolean {
     return this.#paths.isSuspected;
@@ -140,7 +162,7 @@
    * that a path is back. Forgets endpoints and VMs that are gone.
    */
   update(): void {
-    const { site, isStopping } = this.#options;
+    const { site, hasAnnouncedStop } = this.#options;
     const addresses = new Set(
       site.getEndpoints().map(({ endpoint }) => endpoint.address),
     );
@@ -149,7 +171,7 @@
       if (!addresses.has(address)) this.#checkedAt.delete(address);
     }
     this.#relays.keep(site.members);
-    if (isStopping()) this.#tunnels?.closeIdle();
+    if (hasAnnouncedStop()) this.#tunnels?.closeIdle();
     for (const address of this.#paths.getDueProbes(performance.now())) {
       void this.#connector.probePath(address);
     }
--- a/packages/gateway/src/endpoint_reach_test.ts
+++ b/packages/gateway/src/endpoint_reach_test.ts
@@ -34,7 +34,9 @@
       events,
       metrics: new metrics.Metrics({ prefix: "test" }),
       getPeers: () => [],
+      isLeaving: () => false,
       isStopping: () => false,
+      hasAnnouncedStop: () => false,
       handleLost: () => {},
       handleFound: () => {},
     });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -69,6 +69,8 @@
 const MAX_EXIT_RESERVE_MS = 700;
 /** Part of the grace period that is reserved at most, if that is less. */
 const MAX_EXIT_RESERVE_SHARE = 1 / 6;
+/** Time in which a request that was sent before an announcement arrives, in ms. */
+const ANNOUNCED_SETTLE_MS = 200;
 /** Interval of checks for the end of the last requests, in milliseconds. */
 const DRAIN_POLL_MS = 50;
 /** Gap between two updates from which a process pause is logged, in ms. */
@@ -100,6 +102,8 @@
   /** Monotonic time at which unfinished requests are ended; set while stopping. */
   #drainUntil: number | undefined;
   #stopped: Promise<void> | undefined;
+  /** Whether the VMs that this one relays for know that it stops. */
+  #hasAnnouncedStop = false;
   #wasReady = false;
 
   /** @param options Names, addresses, limits and the protocol adapter. */
@@ -118,12 +122,18 @@
       events,
       metrics: this.metrics,
       getPeers: () => this.mesh.getRelayPeers(),
+      callerRpc: options.listen.rpc,
+      isLeaving: (vmId) => this.mesh.isLeaving(vmId),
       isStopping: () => this.#isStopping,
+      hasAnnouncedStop: () => this.#hasAnnouncedStop,
       handleLost: (endpoint) => this.#handlePathLost(endpoint),
       // Requests return to the direct path, which needs no other VM.
       handleFound: ({ address }) => this.pool.closeIdle(address),
     });
-    this.pool = new HttpPool({ connect: this.reach.connect });
+    this.pool = new HttpPool({
+      connect: this.reach.connect,
+      mayReuse: (socket) => this.reach.mayReuse(socket),
+    });
     this.#wire = options.createWire(this.pool);
     this.rollouts = new Rollouts({
       site: this.site,
@@ -260,7 +270,7 @@
     events.write(EVENT.processStopping, {
       active: this.#ingress.activeRequests,
     });
-    this.mesh.setLeaving();
+    void this.#announceStop();
     this.#streamNotes.handOver();
     this.#ingress.startDraining();
     await wait(Math.min(CONNECT_DRAIN_MS, drainMs));
@@ -281,6 +291,13 @@
     this.close();
   }
 
+  async #announceStop(): Promise<void> {
+    await this.mesh.setLeaving(this.reach.tunnelCallers);
+    // What they had sent before may arrive after their answers.
+    await wait(ANNOUNCED_SETTLE_MS);
+    this.#hasAnnouncedStop = true;
+  }
+
   /** Ends unfinished requests, and waits until their answers are written. */
   async #endRequests(until: number): Promise<void> {
     // After a pause of the process, answers that have arrived are read first.
@@ -307,7 +324,8 @@
   #isBusy(): boolean {
     const pieces = [...this.#leaders.values()]
       .reduce((sum, leader) => sum + leader.size, 0);
-    return this.#ingress.activeRequests > 0 || pieces > 0 ||
+    return !this.#hasAnnouncedStop ||
+      this.#ingress.activeRequests > 0 || pieces > 0 ||
       this.reach.busyTunnelCount > 0;
   }
 
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -75,6 +75,8 @@
 export interface HttpPoolOptions {
   /** Opens connections with a timeout; over TCP by default. */
   readonly connect?: endpointPaths.Connector;
+  /** Whether a connection may carry another request; each may by default. */
+  readonly mayReuse?: (socket: Socket) => boolean;
 }
 
 /** Statuses without a body, whose answers need no Content-Length. */
@@ -126,6 +128,11 @@
     return this.#isDirect && this.#socket?.readableEnded === true;
   }
 
+  /** The connection, once it is open. */
+  get socket(): Socket | undefined {
+    return this.#socket;
+  }
+
   close(): void {
     this.isClosed = true;
     if (!this.client.destroyed) void this.client.destroy();
@@ -149,6 +156,7 @@
 export class HttpPool {
   readonly #idleByAddress = new Map<Address, PoolConnection[]>();
   readonly #connect: endpointPaths.Connector;
+  readonly #mayReuse: (socket: Socket) => boolean;
   #openedTotal = 0;
 
   /** @param options How connections are opened. */
@@ -157,6 +165,7 @@
       connectOverTcp,
       CONNECT_TIMEOUT_MS,
     );
+    this.#mayReuse = options.mayReuse ?? (() => true);
   }
 
   /** Number of connections opened so far. */
@@ -229,14 +238,19 @@
       const newest = idle.at(-1)!;
       if (!newest.isClosed && now - newest.idleSince > request.maxIdleMs) break;
       idle.pop();
-      if (!newest.isClosed) return newest;
+      if (this.#isReusable(newest)) return newest;
+      newest.close();
     }
     this.#openedTotal += 1;
     return new PoolConnection(request.address, this.#connect);
   }
 
+  #isReusable({ isClosed, socket }: PoolConnection): boolean {
+    return !isClosed && (socket === undefined || this.#mayReuse(socket));
+  }
+
   #returnConnection(address: Address, connection: PoolConnection): void {
-    if (connection.isClosed) return;
+    if (!this.#isReusable(connection)) return connection.close();
     const idle = (this.#idleByAddress.get(address) ?? []).filter((entry) =>
       !entry.isClosed
     );
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -125,9 +125,28 @@
     setImmediate(() => this.#exchangeAll());
   }
 
-  /** Announces to the others that this VM accepts no new work. */
-  setLeaving(): void {
+  /**
+   * Announces to the others that this VM accepts no new work.
+   *
+   * @param addresses RPC addresses of members that must know at once; the others learn
+   * it from the next exchanges.
+   * @returns Settles when each of them has answered or has not in time.
+   */
+  async setLeaving(addresses: ReadonlySet<Address>): Promise<void> {
     this.#isLeaving = true;
+    const view = this.#buildView([]);
+    await Promise.all(
+      this.#options.site.members
+        .filter((member) => addresses.has(member.rpc))
+        .map((member) =>
+          this.#exchange(member.rpc, view, rpc.callOnce<"exchangeViews">)
+        ),
+    );
+  }
+
+  /** Whether another VM has announced that it accepts no new work. */
+  isLeaving(vmId: string): boolean {
+    return this.#views.get(vmId)?.view.isLeaving ?? false;
   }
 
   /** Stops the exchanges and closes all connections. */
