A lost path is no evidence of a slow pool worker

Callers of all VMs were refused ("An answer is expected to take 1748 ms") for seconds after the leader of a pool lost its links: half of the pool's workers got a probe of two pieces each 1.5 s and no full call.

Cause: the call that the cut breaks times out, which counts as a duration of 36 times the expected one. `path_lost` drops the evidence against the endpoint's health, and not what its leader holds on its speed.

Change: the leaders drop an endpoint's speed as its path is lost, also that of the call that is running then, unless it is answered.

A unit test of PoolEndpoints holds the same for the running call.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -335,6 +335,9 @@
    */
   #handlePathLost(endpoint: serving.ServingEndpoint): void {
     this.endpointTracker.dropEvidence(endpoint);
+    for (const leader of this.#leaders.values()) {
+      leader.dropEvidence(endpoint.id);
+    }
     const suspected = this.reach.isCutOff
       ? this.site.getEndpoints().map((known) => known.endpoint)
       : [endpoint];
--- a/packages/gateway/src/piece_leader.ts
+++ b/packages/gateway/src/piece_leader.ts
@@ -146,6 +146,11 @@
     this.#releaser.add(handles);
   }
 
+  /** Drops what calls over a lost path seemed to show about an endpoint. */
+  dropEvidence(id: EndpointId): void {
+    this.#endpoints.dropSpeed(id);
+  }
+
   /** Gives the load that is reported to other VMs. */
   getLoad(): serving.PoolLoad {
     const now = performance.now();
--- a/packages/serving/src/pool_endpoints.ts
+++ b/packages/serving/src/pool_endpoints.ts
@@ -45,6 +45,8 @@
   /** Moving average of measured over expected duration. */
   ratio: number;
   lastCallAt: number;
+  /** Whether the duration of the running call counts only if it is answered. */
+  isDropped: boolean;
 }
 
 /** Tracks the speed and availability of a pool's endpoints. */
@@ -80,7 +82,9 @@
 
   /** Records the start of a call. */
   recordStart(id: EndpointId): void {
-    this.#getSpeed(id).isBusy = true;
+    const speed = this.#getSpeed(id);
+    speed.isBusy = true;
+    speed.isDropped = false;
   }
 
   /**
@@ -96,13 +100,25 @@
     const speed = this.#getSpeed(id);
     speed.isBusy = false;
     speed.lastCallAt = now;
-    if (time === undefined) return;
+    const isDropped = speed.isDropped && !time?.isAnswered;
+    if (time === undefined || isDropped) return;
     const ratio = time.tookMs / time.expectedMs;
     if (time.isAnswered || ratio > speed.ratio) {
       speed.ratio += NEWEST_RATIO_WEIGHT * (ratio - speed.ratio);
     }
   }
 
+  /**
+   * Drops what is known of an endpoint's speed, also from a call that is running: the
+   * path to it was lost, and its calls timed out.
+   */
+  dropSpeed(id: EndpointId): void {
+    const speed = this.#speeds.get(id);
+    if (speed === undefined) return;
+    speed.ratio = 1;
+    speed.isDropped = true;
+  }
+
   /** Records that an endpoint was busy or had no space for results. */
   recordFull(id: EndpointId, now: number): void {
     this.#getSpeed(id).blockedUntil = now + FULL_BACKOFF_MS;
@@ -135,6 +151,7 @@
       blockedUntil: -Infinity,
       ratio: 1,
       lastCallAt: -Infinity,
+      isDropped: false,
     };
     this.#speeds.set(id, speed);
     return speed;
--- a/packages/serving/src/pool_endpoints_test.ts
+++ b/packages/serving/src/pool_endpoints_test.ts
@@ -73,6 +73,21 @@
     ]);
   });
 
+  // Endpoints that a VM lost its path to got probes alone for seconds.
+  it("takes no call that a lost path broke as the speed of its endpoint", () => {
+    const pool = new PoolEndpoints();
+    const lost = { tookMs: 1_250, expectedMs: 250, isAnswered: false };
+    pool.recordStart("e1");
+    pool.recordStart("e2");
+    pool.recordEnd("e1", 0, lost);
+    for (const id of ["e1", "e2"]) pool.dropSpeed(id);
+    pool.recordEnd("e2", 0, lost);
+    expect(pool.getFast(IDS)).to.deep.equal(IDS);
+    pool.recordStart("e2");
+    pool.recordEnd("e2", 0, lost);
+    expect(pool.getFast(IDS)).to.deep.equal(["e1", "e3"]);
+  });
+
   it("pauses calls to an endpoint that was full", () => {
     const pool = new PoolEndpoints();
     pool.recordFull("e1", 0);
