VMs lend each other shares of announced rate limits

Cause: a limit that holds for all VMs was divided evenly by their number, whatever traffic each of them has (planVmShare).

Change: a VM whose share is nearly used asks two others for a part of theirs (packages/limit_loans, RPC `lendSends`). A lender counts a loan as its own sends, keeps a quarter of its share, and a loan ends 350 ms after it was asked for. The window of a share is 400 ms longer than the endpoint's, so all sends stay within the limit whatever VMs know of each other. Shares, leaders of pools and cold endpoints are as before.

Why it works: what is lent is taken from a share first; nobody has to know the traffic of the others.

--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -15,7 +15,7 @@
 import { EVENT } from "./events.ts";
 import type { EndpointLoad, EndpointNotices } from "./ports.ts";
 import { EndpointSpeeds } from "./endpoint_speeds.ts";
-import { RateLimits } from "./rate_limits.ts";
+import { RateLimits, type RateLimitsOptions } from "./rate_limits.ts";
 import type { Rollouts } from "./rollouts.ts";
 import type { SiteState } from "./site_state.ts";
 
@@ -52,6 +52,8 @@
   readonly coldLimit: serving.ColdLimit;
   /** Whether other VMs reach an endpoint that this VM does not reach. */
   readonly isRelayed: (endpoint: serving.ServingEndpoint) => boolean;
+  /** Asks another VM for parts of its shares of rate limits. */
+  readonly callLender: RateLimitsOptions["callLender"];
   /** Called when a request broke. */
   readonly checkPath: (endpoint: serving.ServingEndpoint) => void;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
  */
 import type * as endpointPaths from "@sardinestep/endpoint_paths";
 import * as forecast from "@sardinestep/forecast";
+import * as limitLoans from "@sardinestep/limit_loans";
 import type * as logger from "@sardinestep/logger";
 import * as metrics from "@sardinestep/metrics";
 import * as rpc from "@sardinestep/rpc";
@@ -152,6 +153,13 @@
       coldLimit: bounds.cold,
       isRelayed: (endpoint) => this.reach.isRelayed(endpoint),
       checkPath: (endpoint) => this.reach.checkPath(endpoint),
+      callLender: async (lender, asks) => {
+        const timeoutMs = limitLoans.LOAN_MS;
+        const answer = await rpc.callOnce(lender, "lendSends", { asks }, {
+          timeoutMs,
+        });
+        return answer.unwrapOr(undefined);
+      },
     });
     this.#quarantine = new RequestQuarantine({
       site: this.site,
@@ -395,6 +403,7 @@
         this.#getLeader(service, shard).cancel(requestId);
         return true;
       },
+      lendSends: ({ asks }) => this.endpointTracker.limits.lend(asks),
       releaseResults: ({ service, shard, handles }) => {
         this.#getLeader(service, shard).release(handles);
         return true;
--- a/packages/gateway/src/rate_limits.ts
+++ b/packages/gateway/src/rate_limits.ts
@@ -1,11 +1,13 @@
 /**
- * Rate limits that endpoints announce, this VM's share of them, and pauses.
+ * Rate limits that endpoints announce, this VM's share of them, loans of other VMs'
+ * shares, and pauses.
  *
  * @module
  */
+import * as limitLoans from "@sardinestep/limit_loans";
 import type * as logger from "@sardinestep/logger";
 import * as serving from "@sardinestep/serving";
-import type { EndpointId } from "@sardinestep/types";
+import type { Address, EndpointId } from "@sardinestep/types";
 import { EVENT, type NoticeSource } from "./events.ts";
 import type { SiteState } from "./site_state.ts";
 
@@ -14,6 +16,8 @@
   readonly site: SiteState;
   readonly events: logger.EventLog;
   readonly vmId: string;
+  /** Asks another VM for parts of its shares. */
+  readonly callLender: limitLoans.LoanBrokerOptions["callLender"];
 }
 
 /**
@@ -26,10 +30,17 @@
   readonly #pauses = new serving.EndpointPauses();
   readonly #brittle = new serving.BrittleServices();
   readonly #sends = new serving.SendRate(serving.MAX_LIMIT_WINDOW_MS);
+  /** Sends to each limited endpoint, those on loans included. */
+  readonly #allSends = new serving.SendRate(limitLoans.RECENT_MS);
+  readonly #loans: limitLoans.LoanBroker;
 
-  /** @param options Site state, log and this VM's id. */
+  /** @param options Site state, log, this VM's id and how others are asked. */
   constructor(options: RateLimitsOptions) {
     this.#options = options;
+    this.#loans = new limitLoans.LoanBroker({
+      callLender: options.callLender,
+      getLenders: (endpointId) => this.#getLenders(endpointId),
+    });
   }
 
   /** Returns the time until the pause that an endpoint asked for ends, in ms. */
@@ -39,20 +50,37 @@
 
   /**
    * Returns the time until this VM may send a request to an endpoint, in
-   * milliseconds; infinite where only other VMs may send.
+   * milliseconds; infinite where only other VMs may send. Asks other VMs for a loan
+   * if this VM's share is used.
    */
   getWaitMs(endpoint: serving.ServingEndpoint, now: number): number {
     const pauseMs = this.getPauseMs(endpoint, now);
-    const perSecond = this.#limits.get(endpoint);
-    if (perSecond === undefined) return pauseMs;
-    const { site, vmId } = this.#options;
-    const share = serving.planLimitShare({
-      endpointId: endpoint.id,
-      vmId,
-      members: site.members.map((member) => member.vmId),
-      perSecond,
+    const share = this.#planShare(endpoint);
+    if (share === undefined) return pauseMs;
+    const waitMs = this.#sends.getWaitMs(endpoint.id, now, share);
+    if (waitMs === 0) return pauseMs;
+    if (this.#loans.ledger.count(endpoint.id, now) > 0) return pauseMs;
+    this.#askForLoan(endpoint.id, 0, now);
+    return Math.max(pauseMs, waitMs);
+  }
+
+  /**
+   * Lends other VMs parts of this VM's shares, which then count as its own sends.
+   *
+   * @returns What it lends, in the order of the asks.
+   */
+  lend(asks: readonly limitLoans.LoanAsk[]): number[] {
+    const now = performance.now();
+    return asks.map(({ endpointId, count: asked }) => {
+      const endpoint = this.#options.site.findEndpoint(endpointId);
+      const share = endpoint && this.#planShare(endpoint);
+      if (share === undefined) return 0;
+      const { requests, windowMs } = share;
+      const sent = this.#sends.countSent(endpointId, now, windowMs);
+      const lent = limitLoans.planLoan({ requests, sent, asked });
+      for (let i = 0; i < lent; i++) this.#sends.record(endpointId, now);
+      return lent;
     });
-    return Math.max(pauseMs, this.#sends.getWaitMs(endpoint.id, now, share));
   }
 
   /** Whether the leader of a pool may call an endpoint now. */
@@ -66,8 +94,20 @@
 
   /** Records that a request or a call with pieces is sent to an endpoint. */
   recordSend(endpoint: serving.ServingEndpoint): void {
-    if (this.#limits.get(endpoint) === undefined) return;
-    this.#sends.record(endpoint.id, performance.now());
+    const share = this.#planShare(endpoint);
+    if (share === undefined) return;
+    const { id } = endpoint;
+    const now = performance.now();
+    this.#allSends.record(id, now);
+    const { ledger } = this.#loans;
+    const isShareUsed = !this.#sends.maySend(id, now, share);
+    if (!isShareUsed || !ledger.removeSend(id, now)) {
+      this.#sends.record(id, now);
+    }
+    const { requests, windowMs } = share;
+    const ownLeft = requests - this.#sends.countSent(id, now, windowMs);
+    const left = Math.max(0, ownLeft) + ledger.count(id, now);
+    this.#askForLoan(id, left, now);
   }
 
   /** Records the limit in an endpoint's answer, or that it has none. */
@@ -138,6 +178,42 @@
     this.#limits.keep(ids);
     this.#pauses.dropEnded(performance.now());
     this.#sends.keep(ids);
+    this.#allSends.keep(ids);
+    this.#loans.keep(ids);
+  }
+
+  #planShare(
+    endpoint: serving.ServingEndpoint,
+  ): serving.SendShare | undefined {
+    const limit = this.#getLimit(endpoint);
+    return limit && serving.planLimitShare(limit);
+  }
+
+  #getLimit(
+    endpoint: serving.ServingEndpoint,
+  ): serving.SharedRateLimit | undefined {
+    const perSecond = this.#limits.get(endpoint);
+    if (perSecond === undefined) return undefined;
+    const { site, vmId } = this.#options;
+    const members = site.members.map((member) => member.vmId);
+    return { endpointId: endpoint.id, vmId, members, perSecond };
+  }
+
+  #askForLoan(id: EndpointId, left: number, now: number): void {
+    const recent = this.#allSends.countSent(id, now, limitLoans.RECENT_MS);
+    const asked = limitLoans.planAsk({ left, recent });
+    if (asked > 0) this.#loans.addAsk(id, asked);
+  }
+
+  #getLenders(endpointId: EndpointId): Address[] {
+    const { site, vmId } = this.#options;
+    const endpoint = site.findEndpoint(endpointId);
+    const limit = endpoint && this.#getLimit(endpoint);
+    if (limit === undefined) return [];
+    const ids = new Set(serving.pickLimitSharers(limit));
+    return site.members
+      .filter((member) => member.vmId !== vmId && ids.has(member.vmId))
+      .map((member) => member.rpc);
   }
 
   #record(
--- a/packages/rpc/src/methods.ts
+++ b/packages/rpc/src/methods.ts
@@ -17,6 +17,7 @@
   VersionedConfiguration,
 } from "@sardinestep/configuration";
 import type { CustomerDemand } from "@sardinestep/decisions";
+import type * as limitLoans from "@sardinestep/limit_loans";
 import type * as serving from "@sardinestep/serving";
 import type { TimelineEvent, TimelineFilter } from "@sardinestep/timeline";
 import type {
@@ -203,6 +204,11 @@
     };
     result: true;
   };
+  /** Gateways: asks a VM for parts of its shares of rate limits. */
+  lendSends: {
+    params: { readonly asks: readonly limitLoans.LoanAsk[] };
+    result: readonly number[];
+  };
   /** Gateways: releases results that will not be read again. */
   releaseResults: {
     params: {
--- a/packages/serving/src/rate_limit.ts
+++ b/packages/serving/src/rate_limit.ts
@@ -5,7 +5,12 @@
  *
  * @module
  */
-import { planVmShare, type SendShare, type SharedLimit } from "./vm_share.ts";
+import {
+  pickSharers,
+  planVmShare,
+  type SendShare,
+  type SharedLimit,
+} from "./vm_share.ts";
 
 /**
  * Window of a share, in milliseconds. Shares are whole requests: of a small limit,
@@ -26,6 +31,11 @@
 export const MAX_LIMIT_WINDOW_MS = WINDOW_FACTOR * MS_PER_SECOND /
   MIN_PER_SECOND;
 
+/** An endpoint's rate limit and the VMs that share it. */
+export interface SharedRateLimit extends Omit<SharedLimit, "total"> {
+  readonly perSecond: number;
+}
+
 /**
  * Returns this VM's share of an endpoint's rate limit.
  *
@@ -36,13 +46,17 @@
  * // { requests: 8, windowMs: 4_400 }
  * ```
  */
-export function planLimitShare(
-  options: Omit<SharedLimit, "total"> & { readonly perSecond: number },
-): SendShare {
+export function planLimitShare(options: SharedRateLimit): SendShare {
   const { total, windowMs } = planWindow(options.perSecond);
   return { requests: planVmShare({ ...options, total }), windowMs };
 }
 
+/** Picks the VMs that may send to an endpoint within its rate limit. */
+export function pickLimitSharers(options: SharedRateLimit): readonly string[] {
+  const { total } = planWindow(options.perSecond);
+  return pickSharers({ ...options, total });
+}
+
 /** Returns the share of a leader, which makes all calls to an endpoint. */
 export function planLeaderShare(perSecond: number): SendShare {
   const { total, windowMs } = planWindow(perSecond * LEADER_SHARE);
--- a/packages/serving/src/vm_share.ts
+++ b/packages/serving/src/vm_share.ts
@@ -33,14 +33,31 @@
  * planVmShare({ endpointId: "e1", vmId: "vm-1", members: ["vm-1", "vm-2"], total: 7 }); // 3
  * ```
  */
-export function planVmShare(
-  { endpointId, vmId, members, total }: SharedLimit,
-): number {
-  const all = members.includes(vmId) ? members : [...members, vmId];
-  const perVm = Math.floor(total / all.length);
+export function planVmShare(limit: SharedLimit): number {
+  const { vmId, total } = limit;
+  const perVm = Math.floor(total / getVms(limit).length);
   if (perVm >= 1) return perVm;
-  const ranked = membership.buildRanking(endpointId, all, (id) => id);
-  return ranked.indexOf(vmId) < total ? 1 : 0;
+  return pickSharers(limit).includes(vmId) ? 1 : 0;
+}
+
+/**
+ * Picks the VMs whose share of a limit is at least one request.
+ *
+ * @example
+ * ```ts
+ * pickSharers({ endpointId: "e1", vmId: "vm-1", members: ["vm-1", "vm-2"], total: 7 });
+ * // ["vm-1", "vm-2"]
+ * ```
+ */
+export function pickSharers(limit: SharedLimit): readonly string[] {
+  const vms = getVms(limit);
+  const { endpointId, total } = limit;
+  if (total >= vms.length) return vms;
+  return membership.buildRanking(endpointId, vms, (id) => id).slice(0, total);
+}
+
+function getVms({ vmId, members }: SharedLimit): readonly string[] {
+  return members.includes(vmId) ? members : [...members, vmId];
 }
 
 /** Counts this VM's recent requests to endpoints. */
@@ -59,6 +76,11 @@
     this.#sent.set(endpointId, [...recent, now]);
   }
 
+  /** Counts the requests of a window. */
+  countSent(endpointId: EndpointId, now: number, windowMs: number): number {
+    return this.#getRecent(endpointId, now, windowMs).length;
+  }
+
   /** Whether another request stays within a share. */
   maySend(endpointId: EndpointId, now: number, share: SendShare): boolean {
     return this.getWaitMs(endpointId, now, share) === 0;
