Answers that end with their connection count again

Cause: not the product's. The relay of the stand-ins passed a reset on as an end in order, and threw away what it had not delivered yet; no network does either, and the pages say that an answer that is reset on the way isn't complete.

Change: the relay passes resets on as resets and delivers what it has before an end. Plain answers count under the same conditions as streams: the connection ended in order, straight from the endpoint, and the endpoint accepts another one right after (a crash looks alike but for that).

Gone endpoints, relayed connections and crashes are refused as before.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -149,7 +149,6 @@
       }),
       body: request.body,
       maxIdleMs: this.#options.maxIdleMs,
-      mayEndUnframed: this.#options.isStream,
     }, this);
     if (this.#isFinished) return;
     this.#removeEndListener = scope.addEndListener(() =>
--- a/packages/testing/src/silent_relay.ts
+++ b/packages/testing/src/silent_relay.ts
@@ -133,7 +133,10 @@
       socket.on("data", (data) => {
         if (!isHeld) this.#forward(data, other);
       });
-      socket.on("error", () => {});
+      // As on a network, an end is not delivered for a reset.
+      socket.on("error", () => {
+        if (this.#connections.has(connection)) other.resetAndDestroy();
+      });
       socket.on(
         "end",
         () => this.#runDelayed(() => this.#closeConnection(connection)),
@@ -161,7 +164,8 @@
   /** Closes both sides when either ends, except on silenced connections. */
   #closeConnection(connection: Connection): void {
     if (!this.#connections.delete(connection)) return;
-    connection.client.destroy();
-    connection.upstream.destroy();
+    // What has arrived is still delivered, as on a network.
+    connection.client.destroySoon();
+    connection.upstream.destroySoon();
   }
 }
