--- a/packages/endpoint_paths/src/path_connector.ts
+++ b/packages/endpoint_paths/src/path_connector.ts
@@ -17,7 +17,7 @@
   type RelayResult,
 } from "./path_table.ts";
 import { type Relay, RELAY_ANSWER, type RelayTable } from "./relay_table.ts";
-import type { Connector } from "./timed_connect.ts";
+import { buildTarget, type Connector } from "./timed_connect.ts";
 import { openTunnel } from "./tunnel_client.ts";
 
 /** Options of {@link PathConnector}. */
@@ -91,8 +91,7 @@
   }
 
   #isOpened(address: Address, plan: PathPlan): Promise<boolean> {
-    const [hostname = "", port = ""] = address.split(":");
-    const target = { hostname, protocol: "http:", port };
+    const target = buildTarget(address);
     return new Promise((resolve) => {
       const callback: buildConnector.Callback = (...[error, socket]) => {
         socket?.destroy();
--- a/packages/endpoint_paths/src/timed_connect.ts
+++ b/packages/endpoint_paths/src/timed_connect.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import * as rpc from "@sardinestep/rpc";
+import type { Address } from "@sardinestep/types";
 import type { Socket } from "node:net";
 import type { buildConnector } from "undici";
 import { IoTimeout } from "./io_timeout.ts";
@@ -10,6 +12,20 @@
 /** Opens a connection. */
 export type Connector = buildConnector.connector;
 
+/**
+ * Builds what a connector needs to know of an address.
+ *
+ * @throws {Error} When it is not an address.
+ * @example
+ * ```ts
+ * connect(buildTarget("10.1.0.9:8080"), use);
+ * ```
+ */
+export function buildTarget(address: Address): buildConnector.Options {
+  const { host, port } = rpc.parseAddress(address);
+  return { hostname: host, protocol: "http:", port: String(port) };
+}
+
 /**
  * Adds a timeout to a connector of undici.
  *
--- a/packages/endpoint_paths/src/tunnel_server.ts
+++ b/packages/endpoint_paths/src/tunnel_server.ts
@@ -7,7 +7,7 @@
 import type { Address } from "@sardinestep/types";
 import { createServer, type Server } from "node:http";
 import type { Socket } from "node:net";
-import type { Connector } from "./timed_connect.ts";
+import { buildTarget, type Connector } from "./timed_connect.ts";
 import {
   CALLER_HEADER,
   STATUS_REFUSED,
@@ -31,7 +31,7 @@
   /** RPC addresses of the VMs that have tunnels open, as they gave them. */
   getCallers(): ReadonlySet<Address>;
   /** Tunnels that carry a request whose answer has not ended. */
-  countBusy(now?: number): number;
+  countBusy(): number;
   /**
    * Closes tunnels without a request. Their VMs must know by then, or they may just
    * have sent one.
@@ -133,7 +133,8 @@
     return new Set(addresses.filter((address) => address !== undefined));
   }
 
-  countBusy(now = performance.now()): number {
+  countBusy(): number {
+    const now = performance.now();
     return [...this.#tunnels].filter((tunnel) => !isIdle(tunnel, now)).length;
   }
 
@@ -164,9 +165,7 @@
   #connect(asked: TunnelRequest): void {
     const { target, caller } = asked;
     this.#pending.add(caller);
-    const { host, port } = rpc.parseAddress(target);
-    const options = { hostname: host, protocol: "http:", port: String(port) };
-    this.#options.connect(options, (...[error, endpoint]) => {
+    this.#options.connect(buildTarget(target), (...[error, endpoint]) => {
       this.#pending.delete(caller);
       if (error !== null) return sendStatus(caller, STATUS_UNREACHABLE);
       if (caller.destroyed) return void endpoint.destroy();
--- a/packages/gateway/src/endpoint_reach.ts
+++ b/packages/gateway/src/endpoint_reach.ts
@@ -197,9 +197,9 @@
   #handleChange(address: Address, change: endpointPaths.PathChange): void {
     if (change === "none") return;
     const endpoint = this.#findEndpoint(address);
-    const { events, metrics, handleLost, handleFound } = this.#options;
+    const { events, handleLost, handleFound } = this.#options;
     const isLost = change === "lost";
-    metrics.count("endpoint_path_changes_total", { change });
+    this.#options.metrics.count("endpoint_path_changes_total", { change });
     events.write(isLost ? EVENT.pathLost : EVENT.pathFound, {
       endpointId: endpoint?.id,
       service: endpoint?.service,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -279,7 +279,7 @@
       active: this.#ingress.activeRequests,
     });
     void this.#announceStop();
-    this.#streamNotes.handOver();
+    this.#streamNotes.sendAllNotes();
     this.#ingress.startDraining();
     await wait(Math.min(CONNECT_DRAIN_MS, drainMs));
     while (this.#isBusy() && performance.now() < drainUntil) {
@@ -295,7 +295,7 @@
       connections: this.pool.openedTotal,
     });
     // Other VMs chose this one until they knew that it leaves.
-    this.#streamNotes.handOver();
+    this.#streamNotes.sendAllNotes();
     this.close();
   }
 
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -32,7 +32,7 @@
 } from "./request_loads.ts";
 import { END_REASON } from "./request_scope.ts";
 import { StageForecast } from "./stage_forecast.ts";
-import { getStreamEndpoints, resolveStream } from "./resumed_stream.ts";
+import { findResumedStream, getStreamEndpoints } from "./resumed_stream.ts";
 import { StageRun, type StageRunOutcome } from "./stage_run.ts";
 
 /**
@@ -57,7 +57,7 @@
   if ("failure" in routed) {
     return refuseRequest(deps, arrived, routed.failure);
   }
-  const resumed = await resolveStream(deps, routed.request);
+  const resumed = await findResumedStream(deps, routed.request);
   if ("failure" in resumed) {
     return refuseRequest(deps, arrived, resumed.failure);
   }
--- a/packages/gateway/src/resumed_stream.ts
+++ b/packages/gateway/src/resumed_stream.ts
@@ -13,7 +13,7 @@
 const UNREACHABLE_RETRY_AFTER_MS = 500;
 
 /** Resolves the version at which a stream has to go on, or why it can't. */
-export async function resolveStream(
+export async function findResumedStream(
   deps: FlowDependencies,
   request: RoutedRequest,
 ): Promise<{ request: RoutedRequest } | { failure: codes.Failure }> {
--- a/packages/quarantine/src/part_verdict.ts
+++ b/packages/quarantine/src/part_verdict.ts
@@ -165,7 +165,7 @@
   // A part with several followers is in requests of many kinds.
   const isGeneral = followers.size > 1;
   if (isGeneral && ![...crashes].some(evidence.isAnswering)) return false;
-  if (extendsKnown(candidate, evidence, known)) return true;
+  if (isExtensionOfKnown(candidate, evidence, known)) return true;
   const mayWait = unexplained.size < TIE_BREAK_CRASHES;
   return moments >= MIN_MOMENTS && !(mayWait && isTied(candidate, all));
 }
@@ -174,7 +174,7 @@
  * Whether the part was in all crashes of a quarantined one that follows it, and in
  * more: it is the cause, and the other one was only in the same requests.
  */
-function extendsKnown(
+function isExtensionOfKnown(
   { crashes, followers }: Candidate,
   evidence: PartEvidence,
   known: ReadonlySet<PartKey>,
--- a/packages/stream_versions/src/note_exchange.ts
+++ b/packages/stream_versions/src/note_exchange.ts
@@ -107,7 +107,7 @@
   }
 
   /** Hands all notes over to VMs that stay. */
-  handOver(): void {
+  sendAllNotes(): void {
     this.#sendNotes(this.#table.getAll(performance.now()));
   }
 
--- a/packages/stream_versions/src/note_exchange_test.ts
+++ b/packages/stream_versions/src/note_exchange_test.ts
@@ -77,7 +77,7 @@
     const keepers = exchanges.filter(({ size }) => size > 0);
     for (const keeper of keepers) {
       holders = holders.filter((_, i) => exchanges[i] !== keeper);
-      keeper.handOver();
+      keeper.sendAllNotes();
       await wait(WAIT_MS);
       keeper.close();
       exchanges.splice(exchanges.indexOf(keeper), 1);
