Review: the cold worker of case 3 crashes; scripts end what they started

Cause: the script showed the count alone, at a load with little margin, and a script that was stopped by its time limit left gateways behind.

--- a/review/lib/gateways.mjs
+++ b/review/lib/gateways.mjs
@@ -50,12 +50,26 @@
 ];
 /** Port of the metrics, which the deploy file sets. */
 const METRICS_PORT = 7741;
+const EXIT_NOT_RUN = 2;
 const READY_TIMEOUT_MS = 10_000;
 
 export class Gateways {
   #folder = mkdtempSync(join(tmpdir(), "review-"));
   #vms = [];
 
+  constructor() {
+    process.on("exit", () => this.#end());
+    // A script that takes too long is stopped; no program may outlive it.
+    for (const signal of ["SIGTERM", "SIGINT"]) {
+      process.on(signal, () => process.exit(EXIT_NOT_RUN));
+    }
+  }
+
+  #end() {
+    for (const { child } of this.#vms) child?.kill("SIGKILL");
+    rmSync(this.#folder, { recursive: true, force: true });
+  }
+
   /** Reserves the addresses of the VMs, in the given zones. */
   async plan(zones) {
     const subnet = await findFreeSubnet(zones.length);
@@ -108,9 +122,8 @@
 
   /** Ends all programs that were started. */
   async stopAll() {
-    for (const { child } of this.#vms) child?.kill("SIGKILL");
+    this.#end();
     await Promise.all(this.#vms.map(({ child }) => child?.exited));
-    rmSync(this.#folder, { recursive: true, force: true });
   }
 }
 
--- a/review/lib/workers.mjs
+++ b/review/lib/workers.mjs
@@ -15,6 +15,8 @@
   #sequence = 0;
   address = "";
   state = "ready";
+  /** Whether it has crashed; then it resets what arrives. */
+  isDown = false;
   /** Unix time until which the worker is cold. */
   coldUntil = 0;
 
@@ -66,6 +68,7 @@
   }
 
   async #handle(request, response) {
+    if (this.isDown) return void request.socket.resetAndDestroy();
     this.handleArrival(request);
     const chunks = [];
     for await (const chunk of request) chunks.push(chunk);
