Older listings never replace newer state

Cause: state arrives by listings, by records and from other VMs. Records and the state of other VMs were compared with the position that the VM held, a listing was not: it was applied whatever it was, while the position kept the larger value. So the VM had the old state at the new position, and neither its own reads nor other VMs sent it again.

Fix: SiteState.apply is the one place where state with a position comes in, and StatePositions decides for all parts and ways whether it would undo newer state. Feeds no longer keep positions of their own, so the next read always begins where the state ends. Positions order by epoch first, so the listing of a restored store is newer although its offsets went back. An outdated listing is logged (isApplied false) and counted (state_arrivals_total) and followed by one read; a VM registers itself after it, too.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -116,7 +116,7 @@
       bounds.registryDeadlineMs,
     );
     this.#retryBudget = new serving.RetryBudget(getRetryBudgetOptions(bounds));
-    this.site = new SiteState(events);
+    this.site = new SiteState(events, this.metrics);
     this.reach = new EndpointReach({
       connect: options.connect,
       site: this.site,
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -10,3 +10,4 @@
 export * from "./ports.ts";
 export * from "./rollouts.ts";
 export * from "./site_state.ts";
+export * from "./state_positions.ts";
--- a/packages/gateway/src/rollouts_test.ts
+++ b/packages/gateway/src/rollouts_test.ts
@@ -4,6 +4,7 @@
 import { expect } from "chai";
 import { Rollouts } from "./rollouts.ts";
 import { SiteState } from "./site_state.ts";
+import { STATE_PART } from "./state_positions.ts";
 
 const SERVICE = "engine";
 const ORDER: rollout.RolloutOrder = {
@@ -46,7 +47,10 @@
         idleTimeoutMs: 1,
       },
     }, "registry");
-    this.site.setEndpointPosition(1);
+    this.site.apply(
+      { part: STATE_PART.endpoints, kind: "listing", position: 1 },
+      () => {},
+    );
     this.rollouts = new Rollouts({
       site: this.site,
       events,
--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type * as logger from "@sardinestep/logger";
+import type * as metrics from "@sardinestep/metrics";
 import * as quarantine from "@sardinestep/quarantine";
 import type * as rollout from "@sardinestep/rollout";
 import * as serving from "@sardinestep/serving";
@@ -19,6 +20,12 @@
 } from "@sardinestep/types";
 import { EVENT, type NoticeSource, type UpdateSource } from "./events.ts";
 import { RolloutOrders } from "./rollout_orders.ts";
+import {
+  STATE_PART,
+  type StateArrival,
+  type StatePart,
+  StatePositions,
+} from "./state_positions.ts";
 import { ZonesOut } from "./zones_out.ts";
 
 /** A VM, by the version of its configuration. */
@@ -56,20 +63,17 @@
   #memberVersion = 0;
   #configuration: serving.ServingConfiguration | undefined;
   #table: serving.RouteTable | undefined;
-  #operatorPosition = NO_POSITION;
-  #endpointPosition = NO_POSITION;
-  #memberPosition = NO_POSITION;
-  #quarantinePosition = NO_POSITION;
+  readonly #positions: StatePositions;
   /** Epoch of the newest position; it grows when the registry is restored. */
   #epoch = getEpoch(NO_POSITION);
-  #operatorSyncedAt = -Infinity;
-  #endpointSyncedAt = -Infinity;
+  readonly #syncedAt = new Map<StatePart, number>();
   #configuredAt = -Infinity;
   #restoredAt = -Infinity;
 
-  /** @param events Log of state changes. */
-  constructor(events: logger.EventLog) {
+  /** @param events Log of state changes. @param metrics Counts what arrives. */
+  constructor(events: logger.EventLog, metrics?: metrics.Metrics) {
     this.#events = events;
+    this.#positions = new StatePositions(metrics);
     this.orders = new RolloutOrders(events);
     this.#zonesOut = new ZonesOut(events);
   }
@@ -81,33 +85,28 @@
 
   /** Whether configuration and endpoints are known, so requests can be served. */
   get isComplete(): boolean {
-    return this.#table !== undefined && this.#endpointPosition >= 0;
+    return this.#table !== undefined && this.endpointPosition >= 0;
   }
 
   get operatorPosition(): number {
-    return this.#operatorPosition;
+    return this.positions.operatorPosition;
   }
 
   get endpointPosition(): number {
-    return this.#endpointPosition;
+    return this.positions.endpointPosition;
   }
 
   get memberPosition(): number {
-    return this.#memberPosition;
+    return this.positions.memberPosition;
   }
 
   get quarantinePosition(): number {
-    return this.#quarantinePosition;
+    return this.positions.quarantinePosition;
   }
 
   /** Position up to which each topic has been read. */
   get positions(): serving.ReadPositions {
-    return {
-      operatorPosition: this.#operatorPosition,
-      endpointPosition: this.#endpointPosition,
-      memberPosition: this.#memberPosition,
-      quarantinePosition: this.#quarantinePosition,
-    };
+    return this.#positions.all;
   }
 
   /** Epoch of the newest state that this VM has; -1 if it has none. */
@@ -117,7 +116,10 @@
 
   /** Monotonic time at which the state was last in sync with the registry. */
   get syncedAt(): number {
-    return Math.min(this.#operatorSyncedAt, this.#endpointSyncedAt);
+    return Math.min(
+      this.#syncedAt.get(STATE_PART.operator) ?? -Infinity,
+      this.#syncedAt.get(STATE_PART.endpoints) ?? -Infinity,
+    );
   }
 
   /** Monotonic time at which the current configuration was applied. */
@@ -153,26 +155,33 @@
     });
   }
 
-  /** Records up to where the operator's topic has been read, and when. */
-  setOperatorPosition(position: number, syncedAt = performance.now()): void {
-    this.#operatorPosition = Math.max(this.#operatorPosition, position);
-    this.#operatorSyncedAt = Math.max(this.#operatorSyncedAt, syncedAt);
-  }
-
-  /** Records up to where the endpoints' topic has been read, and when. */
-  setEndpointPosition(position: number, syncedAt = performance.now()): void {
-    this.#endpointPosition = Math.max(this.#endpointPosition, position);
-    this.#endpointSyncedAt = Math.max(this.#endpointSyncedAt, syncedAt);
-  }
-
-  /** Records up to where the members' topic has been read. */
-  setMemberPosition(position: number): void {
-    this.#memberPosition = Math.max(this.#memberPosition, position);
-  }
-
-  /** Records up to where the quarantine's topic has been read. */
-  setQuarantinePosition(position: number): void {
-    this.#quarantinePosition = Math.max(this.#quarantinePosition, position);
+  /**
+   * Applies state that has arrived, unless this VM has newer state of the same part.
+   * Everything that has a position comes through here, from wherever it arrives.
+   *
+   * @param arrival The part, the way and the position of the state.
+   * @param change Applies it.
+   * @param syncedAt Monotonic time at which it was in sync with the registry.
+   * @returns Whether it was applied.
+   *
+   * @example
+   * ```ts
+   * const arrival = { part: STATE_PART.operator, kind: "listing", position } as const;
+   * site.apply(arrival, () => site.applyOperatorListing(listing, "registry"));
+   * ```
+   */
+  apply(
+    arrival: StateArrival,
+    change: () => void,
+    syncedAt = performance.now(),
+  ): boolean {
+    if (this.#positions.isOutdated(arrival)) return false;
+    const source = arrival.kind === "relayed" ? "peer" : "registry";
+    this.updateEpoch(arrival.position, source);
+    change();
+    this.#positions.update(arrival);
+    this.#recordPartSynced(arrival.part, syncedAt);
+    return true;
   }
 
   /** Applies a quarantine entry that is stored in the registry. */
@@ -218,7 +227,7 @@
   }
 
   get #operatorEpoch(): number {
-    return getEpoch(this.#operatorPosition);
+    return getEpoch(this.operatorPosition);
   }
 
   /** Whether a zone is out of service, so its endpoints get no requests. */
@@ -410,75 +419,82 @@
    */
   mergeUpdate(update: serving.SiteUpdate, syncedAt: number): void {
     this.updateEpoch(getNewestPosition(update), "peer");
-    if (update.operator !== undefined) this.#mergeOperator(update, syncedAt);
-    if (update.endpoints !== undefined) this.#mergeEndpoints(update, syncedAt);
-    if (update.members !== undefined) this.#mergeMembers(update);
-    if (update.quarantined !== undefined) this.#mergeQuarantined(update);
+    const { operator, endpoints, members, quarantined } = update;
+    const applyPart = (part: StatePart, change: () => void) =>
+      this.apply(
+        { part, kind: "relayed", position: update[part] },
+        change,
+        syncedAt,
+      );
+    // Versions alone order configurations, whichever records they come from.
+    if (operator?.configuration !== undefined) {
+      this.applyConfiguration(operator.configuration, "peer");
+    }
+    if (operator !== undefined) {
+      applyPart(STATE_PART.operator, () => this.#mergeOperator(operator));
+    }
+    if (endpoints !== undefined) {
+      applyPart(
+        STATE_PART.endpoints,
+        () => this.#mergeEndpoints(endpoints, update.endpointPosition),
+      );
+    }
+    if (members !== undefined) {
+      applyPart(STATE_PART.members, () => this.#mergeMembers(members));
+    }
+    if (quarantined !== undefined) {
+      applyPart(
+        STATE_PART.quarantine,
+        () => this.#mergeQuarantined(quarantined),
+      );
+    }
   }
 
   /** Records a time at which the state was in sync with the registry. */
   recordSynced(syncedAt: number): void {
-    this.#operatorSyncedAt = Math.max(this.#operatorSyncedAt, syncedAt);
-    this.#endpointSyncedAt = Math.max(this.#endpointSyncedAt, syncedAt);
+    this.#recordPartSynced(STATE_PART.operator, syncedAt);
+    this.#recordPartSynced(STATE_PART.endpoints, syncedAt);
   }
 
-  /**
-   * A live VM that is removed here is added again with its next view.
-   *
-   * An older list that arrives late is ignored: it would remove members that it
-   * lacks, and other VMs send nothing again that this VM has already read.
-   */
-  #mergeMembers(update: serving.SiteUpdate): void {
-    if (update.memberPosition <= this.#memberPosition) return;
-    const members = update.members!;
+  #recordPartSynced(part: StatePart, syncedAt: number): void {
+    const before = this.#syncedAt.get(part) ?? -Infinity;
+    this.#syncedAt.set(part, Math.max(before, syncedAt));
+  }
+
+  /** A live VM that is removed here is added again with its next view. */
+  #mergeMembers(members: readonly serving.ServingMember[]): void {
     const listed = new Set(members.map((member) => member.vmId));
     for (const { vmId } of this.members) {
       if (!listed.has(vmId)) this.removeMember(vmId);
     }
     for (const member of members) this.updateMember(member);
-    this.setMemberPosition(update.memberPosition);
   }
 
-  #mergeQuarantined(update: serving.SiteUpdate): void {
-    if (update.quarantinePosition <= this.#quarantinePosition) return;
-    const entries = update.quarantined!;
+  #mergeQuarantined(entries: readonly quarantine.QuarantineEntry[]): void {
     const kept = new Set(entries.map((entry) => entry.fingerprint));
     this.quarantined.removeStoredExcept(kept);
     for (const entry of entries) this.applyQuarantine(entry, "peer");
-    this.setQuarantinePosition(update.quarantinePosition);
   }
 
-  #mergeOperator(update: serving.SiteUpdate, syncedAt: number): void {
-    const { configuration, zonesOut, rolloutOrders } = update.operator!;
-    // Versions alone order configurations, whichever records they come from.
-    if (configuration !== undefined) {
-      this.applyConfiguration(configuration, "peer");
-    }
-    if (update.operatorPosition <= this.#operatorPosition) return;
+  #mergeOperator(
+    { zonesOut, rolloutOrders }: serving.OperatorState,
+  ): void {
     const orderedServices = rolloutOrders.map(({ service }) => service);
     this.applyOperatorListing(
       { zonesOut, orderedServices, rolloutOrders },
       "peer",
     );
-    this.setOperatorPosition(update.operatorPosition, syncedAt);
   }
 
-  #mergeEndpoints(update: serving.SiteUpdate, syncedAt: number): void {
-    const position = update.endpointPosition;
-    if (position <= this.#endpointPosition) return;
+  #mergeEndpoints(update: serving.EndpointUpdate, position: number): void {
     const now = performance.now();
-    const changes = this.#endpoints.mergeUpdate(
-      update.endpoints!,
-      now,
-      position,
-    );
+    const changes = this.#endpoints.mergeUpdate(update, now, position);
     for (const { id, change, service } of changes) {
       this.#logEndpointChange(change, id, "peer", service);
     }
-    for (const { endpoint } of update.endpoints!.changed) {
+    for (const { endpoint } of update.changed) {
       if (endpoint.isDraining) this.#recordDraining(endpoint);
     }
-    this.setEndpointPosition(position, syncedAt);
   }
 
   #handleMembersChanged(): void {
