A member listing removes the members that it lacks

A VM that listed the members again, because the store had dropped its history, kept those that had left meanwhile: the listing only added. Its position was then as new as the others', so none of them sent it their list, and nothing removed the members until a later change arrived through another VM. Such a VM divides retries and the load of cold endpoints by too many VMs and ranks members that are gone.

Fix: a listing removes what it lacks, as a list of another VM does. The first listing doesn't (VMs that start together know each other before their records are written), nor does that of a restored store.

--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -368,6 +368,15 @@
     this.#events.write(EVENT.memberChanged, { vmId, kind: "left" });
   }
 
+  /**
+   * Removes members that a complete listing lacks. The first listing may lack VMs that
+   * start together with this one, and that of a restored registry any VM.
+   */
+  removeMissingMembers(vmIds: ReadonlySet<string>): void {
+    if (this.memberPosition === NO_POSITION || this.#isRestoring) return;
+    this.#removeMembersExcept(vmIds);
+  }
+
   /**
    * Whether a VM's configuration is older than this VM's. Equal positions don't show
    * it: a VM that starts reads an earlier version from a restored registry.
@@ -461,13 +470,16 @@
     this.#syncedAt.set(part, Math.max(before, syncedAt));
   }
 
-  /** A live VM that is removed here is added again with its next view. */
   #mergeMembers(members: readonly serving.ServingMember[]): void {
-    const listed = new Set(members.map((member) => member.vmId));
+    this.#removeMembersExcept(new Set(members.map(({ vmId }) => vmId)));
+    for (const member of members) this.updateMember(member);
+  }
+
+  /** A live VM that is removed here is added again with its next view. */
+  #removeMembersExcept(vmIds: ReadonlySet<string>): void {
     for (const { vmId } of this.members) {
-      if (!listed.has(vmId)) this.removeMember(vmId);
+      if (!vmIds.has(vmId)) this.removeMember(vmId);
     }
-    for (const member of members) this.updateMember(member);
   }
 
   #mergeQuarantined(entries: readonly quarantine.QuarantineEntry[]): void {
