A relayed zone is not taken for one that a restored store has

After a store came back from a copy without an evacuation, VMs keep the zone out until the operator writes it again. A VM that got the state from another VM before its own listing took the zone as listed by the store, and returned it to service with that listing: its workers would get requests although the operator had not ended the evacuation.

Fix: only the store's own listing or record shows that it has a zone; the state of another VM may hold it from before the restore.

--- a/packages/gateway/src/zones_out.ts
+++ b/packages/gateway/src/zones_out.ts
@@ -43,7 +43,8 @@
 
   /** Takes a zone out of service or returns it to service. */
   set(zone: ZoneId, isOut: boolean, source: UpdateSource): void {
-    this.#unverified.delete(zone);
+    // Another VM may know the zone only from before the restore, too.
+    if (source === "registry") this.#unverified.delete(zone);
     this.#unlisted.delete(zone);
     if (this.#zones.has(zone) === isOut) return;
     if (isOut) this.#zones.add(zone);
