--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -222,8 +222,16 @@
     this.orders.dropBefore(this.#operatorEpoch);
   }
 
+  /**
+   * Monotonic time until which a restored registry may lack what was written last, so
+   * that nothing is ended because it is missing.
+   */
+  get restoringUntil(): number {
+    return this.#restoredAt + serving.RESTORE_GRACE_MS;
+  }
+
   get #isRestoring(): boolean {
-    return performance.now() - this.#restoredAt < serving.RESTORE_GRACE_MS;
+    return performance.now() < this.restoringUntil;
   }
 
   get #operatorEpoch(): number {
