VMs say which zones a restored store has not listed

Fix: a VM names the zones that it keeps from before the restore (unverifiedZones); the receiver keeps them likewise and takes the others as listed. A VM that started after the restore holds them for the same time, after which it lists for itself. VMs of an earlier version don't send the field, and their zones count as listed, as before.

--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -415,6 +415,7 @@
         ? {
           configuration: this.#configuration,
           zonesOut: this.#zonesOut.getAll(),
+          unverifiedZones: this.#getUnverifiedZones(),
           rolloutOrders: this.orders.getAll(),
         }
         : undefined,
@@ -496,14 +497,24 @@
     for (const entry of entries) this.applyQuarantine(entry, "peer");
   }
 
+  #getUnverifiedZones(): readonly ZoneId[] | undefined {
+    const zones = this.#zonesOut.getUnverified();
+    return zones.length > 0 ? zones : undefined;
+  }
+
   #mergeOperator(
-    { zonesOut, rolloutOrders }: serving.OperatorState,
+    { zonesOut, unverifiedZones = [], rolloutOrders }: serving.OperatorState,
   ): void {
+    const verified = zonesOut.filter((zone) => !unverifiedZones.includes(zone));
     const orderedServices = rolloutOrders.map(({ service }) => service);
+    // Guards a VM that started after the restore and doesn't know of it.
+    const isRestoreNew = unverifiedZones.length > 0 && !this.#isRestoring;
+    if (isRestoreNew) this.#restoredAt = performance.now();
     this.applyOperatorListing(
-      { zonesOut, orderedServices, rolloutOrders },
+      { zonesOut: verified, orderedServices, rolloutOrders },
       "peer",
     );
+    this.#zonesOut.addUnverified(unverifiedZones, "peer");
   }
 
   #mergeEndpoints(update: serving.EndpointUpdate, position: number): void {
--- a/packages/gateway/src/zones_out.ts
+++ b/packages/gateway/src/zones_out.ts
@@ -43,8 +43,7 @@
 
   /** Takes a zone out of service or returns it to service. */
   set(zone: ZoneId, isOut: boolean, source: UpdateSource): void {
-    // Another VM may know the zone only from before the restore, too.
-    if (source === "registry") this.#unverified.delete(zone);
+    this.#unverified.delete(zone);
     this.#unlisted.delete(zone);
     if (this.#zones.has(zone) === isOut) return;
     if (isOut) this.#zones.add(zone);
@@ -65,6 +64,20 @@
     for (const zone of zones) this.set(zone, true, source);
   }
 
+  /** Zones out of service that were not read since the registry was restored. */
+  getUnverified(): ZoneId[] {
+    return [...this.#unverified];
+  }
+
+  /** Takes zones out that another VM knows from before a restore of the registry. */
+  addUnverified(zones: readonly ZoneId[], source: UpdateSource): void {
+    for (const zone of zones) {
+      if (this.#zones.has(zone)) continue;
+      this.set(zone, true, source);
+      this.#unverified.add(zone);
+    }
+  }
+
   /** Records that the registry was restored and may lack what it had listed. */
   handleRestore(): void {
     for (const zone of this.#zones) this.#unverified.add(zone);
--- a/packages/serving/src/messages.ts
+++ b/packages/serving/src/messages.ts
@@ -36,6 +36,11 @@
   readonly configuration?: ServingConfiguration;
   /** Zones that are out of service. */
   readonly zonesOut: readonly ZoneId[];
+  /**
+   * Those that the registry had before it was restored and has not shown since; unset
+   * if there are none.
+   */
+  readonly unverifiedZones?: readonly ZoneId[];
   /** Latest roll-out order of each service that has one. */
   readonly rolloutOrders: readonly rollout.RolloutOrder[];
 }
