Log why a VM ends an answer that has begun

An answer that a VM ended was logged as "brokenOff" with a text, a passed deadline and a caller who read slowly at the exit not at all, so a log could not tell silence, a refused retry, a refused resume and the exit apart.

Now each has a response_truncated line with its cause, the time since the last bytes, the unread bytes and the time since the SIGTERM, and counts in responses_truncated_total{cause}. An eviction keeps its own line. No decision changes.

--- a/packages/gateway/src/_slow_reader_harness.ts
+++ b/packages/gateway/src/_slow_reader_harness.ts
@@ -5,6 +5,7 @@
  */
 import type * as bufferBudget from "@sardinestep/buffer_budget";
 import type * as logger from "@sardinestep/logger";
+import * as metrics from "@sardinestep/metrics";
 import type * as serving from "@sardinestep/serving";
 import { once } from "node:events";
 import {
@@ -24,6 +25,7 @@
 import type { WireAdapter } from "./ports.ts";
 import { END_REASON } from "./request_scope.ts";
 import type { SiteState } from "./site_state.ts";
+import { TRUNCATION_CAUSE } from "./truncation.ts";
 
 /** How often a condition is checked, in milliseconds. */
 const POLL_MS = 10;
@@ -130,7 +132,9 @@
     outcomes.push(outcome);
     if (outcome.kind === "answered") {
       arrived.writer.writeComplete(outcome.answer);
-    } else if (outcome.kind !== "streamed") arrived.writer.abort();
+    } else if (outcome.kind !== "streamed") {
+      arrived.writer.abort({ cause: TRUNCATION_CAUSE.endpointFailed });
+    }
     arrived.scope.end(END_REASON.done);
   }
 
@@ -140,6 +144,7 @@
     events: {
       write: (event: string) => events.push(event),
     } as unknown as logger.EventLog,
+    metrics: new metrics.Metrics({ prefix: "test" }),
     runRequest: runArrived,
     isContended: () => options.isContended,
     budget: options.budget,
--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -7,6 +7,7 @@
 import * as codes from "@sardinestep/codes";
 import type { ServerResponse } from "node:http";
 import { CallerQueue } from "./caller_queue.ts";
+import type { Truncation } from "./truncation.ts";
 
 /** Hop-by-hop headers, and those that are set anew for the caller. */
 const NOT_FORWARDED_HEADERS = new Set([
@@ -50,25 +51,35 @@
   readonly body: Uint8Array;
 }
 
+/** Options of {@link AnswerWriter}. */
+export interface AnswerWriterOptions {
+  /**
+   * Set if unread bytes are queued within a memory budget; otherwise an endpoint is
+   * read only as fast as the caller reads.
+   */
+  readonly account?: bufferBudget.BufferAccount;
+  /** Called when an answer that has begun is ended before its end. */
+  readonly handleTruncation?: (truncation: Truncation) => void;
+}
+
 /** Writes the answer to one caller; only one answer can be started. */
 export class AnswerWriter {
   readonly #response: ServerResponse;
   /** Counts what is held for this response; undefined if nothing but bodies is. */
   readonly account: bufferBudget.BufferAccount | undefined;
   readonly #queue: CallerQueue | undefined;
+  readonly #handleTruncation: (truncation: Truncation) => void;
   #isStreaming = false;
+  #isTruncated = false;
+  /** Monotonic time of the last write of a stream. */
+  #writtenAt = performance.now();
 
-  /**
-   * @param response The response to the caller.
-   * @param account Set if unread bytes are queued within a memory budget; otherwise
-   *   an endpoint is read only as fast as the caller reads.
-   */
-  constructor(
-    response: ServerResponse,
-    account?: bufferBudget.BufferAccount,
-  ) {
+  /** @param response The response to the caller. @param options Memory and events. */
+  constructor(response: ServerResponse, options: AnswerWriterOptions = {}) {
+    const { account, handleTruncation = () => {} } = options;
     this.#response = response;
     this.account = account;
+    this.#handleTruncation = handleTruncation;
     if (account !== undefined) {
       this.#queue = new CallerQueue(response, account);
     }
@@ -79,6 +90,16 @@
     return this.#response.headersSent || this.#isStreaming;
   }
 
+  /** Time since bytes of the answer were written, in milliseconds. */
+  get silentMs(): number {
+    return performance.now() - this.#writtenAt;
+  }
+
+  /** Bytes of the answer that are not passed to the kernel yet. */
+  get unreadBytes(): number {
+    return this.account?.unreadBytes ?? this.#response.writableLength;
+  }
+
   /** Writes an endpoint's answer unchanged. */
   writeComplete(answer: CompleteAnswer): void {
     if (this.#response.destroyed) return;
@@ -123,6 +144,7 @@
 
   /** Writes bytes of a stream; false if the caller reads too slowly. */
   writeChunk(chunk: Uint8Array): boolean {
+    this.#writtenAt = performance.now();
     if (this.#response.destroyed || chunk.length === 0) return true;
     if (this.#queue !== undefined) return this.#queue.write(chunk);
     return this.#response.write(chunk);
@@ -141,13 +163,26 @@
   }
 
   /** The same as {@link abort}, after what is queued for the caller. */
-  abortWhenWritten(): void {
-    if (this.#queue === undefined) this.abort();
-    else this.#queue.abortWhenWritten();
+  abortWhenWritten(truncation: Truncation): void {
+    if (this.#queue === undefined) return this.abort(truncation);
+    this.#recordTruncation(truncation);
+    this.#queue.abortWhenWritten();
   }
 
   /** Closes the connection, so that the caller sees an incomplete answer. */
-  abort(): void {
+  abort(truncation: Truncation): void {
+    this.#recordTruncation(truncation);
     this.#response.destroy();
   }
+
+  #recordTruncation(truncation: Truncation): void {
+    const { destroyed, writableFinished } = this.#response;
+    if (
+      !this.hasStarted || this.#isTruncated || destroyed || writableFinished
+    ) {
+      return;
+    }
+    this.#isTruncated = true;
+    this.#handleTruncation(truncation);
+  }
 }
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -38,6 +38,8 @@
     readonly message: string;
     /** The endpoint closed or reset the connection. */
     readonly isDisconnect: boolean;
+    /** The endpoint sent nothing for the inactivity timeout. */
+    readonly isSilent?: boolean;
   }
   /** The request was ended first: the caller disconnected or the time ran out. */
   | { readonly kind: "ended" };
@@ -290,9 +292,14 @@
     this.#inactivityTimeout?.cancel();
     this.#inactivityTimeout = new endpointPaths.IoTimeout(
       () =>
-        this.#fail(
-          `Endpoint sent nothing for ${Math.round(inactivityTimeoutMs)} ms`,
-        ),
+        this.#finish({
+          kind: "lost",
+          message: `Endpoint sent nothing for ${
+            Math.round(inactivityTimeoutMs)
+          } ms`,
+          isDisconnect: false,
+          isSilent: true,
+        }, serving.EVIDENCE.broken),
       inactivityTimeoutMs,
     );
   }
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -44,6 +44,7 @@
   requestAnswered: "request_answered",
   requestCancelled: "request_cancelled",
   responseEvicted: "response_evicted",
+  responseTruncated: "response_truncated",
   stageQueued: "stage_queued",
   stageDone: "stage_done",
   callStarted: "call_started",
--- a/packages/gateway/src/final_answer.ts
+++ b/packages/gateway/src/final_answer.ts
@@ -16,6 +16,7 @@
 import { END_REASON, type EndReason } from "./request_scope.ts";
 import type { StageForecast } from "./stage_forecast.ts";
 import type { StageRunOutcome } from "./stage_run.ts";
+import { TRUNCATION_CAUSE } from "./truncation.ts";
 
 /** Retry delay for callers when no endpoint is available, in milliseconds. */
 export const UNAVAILABLE_RETRY_AFTER_MS = 500;
@@ -84,8 +85,8 @@
       recordAnswer(deps, request, String(answer.status));
     })
     .with({ kind: "streamed" }, () => recordAnswer(deps, request, "streamed"))
-    .with({ kind: "brokenOff" }, ({ reason }) => {
-      writer.abortWhenWritten();
+    .with({ kind: "brokenOff" }, ({ cause, reason }) => {
+      writer.abortWhenWritten({ cause, reason });
       recordAnswer(deps, request, "brokenOff", reason);
     })
     .with({ kind: "failure" }, ({ failure }) => {
@@ -100,7 +101,9 @@
         });
         return;
       }
-      if (writer.hasStarted) return writer.abort();
+      if (writer.hasStarted) {
+        return writer.abort({ cause: TRUNCATION_CAUSE.deadline });
+      }
       const failure = buildEndedFailure(mayHaveRun, scope.endedBy);
       writer.writeFailure(failure);
       recordAnswer(deps, request, failure.code, failure.message);
--- a/packages/gateway/src/flow_types.ts
+++ b/packages/gateway/src/flow_types.ts
@@ -21,6 +21,7 @@
 import type { Rollouts } from "./rollouts.ts";
 import type { SiteState } from "./site_state.ts";
 import type { ForecastState } from "./stage_forecast.ts";
+import type { TruncationCause } from "./truncation.ts";
 
 /** The parts of the gateway that process requests. */
 export interface FlowDependencies {
@@ -80,6 +81,10 @@
   | { readonly kind: "answered"; readonly answer: CompleteAnswer }
   | { readonly kind: "streamed" }
   /** A stream started, but could not be completed. */
-  | { readonly kind: "brokenOff"; readonly reason: string }
+  | {
+    readonly kind: "brokenOff";
+    readonly cause: TruncationCause;
+    readonly reason: string;
+  }
   | { readonly kind: "failure"; readonly failure: codes.Failure }
   | { readonly kind: "ended"; readonly mayHaveRun: boolean };
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -31,6 +31,7 @@
   getStreamEndpoints,
   recordStreamVersion,
 } from "./resumed_stream.ts";
+import { TRUNCATION_CAUSE } from "./truncation.ts";
 import { buildRequestOutcome } from "./version_evidence.ts";
 
 /** Stage results that the request reads as inputs. */
@@ -344,7 +345,7 @@
       .with({ kind: "notSent" }, ({ message }) => this.#handleNotSent(message))
       .with(
         { kind: "lost" },
-        ({ message }) => this.#handleLost(endpoint, message),
+        (loss) => this.#handleLost(endpoint, loss),
       )
       .exhaustive();
   }
@@ -356,6 +357,7 @@
     if (this.#request.writer.hasStarted) {
       return {
         kind: "brokenOff",
+        cause: TRUNCATION_CAUSE.resumeFailed,
         reason: `Resuming the stream failed with status ${answer.status}`,
       };
     }
@@ -405,7 +407,7 @@
 
   #handleLost(
     endpoint: serving.ServingEndpoint,
-    message: string,
+    { message, isSilent }: Extract<AttemptOutcome, { kind: "lost" }>,
   ): ForwardResult | undefined {
     this.#mayHaveRun = true;
     this.#attempts += 1;
@@ -419,7 +421,9 @@
       return undefined;
     }
     if (this.#request.writer.hasStarted) {
-      return { kind: "brokenOff", reason: message };
+      const { endpointSilent, endpointFailed } = TRUNCATION_CAUSE;
+      const cause = isSilent ? endpointSilent : endpointFailed;
+      return { kind: "brokenOff", cause, reason: message };
     }
     return this.#giveUp(message);
   }
@@ -476,7 +480,10 @@
   /** Builds the final result when no further endpoint is tried. */
   #giveUp(message: string, refusal?: codes.Failure): ForwardResult {
     if (this.#request.writer.hasStarted) {
-      return { kind: "brokenOff", reason: message };
+      const cause = this.#request.scope.endedBy === END_REASON.stopping
+        ? TRUNCATION_CAUSE.exit
+        : TRUNCATION_CAUSE.resumeFailed;
+      return { kind: "brokenOff", cause, reason: message };
     }
     if (this.#lastFailure !== undefined) {
       return { kind: "answered", answer: this.#lastFailure };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -197,6 +197,7 @@
       wire: this.#wire,
       site: this.site,
       events,
+      metrics: this.metrics,
       runRequest: (request) => runRequest(deps, request),
       isContended: () => this.isContended,
     });
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -6,6 +6,7 @@
 import * as bufferBudget from "@sardinestep/buffer_budget";
 import * as codes from "@sardinestep/codes";
 import type * as logger from "@sardinestep/logger";
+import type * as metrics from "@sardinestep/metrics";
 import {
   createServer,
   type IncomingMessage,
@@ -19,6 +20,7 @@
 import type { ArrivedRequest } from "./flow_types.ts";
 import { END_REASON, type EndReason, RequestScope } from "./request_scope.ts";
 import type { SiteState } from "./site_state.ts";
+import { type Truncation, TRUNCATION_CAUSE } from "./truncation.ts";
 
 /** Hard limit of the header size, in bytes; the configured limit is lower. */
 const MAX_HEADER_BYTES = 65_536;
@@ -45,6 +47,7 @@
   readonly wire: WireAdapter;
   readonly site: SiteState;
   readonly events: logger.EventLog;
+  readonly metrics: metrics.Metrics;
   readonly runRequest: (request: ArrivedRequest) => Promise<void>;
   /** Whether answers share the budget of bodies; otherwise only bodies count. */
   readonly isContended: () => boolean;
@@ -63,10 +66,11 @@
   readonly #options: IngressOptions;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
-  /** Requests whose responses are not closed yet. */
-  readonly #scopes = new Set<RequestScope>();
+  /** Requests whose responses are not closed yet, with the writers of these. */
+  readonly #scopes = new Map<RequestScope, AnswerWriter>();
   readonly #budget: bufferBudget.BufferBudget;
-  #isDraining = false;
+  /** Monotonic time at which the VM began to stop; undefined before. */
+  #drainingSince: number | undefined;
 
   /** @param options Handler, configuration and log. */
   constructor(options: IngressOptions) {
@@ -119,12 +123,12 @@
 
   /** Closes each connection after its next answer, so that callers reconnect. */
   startDraining(): void {
-    this.#isDraining = true;
+    this.#drainingSince ??= performance.now();
   }
 
   /** Ends all requests; each gets the answer that holds for its state. */
   endRequests(reason: EndReason): void {
-    for (const scope of this.#scopes) scope.end(reason);
+    for (const scope of this.#scopes.keys()) scope.end(reason);
   }
 
   /** Stops listening and closes idle connections. */
@@ -136,6 +140,9 @@
   /** Stops listening and closes every connection at once. */
   destroy(): void {
     this.#server.close();
+    for (const writer of this.#scopes.values()) {
+      writer.abort({ cause: TRUNCATION_CAUSE.exit });
+    }
     for (const socket of this.#sockets) socket.destroy();
   }
 
@@ -149,19 +156,25 @@
     response: ServerResponse,
   ): Promise<void> {
     const scope = new RequestScope();
-    const account = this.#openAccount(request, response);
-    const writer = new AnswerWriter(
-      response,
-      this.#options.isContended() ? account : undefined,
+    const account = this.#openAccount(
+      request,
+      () => writer.abort({ cause: TRUNCATION_CAUSE.unread }),
     );
-    this.#scopes.add(scope);
+    const writer = new AnswerWriter(response, {
+      account: this.#options.isContended() ? account : undefined,
+      handleTruncation: (truncation) =>
+        this.#recordTruncation(request, { writer, scope, truncation }),
+    });
+    this.#scopes.set(scope, writer);
     response.once("close", () => {
       this.#scopes.delete(scope);
       account.close();
       if (!response.writableFinished) scope.end(END_REASON.callerDisconnected);
     });
     this.#applyLimits();
-    if (this.#isDraining) response.setHeader("connection", "close");
+    if (this.#drainingSince !== undefined) {
+      response.setHeader("connection", "close");
+    }
     const body = await this.#readBody(request, account);
     if ("failure" in body) {
       response.setHeader("connection", "close");
@@ -190,7 +203,7 @@
   /** Opens the account of a request; it closes with the response. */
   #openAccount(
     request: IncomingMessage,
-    response: ServerResponse,
+    abort: () => void,
   ): bufferBudget.BufferAccount {
     return this.#budget.openAccount(({ unreadBytes, unreadMs }) => {
       this.#options.events.write(EVENT.responseEvicted, {
@@ -199,7 +212,33 @@
         unreadMs: Math.round(unreadMs),
         heldBytes: this.#budget.heldBytes,
       });
-      response.destroy();
+      abort();
+    });
+  }
+
+  /** Records that this VM ended an answer that had begun. */
+  #recordTruncation(
+    request: IncomingMessage,
+    { writer, scope, truncation: { cause, reason } }: {
+      readonly writer: AnswerWriter;
+      readonly scope: RequestScope;
+      readonly truncation: Truncation;
+    },
+  ): void {
+    const { events, metrics, wire } = this.#options;
+    metrics.count("responses_truncated_total", { cause });
+    // An eviction has a log line of its own.
+    if (cause === TRUNCATION_CAUSE.unread) return;
+    events.write(EVENT.responseTruncated, {
+      requestId: wire.readCaller(request.headers).requestId,
+      cause,
+      reason,
+      ageMs: Math.round(scope.ageMs),
+      silentMs: Math.round(writer.silentMs),
+      unreadBytes: writer.unreadBytes,
+      stoppingMs: this.#drainingSince === undefined
+        ? undefined
+        : Math.round(performance.now() - this.#drainingSince),
     });
   }
 
@@ -303,8 +342,9 @@
       "INTERNAL",
       "Internal error of the gateway",
     );
-    if (writer.hasStarted) writer.abort();
-    else writer.writeFailure(failure);
+    if (writer.hasStarted) {
+      writer.abort({ cause: TRUNCATION_CAUSE.internalError });
+    } else writer.writeFailure(failure);
     scope.end(END_REASON.done);
     const reason = error instanceof Error ? error.stack : String(error);
     this.#recordRefusal(request, { ...failure, message: reason ?? "" });
