Let complete answers and begun streams use the end of the grace period

What callers saw: an answer whose endpoint was done and whose caller read slowly broke off 350 ms before the SIGKILL (grace period of 4.2 s and more; a twelfth of it below). A stream whose endpoint was at work was broken off 700 ms before it (a sixth of the grace period below 4.2 s).

Cause: `#endRequests` waited until the middle of the reserve, whatever the remaining responses needed, and ended streams together with requests that still need an answer. Nothing can follow the events of a stream, so it needs no time for one.

Now `planStop` gives three times: requests without an answer are ended at the start of the reserve as before, streams that have begun at its middle, and connections with unread bytes close 100 ms before the SIGKILL (a quarter of the reserve at most). `process_stopped.ended` no longer counts answers that were complete.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,6 +31,7 @@
 import { END_REASON } from "./request_scope.ts";
 import { Rollouts } from "./rollouts.ts";
 import { SiteState } from "./site_state.ts";
+import { planStop, type StopTimes } from "./stop_times.ts";
 
 /** Addresses on which a gateway listens. */
 export interface GatewayListen {
@@ -66,10 +67,6 @@
  * two readiness probes one second apart, and one more second.
  */
 const CONNECT_DRAIN_MS = 3_000;
-/** Most of the grace period that is reserved for last responses and exit, in ms. */
-const MAX_EXIT_RESERVE_MS = 700;
-/** Part of the grace period that is reserved at most, if that is less. */
-const MAX_EXIT_RESERVE_SHARE = 1 / 6;
 /** Time in which a request that was sent before an announcement arrives, in ms. */
 const ANNOUNCED_SETTLE_MS = 200;
 /** Interval of checks for the end of the last requests, in milliseconds. */
@@ -260,7 +257,8 @@
    * Stops gracefully, without truncating a response: reports not ready at once,
    * waits while new callers move to other VMs, then lets running requests end
    * within the grace period. What is unfinished then is answered as not run or as
-   * unknown; a stream that has begun breaks off.
+   * unknown; a stream that has begun breaks off. Complete answers may be read until
+   * shortly before the SIGKILL.
    *
    * @returns Settles when the VM has stopped, also if the stop had already begun.
    */
@@ -273,22 +271,17 @@
     const stoppedAt = performance.now();
     const { events } = this.#options;
     const { graceMs } = this.#bounds;
-    const drainMs = getDrainMs(this.#bounds);
-    const drainUntil = stoppedAt + drainMs;
-    this.#drainUntil = drainUntil;
+    const times = planStop({ stoppedAt, graceMs });
+    this.#drainUntil = times.drainUntil;
     events.write(EVENT.processStopping, {
       active: this.#ingress.activeRequests,
     });
     void this.#announceStop();
     this.#streamNotes.sendAllNotes();
     this.#ingress.startDraining();
-    await wait(Math.min(CONNECT_DRAIN_MS, drainMs));
-    while (this.#isBusy() && performance.now() < drainUntil) {
-      await wait(DRAIN_POLL_MS);
-    }
-    const ended = this.#ingress.activeRequests;
-    const killedAt = stoppedAt + graceMs;
-    if (ended > 0) await this.#endRequests((drainUntil + killedAt) / 2);
+    await wait(Math.min(CONNECT_DRAIN_MS, times.drainUntil - stoppedAt));
+    await waitWhile(() => this.#isBusy(), times.drainUntil);
+    const ended = await this.#endRequests(times);
     events.write(EVENT.processStopped, {
       ended,
       active: this.#ingress.activeRequests,
@@ -307,14 +300,22 @@
     this.#hasAnnouncedStop = true;
   }
 
-  /** Ends unfinished requests, and waits until their answers are written. */
-  async #endRequests(until: number): Promise<void> {
+  /**
+   * Ends unfinished requests, streams that have begun last, and waits until callers
+   * have read their answers.
+   *
+   * @returns Number of requests that were unfinished.
+   */
+  async #endRequests(times: StopTimes): Promise<number> {
+    const isActive = () => this.#ingress.activeRequests > 0;
+    if (!isActive()) return 0;
     // After a pause of the process, answers that have arrived are read first.
     await setImmediate();
-    this.#ingress.endRequests(END_REASON.stopping);
-    while (this.#ingress.activeRequests > 0 && performance.now() < until) {
-      await wait(DRAIN_POLL_MS);
-    }
+    const unanswered = this.#ingress.endUnanswered(END_REASON.stopping);
+    await waitWhile(isActive, times.streamUntil);
+    const begun = this.#ingress.endRequests(END_REASON.stopping);
+    await waitWhile(isActive, times.closeAt);
+    return unanswered + begun;
   }
 
   /** Closes all connections, listeners and queues at once. */
@@ -523,13 +524,10 @@
   return { vmId, zone, rpc, relay, cores };
 }
 
-/**
- * Returns the time that running requests have to end while the VM stops, in ms.
- *
- * A fixed reserve would take a third of a short grace period, and cut off requests
- * whose deadlines lie within it.
- */
-function getDrainMs({ graceMs }: GatewayBounds): number {
-  return graceMs -
-    Math.min(MAX_EXIT_RESERVE_MS, graceMs * MAX_EXIT_RESERVE_SHARE);
+/** Waits until a condition no longer holds, or a monotonic time has passed. */
+async function waitWhile(isTrue: () => boolean, until: number): Promise<void> {
+  for (let leftMs = until - performance.now(); leftMs > 0 && isTrue();) {
+    await wait(Math.min(DRAIN_POLL_MS, leftMs));
+    leftMs = until - performance.now();
+  }
 }
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -126,9 +126,27 @@
     this.#drainingSince ??= performance.now();
   }
 
-  /** Ends all requests; each gets the answer that holds for its state. */
-  endRequests(reason: EndReason): void {
-    for (const scope of this.#scopes.keys()) scope.end(reason);
+  /**
+   * Ends requests whose answers have not begun; each gets the answer that holds for
+   * its state.
+   *
+   * @returns Number of requests that were ended.
+   */
+  endUnanswered(reason: EndReason): number {
+    const unanswered = [...this.#scopes].filter(([, writer]) =>
+      !writer.hasStarted
+    );
+    return endScopes(unanswered.map(([scope]) => scope), reason);
+  }
+
+  /**
+   * Ends all requests; streams that have begun break off, others get the answer that
+   * holds for their state.
+   *
+   * @returns Number of requests that were ended.
+   */
+  endRequests(reason: EndReason): number {
+    return endScopes([...this.#scopes.keys()], reason);
   }
 
   /** Stops listening and closes idle connections. */
@@ -361,6 +379,16 @@
   }
 }
 
+/** Ends requests that still run; those with a complete answer are left. */
+function endScopes(
+  scopes: readonly RequestScope[],
+  reason: EndReason,
+): number {
+  const running = scopes.filter(({ endedBy }) => endedBy === undefined);
+  for (const scope of running) scope.end(reason);
+  return running.length;
+}
+
 /** Added to each name and value: a colon, a space and CR LF for every pair. */
 const HEADER_SEPARATOR_BYTES = 2;
 
