Write what arrived before a stream breaks off, without an account too

What callers saw: where the site isn't contended, a caller that read more slowly than the endpoint wrote lost the last events that the VM had, when its stream broke off (endpoint lost, resume refused, exit). It then resumes at an earlier event than necessary.

Cause: `abortWhenWritten` had a queue to wait for only on contended sites; elsewhere it destroyed the response with its unwritten bytes.

Evidence, before the fix: a caller of a stream with one event of 8 MiB that is broken off gets no byte ("socket hang up", 2 of 2 tests).

Now the connection closes in the callback of a last, empty write. Both kinds of sites close it at the request's deadline at the latest: such a caller leaves then, and its connection would otherwise stay open for as long as it doesn't read (30 s on contended sites).

Result: the caller gets all 8 MiB and an incomplete stream; with 200 ms left and no reads, it is cut after them.

--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -162,11 +162,23 @@
     else this.#queue.close();
   }
 
-  /** The same as {@link abort}, after what is queued for the caller. */
-  abortWhenWritten(truncation: Truncation): void {
-    if (this.#queue === undefined) return this.abort(truncation);
+  /**
+   * The same as {@link abort}, after what is queued for the caller.
+   *
+   * @param truncation Why the answer ends.
+   * @param withinMs Time after which the connection closes in any case, in ms.
+   */
+  abortWhenWritten(truncation: Truncation, withinMs: number): void {
+    const response = this.#response;
+    if (response.destroyed || this.unreadBytes === 0 || withinMs <= 0) {
+      return this.abort(truncation);
+    }
     this.#recordTruncation(truncation);
-    this.#queue.abortWhenWritten();
+    const timer = setTimeout(() => response.destroy(), withinMs);
+    response.once("close", () => clearTimeout(timer));
+    if (this.#queue !== undefined) return this.#queue.abortWhenWritten();
+    // Its callback runs when all earlier writes have reached the kernel.
+    response.write("", () => response.destroy());
   }
 
   /** Closes the connection, so that the caller sees an incomplete answer. */
--- a/packages/gateway/src/final_answer.ts
+++ b/packages/gateway/src/final_answer.ts
@@ -86,7 +86,10 @@
     })
     .with({ kind: "streamed" }, () => recordAnswer(deps, request, "streamed"))
     .with({ kind: "brokenOff" }, ({ cause, reason }) => {
-      writer.abortWhenWritten({ cause, reason });
+      writer.abortWhenWritten(
+        { cause, reason },
+        request.timeoutMs - scope.ageMs,
+      );
       recordAnswer(deps, request, "brokenOff", reason);
     })
     .with({ kind: "failure" }, ({ failure }) => {
