End an attempt as soon as an event is too long

What callers saw: an endpoint that sent one event without end held a stream up to its deadline, and while it sent, other requests of the VM were held up too.

Cause: EventBuffer kept the bytes of an incomplete event without a limit and copied all of them for each chunk, so the work grew with the square of the size; MAX_EVENT_BYTES was compared with complete events only. Streams that can't be resumed had no limit for an event at all.

EventBuffer says so by its return value; the last id stays, so a stream goes on elsewhere after its last event. Streams that can't be resumed are still passed on as they arrive, since their caller's backpressure bounds memory, and end by the same limit.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -8,11 +8,7 @@
 import * as serving from "@sardinestep/serving";
 import type { AnswerWriter, CompleteAnswer } from "./answer_writer.ts";
 import type { EndpointTracker } from "./endpoint_tracker.ts";
-import {
-  type EventBuffer,
-  EventTail,
-  MAX_EVENT_BYTES,
-} from "./event_buffer.ts";
+import { type EventBuffer, type EventStep, EventTail } from "./event_buffer.ts";
 import type {
   AnswerSink,
   HttpPool,
@@ -245,13 +241,11 @@
   }
 
   #relayChunk(chunk: Uint8Array): void {
-    const { eventBuffer, writer, handleFirstEvent } = this.#options;
-    const bytes = eventBuffer === undefined
-      ? chunk
-      : eventBuffer.takeCompleteEvents(chunk);
-    if (bytes.length > MAX_EVENT_BYTES) return this.#fail("Event is too long");
+    const { writer, handleFirstEvent } = this.#options;
+    const step = this.#takeEvents(chunk);
+    if (step.kind === "tooLong") return this.#fail("Event is too long");
+    const { bytes } = step;
     if (bytes.length === 0) return;
-    if (eventBuffer === undefined) this.#tail.add(bytes);
     if (!this.#isStreaming) {
       this.#startStream();
       handleFirstEvent();
@@ -266,6 +260,16 @@
     });
   }
 
+  /** Takes what may be passed on: whole events only if the stream can be resumed. */
+  #takeEvents(chunk: Uint8Array): EventStep {
+    const { eventBuffer } = this.#options;
+    if (eventBuffer !== undefined) return eventBuffer.takeCompleteEvents(chunk);
+    this.#tail.add(chunk);
+    return this.#tail.isTooLong
+      ? { kind: "tooLong" }
+      : { kind: "events", bytes: chunk };
+  }
+
   #startStream(): void {
     const { writer } = this.#options;
     this.#isStreaming = true;
--- a/packages/gateway/src/event_buffer.ts
+++ b/packages/gateway/src/event_buffer.ts
@@ -3,13 +3,22 @@
  *
  * @module
  */
+import { GrowingBuffer } from "./growing_buffer.ts";
 
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
+const EMPTY = Buffer.alloc(0);
 
-/** Longest event that is passed on, in bytes; a longer one can't be resumed. */
+/** Longest event of a stream, in bytes. */
 export const MAX_EVENT_BYTES = 1_048_576;
 
+/** What a part of a stream completed. */
+export type EventStep =
+  /** All bytes up to the end of the last complete event; they may be none. */
+  | { readonly kind: "events"; readonly bytes: Uint8Array }
+  /** An event exceeds {@link MAX_EVENT_BYTES}. */
+  | { readonly kind: "tooLong" };
+
 /**
  * Passes on complete events only and remembers the id of the last one.
  *
@@ -18,7 +27,7 @@
  * another endpoint would reach the caller garbled or with a duplicate.
  */
 export class EventBuffer {
-  #partial = Buffer.alloc(0);
+  readonly #partial = new GrowingBuffer();
   #lastEventId: string | undefined;
 
   /** Id of the last complete event. */
@@ -26,30 +35,56 @@
     return this.#lastEventId;
   }
 
+  /** Bytes of the incomplete event that is buffered. */
+  get partialBytes(): number {
+    return this.#partial.length;
+  }
+
   /** Whether an incomplete event is buffered. */
   get hasPartial(): boolean {
     return this.#partial.length > 0;
   }
 
-  /** Appends bytes and returns all bytes up to the last complete event's end. */
-  takeCompleteEvents(chunk: Uint8Array): Uint8Array {
-    const bytes = Buffer.concat([this.#partial, chunk]);
-    const end = findLastEventEnd(bytes);
-    const complete = bytes.subarray(0, end);
-    this.#partial = bytes.subarray(end);
+  /**
+   * Appends bytes and returns all bytes up to the last complete event's end. Drops
+   * an event that is too long.
+   */
+  takeCompleteEvents(chunk: Uint8Array): EventStep {
+    const overlap = this.#partial.getBytes(1 - EVENT_END_BYTES);
+    const end = findLastEventEnd(Buffer.concat([overlap, chunk])) -
+      overlap.length;
+    const isEnd = end > 0;
+    const partialBytes = isEnd
+      ? chunk.length - end
+      : this.#partial.length + chunk.length;
+    const completeBytes = isEnd ? this.#partial.length + end : 0;
+    if (Math.max(partialBytes, completeBytes) > MAX_EVENT_BYTES) {
+      this.dropPartial();
+      return { kind: "tooLong" };
+    }
+    const complete = isEnd ? this.#takePartial(chunk.subarray(0, end)) : EMPTY;
+    this.#partial.append(isEnd ? chunk.subarray(end) : chunk);
     this.#lastEventId = findLastId(complete) ?? this.#lastEventId;
-    return complete;
+    return { kind: "events", bytes: complete };
   }
 
   /** Drops an incomplete event; the next endpoint sends it from its start. */
   dropPartial(): void {
-    this.#partial = Buffer.alloc(0);
+    this.#partial.drop();
+  }
+
+  /** Takes what is buffered, with the bytes that complete it. */
+  #takePartial(rest: Uint8Array): Uint8Array {
+    const complete = Buffer.concat([this.#partial.getBytes(), rest]);
+    this.#partial.drop();
+    return complete;
   }
 }
 
 /** Follows a stream that is passed on as it arrives, up to the end of its events. */
 export class EventTail {
   #last = Buffer.alloc(0);
+  #partialBytes = 0;
 
   /** Whether the stream ended inside an event. */
   get hasPartial(): boolean {
@@ -57,9 +92,19 @@
       findLastEventEnd(this.#last) < this.#last.length;
   }
 
+  /** Whether the event at the end of the stream exceeds {@link MAX_EVENT_BYTES}. */
+  get isTooLong(): boolean {
+    return this.#partialBytes > MAX_EVENT_BYTES;
+  }
+
   /** Appends bytes of the stream. */
   add(chunk: Uint8Array): void {
-    this.#last = Buffer.concat([this.#last, chunk]).subarray(-EVENT_END_BYTES);
+    const bytes = Buffer.concat([this.#last, chunk]);
+    const end = findLastEventEnd(bytes) - this.#last.length;
+    this.#partialBytes = end > 0
+      ? chunk.length - end
+      : this.#partialBytes + chunk.length;
+    this.#last = Buffer.from(bytes.subarray(-EVENT_END_BYTES));
   }
 }
 
--- /dev/null
+++ b/packages/gateway/src/event_buffer_test.ts
@@ -0,0 +1,86 @@
+import { expect } from "chai";
+import { EventBuffer, EventTail, MAX_EVENT_BYTES } from "./event_buffer.ts";
+
+const PART_BYTES = 65_536;
+
+/** Takes texts in turn and gives what each of them completed. */
+function takeTexts(buffer: EventBuffer, texts: readonly string[]): string[] {
+  return texts.map((text) => {
+    const step = buffer.takeCompleteEvents(Buffer.from(text));
+    return step.kind === "events"
+      ? Buffer.from(step.bytes).toString()
+      : step.kind;
+  });
+}
+
+describe("EventBuffer", () => {
+  for (const newline of ["\n", "\r\n"]) {
+    const event = ["id: 1", "data: a", "", ""].join(newline);
+    for (let at = 1; at < event.length; at++) {
+      const parts = [event.slice(0, at), event.slice(at)];
+      it(`completes ${JSON.stringify(parts)}`, () => {
+        const buffer = new EventBuffer();
+        expect(takeTexts(buffer, parts)).to.deep.equal(["", event]);
+        expect(buffer.hasPartial).to.equal(false);
+        expect(buffer.lastEventId).to.equal("1");
+      });
+    }
+  }
+
+  it("keeps what follows the last complete event", () => {
+    const buffer = new EventBuffer();
+    const texts = ["id: 1\n\nid: 2\n\nid: 3", "\n", "\n"];
+    expect(takeTexts(buffer, texts))
+      .to.deep.equal(["id: 1\n\nid: 2\n\n", "", "id: 3\n\n"]);
+    expect(buffer.lastEventId).to.equal("3");
+  });
+
+  // An event without an end was buffered up to the deadline.
+  it("refuses an event as soon as it is too long", () => {
+    const buffer = new EventBuffer();
+    const part = Buffer.alloc(PART_BYTES, "x");
+    for (let i = 0; i < MAX_EVENT_BYTES; i += PART_BYTES) {
+      expect(buffer.takeCompleteEvents(part).kind).to.equal("events");
+    }
+    expect(buffer.partialBytes).to.equal(MAX_EVENT_BYTES);
+    expect(buffer.takeCompleteEvents(Buffer.from("x")).kind)
+      .to.equal("tooLong");
+    expect(buffer.partialBytes).to.equal(0);
+  });
+
+  // A resumed stream would lack events that were never passed on.
+  it("keeps the last id if an event that follows is too long", () => {
+    const buffer = new EventBuffer();
+    const text = `id: 1\n\n${"x".repeat(MAX_EVENT_BYTES + 1)}`;
+    expect(takeTexts(buffer, [text])).to.deep.equal(["tooLong"]);
+    expect(buffer.lastEventId).to.equal(undefined);
+  });
+});
+
+describe("EventTail", () => {
+  function addBytes(tail: EventTail, bytes: number): void {
+    for (let i = 0; i < bytes; i += PART_BYTES) {
+      tail.add(Buffer.alloc(Math.min(PART_BYTES, bytes - i), "x"));
+    }
+  }
+
+  it("is too long only beyond the limit", () => {
+    const tail = new EventTail();
+    addBytes(tail, MAX_EVENT_BYTES);
+    expect(tail.isTooLong).to.equal(false);
+    addBytes(tail, 1);
+    expect(tail.isTooLong).to.equal(true);
+  });
+
+  it("counts anew after the end of an event", () => {
+    const tail = new EventTail();
+    addBytes(tail, MAX_EVENT_BYTES);
+    tail.add(Buffer.from("\n"));
+    tail.add(Buffer.from("\nxy"));
+    expect(tail.isTooLong).to.equal(false);
+    addBytes(tail, MAX_EVENT_BYTES - 2);
+    expect(tail.isTooLong).to.equal(false);
+    addBytes(tail, 1);
+    expect(tail.isTooLong).to.equal(true);
+  });
+});
