Show truncated answers in explain and count them in the report

Operators saw a truncated answer of `response_truncated` counted as an end only if the VM also wrote `request_answered`. Answers that an exit or an eviction cut counted as left by their callers, and what a deadline cut as without an end. `explain` left out the stop of the VM, lost paths, and `endpoint_lost`, whose requests are objects.

Cause: both read `request_answered` and `request_cancelled` alone, which are missing or stand for the closed connection after a truncation.

The report now ends a request at `response_truncated` or `response_evicted`, counts these by cause and by whether the VM was stopping, and ignores the lines of the closed connection after it. `explain` adds starts and stops of all VMs, and reloads, configurations, pauses and lost paths of the request's VMs within 2 s of the request.

--- a/packages/cli/src/explain_commands.ts
+++ b/packages/cli/src/explain_commands.ts
@@ -21,8 +21,23 @@
   readonly skipped: number;
 }
 
-/** Time before and after a request in which endpoint events are shown, in ms. */
-const ENDPOINT_EVENT_MARGIN_MS = 2_000;
+/** Time before and after a request in which other events are shown, in ms. */
+const EVENT_MARGIN_MS = 2_000;
+/** Events of the paths to endpoints; others of endpoints begin with `endpoint_`. */
+const PATH_EVENTS = new Set(["path_lost", "path_found"]);
+/** Events of a VM that may end or delay its requests. */
+const VM_EVENTS = new Set([
+  "clock_paused",
+  "configuration_applied",
+  "fault_met",
+  "settings_reloaded",
+]);
+/** Events of all VMs: one that stops may relay connections of another. */
+const PROCESS_EVENTS = new Set([
+  "process_started",
+  "process_stopping",
+  "process_stopped",
+]);
 /** Fields of every line, which are printed as columns or not at all. */
 const COMMON_FIELDS = new Set([
   "time",
@@ -38,8 +53,8 @@
  *
  * @param requestId The request id that the caller sent.
  * @param files Log files of one or more processes.
- * @returns The request's lines in order, with events of its endpoints such as health
- * changes.
+ * @returns The request's lines in order, with events of its endpoints and VMs such as
+ * health changes and stops.
  */
 export function explainRequest(
   requestId: string,
@@ -73,8 +88,8 @@
     );
   }
   const aligned = alignLines(requestLines);
-  const endpointEvents = findEndpointEvents(lines, requestLines);
-  const all = [...aligned, ...endpointEvents].sort(compareAlignedLines);
+  const all = [...aligned, ...findOtherEvents(lines, requestLines)]
+    .sort(compareAlignedLines);
   const startMs = aligned[0]!.atMs;
   return {
     kind: "done",
@@ -104,7 +119,10 @@
 
 function isOfRequest(line: LogLine, requestId: string): boolean {
   if (line.requestId === requestId) return true;
-  return Array.isArray(line.requests) && line.requests.includes(requestId);
+  if (!Array.isArray(line.requests)) return false;
+  return line.requests.some((entry) =>
+    entry === requestId || entry?.requestId === requestId
+  );
 }
 
 /**
@@ -136,21 +154,28 @@
   }).sort(compareAlignedLines);
 }
 
-/** Finds the endpoint events, such as health changes, of the request's endpoints. */
-function findEndpointEvents(
+/** Finds events of endpoints and VMs that may have affected the request. */
+function findOtherEvents(
   lines: readonly LogLine[],
   requestLines: readonly LogLine[],
 ): AlignedLine[] {
+  const shown = new Set(requestLines);
   const endpoints = new Set(requestLines.map((line) => line.endpointId));
   const vms = new Set(requestLines.map((line) => line.vm));
   const times = requestLines.map(getWallMs);
-  const from = Math.min(...times) - ENDPOINT_EVENT_MARGIN_MS;
-  const until = Math.max(...times) + ENDPOINT_EVENT_MARGIN_MS;
+  const from = Math.min(...times) - EVENT_MARGIN_MS;
+  const until = Math.max(...times) + EVENT_MARGIN_MS;
   return lines
-    .filter((line) =>
-      line.event.startsWith("endpoint_") && vms.has(line.vm) &&
-      line.endpointId !== undefined && endpoints.has(line.endpointId)
-    )
+    .filter((line) => {
+      if (shown.has(line)) return false;
+      if (PROCESS_EVENTS.has(line.event)) return true;
+      if (!vms.has(line.vm)) return false;
+      if (VM_EVENTS.has(line.event)) return true;
+      const isOfEndpoint = line.event.startsWith("endpoint_") ||
+        PATH_EVENTS.has(line.event);
+      return isOfEndpoint && line.endpointId !== undefined &&
+        endpoints.has(line.endpointId);
+    })
     .map((line) => ({ line, atMs: getWallMs(line) }))
     .filter(({ atMs }) => atMs >= from && atMs <= until);
 }
--- a/packages/report/src/build_report.ts
+++ b/packages/report/src/build_report.ts
@@ -17,6 +17,7 @@
   type VmSummary,
   WINDOW_MS,
 } from "./site_report.ts";
+import { TruncationStatistics } from "./truncation_statistics.ts";
 
 interface VmCounts {
   requests: number;
@@ -46,6 +47,7 @@
   readonly #causes = new CauseStatistics();
   readonly #endpoints = new EndpointStatistics();
   readonly #connections = new ConnectionStatistics();
+  readonly #truncations = new TruncationStatistics();
   readonly #tracker = new RequestTracker({
     handleArrival: (request) => {
       this.#byRoute.addArrival(request.route, request);
@@ -73,6 +75,7 @@
     this.#pools.add(line, window);
     this.#tracker.add(line);
     this.#connections.add(line);
+    this.#truncations.add(line);
     this.#countVm(line);
   }
 
@@ -96,6 +99,7 @@
         .sort((a, b) => a.vm.localeCompare(b.vm)),
       requests: { byRoute, byCustomer: this.#byCustomer.getGroups() },
       causes: this.#causes.getCauses(unended),
+      truncations: this.#truncations.getCounts(),
       endpoints: this.#endpoints.getEndpoints(),
       slowdowns: this.#endpoints.getBands(),
       connections: this.#connections.getSummary(),
--- a/packages/report/src/request_report.ts
+++ b/packages/report/src/request_report.ts
@@ -48,6 +48,15 @@
   readonly count: number;
 }
 
+/** Answers that VMs ended after they had begun, for one cause. */
+export interface TruncationCount {
+  /** A cause of the event `response_truncated`, see docs/LOGS.md. */
+  readonly cause: string;
+  readonly count: number;
+  /** Of these, answers of VMs that were stopping; undefined if lines don't tell. */
+  readonly whileStopping: number | undefined;
+}
+
 /** Requests that were sent to one endpoint. */
 export interface EndpointSummary {
   readonly service: string;
--- a/packages/report/src/request_report_test.ts
+++ b/packages/report/src/request_report_test.ts
@@ -150,6 +150,39 @@
     expect(build(OBJECTIVE_MS / 8 + 1)).to.include({ refusedLate: 1 });
   });
 
+  // Answers cut by an exit or a deadline had no end, others counted as the caller's.
+  it("counts answers that VMs ended by cause, once each", function () {
+    const build = (id: string, event: string, fields: Fields): LogLine[] => [
+      buildAdmitted(id),
+      buildSent(id, 10, { endpointId: "e1" }),
+      buildStarted(id, 90),
+      buildLine(700, event, { requestId: id, ...fields }),
+    ];
+    const silent = {
+      cause: "endpointSilent",
+      reason: "Endpoint sent nothing for 1200 ms",
+    };
+    const report = buildReport([
+      ...build("a", "response_truncated", silent),
+      buildAnswered("a", { outcome: "brokenOff", reason: silent.reason }),
+      ...build("b", "response_truncated", { ...silent, stoppingMs: 300 }),
+      buildAnswered("b", { outcome: "brokenOff", reason: silent.reason }),
+      ...build("c", "response_truncated", { cause: "exit", stoppingMs: 7_300 }),
+      buildLine(701, "request_cancelled", { requestId: "c" }),
+      ...build("d", "response_evicted", { unreadBytes: 9 }),
+      buildLine(701, "request_cancelled", { requestId: "d" }),
+    ]);
+    expect(getRoute(report).all)
+      .to.include({ asked: 4, failed: 4, left: 0, unended: 0 });
+    const sum = { failed: 0, left: 0 };
+    for (const { failed, left } of report.routes) {
+      sum.failed += failed;
+      sum.left += left;
+    }
+    expect(sum).to.deep.equal({ failed: 4, left: 0 });
+    expectSnapshot(this, [report.truncations, report.causes]);
+  });
+
   // Guards against figures that don't add up under a mix of ends, in any order of the
   // lines of different requests, and on two VMs that use equal request ids.
   it("counts each request of a generated load once", () => {
--- a/packages/report/src/request_tables.ts
+++ b/packages/report/src/request_tables.ts
@@ -50,6 +50,15 @@
         cause,
       ]),
     }),
+    {
+      title: "Answers that VMs ended after they had begun",
+      header: ["CAUSE", "COUNT", "WHILE STOPPING"],
+      rows: report.truncations.map(({ cause, count, whileStopping }) => [
+        cause,
+        String(count),
+        formatNumber(whileStopping, 0),
+      ]),
+    },
     {
       title: "Endpoints",
       header: [
--- a/packages/report/src/request_tracker.ts
+++ b/packages/report/src/request_tracker.ts
@@ -5,6 +5,7 @@
  */
 import { getNumber, type LogLine } from "./log_lines.ts";
 import { formatCause, OUTCOME_KIND, parseOutcome } from "./outcomes.ts";
+import { parseTruncation } from "./truncation_statistics.ts";
 
 /** Name of a route, customer, service or cause that no line gives. */
 export const UNKNOWN = "unknown";
@@ -89,6 +90,11 @@
     if (line.event === "stage_queued") open.stage = String(line.stage);
     if (line.event === "request_sent") this.#addSend(open, line);
     if (line.event === "stream_started") this.#addFirstEvent(open, line);
+    const truncation = parseTruncation(line);
+    if (truncation !== undefined) {
+      const cause = truncation.text;
+      return this.#endRequest(key, open, { kind: "failed", cause }, line);
+    }
     if (line.event === "request_answered") {
       this.#endRequest(key, open, buildAnswerEnd(open, line), line);
     }
--- a/packages/report/src/route_statistics.ts
+++ b/packages/report/src/route_statistics.ts
@@ -11,6 +11,7 @@
   RouteLatencies,
   RouteWindow,
 } from "./site_report.ts";
+import { parseTruncation } from "./truncation_statistics.ts";
 
 interface OpenRequest {
   readonly counts: RouteCounts;
@@ -59,6 +60,10 @@
     if (request === undefined) return;
     if (line.event === "request_sent") request.sentMs ??= getTimeMs(line);
     if (line.event === "stream_started") this.#recordStreamStart(request, line);
+    const truncation = parseTruncation(line);
+    if (truncation !== undefined) {
+      return this.#recordFailure(requestId, truncation.text);
+    }
     if (line.event === "request_answered") this.#recordAnswer(requestId, line);
     if (line.event === "request_cancelled") this.#recordCancellation(requestId);
   }
@@ -138,6 +143,12 @@
     else counts.inTime += 1;
   }
 
+  #recordFailure(requestId: string, reason: string): void {
+    const { counts } = this.#removeOpenRequest(requestId);
+    counts.failed += 1;
+    addReason(counts, reason);
+  }
+
   #recordCancellation(requestId: string): void {
     const { counts } = this.#removeOpenRequest(requestId);
     counts.left += 1;
--- a/packages/report/src/site_report.ts
+++ b/packages/report/src/site_report.ts
@@ -10,6 +10,7 @@
   EndpointSummary,
   RequestGroup,
   SlowdownBand,
+  TruncationCount,
 } from "./request_report.ts";
 
 /** Length of a window, in milliseconds: a burst covers three or more windows. */
@@ -101,6 +102,8 @@
   };
   /** Causes of requests that were not served, the most frequent first. */
   readonly causes: readonly CauseCount[];
+  /** Answers that VMs ended after they had begun, the most frequent cause first. */
+  readonly truncations: readonly TruncationCount[];
   readonly endpoints: readonly EndpointSummary[];
   readonly slowdowns: readonly SlowdownBand[];
   readonly connections: ConnectionSummary;
