Count the grace period from the earliest time of a SIGTERM

What callers saw: a VM whose event loop is late (one with a small share of a core) accepted requests in its stop that the SIGKILL then cut, after they had reached an endpoint; unfinished requests got a closed connection, not an answer.

Cause: the stop counted the grace period from its handler, which runs when the event loop gets to it.

Evidence: a program whose event loop is blocked for 1 s gets SIGTERM after 50 ms of it, and SIGKILL 2 s after the SIGTERM. Before, both tests got a closed connection: a request sent after the block with a deadline after the SIGKILL was accepted, and one under work was cut.

The event loop handles signals between its timers and its immediates. The periodic update notes its time in an immediate, so every signal from before that time has been handled, and a SIGTERM handled now came later. Requests may run until the SIGKILL that follows from there. Streams that have begun and complete answers keep the time that follows from the handler: a SIGKILL that comes earlier ends their connections as the exit would. After a long pause such a VM may be killed before it has written `process_stopped`.

Result: the first request is refused as not run and reached no endpoint, the second is answered as unknown.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,7 +12,10 @@
 import * as serving from "@sardinestep/serving";
 import * as streamVersions from "@sardinestep/stream_versions";
 import type { Address, ServiceId } from "@sardinestep/types";
-import { setImmediate, setTimeout as wait } from "node:timers/promises";
+import {
+  setImmediate as waitForEvents,
+  setTimeout as wait,
+} from "node:timers/promises";
 import { EndpointReach } from "./endpoint_reach.ts";
 import { EndpointTracker } from "./endpoint_tracker.ts";
 import { EVENT } from "./events.ts";
@@ -97,6 +100,8 @@
   #internalServers: InternalServer[] = [];
   #updateTimer: NodeJS.Timeout | undefined;
   #updatedAt = performance.now();
+  /** Monotonic time; all signals that came before it have been handled. */
+  #signalsHandledAt = performance.now();
   /** Monotonic time at which unfinished requests are ended; set while stopping. */
   #drainUntil: number | undefined;
   #stopped: Promise<void> | undefined;
@@ -270,8 +275,11 @@
   async #stopGracefully(): Promise<void> {
     const stoppedAt = performance.now();
     const { events } = this.#options;
-    const { graceMs } = this.#bounds;
-    const times = planStop({ stoppedAt, graceMs });
+    const times = planStop({
+      handledAt: stoppedAt,
+      sentAfter: this.#signalsHandledAt,
+      graceMs: this.#bounds.graceMs,
+    });
     this.#drainUntil = times.drainUntil;
     events.write(EVENT.processStopping, {
       active: this.#ingress.activeRequests,
@@ -310,7 +318,7 @@
     const isActive = () => this.#ingress.activeRequests > 0;
     if (!isActive()) return 0;
     // After a pause of the process, answers that have arrived are read first.
-    await setImmediate();
+    await waitForEvents();
     const unanswered = this.#ingress.endUnanswered(END_REASON.stopping);
     await waitWhile(isActive, times.streamUntil);
     const begun = this.#ingress.endRequests(END_REASON.stopping);
@@ -457,6 +465,10 @@
     const now = performance.now();
     const gapMs = now - this.#updatedAt;
     this.#updatedAt = now;
+    // The event loop handles signals between its timers and its immediates.
+    setImmediate(() => {
+      this.#signalsHandledAt = now;
+    });
     if (gapMs > PAUSE_THRESHOLD_MS) {
       this.#options.events.write(EVENT.clockPaused, {
         gapMs: Math.round(gapMs),
--- a/packages/gateway/src/stop_times.ts
+++ b/packages/gateway/src/stop_times.ts
@@ -17,9 +17,15 @@
 
 /** Monotonic times, in milliseconds. */
 export interface StopTimes {
-  /** Until then requests may run; what has no answer yet is then answered. */
+  /**
+   * Until then requests may run; what has no answer yet is then answered. A SIGKILL
+   * never comes earlier.
+   */
   readonly drainUntil: number;
-  /** Until then streams that have begun may go on; they are then broken off. */
+  /**
+   * Until then streams that have begun may go on; they are then broken off. For
+   * their callers an earlier SIGKILL is the same.
+   */
   readonly streamUntil: number;
   /** Until then callers may read what is written for them. */
   readonly closeAt: number;
@@ -27,8 +33,10 @@
 
 /** Options of {@link planStop}. */
 export interface StopOptions {
-  /** Monotonic time of the SIGTERM, in milliseconds. */
-  readonly stoppedAt: number;
+  /** Monotonic time at which the SIGTERM was handled, in milliseconds. */
+  readonly handledAt: number;
+  /** Earliest monotonic time at which it may have been sent, in milliseconds. */
+  readonly sentAfter: number;
   /** Time from SIGTERM to SIGKILL, in milliseconds. */
   readonly graceMs: number;
 }
@@ -39,22 +47,24 @@
  * A fixed reserve would take a third of a short grace period, and cut off requests
  * whose deadlines lie within it.
  *
- * @param options When the stop began, and how long it may last.
+ * @param options When the SIGTERM came, and the grace period.
  * @example
  * ```ts
- * planStop({ stoppedAt: 0, graceMs: 8_000 });
- * // { drainUntil: 7_300, streamUntil: 7_650, closeAt: 7_900 }
+ * planStop({ handledAt: 1_000, sentAfter: 900, graceMs: 8_000 });
+ * // { drainUntil: 8_200, streamUntil: 8_650, closeAt: 8_900 }
  * ```
  */
-export function planStop({ stoppedAt, graceMs }: StopOptions): StopTimes {
+export function planStop(
+  { handledAt, sentAfter, graceMs }: StopOptions,
+): StopTimes {
   const reserveMs = Math.min(
     MAX_EXIT_RESERVE_MS,
     graceMs * MAX_EXIT_RESERVE_SHARE,
   );
   const closeMs = Math.min(MAX_CLOSE_MS, reserveMs * MAX_CLOSE_SHARE);
-  const killedAt = stoppedAt + graceMs;
+  const killedAt = handledAt + graceMs;
   return {
-    drainUntil: killedAt - reserveMs,
+    drainUntil: sentAfter + graceMs - reserveMs,
     streamUntil: killedAt - reserveMs * STREAM_SHARE,
     closeAt: killedAt - closeMs,
   };
