--- a/packages/gateway/src/event_buffer.ts
+++ b/packages/gateway/src/event_buffer.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { GrowingBuffer } from "./growing_buffer.ts";
+import * as bufferBudget from "@sardinestep/buffer_budget";
 
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
@@ -27,7 +27,7 @@
  * another endpoint would reach the caller garbled or with a duplicate.
  */
 export class EventBuffer {
-  readonly #partial = new GrowingBuffer();
+  readonly #partial = new bufferBudget.GrowingBuffer();
   #lastEventId: string | undefined;
 
   /** Id of the last complete event. */
