Keep a silent endpoint until another one has taken over

What callers saw: a stream that may be resumed broke off, or a plain idempotent request got a 502, although its endpoint went on with it a moment later. It happened in calm as well as beside a SIGTERM.

Cause: an attempt ended after min(2 x objective, 1,200 ms) without bytes and closed its connection. Only then did the VM ask whether a retry can be had. Where the other endpoints are full or fail, none is left, or the retry budget is used up, nothing took the place of the endpoint that was given up.

Fix: an attempt reports silence and stays open. A second attempt, the takeover, runs beside it; the one that first delivers an event, or a whole plain answer, goes on, and the other one is cancelled in the same turn of the event loop. A takeover that is refused or fails costs nothing but a retry. The decision is `decideTakeover` (packages/takeover); `takeover_decided` logs it. Only complete events count as progress of a stream.

The time to the first event of a stream is recorded once; a resumed stream recorded it again.

--- /dev/null
+++ b/packages/gateway/src/_forward_harness.ts
@@ -0,0 +1,321 @@
+/**
+ * Requests that are forwarded to endpoints without a network, for tests.
+ *
+ * @module
+ */
+import * as logger from "@sardinestep/logger";
+import * as metrics from "@sardinestep/metrics";
+import * as rollout from "@sardinestep/rollout";
+import * as serving from "@sardinestep/serving";
+import { setTimeout as wait } from "node:timers/promises";
+import type { AnswerWriter } from "./answer_writer.ts";
+import type { EndpointTracker } from "./endpoint_tracker.ts";
+import type {
+  FlowDependencies,
+  ForwardResult,
+  RoutedRequest,
+} from "./flow_types.ts";
+import { sendRequest } from "./forward.ts";
+import type { AnswerSink, HttpPool, PoolRequest } from "./http_pool.ts";
+import type { PeerMesh } from "./peer_mesh.ts";
+import type { WireAdapter } from "./ports.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
+import { RequestScope } from "./request_scope.ts";
+import type { Rollouts } from "./rollouts.ts";
+
+const REQUEST_ID = "r1";
+const SERVICE = "engine";
+/** Time without an event after which an endpoint is silent, in milliseconds. */
+export const SILENCE_MS = 40;
+const OBJECTIVE_MS = SILENCE_MS / 2;
+const RETRY_WINDOW_MS = 10_000;
+const POLL_MS = 2;
+const WAIT_TIMEOUT_MS = 2_000;
+const STATUS_OK = 200;
+const STATUS_FULL = 503;
+
+const ROUTE: serving.Route = {
+  name: "chat",
+  host: "chat",
+  pathPrefix: "/",
+  kind: serving.ROUTE_KIND.stream,
+  timeoutMs: 5_000,
+  objectiveMs: OBJECTIVE_MS,
+  priority: 0,
+  targets: [{ service: SERVICE, weight: 1 }],
+  maxAttempts: 2,
+  stages: [],
+  isPublic: true,
+  isResumable: true,
+};
+
+/** Options of {@link ForwardHarness}. */
+export interface ForwardHarnessOptions {
+  /** Versions of the endpoints `e0`, `e1` and so on. */
+  readonly versions?: readonly string[];
+  readonly route?: Partial<serving.Route>;
+  /** Retries that the budget allows. */
+  readonly retries?: number;
+}
+
+/** A request that an endpoint received. */
+export class SentCall {
+  readonly endpointId: string;
+  readonly lastEventId: string | undefined;
+  isCancelled = false;
+  isPaused = false;
+  readonly #sink: AnswerSink;
+
+  constructor({ address, headers }: PoolRequest, sink: AnswerSink) {
+    this.endpointId = address;
+    this.lastEventId = headers[0] || undefined;
+    this.#sink = sink;
+  }
+
+  /** Starts an answer. */
+  begin(status = STATUS_OK): void {
+    this.#sink.handleHead(status, new Map());
+  }
+
+  /** Sends bytes of the answer, unless it was cancelled. */
+  write(text: string): void {
+    if (!this.isCancelled) this.#sink.handleData(Buffer.from(text));
+  }
+
+  /** Sends a complete event. */
+  writeEvent(id: number): void {
+    this.write(`id: ${id}\ndata: ${this.endpointId}\n\n`);
+  }
+
+  end(): void {
+    if (!this.isCancelled) this.#sink.handleEnd();
+  }
+
+  refuse(): void {
+    this.begin(STATUS_FULL);
+    this.end();
+  }
+
+  breakOff(): void {
+    if (this.isCancelled) return;
+    this.#sink.handleFailure({
+      kind: "lost",
+      message: "reset",
+      isDisconnect: true,
+    });
+  }
+}
+
+/** Forwards one request to endpoints that the test drives. */
+export class ForwardHarness {
+  readonly calls: SentCall[] = [];
+  readonly scope = new RequestScope();
+  /** Events that the caller received, as id and endpoint. */
+  readonly events: string[] = [];
+  readonly lines: Record<string, unknown>[] = [];
+  /** Evidence on endpoints, one for each attempt that gave any. */
+  readonly evidence: string[] = [];
+  /** Outcomes that count for roll-outs, by endpoint. */
+  readonly recordedEnds: string[] = [];
+  /** Outcomes that count for the quarantine, by endpoint. */
+  readonly recordedOutcomes: string[] = [];
+  firstEvents = 0;
+  isStreamEnded = false;
+  /** Whether the caller reads. */
+  isReading = true;
+  #hasStarted = false;
+  #drain: () => void = () => {};
+  readonly #options: ForwardHarnessOptions;
+  readonly #endpoints: readonly serving.ServingEndpoint[];
+
+  constructor(options: ForwardHarnessOptions = {}) {
+    const { versions = ["v1", "v1", "v1", "v1"] } = options;
+    this.#options = options;
+    this.#endpoints = versions.map((version, i) => ({
+      id: `e${i}`,
+      service: SERVICE,
+      address: `e${i}`,
+      zone: "a",
+      slots: 8,
+      isDraining: false,
+      coldMs: 0,
+      version,
+    }));
+  }
+
+  /** Forwards the request until it has a final result. */
+  run(): Promise<ForwardResult> {
+    return sendRequest(this.#createDependencies(), this.#createRequest(), {
+      staged: { inputs: [], inputBytes: {} },
+      handleInputsRead: () => {},
+      handleFirstEvent: () => {
+        this.firstEvents += 1;
+      },
+      rerunStages: () => Promise.resolve(undefined),
+    });
+  }
+
+  /** Waits until so many requests have been sent to endpoints. */
+  async waitForCalls(count: number): Promise<SentCall[]> {
+    const until = performance.now() + WAIT_TIMEOUT_MS;
+    while (this.calls.length < count) {
+      if (performance.now() > until) throw new Error(`No call ${count}`);
+      await wait(POLL_MS);
+    }
+    return this.calls;
+  }
+
+  /** Reads on as the caller, after it was slow. */
+  drain(): void {
+    this.isReading = true;
+    this.#drain();
+  }
+
+  /** Decisions on takeovers, with the reason to wait. */
+  getDecisions(): unknown[] {
+    return this.lines.filter(({ event }) => event === "takeover_decided")
+      .map(({ decision, reason }) => reason ?? decision);
+  }
+
+  #createRequest(): RoutedRequest {
+    const route = { ...ROUTE, ...this.#options.route };
+    return {
+      requestId: REQUEST_ID,
+      fingerprint: "f1",
+      partKeys: [],
+      table: { services: new Map() } as unknown as serving.RouteTable,
+      route,
+      service: SERVICE,
+      rank: 0,
+      timeoutMs: route.timeoutMs,
+      method: "POST",
+      path: "/",
+      host: route.host,
+      rawHeaders: [],
+      caller: { requestId: REQUEST_ID, prompt: [], pieceCounts: [] },
+      scope: this.scope,
+      writer: this.#createWriter(),
+    };
+  }
+
+  #createWriter(): AnswerWriter {
+    const isStarted = () => this.#hasStarted;
+    const writer: Partial<AnswerWriter> = {
+      get hasStarted() {
+        return isStarted();
+      },
+      startStream: () => {
+        this.#hasStarted = true;
+      },
+      writeChunk: (chunk) => {
+        const text = Buffer.from(chunk).toString();
+        const events = text.matchAll(/^id: (\d+)\ndata: (\w+)$/gm);
+        this.events.push(...[...events].map(([, id, from]) => `${id} ${from}`));
+        return this.isReading;
+      },
+      waitForDrain: (handle) => {
+        this.#drain = handle;
+      },
+      endStream: () => {
+        this.isStreamEnded = true;
+      },
+    };
+    return writer as AnswerWriter;
+  }
+
+  #createDependencies(): FlowDependencies {
+    const endpoints = this.#endpoints;
+    const tracker: Partial<EndpointTracker> = {
+      recordStart: () => {},
+      recordEnd: ({ id }, evidence) => {
+        if (evidence !== undefined) this.evidence.push(`${id} ${evidence}`);
+      },
+      recordNotices: () => {},
+      getUsableEndpoints: () => [...endpoints],
+      getResumeEndpoints: () => [...endpoints],
+      getCandidates: (_, usable) =>
+        usable.map(({ id, zone, slots }, i) => ({
+          id,
+          zone,
+          slots,
+          inFlight: i,
+          isAvoided: false,
+        })),
+      find: (id) => endpoints.find((endpoint) => endpoint.id === id),
+    };
+    const rollouts: Partial<Rollouts> = {
+      planSides: () => [rollout.SIDE.present],
+      planRetrySides: () => [rollout.SIDE.present],
+      recordSent: () => {},
+      recordEnd: ({ id }, _, { kind }) => {
+        this.recordedEnds.push(`${id} ${kind}`);
+      },
+    };
+    const quarantine: Partial<RequestQuarantine> = {
+      check: () => undefined,
+      hasSuspectPart: () => false,
+      recordAnswer: () => {},
+      recordOutcome: ({ id }, outcome) => {
+        const isDisconnect = outcome.kind === "lost" && outcome.isDisconnect;
+        this.recordedOutcomes.push(
+          `${id} ${isDisconnect ? "disconnect" : outcome.kind}`,
+        );
+      },
+    };
+    const wire: Partial<WireAdapter> = {
+      buildForwardHeaders: (_, { lastEventId }) => [lastEventId ?? ""],
+      readAnswer: (status) => ({
+        requestId: REQUEST_ID,
+        signature: "s",
+        isNotRun: status === STATUS_FULL,
+        notices: {},
+      }),
+    };
+    const pool: Partial<HttpPool> = {
+      send: (request, sink) => {
+        const call = new SentCall(request, sink);
+        this.calls.push(call);
+        sink.handleSent?.();
+        return {
+          cancel: () => {
+            call.isCancelled = true;
+          },
+          pause: () => {
+            call.isPaused = true;
+          },
+          resume: () => {
+            call.isPaused = false;
+          },
+        };
+      },
+    };
+    const deps: Partial<FlowDependencies> = {
+      zone: "a",
+      endpointTracker: tracker as EndpointTracker,
+      pool: pool as HttpPool,
+      wire: wire as WireAdapter,
+      mesh: { countMembers: () => 1 } as Partial<PeerMesh> as PeerMesh,
+      retryBudget: new serving.RetryBudget({
+        ratio: 0,
+        extra: 2 * (this.#options.retries ?? 100),
+        windowMs: RETRY_WINDOW_MS,
+      }),
+      rollouts: rollouts as Rollouts,
+      quarantine: quarantine as RequestQuarantine,
+      streamNotes: {
+        record: () => {},
+      } as unknown as FlowDependencies["streamNotes"],
+      events: new logger.EventLog({
+        process: "test",
+        vmId: "vm-1",
+        output: {
+          writableLength: 0,
+          write: (text: string) => this.lines.push(JSON.parse(text)),
+        },
+      }),
+      metrics: new metrics.Metrics({ prefix: "test" }),
+      isContended: () => false,
+    };
+    return deps as FlowDependencies;
+  }
+}
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -6,6 +6,7 @@
 import * as bufferBudget from "@sardinestep/buffer_budget";
 import * as endpointPaths from "@sardinestep/endpoint_paths";
 import * as serving from "@sardinestep/serving";
+import { match } from "ts-pattern";
 import type { AnswerWriter, CompleteAnswer } from "./answer_writer.ts";
 import type { EndpointTracker } from "./endpoint_tracker.ts";
 import {
@@ -38,12 +39,30 @@
     readonly message: string;
     /** The endpoint closed or reset the connection. */
     readonly isDisconnect: boolean;
-    /** The endpoint sent nothing for the inactivity timeout. */
-    readonly isSilent?: boolean;
   }
+  /** Cancelled, since the endpoint beside which it ran went on. */
+  | { readonly kind: "superseded" }
   /** The request was ended first: the caller disconnected or the time ran out. */
   | { readonly kind: "ended" };
 
+/** Why a running attempt is cancelled. */
+export const CANCEL_CAUSE = {
+  /** Its endpoint is silent, and another one goes on. */
+  endpointSilent: "endpointSilent",
+  /** The silent endpoint that it was to replace goes on. */
+  superseded: "superseded",
+} as const;
+/** A value of {@link CANCEL_CAUSE}. */
+export type CancelCause = typeof CANCEL_CAUSE[keyof typeof CANCEL_CAUSE];
+
+/** An attempt that was started. */
+export interface RunningAttempt {
+  /** Resolves when the attempt ends; never rejects. */
+  readonly outcome: Promise<AttemptOutcome>;
+  /** Closes the connection at once; no effect on an attempt that has ended. */
+  cancel(cause: CancelCause): void;
+}
+
 /** The parts of a request that are the same in every attempt. */
 export interface SendableRequest {
   readonly requestId: string;
@@ -54,7 +73,7 @@
   readonly caller?: CallerMetadata;
 }
 
-/** Options of {@link runAttempt}. */
+/** Options of {@link startAttempt}. */
 export interface AttemptOptions {
   readonly request: SendableRequest;
   readonly endpoint: serving.ServingEndpoint;
@@ -72,7 +91,7 @@
   readonly maxIdleMs: number;
   /** VMs that send requests to the endpoint. */
   readonly senders: number;
-  /** Longest time without receiving any bytes, in milliseconds. */
+  /** Time without progress after which an endpoint is silent, in milliseconds. */
   readonly inactivityTimeoutMs?: number;
   readonly isStream: boolean;
   /** Set for resumable streams: passes on complete events only. */
@@ -83,6 +102,10 @@
   readonly handleAnswerStart: () => void;
   /** Called when the first bytes of a stream are passed on. */
   readonly handleFirstEvent: () => void;
+  /** Called before bytes of a stream, or its end, are passed on. */
+  readonly handleDelivery?: () => void;
+  /** Called each time that the endpoint was silent for the inactivity timeout. */
+  readonly handleSilence?: () => void;
 }
 
 /** Largest answer that is buffered before it is passed on, in bytes. */
@@ -101,7 +124,28 @@
  * @returns How the attempt ended; the promise never rejects.
  */
 export function runAttempt(options: AttemptOptions): Promise<AttemptOutcome> {
-  return new Promise((resolve) => new Attempt(options, resolve).start());
+  return startAttempt(options).outcome;
+}
+
+/**
+ * Starts to send a request to one endpoint.
+ *
+ * @param options The request, the endpoint and the writer for the answer.
+ * @returns The running attempt, which can be cancelled.
+ */
+export function startAttempt(options: AttemptOptions): RunningAttempt {
+  const { promise, resolve } = createOutcome();
+  const attempt = new Attempt(options, resolve);
+  attempt.start();
+  return { outcome: promise, cancel: (cause) => attempt.cancel(cause) };
+}
+
+function createOutcome() {
+  let resolve: (outcome: AttemptOutcome) => void = () => {};
+  const promise = new Promise<AttemptOutcome>((resolveOutcome) => {
+    resolve = resolveOutcome;
+  });
+  return { promise, resolve };
 }
 
 class Attempt implements AnswerSink {
@@ -160,6 +204,16 @@
     this.#restartInactivityTimeout();
   }
 
+  cancel(cause: CancelCause): void {
+    match(cause)
+      .with(CANCEL_CAUSE.endpointSilent, () => this.#fail("Endpoint is silent"))
+      .with(
+        CANCEL_CAUSE.superseded,
+        () => this.#finish({ kind: "superseded" }, undefined),
+      )
+      .exhaustive();
+  }
+
   handleSent(): void {
     this.#options.handleSent();
   }
@@ -190,9 +244,9 @@
   }
 
   handleData(chunk: Uint8Array): void {
-    this.#restartInactivityTimeout();
     const isRelayed = this.#options.isStream && isSuccess(this.#status);
     if (isRelayed) return this.#relayChunk(chunk);
+    this.#restartInactivityTimeout();
     this.#bodyChunks.push(Uint8Array.from(chunk));
     this.#bodyBytes += chunk.length;
     this.#options.writer.account?.add(
@@ -245,12 +299,15 @@
   }
 
   #relayChunk(chunk: Uint8Array): void {
-    const { eventBuffer, writer, handleFirstEvent } = this.#options;
+    const { eventBuffer, writer, handleFirstEvent, handleDelivery } =
+      this.#options;
     const bytes = eventBuffer === undefined
       ? chunk
       : eventBuffer.takeCompleteEvents(chunk);
     if (bytes.length > MAX_EVENT_BYTES) return this.#fail("Event is too long");
     if (bytes.length === 0) return;
+    this.#restartInactivityTimeout();
+    handleDelivery?.();
     if (eventBuffer === undefined) this.#tail.add(bytes);
     if (!this.#isStreaming) {
       this.#startStream();
@@ -273,35 +330,27 @@
   }
 
   #endStream(): void {
-    const { eventBuffer, writer } = this.#options;
+    const { eventBuffer, writer, handleDelivery } = this.#options;
     const { hasPartial } = eventBuffer ?? this.#tail;
     if (hasPartial) return this.#fail("Stream ended inside an event");
-    if (!this.#isStreaming) {
-      // Nothing may be left after the last event that the caller has.
-      if (!this.#isResume) return this.#fail("Stream ended without an event");
-      this.#startStream();
+    // Nothing may be left after the last event that the caller has.
+    if (!this.#isStreaming && !this.#isResume) {
+      return this.#fail("Stream ended without an event");
     }
+    handleDelivery?.();
+    if (!this.#isStreaming) this.#startStream();
     writer.endStream();
     this.#finish({ kind: "streamed" }, serving.EVIDENCE.good);
   }
 
-  /** Fails the attempt when a dead connection sends no bytes and no reset. */
   #restartInactivityTimeout(): void {
-    const { inactivityTimeoutMs } = this.#options;
+    const { inactivityTimeoutMs, handleSilence } = this.#options;
     if (inactivityTimeoutMs === undefined || this.#isFinished) return;
     this.#inactivityTimeout?.cancel();
-    this.#inactivityTimeout = new endpointPaths.IoTimeout(
-      () =>
-        this.#finish({
-          kind: "lost",
-          message: `Endpoint sent nothing for ${
-            Math.round(inactivityTimeoutMs)
-          } ms`,
-          isDisconnect: false,
-          isSilent: true,
-        }, serving.EVIDENCE.broken),
-      inactivityTimeoutMs,
-    );
+    this.#inactivityTimeout = new endpointPaths.IoTimeout(() => {
+      this.#restartInactivityTimeout();
+      handleSilence?.();
+    }, inactivityTimeoutMs);
   }
 
   #fail(message: string): void {
--- a/packages/gateway/src/endpoint_choice.ts
+++ b/packages/gateway/src/endpoint_choice.ts
@@ -6,6 +6,44 @@
 import * as serving from "@sardinestep/serving";
 import type { FlowDependencies, RoutedRequest } from "./flow_types.ts";
 
+/** Options of {@link pickAttemptEndpoint}. */
+export interface PickAttemptEndpointOptions
+  extends Omit<PickRequestEndpointOptions, "endpoints"> {
+  /** Endpoints at which a stream may go on; undefined for all other requests. */
+  readonly endpoints: readonly serving.ServingEndpoint[] | undefined;
+}
+
+/**
+ * Picks the endpoint for the next attempt of a request, of the versions to which the
+ * roll-out sends it, or of those at which its stream may go on.
+ *
+ * @returns Undefined if no endpoint may be used.
+ */
+export function pickAttemptEndpoint(
+  deps:
+    & EndpointChoiceDependencies
+    & Pick<FlowDependencies, "rollouts" | "endpointTracker">,
+  request: RoutedRequest,
+  options: PickAttemptEndpointOptions,
+): serving.ServingEndpoint | undefined {
+  const { endpoints, tried } = options;
+  if (endpoints !== undefined) {
+    return pickRequestEndpoint(deps, request, { ...options, endpoints });
+  }
+  const { service, session, requestId } = request;
+  const sides = tried.size === 0
+    ? deps.rollouts.planSides(service, session?.id ?? requestId)
+    : deps.rollouts.planRetrySides(service);
+  for (const side of sides) {
+    const endpoint = pickRequestEndpoint(deps, request, {
+      ...options,
+      endpoints: deps.endpointTracker.getUsableEndpoints(service, side),
+    });
+    if (endpoint !== undefined) return endpoint;
+  }
+  return undefined;
+}
+
 /** What the choice depends on beside the request. */
 export interface PickRequestEndpointOptions {
   /** Endpoints that the request may use. */
--- a/packages/gateway/src/event_buffer.ts
+++ b/packages/gateway/src/event_buffer.ts
@@ -21,6 +21,11 @@
   #partial = Buffer.alloc(0);
   #lastEventId: string | undefined;
 
+  /** @param lastEventId Id of the event after which the stream begins. */
+  constructor(lastEventId?: string) {
+    this.#lastEventId = lastEventId;
+  }
+
   /** Id of the last complete event. */
   get lastEventId(): string | undefined {
     return this.#lastEventId;
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -39,6 +39,7 @@
   requestRefused: "request_refused",
   requestSent: "request_sent",
   requestRepeated: "request_repeated",
+  takeoverDecided: "takeover_decided",
   streamResumed: "stream_resumed",
   streamStarted: "stream_started",
   requestAnswered: "request_answered",
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -6,14 +6,25 @@
 import * as codes from "@sardinestep/codes";
 import * as serving from "@sardinestep/serving";
 import * as streamVersions from "@sardinestep/stream_versions";
+import * as takeover from "@sardinestep/takeover";
 import { match } from "ts-pattern";
 import type { CompleteAnswer } from "./answer_writer.ts";
 import {
   type AttemptOutcome,
-  runAttempt,
+  type RunningAttempt,
+  startAttempt,
   STATUS_FAILURE_MIN,
 } from "./attempt.ts";
-import { pickRequestEndpoint } from "./endpoint_choice.ts";
+import { AttemptRecord } from "./attempt_record.ts";
+import {
+  type DroppedAttempt,
+  type RaceOutcome,
+  type RaceStart,
+  runRace,
+  type SilentSpan,
+  type TakenOver,
+} from "./attempt_race.ts";
+import { pickAttemptEndpoint } from "./endpoint_choice.ts";
 import { EventBuffer } from "./event_buffer.ts";
 import { EVENT } from "./events.ts";
 import {
@@ -31,8 +42,8 @@
   getStreamEndpoints,
   recordStreamVersion,
 } from "./resumed_stream.ts";
+import { planTakeover } from "./takeover_plan.ts";
 import { TRUNCATION_CAUSE } from "./truncation.ts";
-import { buildRequestOutcome } from "./version_evidence.ts";
 
 /** Stage results that the request reads as inputs. */
 export interface StagedInputs {
@@ -73,14 +84,14 @@
 /** How often the stages of one request run again after results were lost. */
 const MAX_RERUNS = 1;
 /**
- * Time without data after which a retryable request is sent to another endpoint, as
- * a multiple of its latency objective. Any later answer would miss the objective.
+ * Time without data after which another endpoint may take over a retryable request,
+ * as a multiple of its latency objective. Any later answer would miss the objective.
  */
 const INACTIVITY_OBJECTIVE_FACTOR = 2;
 /**
- * Time without data after which a resumable stream moves to another endpoint, in
- * milliseconds. Callers disconnect after 2 s; healthy endpoints pause for less than
- * 500 ms.
+ * Time without an event after which another endpoint may take over a resumable
+ * stream, in milliseconds. Callers disconnect after 2 s or later; healthy endpoints
+ * pause for less than 500 ms.
  */
 const STREAM_INACTIVITY_TIMEOUT_MS = 1_200;
 /** Lowest priority that an endpoint knows. */
@@ -102,7 +113,12 @@
   readonly #request: RoutedRequest;
   readonly #options: ForwardOptions;
   readonly #triedIds = new Set<string>();
-  readonly #eventBuffer: EventBuffer | undefined;
+  /** Endpoints at which the request may have run. */
+  readonly #ranIds = new Set<string>();
+  /** Position in a resumable stream. */
+  #eventBuffer: EventBuffer | undefined;
+  /** The same of a takeover. */
+  #takeoverBuffer: EventBuffer | undefined;
   #staged: StagedInputs;
   /** Attempts in which the request may have run. */
   #attempts = 0;
@@ -138,9 +154,9 @@
       // The request may have been quarantined while its stages ran.
       const refusal = this.#deps.quarantine.check(this.#request);
       if (refusal !== undefined) return this.#giveUp(refusal.message, refusal);
-      const endpoint = this.#pickEndpoint();
-      if (endpoint === undefined) return this.#giveUpWithoutEndpoint();
-      const outcome = await this.#send(endpoint);
+      const first = this.#pickEndpoint(this.#triedIds);
+      if (first === undefined) return this.#giveUpWithoutEndpoint();
+      const { endpoint, outcome } = await this.#runRace(first);
       clearTimeout(this.#inputReleaseTimer);
       const result = await this.#handleOutcome(endpoint, outcome);
       if (result !== undefined) return result;
@@ -157,21 +173,14 @@
       .exhaustive();
   }
 
-  #pickEndpoint(): serving.ServingEndpoint | undefined {
-    const { service, session, requestId } = this.#request;
-    const { rollouts, endpointTracker } = this.#deps;
-    const resumable = this.#getStreamEndpoints();
-    if (resumable !== undefined) return this.#pickEndpointOf(resumable);
-    const sides = this.#triedIds.size === 0
-      ? rollouts.planSides(service, session?.id ?? requestId)
-      : rollouts.planRetrySides(service);
-    for (const side of sides) {
-      const endpoint = this.#pickEndpointOf(
-        endpointTracker.getUsableEndpoints(service, side),
-      );
-      if (endpoint !== undefined) return endpoint;
-    }
-    return undefined;
+  #pickEndpoint(
+    tried: ReadonlySet<string>,
+  ): serving.ServingEndpoint | undefined {
+    return pickAttemptEndpoint(this.#deps, this.#request, {
+      endpoints: this.#getStreamEndpoints(),
+      inputBytes: this.#staged.inputBytes,
+      tried,
+    });
   }
 
   /** Endpoints of the version that began the stream, once it has begun. */
@@ -181,68 +190,56 @@
     return getStreamEndpoints(this.#deps, { service, streamVersion });
   }
 
-  #pickEndpointOf(
-    endpoints: readonly serving.ServingEndpoint[],
-  ): serving.ServingEndpoint | undefined {
-    return pickRequestEndpoint(this.#deps, this.#request, {
-      endpoints,
-      inputBytes: this.#staged.inputBytes,
-      tried: this.#triedIds,
-    });
+  #runRace(endpoint: serving.ServingEndpoint) {
+    const isStream = this.#request.route.kind === serving.ROUTE_KIND.stream;
+    return runRace({
+      start: (options) => this.#start(options),
+      pickTakeover: (span) => this.#pickTakeover(span),
+      recordDropped: (attempt) => this.#recordDropped(attempt),
+      handleTakenOver: (taken) => this.#handleTakenOver(taken),
+      isFinal: (outcome) => this.#isFinal(outcome),
+      isInputsMissing: (outcome) => this.#isInputsMissing(outcome),
+      rerunStages: async () => await this.#rerunStages() === undefined,
+      maxOverlapMs: isStream ? takeover.MAX_OVERLAP_MS : undefined,
+    }, endpoint);
   }
 
-  /** Runs one attempt and records its outcome for roll-outs and quarantine. */
-  async #send(endpoint: serving.ServingEndpoint): Promise<AttemptOutcome> {
-    const { rollouts } = this.#deps;
-    const { route } = this.#request;
-    const startedAt = performance.now();
-    const slowdown = this.#recordSlowdown(endpoint, startedAt);
-    let firstEventMs: number | undefined;
-    rollouts.recordSent(endpoint, route.name);
-    const outcome = await this.#runAttempt(endpoint, () => {
-      firstEventMs ??= performance.now() - startedAt;
-    });
-    const tookMs = performance.now() - startedAt;
-    if (firstEventMs !== undefined && slowdown !== undefined) {
-      const { speeds } = this.#deps.endpointTracker;
-      speeds.recordFirstEvent(endpoint, firstEventMs, slowdown);
-    }
-    const end = buildRequestOutcome(outcome, {
-      firstEventMs,
-      tookMs,
-      objectiveMs: route.objectiveMs,
-    });
-    rollouts.recordEnd(endpoint, route.name, end);
-    this.#deps.quarantine.recordOutcome(endpoint, outcome, {
-      requestId: this.#request.requestId,
-      fingerprint: this.#request.fingerprint,
-      parts: this.#request.caller.prompt.slice(0, -1).map(({ id }) => id),
-      partKeys: this.#request.partKeys,
-      ageMs: tookMs,
+  /** Starts an attempt, whose outcome is recorded for roll-outs and quarantine. */
+  #start(options: RaceStart): RunningAttempt {
+    const record = new AttemptRecord(
+      this.#deps,
+      this.#request,
+      options.endpoint,
+    );
+    const attempt = this.#startAttempt(options, record);
+    const outcome = attempt.outcome.then((ended) => {
+      record.recordEnd(ended);
+      return ended;
     });
-    return outcome;
+    return { ...attempt, outcome };
   }
 
-  #runAttempt(
-    endpoint: serving.ServingEndpoint,
-    handleFirstEvent: () => void,
-  ): Promise<AttemptOutcome> {
+  #startAttempt(
+    { endpoint, isTakeover, listener }: RaceStart,
+    record: AttemptRecord,
+  ): RunningAttempt {
     const request = this.#request;
     const { scope, route } = request;
     const leftMs = Math.max(1, Math.floor(request.timeoutMs - scope.ageMs));
-    this.#triedIds.add(endpoint.id);
+    const eventBuffer = this.#openEventBuffer(isTakeover);
+    if (!isTakeover) this.#triedIds.add(endpoint.id);
     this.#deps.events.write(EVENT.requestSent, {
       requestId: request.requestId,
       endpointId: endpoint.id,
       zone: endpoint.zone,
       leftMs,
       inputs: this.#staged.inputs.length,
-      send: this.#attempts + 1,
-      lastEventId: this.#eventBuffer?.lastEventId,
+      send: this.#attempts + (isTakeover ? 2 : 1),
+      lastEventId: eventBuffer?.lastEventId,
       version: endpoint.version,
-      ...this.#buildSpeedFields(endpoint),
+      ...record.buildSpeedFields(),
     });
-    return runAttempt({
+    return startAttempt({
       request,
       endpoint,
       wire: this.#deps.wire,
@@ -260,47 +257,39 @@
       senders: this.#deps.mesh.countMembers(),
       inactivityTimeoutMs: this.#getInactivityTimeoutMs(),
       isStream: route.kind === serving.ROUTE_KIND.stream,
-      eventBuffer: this.#eventBuffer,
-      handleSent: () => this.#scheduleInputRelease(),
+      eventBuffer,
+      ...listener,
+      handleSent: () => {
+        listener.handleSent();
+        this.#scheduleInputRelease();
+      },
       handleAnswerStart: () => this.#deps.quarantine.recordAnswer(endpoint),
       handleFirstEvent: () => {
-        handleFirstEvent();
-        this.#recordStreamVersion(endpoint);
+        record.recordFirstEvent();
         this.#options.handleInputsRead();
-        this.#options.handleFirstEvent();
+        this.#recordFirstEvent(endpoint);
       },
     });
   }
 
-  #recordStreamVersion(endpoint: serving.ServingEndpoint): void {
-    if (this.#eventBuffer === undefined || this.#hasBegun) return;
+  /** Returns the position at which an attempt takes up a resumable stream. */
+  #openEventBuffer(isTakeover: boolean): EventBuffer | undefined {
+    if (!isTakeover || this.#eventBuffer === undefined) {
+      return this.#eventBuffer;
+    }
+    this.#takeoverBuffer = new EventBuffer(this.#eventBuffer.lastEventId);
+    return this.#takeoverBuffer;
+  }
+
+  #recordFirstEvent(endpoint: serving.ServingEndpoint): void {
+    if (this.#hasBegun) return;
     this.#hasBegun = true;
+    this.#options.handleFirstEvent();
+    if (this.#eventBuffer === undefined) return;
     this.#streamVersion = streamVersions.buildVersionTag(endpoint);
     recordStreamVersion(this.#deps, this.#request, this.#streamVersion);
   }
 
-  /** Records the slowdown to expect; undefined where speeds don't count. */
-  #recordSlowdown(
-    { id, service }: serving.ServingEndpoint,
-    now: number,
-  ): number | undefined {
-    if (!this.#deps.isContended()) return undefined;
-    const slowdown = this.#deps.endpointTracker.speeds.getSlowdown(id, now);
-    this.#deps.metrics.recordMs(
-      "sent_slowdown_percent",
-      { service },
-      100 * slowdown,
-    );
-    return slowdown;
-  }
-
-  /** Builds the log fields of what is known of an endpoint's speed. */
-  #buildSpeedFields(endpoint: serving.ServingEndpoint) {
-    if (!this.#deps.isContended()) return {};
-    const { speeds } = this.#deps.endpointTracker;
-    return speeds.buildLogFields(endpoint.id, performance.now());
-  }
-
   /**
    * Releases the inputs of a non-retryable request soon after it was sent.
    *
@@ -316,7 +305,7 @@
     );
   }
 
-  /** Undefined where no further attempt is allowed after a timeout. */
+  /** Undefined where no other endpoint may take over. */
   #getInactivityTimeoutMs(): number | undefined {
     const { route } = this.#request;
     if (!this.#isRetryable || this.#attempts + 1 >= route.maxAttempts) {
@@ -329,7 +318,7 @@
 
   async #handleOutcome(
     endpoint: serving.ServingEndpoint,
-    outcome: AttemptOutcome,
+    outcome: RaceOutcome,
   ): Promise<ForwardResult | undefined> {
     return await match(outcome)
       .with({ kind: "streamed" }, () => ({ kind: "streamed" as const }))
@@ -337,7 +326,10 @@
         this.#mayHaveRun = true;
         return this.#buildEnded();
       })
-      .with({ kind: "answered" }, ({ answer }) => this.#handleAnswer(answer))
+      .with(
+        { kind: "answered" },
+        ({ answer }) => this.#handleAnswer(endpoint, answer),
+      )
       .with(
         { kind: "notRun" },
         ({ status }) => this.#handleNotRun(endpoint, status),
@@ -350,9 +342,11 @@
       .exhaustive();
   }
 
-  #handleAnswer(answer: CompleteAnswer): ForwardResult | undefined {
-    this.#mayHaveRun = true;
-    this.#attempts += 1;
+  #handleAnswer(
+    endpoint: serving.ServingEndpoint,
+    answer: CompleteAnswer,
+  ): ForwardResult | undefined {
+    this.#recordRun(endpoint);
     const isFailure = answer.status >= STATUS_FAILURE_MIN;
     if (this.#request.writer.hasStarted) {
       return {
@@ -372,8 +366,8 @@
     status: number,
   ): Promise<ForwardResult | undefined> {
     this.#refusals += 1;
-    if (status === STATUS_INPUTS_MISSING && this.#staged.inputs.length > 0) {
-      return await this.#rerunStages();
+    if (this.#isInputsMissing({ kind: "notRun", status })) {
+      return await this.#retryWithNewInputs();
     }
     this.#triedIds.add(endpoint.id);
     if (
@@ -386,18 +380,25 @@
     return undefined;
   }
 
-  async #rerunStages(): Promise<ForwardResult | undefined> {
-    this.#reruns += 1;
-    if (this.#reruns > MAX_RERUNS) return this.#giveUp("Results lost again");
-    const staged = await this.#options.rerunStages();
-    if (staged === undefined) return this.#giveUp("Rerun of stages failed");
-    this.#staged = staged;
+  async #retryWithNewInputs(): Promise<ForwardResult | undefined> {
+    const failure = await this.#rerunStages();
+    if (failure !== undefined) return this.#giveUp(failure);
     this.#triedIds.clear();
     return this.#takeRetry("stage results were lost")
       ? undefined
       : this.#giveUp("Results were lost and no retry is left");
   }
 
+  /** Runs the stages again; returns why that failed, if it did. */
+  async #rerunStages(): Promise<string | undefined> {
+    this.#reruns += 1;
+    if (this.#reruns > MAX_RERUNS) return "Results lost again";
+    const staged = await this.#options.rerunStages();
+    if (staged === undefined) return "Rerun of stages failed";
+    this.#staged = staged;
+    return undefined;
+  }
+
   #handleNotSent(message: string): ForwardResult | undefined {
     this.#connectFailures += 1;
     return this.#connectFailures < MAX_CONNECT_FAILURES
@@ -407,10 +408,9 @@
 
   #handleLost(
     endpoint: serving.ServingEndpoint,
-    { message, isSilent }: Extract<AttemptOutcome, { kind: "lost" }>,
+    { message }: Extract<AttemptOutcome, { kind: "lost" }>,
   ): ForwardResult | undefined {
-    this.#mayHaveRun = true;
-    this.#attempts += 1;
+    this.#recordRun(endpoint);
     this.#eventBuffer?.dropPartial();
     // Another crash would be no further evidence.
     const isSuspect = this.#deps.quarantine.hasSuspectPart(this.#request);
@@ -421,13 +421,78 @@
       return undefined;
     }
     if (this.#request.writer.hasStarted) {
-      const { endpointSilent, endpointFailed } = TRUNCATION_CAUSE;
-      const cause = isSilent ? endpointSilent : endpointFailed;
+      const cause = TRUNCATION_CAUSE.endpointFailed;
       return { kind: "brokenOff", cause, reason: message };
     }
     return this.#giveUp(message);
   }
 
+  /** Records that the request may have run at an endpoint. */
+  #recordRun({ id }: serving.ServingEndpoint): void {
+    this.#mayHaveRun = true;
+    this.#attempts += 1;
+    this.#ranIds.add(id);
+  }
+
+  #isFinal(outcome: RaceOutcome): boolean {
+    return match(outcome)
+      .with({ kind: "streamed" }, { kind: "ended" }, () => true)
+      .with(
+        { kind: "answered" },
+        ({ answer }) =>
+          answer.status < STATUS_FAILURE_MIN &&
+          !this.#request.writer.hasStarted,
+      )
+      .with(
+        { kind: "notRun" },
+        { kind: "notSent" },
+        { kind: "lost" },
+        () => false,
+      )
+      .exhaustive();
+  }
+
+  #isInputsMissing(outcome: RaceOutcome): boolean {
+    return outcome.kind === "notRun" &&
+      outcome.status === STATUS_INPUTS_MISSING &&
+      this.#staged.inputs.length > 0;
+  }
+
+  /** Picks an endpoint for a takeover, and takes a retry for it. */
+  #pickTakeover(span: SilentSpan): serving.ServingEndpoint | undefined {
+    const endpoint = this.#pickEndpoint(
+      new Set([span.endpoint.id, ...span.triedIds, ...this.#ranIds]),
+    );
+    const attempts = this.#attempts + 1;
+    const decision = planTakeover(this.#deps, this.#request, {
+      span,
+      attempts,
+      isRetryable: this.#isRetryable,
+      hasEndpoint: endpoint !== undefined,
+    });
+    if (decision.kind === "wait") return undefined;
+    return this.#takeRetry("Endpoint is silent", attempts)
+      ? endpoint
+      : undefined;
+  }
+
+  /** Records an attempt that ended while another one goes on. */
+  #recordDropped({ endpoint, outcome, wasSent }: DroppedAttempt): void {
+    const isRefused = outcome.kind === "notRun" || outcome.kind === "notSent";
+    if (!wasSent || isRefused) return;
+    this.#recordRun(endpoint);
+    this.#triedIds.add(endpoint.id);
+    if (outcome.kind === "answered") this.#lastFailure = outcome.answer;
+  }
+
+  #handleTakenOver({ from, to }: TakenOver): void {
+    if (this.#request.writer.hasStarted) {
+      this.#recordResume(from, `Endpoint ${to.id} takes over`);
+    }
+    this.#eventBuffer = this.#takeoverBuffer;
+    this.#takeoverBuffer = undefined;
+  }
+
   #recordResume({ version }: serving.ServingEndpoint, message: string): void {
     this.#deps.events.write(EVENT.streamResumed, {
       requestId: this.#request.requestId,
@@ -445,7 +510,7 @@
   }
 
   /** Takes one retry from the service's budget, if it has one left. */
-  #takeRetry(reason: string): boolean {
+  #takeRetry(reason: string, sends = this.#attempts): boolean {
     const { service, requestId } = this.#request;
     const { retryBudget, mesh, events } = this.#deps;
     const now = performance.now();
@@ -456,7 +521,7 @@
       service,
       reason,
       isAllowed,
-      sends: this.#attempts,
+      sends,
     });
     return isAllowed;
   }
--- a/packages/gateway/src/request_quarantine.ts
+++ b/packages/gateway/src/request_quarantine.ts
@@ -117,6 +117,7 @@
         { kind: "lost" },
         { kind: "notRun" },
         { kind: "notSent" },
+        { kind: "superseded" },
         { kind: "ended" },
         () => {},
       )
--- a/packages/gateway/src/truncation.ts
+++ b/packages/gateway/src/truncation.ts
@@ -8,8 +8,6 @@
 export const TRUNCATION_CAUSE = {
   /** The endpoint closed the connection, or its answer could not be used. */
   endpointFailed: "endpointFailed",
-  /** The endpoint sent nothing, and the attempt was given up. */
-  endpointSilent: "endpointSilent",
   /** No endpoint took up the stream after an attempt had failed. */
   resumeFailed: "resumeFailed",
   /** The VM exits. */
--- a/packages/gateway/src/version_evidence.ts
+++ b/packages/gateway/src/version_evidence.ts
@@ -43,6 +43,7 @@
     .with(
       { kind: "notRun" },
       { kind: "notSent" },
+      { kind: "superseded" },
       () => ({ kind: "neutral" as const }),
     )
     .with({ kind: "ended" }, () => {
--- /dev/null
+++ b/packages/takeover/src/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Takeovers of answers whose endpoints are silent.
+ *
+ * @module
+ */
+export * from "./takeover.ts";
--- /dev/null
+++ b/packages/takeover/src/takeover_test.ts
@@ -0,0 +1,45 @@
+import { expect } from "chai";
+import {
+  decideTakeover,
+  MAX_REFUSALS,
+  type TakeoverState,
+  WAIT_REASON,
+  type WaitReason,
+} from "./takeover.ts";
+
+const STATE: TakeoverState = {
+  isRetryable: true,
+  attempts: 1,
+  maxAttempts: 2,
+  isSuspect: false,
+  refusals: 0,
+  hasEndpoint: true,
+  isBudgetLeft: true,
+};
+
+const OBSTACLES: Readonly<Record<WaitReason, Partial<TakeoverState>>> = {
+  [WAIT_REASON.notRetryable]: { isRetryable: false },
+  [WAIT_REASON.attemptsUsed]: { attempts: 2 },
+  [WAIT_REASON.suspect]: { isSuspect: true },
+  [WAIT_REASON.refused]: { refusals: MAX_REFUSALS },
+  [WAIT_REASON.noEndpoint]: { hasEndpoint: false },
+  [WAIT_REASON.budgetUsed]: { isBudgetLeft: false },
+};
+
+describe("decideTakeover", () => {
+  it("takes over while a retry can be had", () => {
+    expect(decideTakeover(STATE)).to.deep.equal({ kind: "takeOver" });
+  });
+
+  it("tries one more endpoint after a refusal", () => {
+    expect(decideTakeover({ ...STATE, refusals: MAX_REFUSALS - 1 }))
+      .to.deep.equal({ kind: "takeOver" });
+  });
+
+  for (const [reason, obstacle] of Object.entries(OBSTACLES)) {
+    it(`waits for the silent endpoint: ${reason}`, () => {
+      expect(decideTakeover({ ...STATE, ...obstacle }))
+        .to.deep.equal({ kind: "wait", reason });
+    });
+  }
+});
