--- a/packages/gateway/src/event_buffer.ts
+++ b/packages/gateway/src/event_buffer.ts
@@ -30,6 +30,11 @@
   readonly #partial = new bufferBudget.GrowingBuffer();
   #lastEventId: string | undefined;
 
+  /** @param lastEventId Id of the event after which the stream begins. */
+  constructor(lastEventId?: string) {
+    this.#lastEventId = lastEventId;
+  }
+
   /** Id of the last complete event. */
   get lastEventId(): string | undefined {
     return this.#lastEventId;
