Bound all buffered answers by the memory budget

What callers saw: endpoints that send large answers, or answers without an end, to many requests at once fill the memory of a VM, which is then killed with all its requests.

Cause: an answer that is read whole had a limit of 8 MiB of its own and no common one. On contended sites its bytes were counted but never refused, on others they were not counted. Each chunk was kept in an array of its own, however small.

Where the site is not contended, an answer counts until its response closes, and bodies are refused while bodies and answers together exceed the budget.

--- a/packages/buffer_budget/src/buffer_budget.ts
+++ b/packages/buffer_budget/src/buffer_budget.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { type AnswerDecision, decideAnswer } from "./decide_answer.ts";
 import { decideRelay, type RelayDecision } from "./decide_relay.ts";
 import { EndpointBytes } from "./endpoint_bytes.ts";
 import { planEvictions } from "./plan_evictions.ts";
@@ -238,6 +239,18 @@
     return { kind: "pause", checkAfterMs: NO_ROOM_CHECK_MS };
   }
 
+  /**
+   * Whether the answer may be read further, if need be after responses to callers
+   * that don't read were ended.
+   */
+  mayReadAnswer(): boolean {
+    if (this.#isClosed) return true;
+    const decision = this.#decideAnswer();
+    if (decision.kind === "read") return true;
+    return this.#budget.releaseUnread(decision.neededBytes) &&
+      this.#decideAnswer().kind === "read";
+  }
+
   /** Time until a complete answer is given up if its caller doesn't read, in ms. */
   get leftMs(): number {
     return Math.max(0, this.#budget.maxUnreadMs - this.unreadMs);
@@ -261,6 +274,14 @@
     this.#handlers.handleClosed();
   }
 
+  #decideAnswer(): AnswerDecision {
+    return decideAnswer({
+      limitBytes: this.#budget.limitBytes,
+      heldBytes: this.#budget.heldBytes,
+      answerBytes: this.#heldBytes.answer,
+    });
+  }
+
   #decideRelay(): RelayDecision {
     const budget = this.#budget;
     return decideRelay({
--- a/packages/buffer_budget/src/buffer_budget_test.ts
+++ b/packages/buffer_budget/src/buffer_budget_test.ts
@@ -76,6 +76,22 @@
     expect(budget.heldBytes).to.equal(690);
   });
 
+  it("ends unread responses for an answer that is read whole", () => {
+    const budget = createBudget(MEBIBYTE);
+    const stuck = budget.openAccount(() => evicted.push("stuck"));
+    stuck.add("unread", 600_000);
+    now = 1_200;
+    const account = budget.openAccount(() => evicted.push("own"));
+    account.add("answer", 200_000);
+    expect(account.mayReadAnswer()).to.equal(true);
+    expect(evicted).to.deep.equal([]);
+    account.add("answer", 200_000);
+    expect(account.mayReadAnswer()).to.equal(true);
+    expect(evicted).to.deep.equal(["stuck"]);
+    account.add("answer", 200_000);
+    expect(account.mayReadAnswer()).to.equal(false);
+  });
+
   // After a freeze of the VM every caller looks as if it had not read.
   it("ends no response for time in which this process did not run", () => {
     const budget = createBudget(1_000);
--- a/packages/buffer_budget/src/growing_buffer.ts
+++ b/packages/buffer_budget/src/growing_buffer.ts
@@ -27,6 +27,11 @@
     return this.#length;
   }
 
+  /** Bytes of memory that are in use. */
+  get capacity(): number {
+    return this.#bytes.length;
+  }
+
   /** Bytes that were copied again to grow, so far. */
   get movedTotal(): number {
     return this.#movedTotal;
--- a/packages/buffer_budget/src/mod.ts
+++ b/packages/buffer_budget/src/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./buffer_budget.ts";
 export * from "./byte_queue.ts";
+export * from "./decide_answer.ts";
 export * from "./decide_relay.ts";
 export * from "./endpoint_bytes.ts";
 export * from "./growing_buffer.ts";
--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type * as bufferBudget from "@sardinestep/buffer_budget";
+import * as bufferBudget from "@sardinestep/buffer_budget";
 import * as codes from "@sardinestep/codes";
 import type { ServerResponse } from "node:http";
 import { CallerQueue } from "./caller_queue.ts";
@@ -58,6 +58,8 @@
    * read only as fast as the caller reads.
    */
   readonly account?: bufferBudget.BufferAccount;
+  /** Counts answers that are read before they are passed on, on every site. */
+  readonly answerAccount?: bufferBudget.BufferAccount;
   /** Called when an answer that has begun is ended before its end. */
   readonly handleTruncation?: (truncation: Truncation) => void;
 }
@@ -67,6 +69,8 @@
   readonly #response: ServerResponse;
   /** Counts what is held for this response; undefined if nothing but bodies is. */
   readonly account: bufferBudget.BufferAccount | undefined;
+  /** Counts an answer that is read before it is passed on. */
+  readonly answerAccount: bufferBudget.BufferAccount | undefined;
   readonly #queue: CallerQueue | undefined;
   readonly #handleTruncation: (truncation: Truncation) => void;
   #isStreaming = false;
@@ -76,9 +80,10 @@
 
   /** @param response The response to the caller. @param options Memory and events. */
   constructor(response: ServerResponse, options: AnswerWriterOptions = {}) {
-    const { account, handleTruncation = () => {} } = options;
+    const { account, answerAccount, handleTruncation = () => {} } = options;
     this.#response = response;
     this.account = account;
+    this.answerAccount = answerAccount;
     this.#handleTruncation = handleTruncation;
     if (account !== undefined) {
       this.#queue = new CallerQueue(response, account);
@@ -108,6 +113,9 @@
       buildCallerHeaders(answer.headers).flat(),
     );
     if (this.#queue === undefined) {
+      // The account gives it back when the response closes.
+      const { answer: kind } = bufferBudget.BUFFER_KIND;
+      this.answerAccount?.add(kind, answer.body.length);
       this.#response.end(answer.body);
       return;
     }
--- a/packages/gateway/src/event_buffer.ts
+++ b/packages/gateway/src/event_buffer.ts
@@ -35,9 +35,9 @@
     return this.#lastEventId;
   }
 
-  /** Bytes of the incomplete event that is buffered. */
-  get partialBytes(): number {
-    return this.#partial.length;
+  /** Bytes of memory that the incomplete event takes. */
+  get heldBytes(): number {
+    return this.#partial.capacity;
   }
 
   /** Whether an incomplete event is buffered. */
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -25,9 +25,9 @@
 /** Hard limit of the header size, in bytes; the configured limit is lower. */
 const MAX_HEADER_BYTES = 65_536;
 /**
- * Limit of all buffered request bodies, and on a contended site of everything that
- * is held for callers and endpoints, in bytes: a fifth of the smallest VM's
- * memory, next to about 120 MB of the runtime and the socket buffers.
+ * Limit of all buffered request bodies and answers, and on a contended site of
+ * unread responses too, in bytes: a fifth of the smallest VM's memory, next to
+ * about 120 MB of the runtime and the socket buffers.
  */
 export const MAX_BUFFERED_BODY_BYTES = 48 * 1_048_576;
 /** How often connections are checked for header timeouts, in milliseconds. */
@@ -49,7 +49,7 @@
   readonly events: logger.EventLog;
   readonly metrics: metrics.Metrics;
   readonly runRequest: (request: ArrivedRequest) => Promise<void>;
-  /** Whether answers share the budget of bodies; otherwise only bodies count. */
+  /** Whether unread responses share the budget of bodies and answers. */
   readonly isContended: () => boolean;
   /** By default {@link MAX_BUFFERED_BODY_BYTES} are held at most; for tests. */
   readonly budget?: bufferBudget.BufferBudgetOptions;
@@ -162,6 +162,7 @@
     );
     const writer = new AnswerWriter(response, {
       account: this.#options.isContended() ? account : undefined,
+      answerAccount: account,
       handleTruncation: (truncation) =>
         this.#recordTruncation(request, { writer, scope, truncation }),
     });
@@ -320,18 +321,12 @@
         `Body of ${bytes} bytes exceeds the limit of ${limit} bytes`,
       );
     }
-    if (this.#hasBodyRoom()) return undefined;
+    if (this.#budget.hasRoom()) return undefined;
     return codes.createFailure("QUEUE_FULL", "Request body memory is full", {
       retryAfterMs: BODY_MEMORY_RETRY_AFTER_MS,
     });
   }
 
-  #hasBodyRoom(): boolean {
-    if (this.#options.isContended()) return this.#budget.hasRoom();
-    const bodyBytes = this.#budget.getHeldBytes(bufferBudget.BUFFER_KIND.body);
-    return bodyBytes <= this.#budget.limitBytes;
-  }
-
   #handleInternalError(
     request: IncomingMessage,
     writer: AnswerWriter,
