Keep tunnels of paused streams open at the stop of a relaying VM

Callers of a VM that reached its endpoints through another VM saw a stream cut when that other VM stopped: a connection that ended after the first event, of a stream whose endpoint paused for 1.5 s and would have gone on.

Cause: a stopping VM closed each tunnel whose last bytes came from the endpoint and that had been silent for 1 s, as one without a request. It reads no bytes, so it can't tell a pause from the end of an answer; preempted runs pause longer.

Evidence: "stay whole at its stop while they pause" failed before the fix with status 200, isComplete false and the first of four events.

Only the VM that opened a tunnel knows whether it carries a request, so it closes those that carry none once the relay has announced its stop; the relay counts each open tunnel as busy and closes none before its exit. The unit test of the old rule asserted the fault (a tunnel without bytes for 1.1 s is closed); the new one asserts that a tunnel stays open and counts through such a pause, passes on what follows, and goes when its VM closes it. "don't hold its stop once they have ended" fails without closeUnusable() (1 tunnel open 1 s after the signal).

The other cells of the same file passed before as well: a resumable stream goes on at another endpoint after the exit of the relay; a lost path and its return end no running stream. 11 of 11 in partition_test.

--- a/packages/endpoint_paths/src/tunnel_server.ts
+++ b/packages/endpoint_paths/src/tunnel_server.ts
@@ -24,19 +24,15 @@
 
 /** A listening tunnel server. */
 export interface TunnelServer {
-  /** Number of open tunnels. */
+  /**
+   * Number of open tunnels. Each may carry a request, since a stream may pause: only
+   * the VM that opened a tunnel knows, and closes it when it carries none.
+   */
   readonly size: number;
   /** Number of tunnels opened so far. */
   readonly openedTotal: number;
   /** RPC addresses of the VMs that have tunnels open, as they gave them. */
   getCallers(): ReadonlySet<Address>;
-  /** Tunnels that carry a request whose answer has not ended. */
-  countBusy(): number;
-  /**
-   * Closes tunnels without a request. Their VMs must know by then, or they may just
-   * have sent one.
-   */
-  closeIdle(): void;
   /** Stops listening and closes every tunnel. */
   close(): void;
 }
@@ -45,11 +41,6 @@
  * Most tunnels of a VM. Each takes two of its descriptors, which are 4,096 at least.
  */
 export const MAX_TUNNELS = 1_000;
-/**
- * Time without bytes after which a tunnel whose last bytes came from the endpoint
- * carries no request, in milliseconds. Streams pause for less.
- */
-const IDLE_MS = 1_000;
 /** Time without bytes after which the kernel probes a connection, in ms. */
 const KEEP_ALIVE_DELAY_MS = 5_000;
 
@@ -58,8 +49,6 @@
   readonly callerRpc: Address | undefined;
   readonly caller: Socket;
   readonly endpoint: Socket;
-  lastFrom: "caller" | "endpoint";
-  lastAt: number;
 }
 
 /**
@@ -133,18 +122,6 @@
     return new Set(addresses.filter((address) => address !== undefined));
   }
 
-  countBusy(): number {
-    const now = performance.now();
-    return [...this.#tunnels].filter((tunnel) => !isIdle(tunnel, now)).length;
-  }
-
-  closeIdle(): void {
-    const now = performance.now();
-    for (const tunnel of this.#tunnels) {
-      if (isIdle(tunnel, now)) tunnel.caller.destroy();
-    }
-  }
-
   close(): void {
     this.#server.close();
     this.#server.closeAllConnections();
@@ -178,13 +155,7 @@
   }
 
   #openTunnel({ caller, callerRpc }: TunnelRequest, endpoint: Socket): void {
-    const tunnel: Tunnel = {
-      callerRpc,
-      caller,
-      endpoint,
-      lastFrom: "endpoint",
-      lastAt: performance.now(),
-    };
+    const tunnel: Tunnel = { callerRpc, caller, endpoint };
     this.#tunnels.add(tunnel);
     this.openedTotal += 1;
     this.#forward(tunnel, "caller");
@@ -192,16 +163,12 @@
     caller.write("HTTP/1.1 200 OK\r\n\r\n");
   }
 
-  #forward(tunnel: Tunnel, from: Tunnel["lastFrom"]): void {
+  #forward(tunnel: Tunnel, from: "caller" | "endpoint"): void {
     const isCaller = from === "caller";
     const source = isCaller ? tunnel.caller : tunnel.endpoint;
     const target = isCaller ? tunnel.endpoint : tunnel.caller;
     source.setNoDelay(true);
     source.setKeepAlive(true, KEEP_ALIVE_DELAY_MS);
-    source.on("data", () => {
-      tunnel.lastFrom = from;
-      tunnel.lastAt = performance.now();
-    });
     // A reset is passed on as one: an answer that it cuts off must not look complete.
     source.on("error", () => target.resetAndDestroy());
     // The sockets of an HTTP server stay half open.
@@ -215,10 +182,6 @@
   }
 }
 
-function isIdle({ lastFrom, lastAt }: Tunnel, now: number): boolean {
-  return lastFrom === "endpoint" && now - lastAt > IDLE_MS;
-}
-
 function sendStatus(socket: Socket, status: number): void {
   if (socket.destroyed) return;
   socket.end(`HTTP/1.1 ${status} Tunnel\r\nContent-Length: 0\r\n\r\n`);
--- a/packages/endpoint_paths/src/tunnel_test.ts
+++ b/packages/endpoint_paths/src/tunnel_test.ts
@@ -133,19 +133,22 @@
       .to.deep.equal(["unreachable", "refused", "silent"]);
   });
 
-  // The stop of a relay cut off the requests of other VMs.
-  it("close at a stop only without a request", async () => {
-    const idle = await open();
-    const busy = await open();
-    busy.write("request");
+  // A pause of the endpoint looked like the end of its answer.
+  it("count until their VM closes them, also while the endpoint pauses", async () => {
+    const ended = await open();
+    const paused = await open();
+    paused.write("request");
+    await once(accepted[1]!, "data");
+    accepted[1]!.write("first event");
+    await once(paused, "data");
     await wait(1_100);
-    expect(tunnels.countBusy()).to.equal(1);
-    tunnels.closeIdle();
-    await once(idle.resume(), "close");
+    expect(tunnels.size).to.equal(2);
+    ended.destroy();
     await wait(SETTLE_MS);
     expect(tunnels.size).to.equal(1);
-    expect(busy.destroyed).to.equal(false);
-    busy.destroy();
+    accepted[1]!.write("second event");
+    expect(String((await once(paused, "data"))[0])).to.equal("second event");
+    paused.destroy();
   });
 
   it("answer other requests with 404", async () => {
--- a/packages/gateway/src/endpoint_reach.ts
+++ b/packages/gateway/src/endpoint_reach.ts
@@ -28,8 +28,6 @@
   readonly getPeers: () => readonly RelayPeer[];
   /** Whether this VM accepts no new work. */
   readonly isStopping: () => boolean;
-  /** Whether the VMs that it relays for know that it stops. */
-  readonly hasAnnouncedStop: () => boolean;
   /** Called when the direct path to an endpoint is lost. */
   readonly handleLost: (endpoint: serving.ServingEndpoint) => void;
   /** Called when it is back. */
@@ -91,8 +89,8 @@
   }
 
   /**
-   * Whether a connection may carry another request. A relay that stops waits for the
-   * requests on its tunnels, which never ends if new ones follow.
+   * Whether a connection may carry another request. A relay that stops waits until its
+   * tunnels are closed, so those without a request are closed at once.
    */
   mayReuse(socket: Socket): boolean {
     const relay = this.#connector.findRelay(socket);
@@ -124,11 +122,6 @@
     return this.#tunnels?.openedTotal ?? 0;
   }
 
-  /** Tunnels that carry a request of another VM. */
-  get busyTunnelCount(): number {
-    return this.#tunnels?.countBusy() ?? 0;
-  }
-
   /** Whether other VMs reach an endpoint that this VM does not reach. */
   isRelayed(endpoint: serving.ServingEndpoint): boolean {
     return this.#paths.isRelayed(endpoint.address);
@@ -162,7 +155,7 @@
    * that a path is back. Forgets endpoints and VMs that are gone.
    */
   update(): void {
-    const { site, hasAnnouncedStop } = this.#options;
+    const { site } = this.#options;
     const addresses = new Set(
       site.getEndpoints().map(({ endpoint }) => endpoint.address),
     );
@@ -171,7 +164,6 @@
       if (!addresses.has(address)) this.#checkedAt.delete(address);
     }
     this.#relays.keep(site.members);
-    if (hasAnnouncedStop()) this.#tunnels?.closeIdle();
     for (const address of this.#paths.getDueProbes(performance.now())) {
       void this.#connector.probePath(address);
     }
--- a/packages/gateway/src/endpoint_reach_test.ts
+++ b/packages/gateway/src/endpoint_reach_test.ts
@@ -36,7 +36,6 @@
       getPeers: () => [],
       isLeaving: () => false,
       isStopping: () => false,
-      hasAnnouncedStop: () => false,
       handleLost: () => {},
       handleFound: () => {},
     });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -126,7 +126,6 @@
       callerRpc: options.listen.rpc,
       isLeaving: (vmId) => this.mesh.isLeaving(vmId),
       isStopping: () => this.#isStopping,
-      hasAnnouncedStop: () => this.#hasAnnouncedStop,
       handleLost: (endpoint) => this.#handlePathLost(endpoint),
       // Requests return to the direct path, which needs no other VM.
       handleFound: ({ address }) => this.pool.closeIdle(address),
@@ -335,7 +334,7 @@
       .reduce((sum, leader) => sum + leader.size, 0);
     return !this.#hasAnnouncedStop ||
       this.#ingress.activeRequests > 0 || pieces > 0 ||
-      this.reach.busyTunnelCount > 0;
+      this.reach.tunnelCount > 0;
   }
 
   /**
@@ -466,6 +465,7 @@
     this.rollouts.update();
     this.endpointTracker.update();
     this.reach.update();
+    this.pool.closeUnusable();
     this.#ingress.budget.recordTick();
     this.#quarantine.update();
     if (this.isReady === this.#wasReady) return;
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -220,6 +220,15 @@
     for (const connection of idle) connection.close();
   }
 
+  /** Closes idle connections that may carry no other request. */
+  closeUnusable(): void {
+    for (const idle of this.#idleByAddress.values()) {
+      for (const connection of idle) {
+        if (!this.#isReusable(connection)) connection.close();
+      }
+    }
+  }
+
   /** Calls a function with whether an endpoint accepts connections. */
   #checkAlive(address: Address, handle: (isAlive: boolean) => void): void {
     this.#openedTotal += 1;
