Leave a silent endpoint open while its takeover waits in a queue

What callers saw: a takeover that its endpoint queued, and refused later, left its stream without an endpoint.

Cause: the silent attempt was cancelled 250 ms after the takeover had been sent, whether the other endpoint had begun or not.

Now these 250 ms count from the head of the takeover's answer, when its endpoint has begun. The test of the overlap sends the head first; before, it sent none until the silent attempt was cancelled, which is what must not happen. The new test fails without the change: the silent attempt is cancelled.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -99,6 +99,8 @@
   readonly handleAnswerStart: () => void;
   /** Called when the first bytes of a stream are passed on. */
   readonly handleFirstEvent: () => void;
+  /** Called when the endpoint begins a successful answer. */
+  readonly handleBegun?: () => void;
   /** Called before bytes of a stream, or its end, are passed on. */
   readonly handleDelivery?: () => void;
   /** Called each time that the endpoint was silent for the inactivity timeout. */
@@ -238,6 +240,7 @@
     if (isSuccess(status) && this.#answerMetadata.signature === undefined) {
       return this.#fail("Successful answer has no signature");
     }
+    if (isSuccess(status)) this.#options.handleBegun?.();
     this.#restartInactivityTimeout();
   }
 
--- a/packages/gateway/src/attempt_race.ts
+++ b/packages/gateway/src/attempt_race.ts
@@ -24,6 +24,8 @@
 export interface AttemptListener {
   /** The request is written to an open connection. */
   readonly handleSent: () => void;
+  /** The endpoint begins a successful answer. */
+  readonly handleBegun: () => void;
   /** Called before bytes of a stream, or its end, are passed on. */
   readonly handleDelivery: () => void;
   /** The endpoint was silent for the inactivity timeout. */
@@ -64,7 +66,7 @@
   readonly isInputsMissing: (outcome: RaceOutcome) => boolean;
   /** Runs the stages again; false if that fails. */
   readonly rerunStages: () => Promise<boolean>;
-  /** Longest time for which two endpoints may work, in ms; undefined for any. */
+  /** Longest time for which two endpoints may answer, in ms; undefined for any. */
   readonly maxOverlapMs: number | undefined;
 }
 
@@ -134,7 +136,10 @@
       endpoint: entry.endpoint,
       isTakeover: entry === this.#takeover,
       listener: {
-        handleSent: () => this.#handleSent(entry),
+        handleSent: () => {
+          entry.wasSent = true;
+        },
+        handleBegun: () => this.#handleBegun(entry),
         handleDelivery: () => this.#handleDelivery(entry),
         handleSilence: () => this.#handleSilence(entry),
       },
@@ -143,8 +148,7 @@
     void attempt.outcome.then((outcome) => this.#handleEnd(entry, outcome));
   }
 
-  #handleSent(entry: Entry): void {
-    entry.wasSent = true;
+  #handleBegun(entry: Entry): void {
     const { maxOverlapMs } = this.#host;
     if (entry !== this.#takeover || maxOverlapMs === undefined) return;
     this.#overlapTimer = setTimeout(
--- a/packages/gateway/src/takeover_test.ts
+++ b/packages/gateway/src/takeover_test.ts
@@ -189,17 +189,28 @@
   });
 
   // Two endpoints worked on a stream for longer than the protocol allows.
-  it("run beside the silent endpoint for a short time only", async () => {
+  it("answer beside the silent endpoint for a short time only", async () => {
     const { harness, result, silent, next } = await startTakeover();
+    next.begin();
     await wait(takeover.MAX_OVERLAP_MS + SILENCE_MS);
     expect(silent.isCancelled).to.equal(true);
     expect(next.isCancelled).to.equal(false);
-    next.begin();
     finish(next, 2);
     expect((await result).kind).to.equal("streamed");
     expect(harness.recordedOutcomes).to.deep.equal(["e0 lost", "e1 streamed"]);
   });
 
+  // A takeover that waited in a queue and was then refused ended the stream.
+  it("leave the silent endpoint open until they are answered", async () => {
+    const { harness, result, silent, next } = await startTakeover();
+    await wait(takeover.MAX_OVERLAP_MS + SILENCE_MS);
+    expect(silent.isCancelled).to.equal(false);
+    next.refuse();
+    finish(silent, 2);
+    expect((await result).kind).to.equal("streamed");
+    expect(harness.recordedOutcomes).to.include("e0 streamed");
+  });
+
   for (const reason of Object.values(END_REASON)) {
     if (reason === END_REASON.done) continue;
     it(`are cancelled with the silent attempt: ${reason}`, async () => {
--- a/packages/takeover/src/takeover.ts
+++ b/packages/takeover/src/takeover.ts
@@ -5,9 +5,9 @@
  */
 
 /**
- * Longest time for which two endpoints work on one stream, in milliseconds, less
- * than the time within which the first one has to stop once the stream goes on at
- * another.
+ * Longest time from the head of a takeover's answer until the silent endpoint is
+ * cancelled, in milliseconds. It has to stop soon after the stream goes on at
+ * another endpoint.
  */
 export const MAX_OVERLAP_MS = 250;
 /** Takeovers that endpoints may refuse in one span of silence. */
