Limit requests to endpoints of a zone that has just returned

Cause: the limit asks how many requests this VM has sent in the last second, but only requests to endpoints that were known to be cold were counted. Endpoints of a zone that returns are known to be cold only with their next record or answer.

Now every request counts, so the limit holds from the moment at which it applies, also for an endpoint that becomes cold without notice.

--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -66,7 +66,7 @@
   readonly speeds = new EndpointSpeeds();
   readonly #options: EndpointTrackerOptions;
   readonly #runtimes = new Map<EndpointId, EndpointRuntime>();
-  readonly #coldSends = new serving.SendRate(serving.COLD_WINDOW_MS);
+  readonly #recentSends = new serving.SendRate(serving.COLD_WINDOW_MS);
   #coldLimit: serving.ColdLimit;
 
   /** @param options Site state, roll-outs, log and limits. */
@@ -180,9 +180,8 @@
     runtime.inFlight += 1;
     this.limits.recordSend(endpoint);
     this.speeds.recordSend(endpoint.id);
-    if (isCold(runtime, performance.now())) {
-      this.#coldSends.record(endpoint.id, performance.now());
-    }
+    // It may be cold before any record or answer says so.
+    this.#recentSends.record(endpoint.id, performance.now());
   }
 
   /** Records the end of a request, with its evidence if it gave any. */
@@ -303,7 +302,7 @@
     this.limits.keep(ids);
     this.speeds.keep(ids);
     this.#options.site.leaving.keep(ids, performance.now());
-    this.#coldSends.keep(ids);
+    this.#recentSends.keep(ids);
     for (const { endpoint, ageMs } of registered) {
       // Not only after a restart: an endpoint may become cold at any time.
       this.recordCold(endpoint, endpoint.coldMs - ageMs);
@@ -340,7 +339,7 @@
       bound: this.#coldLimit,
     });
     const windowMs = serving.COLD_WINDOW_MS;
-    return this.#coldSends.maySend(endpoint.id, now, { requests, windowMs });
+    return this.#recentSends.maySend(endpoint.id, now, { requests, windowMs });
   }
 
   /** Whether a request would not have to wait at a brittle endpoint. */
