Run stages again beside a silent endpoint, before a takeover

What callers saw: a stream with stages, whose endpoint paused for 1.2 s after its first event, broke off in calm and beside a SIGTERM, though the endpoint went on a moment later.

Cause: stage results are released at the first event. A resume sent the old handles, was refused with 409, and ran the stages again with the first endpoint given up. Where they were late or failed, nothing was left that could go on.

Evidence: the three tests "of requests with stages" of platform/src/paused_stream_test.ts. On none passes: the streams end after event 1 with `response_truncated`, cause `resumeFailed`, and the request that is sent to the second endpoint names the released results.

Fix: the forwarder knows whether stage results are kept. `decideTakeover` returns `rerunStages` where they are released and everything else allows a takeover; the stages run beside the silent endpoint, and the decision is made again when they are done. If they fail or are late, the silent endpoint is waited for (`inputsReleased`). If it breaks off while they run, the resume waits for them.

After: 19 of 19 (paused_stream_test.ts), 33 of 33 (takeover_test.ts and staged_takeover_test.ts of the gateway), 11 of 11 (packages/takeover) pass.

--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -15,7 +15,7 @@
   ForwardResult,
   RoutedRequest,
 } from "./flow_types.ts";
-import { sendRequest } from "./forward.ts";
+import { sendRequest, type StagedInputs } from "./forward.ts";
 import type { AnswerSink, HttpPool, PoolRequest } from "./http_pool.ts";
 import type { PeerMesh } from "./peer_mesh.ts";
 import type { WireAdapter } from "./ports.ts";
@@ -33,6 +33,9 @@
 const WAIT_TIMEOUT_MS = 2_000;
 const STATUS_OK = 200;
 const STATUS_FULL = 503;
+/** Status of an endpoint that could not read stage results. */
+export const STATUS_INPUTS_MISSING = 409;
+const NOT_RUN_STATUSES = new Set([STATUS_FULL, STATUS_INPUTS_MISSING]);
 
 const ROUTE: serving.Route = {
   name: "chat",
@@ -56,12 +59,15 @@
   readonly route?: Partial<serving.Route>;
   /** Retries that the budget allows. */
   readonly retries?: number;
+  /** Stage results that the request reads. */
+  readonly inputs?: readonly string[];
 }
 
 /** A request that an endpoint received. */
 export class SentCall {
   readonly endpointId: string;
   readonly lastEventId: string | undefined;
+  readonly inputs: string;
   isCancelled = false;
   isPaused = false;
   readonly #sink: AnswerSink;
@@ -69,6 +75,7 @@
   constructor({ address, headers }: PoolRequest, sink: AnswerSink) {
     this.endpointId = address;
     this.lastEventId = headers[0] || undefined;
+    this.inputs = headers[1] ?? "";
     this.#sink = sink;
   }
 
@@ -91,8 +98,8 @@
     if (!this.isCancelled) this.#sink.handleEnd();
   }
 
-  refuse(): void {
-    this.begin(STATUS_FULL);
+  refuse(status = STATUS_FULL): void {
+    this.begin(status);
     this.end();
   }
 
@@ -146,15 +153,19 @@
   /** Forwards the request until it has a final result. */
   run(): Promise<ForwardResult> {
     return sendRequest(this.#createDependencies(), this.#createRequest(), {
-      staged: { inputs: [], inputBytes: {} },
+      staged: { inputs: this.#options.inputs ?? [], inputBytes: {} },
       handleInputsRead: () => {},
       handleFirstEvent: () => {
         this.firstEvents += 1;
       },
-      rerunStages: () => Promise.resolve(undefined),
+      rerunStages: () => this.rerunStages(),
     });
   }
 
+  /** Runs the stages of the request again. */
+  rerunStages = (): Promise<StagedInputs | undefined> =>
+    Promise.resolve(undefined);
+
   /** Waits until so many requests have been sent to endpoints. */
   async waitForCalls(count: number): Promise<SentCall[]> {
     const until = performance.now() + WAIT_TIMEOUT_MS;
@@ -263,11 +274,14 @@
       },
     };
     const wire: Partial<WireAdapter> = {
-      buildForwardHeaders: (_, { lastEventId }) => [lastEventId ?? ""],
+      buildForwardHeaders: (_, { lastEventId, inputs }) => [
+        lastEventId ?? "",
+        inputs.join(),
+      ],
       readAnswer: (status) => ({
         requestId: REQUEST_ID,
         signature: "s",
-        isNotRun: status === STATUS_FULL,
+        isNotRun: NOT_RUN_STATUSES.has(status),
         notices: {},
       }),
     };
--- a/packages/gateway/src/attempt_race.ts
+++ b/packages/gateway/src/attempt_race.ts
@@ -47,13 +47,16 @@
   readonly listener: AttemptListener;
 }
 
+/** What is done about a silent endpoint. */
+export type TakeoverPlan =
+  | { readonly kind: "takeOver"; readonly endpoint: serving.ServingEndpoint }
+  | { readonly kind: "rerunStages" }
+  | { readonly kind: "wait" };
+
 /** What the attempts of one request share. */
 export interface RaceHost {
   readonly start: (options: RaceStart) => RunningAttempt;
-  /** Picks an endpoint for a takeover; undefined to wait for the silent one. */
-  readonly pickTakeover: (
-    span: SilentSpan,
-  ) => serving.ServingEndpoint | undefined;
+  readonly planTakeover: (span: SilentSpan) => TakeoverPlan;
   /** Records an attempt that ended beside another one. */
   readonly recordDropped: (attempt: DroppedAttempt) => void;
   /** Called when a takeover goes on with the answer. */
@@ -175,15 +178,29 @@
   }
 
   #tryTakeover(): void {
-    const endpoint = this.#host.pickTakeover({
+    const plan = this.#host.planTakeover({
       endpoint: this.#lead.endpoint,
       triedIds: this.#spanTriedIds,
       refusals: this.#refusals,
     });
-    if (endpoint === undefined) return;
-    this.#spanTriedIds.add(endpoint.id);
-    this.#takeover = { endpoint, wasSent: false };
-    this.#start(this.#takeover);
+    match(plan)
+      .with({ kind: "takeOver" }, ({ endpoint }) => {
+        this.#spanTriedIds.add(endpoint.id);
+        this.#takeover = { endpoint, wasSent: false };
+        this.#start(this.#takeover);
+      })
+      .with({ kind: "rerunStages" }, () => this.#rerunStages())
+      .with({ kind: "wait" }, () => {})
+      .exhaustive();
+  }
+
+  #rerunStages(): void {
+    const span = this.#span;
+    this.#rerun = this.#host.rerunStages().then((isRerun) => {
+      this.#rerun = undefined;
+      const isNeeded = span === this.#span && !this.#isFinished;
+      if (isRerun && isNeeded) this.#tryTakeover();
+    });
   }
 
   /** Makes the takeover the attempt that answers; returns the one before. */
@@ -244,14 +261,11 @@
 
   #handleRefusal({ endpoint }: Entry, outcome: RaceOutcome): void {
     this.#refusals += 1;
-    if (!this.#host.isInputsMissing(outcome)) return this.#tryTakeover();
-    const span = this.#span;
-    this.#rerun = this.#host.rerunStages().then((isRerun) => {
-      this.#rerun = undefined;
-      if (!isRerun || span !== this.#span || this.#isFinished) return;
+    // It may take over once the stages have run again.
+    if (this.#host.isInputsMissing(outcome)) {
       this.#spanTriedIds.delete(endpoint.id);
-      this.#tryTakeover();
-    });
+    }
+    this.#tryTakeover();
   }
 
   #drop({ endpoint, wasSent }: Entry, outcome: AttemptOutcome): void {
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -23,6 +23,7 @@
   runRace,
   type SilentSpan,
   type TakenOver,
+  type TakeoverPlan,
 } from "./attempt_race.ts";
 import { pickAttemptEndpoint } from "./endpoint_choice.ts";
 import { EventBuffer } from "./event_buffer.ts";
@@ -120,6 +121,8 @@
   /** The same of a takeover. */
   #takeoverBuffer: EventBuffer | undefined;
   #staged: StagedInputs;
+  /** Whether the stage results are kept that the request reads. */
+  #areInputsKept = true;
   /** Attempts in which the request may have run. */
   #attempts = 0;
   #connectFailures = 0;
@@ -194,7 +197,7 @@
     const isStream = this.#request.route.kind === serving.ROUTE_KIND.stream;
     return runRace({
       start: (options) => this.#start(options),
-      pickTakeover: (span) => this.#pickTakeover(span),
+      planTakeover: (span) => this.#planTakeover(span),
       recordDropped: (attempt) => this.#recordDropped(attempt),
       handleTakenOver: (taken) => this.#handleTakenOver(taken),
       isFinal: (outcome) => this.#isFinal(outcome),
@@ -266,7 +269,7 @@
       handleAnswerStart: () => this.#deps.quarantine.recordAnswer(endpoint),
       handleFirstEvent: () => {
         record.recordFirstEvent();
-        this.#options.handleInputsRead();
+        this.#releaseInputs();
         this.#recordFirstEvent(endpoint);
       },
     });
@@ -281,6 +284,11 @@
     return this.#takeoverBuffer;
   }
 
+  #releaseInputs(): void {
+    this.#options.handleInputsRead();
+    if (this.#staged.inputs.length > 0) this.#areInputsKept = false;
+  }
+
   #recordFirstEvent(endpoint: serving.ServingEndpoint): void {
     if (this.#hasBegun) return;
     this.#hasBegun = true;
@@ -396,6 +404,7 @@
     const staged = await this.#options.rerunStages();
     if (staged === undefined) return "Rerun of stages failed";
     this.#staged = staged;
+    this.#areInputsKept = true;
     return undefined;
   }
 
@@ -458,8 +467,8 @@
       this.#staged.inputs.length > 0;
   }
 
-  /** Picks an endpoint for a takeover, and takes a retry for it. */
-  #pickTakeover(span: SilentSpan): serving.ServingEndpoint | undefined {
+  /** Decides what is done about a silent endpoint; takes a retry for a takeover. */
+  #planTakeover(span: SilentSpan): TakeoverPlan {
     const endpoint = this.#pickEndpoint(
       new Set([span.endpoint.id, ...span.triedIds, ...this.#ranIds]),
     );
@@ -469,15 +478,25 @@
       attempts,
       isRetryable: this.#isRetryable,
       hasEndpoint: endpoint !== undefined,
+      areInputsKept: this.#areInputsKept,
+      mayRerunStages: this.#reruns < MAX_RERUNS,
     });
-    if (decision.kind === "wait") return undefined;
-    return this.#takeRetry("Endpoint is silent", attempts)
-      ? endpoint
-      : undefined;
+    return match(decision)
+      .with({ kind: "takeOver" }, () => {
+        const isTaken = this.#takeRetry("Endpoint is silent", attempts);
+        return isTaken && endpoint !== undefined
+          ? { kind: "takeOver" as const, endpoint }
+          : { kind: "wait" as const };
+      })
+      .with({ kind: "rerunStages" }, { kind: "wait" }, (plan) => plan)
+      .exhaustive();
   }
 
   /** Records an attempt that ended while another one goes on. */
   #recordDropped({ endpoint, outcome, wasSent }: DroppedAttempt): void {
+    if (outcome.kind === "notRun" && this.#isInputsMissing(outcome)) {
+      this.#areInputsKept = false;
+    }
     const isRefused = outcome.kind === "notRun" || outcome.kind === "notSent";
     if (!wasSent || isRefused) return;
     this.#recordRun(endpoint);
--- a/packages/gateway/src/takeover_plan.ts
+++ b/packages/gateway/src/takeover_plan.ts
@@ -16,6 +16,9 @@
   readonly isRetryable: boolean;
   /** Whether another endpoint may be used. */
   readonly hasEndpoint: boolean;
+  /** Whether the stage results that the request reads are kept. */
+  readonly areInputsKept: boolean;
+  readonly mayRerunStages: boolean;
 }
 
 /**
@@ -32,19 +35,18 @@
     "quarantine" | "retryBudget" | "mesh" | "events" | "metrics"
   >,
   request: RoutedRequest,
-  { span, attempts, isRetryable, hasEndpoint }: PlanTakeoverOptions,
+  { span, attempts, ...state }: PlanTakeoverOptions,
 ): takeover.TakeoverDecision {
   const { service, requestId, route } = request;
   const { quarantine, retryBudget, mesh, events, metrics } = deps;
   const now = performance.now();
   const decision = takeover.decideTakeover({
-    isRetryable,
+    ...state,
     attempts,
     maxAttempts: route.maxAttempts,
     isSuspect: quarantine.hasSuspectPart(request) ||
       quarantine.check(request) !== undefined,
     refusals: span.refusals,
-    hasEndpoint,
     isBudgetLeft: retryBudget.mayRetry(service, now, mesh.countMembers()),
   });
   const reason = decision.kind === "wait" ? decision.reason : undefined;
--- a/packages/takeover/src/takeover.ts
+++ b/packages/takeover/src/takeover.ts
@@ -27,6 +27,8 @@
   noEndpoint: "noEndpoint",
   /** The service's retry budget is used up. */
   budgetUsed: "budgetUsed",
+  /** Its stage results are released, and its stages may not run again. */
+  inputsReleased: "inputsReleased",
 } as const;
 /** A value of {@link WAIT_REASON}. */
 export type WaitReason = typeof WAIT_REASON[keyof typeof WAIT_REASON];
@@ -47,19 +49,26 @@
   readonly hasEndpoint: boolean;
   /** Whether the service's retry budget allows one more send. */
   readonly isBudgetLeft: boolean;
+  /** Whether the stage results that the request reads are kept. */
+  readonly areInputsKept: boolean;
+  /** Whether the stages of the request may run again. */
+  readonly mayRerunStages: boolean;
 }
 
 /** Whether an answer is taken over. */
 export type TakeoverDecision =
   | { readonly kind: "takeOver" }
+  /** The stages run again first, beside the silent endpoint. */
+  | { readonly kind: "rerunStages" }
   | { readonly kind: "wait"; readonly reason: WaitReason };
 
 /**
  * Decides whether a second endpoint takes over an answer.
  *
  * @param state The request, its attempts and what is left for one more.
- * @returns `takeOver` to send the request to one more endpoint; `wait` to leave it to
- * the silent one, with the first reason that holds.
+ * @returns `takeOver` to send the request to one more endpoint; `rerunStages` to make
+ * its inputs again and to decide anew; `wait` to leave it to the silent endpoint, with
+ * the first reason that holds.
  *
  * @example
  * ```ts
@@ -69,7 +78,8 @@
  */
 export function decideTakeover(state: TakeoverState): TakeoverDecision {
   const reason = findWaitReason(state);
-  return reason === undefined ? { kind: "takeOver" } : { kind: "wait", reason };
+  if (reason !== undefined) return { kind: "wait", reason };
+  return { kind: state.areInputsKept ? "takeOver" : "rerunStages" };
 }
 
 function findWaitReason(state: TakeoverState): WaitReason | undefined {
@@ -78,5 +88,7 @@
   if (state.isSuspect) return WAIT_REASON.suspect;
   if (state.refusals >= MAX_REFUSALS) return WAIT_REASON.refused;
   if (!state.hasEndpoint) return WAIT_REASON.noEndpoint;
-  return state.isBudgetLeft ? undefined : WAIT_REASON.budgetUsed;
+  if (!state.isBudgetLeft) return WAIT_REASON.budgetUsed;
+  const hasInputs = state.areInputsKept || state.mayRerunStages;
+  return hasInputs ? undefined : WAIT_REASON.inputsReleased;
 }
--- a/packages/takeover/src/takeover_test.ts
+++ b/packages/takeover/src/takeover_test.ts
@@ -15,6 +15,8 @@
   refusals: 0,
   hasEndpoint: true,
   isBudgetLeft: true,
+  areInputsKept: true,
+  mayRerunStages: true,
 };
 
 const OBSTACLES: Readonly<Record<WaitReason, Partial<TakeoverState>>> = {
@@ -24,6 +26,10 @@
   [WAIT_REASON.refused]: { refusals: MAX_REFUSALS },
   [WAIT_REASON.noEndpoint]: { hasEndpoint: false },
   [WAIT_REASON.budgetUsed]: { isBudgetLeft: false },
+  [WAIT_REASON.inputsReleased]: {
+    areInputsKept: false,
+    mayRerunStages: false,
+  },
 };
 
 describe("decideTakeover", () => {
@@ -36,6 +42,17 @@
       .to.deep.equal({ kind: "takeOver" });
   });
 
+  it("runs the stages again first when their results are released", () => {
+    expect(decideTakeover({ ...STATE, areInputsKept: false }))
+      .to.deep.equal({ kind: "rerunStages" });
+  });
+
+  it("runs no stages for a takeover that can't be had", () => {
+    const state = { ...STATE, areInputsKept: false, isBudgetLeft: false };
+    expect(decideTakeover(state))
+      .to.deep.equal({ kind: "wait", reason: "budgetUsed" });
+  });
+
   for (const [reason, obstacle] of Object.entries(OBSTACLES)) {
     it(`waits for the silent endpoint: ${reason}`, () => {
       expect(decideTakeover({ ...STATE, ...obstacle }))
