Take no late second answer for the answer to another call of pieces

Cause: a late copy of an answer was taken for the answer to the next call on its connection, as answers to calls of pieces name no call. The true answer stayed due, so the calls after it were shifted too.

Now the VM remembers for 10 s which piece each handle was given for. An answer that gives a handle of another piece is rejected and its connection closed, and so is a connection whose answer shows no new handle at all (reasons only, a refusal, what can't be read), and one on which the release of results gets an answer of a call. No header is added: the ids on the wire stay those of callers.

What it costs: a connection for each answer without handles.

--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -39,6 +39,11 @@
   handleSent?(): void;
   handleHead(status: number, headers: ReadonlyMap<string, string>): void;
   handleData(chunk: Uint8Array): void;
+  /**
+   * Whether the connection may carry another request after this answer, which is
+   * complete; it may if unset. Called before {@link handleEnd}.
+   */
+  mayReuse?(): boolean;
   handleEnd(): void;
   handleFailure(failure: PoolFailure): void;
 }
@@ -348,7 +353,8 @@
       return this.#options.checkAlive((isAlive) => this.#endUnframed(isAlive));
     }
     this.#isFinished = true;
-    this.#options.release();
+    if (this.#sink.mayReuse?.() ?? true) this.#options.release();
+    else this.#connection.close();
     this.#sink.handleEnd();
   }
 
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -13,6 +13,7 @@
 export * from "./endpoint_pauses.ts";
 export * from "./rate_limit.ts";
 export * from "./vm_share.ts";
+export * from "./given_handles.ts";
 export * from "./gossip.ts";
 export * from "./leaders.ts";
 export * from "./leaving_endpoints.ts";
