Close connections whose answers have no end beside their bodies

What callers saw: an endpoint that sent interim answers, header lines, spaces, empty lines or a chunk extension without an end held its requests up to their deadlines or their inactivity timeout, stage calls and reads of the store up to their timeouts, and an idle connection took empty lines and stayed in the pool.

Cause: the HTTP client bounds the fields of one head or trailer, by a default of the runtime. Its parser takes a reason phrase, spaces, empty lines, interim answers, zeros of a chunk size and chunk extensions without a limit, and calls no handler for most of them.

Why this works: after each read, the bytes that the parser took of a connection are compared with those of the body. An answer may have 64 KiB beside its body and 8 bytes more for each byte of it, as chunks of 1 byte have 5. Beyond that it ends as lost, with evidence against its endpoint, and its connection is closed. An idle connection is closed when anything arrives. The limit of the fields of a head, 16 KiB, is set on purpose now.

--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -9,6 +9,12 @@
 import type { Dispatcher } from "undici";
 import buildConnector from "undici/lib/core/connect.js";
 import Client from "undici/lib/dispatcher/client.js";
+import {
+  AnswerMeter,
+  isFramingExcessive,
+  MAX_FRAMING_BYTES,
+  MAX_HEAD_BYTES,
+} from "./answer_framing.ts";
 
 /** A request to an endpoint. */
 export interface PoolRequest {
@@ -99,6 +105,8 @@
   readonly client: Client;
   idleSince = 0;
   isClosed = false;
+  /** Called after the parser took bytes. */
+  handleParsed: () => void = () => {};
   #socket: Socket | undefined;
   #isDirect = false;
 
@@ -107,6 +115,7 @@
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
+      maxHeaderSize: MAX_HEAD_BYTES,
       keepAliveTimeout: IDLE_CONNECTION_TIMEOUT_MS,
       connect: ((options, callback) =>
         connect(options, (error, socket) => {
@@ -117,6 +126,10 @@
           callback(error as null, socket as Socket);
         })) as endpointPaths.Connector,
     });
+    // The parser has its own listener by then, so that this one is called after it.
+    this.client.once("connect", () => {
+      this.#socket?.on("readable", () => this.handleParsed());
+    });
     this.client.on("disconnect", () => this.close());
   }
 
@@ -133,6 +146,16 @@
     return this.#socket;
   }
 
+  /** Closes the connection if anything arrives before its next request. */
+  startIdle(): void {
+    this.idleSince = performance.now();
+    if (this.#socket === undefined) return;
+    const meter = new AnswerMeter(this.#socket);
+    this.handleParsed = () => {
+      if (meter.framingBytes > 0) this.close();
+    };
+  }
+
   close(): void {
     this.isClosed = true;
     if (!this.client.destroyed) void this.client.destroy();
@@ -254,7 +277,7 @@
     const idle = (this.#idleByAddress.get(address) ?? []).filter((entry) =>
       !entry.isClosed
     );
-    connection.idleSince = performance.now();
+    connection.startIdle();
     idle.push(connection);
     if (idle.length > MAX_IDLE_PER_ADDRESS) idle.shift()!.close();
     this.#idleByAddress.set(address, idle);
@@ -278,6 +301,7 @@
   #isFinished = false;
   #isPaused = false;
   #hasExplicitEnd = false;
+  #meter: AnswerMeter | undefined;
   #resume: () => void = () => {};
 
   constructor(
@@ -309,6 +333,9 @@
   onConnect(abort: (error?: Error) => void): void {
     if (this.#isFinished) return abort();
     this.#isSent = true;
+    const { socket } = this.#connection;
+    if (socket !== undefined) this.#meter = new AnswerMeter(socket);
+    this.#connection.handleParsed = () => this.#checkFraming();
     this.#sink.handleSent?.();
   }
 
@@ -323,6 +350,7 @@
   }
 
   onData(chunk: Buffer): boolean {
+    this.#meter?.addBody(chunk.length);
     if (!this.#isFinished) this.#sink.handleData(chunk);
     return !this.#isPaused;
   }
@@ -342,6 +370,14 @@
     this.#fail(error.message, isDisconnect(error));
   }
 
+  #checkFraming(): void {
+    if (this.#isFinished || this.#meter === undefined) return;
+    if (!isFramingExcessive(this.#meter)) return;
+    const message =
+      `Answer has over ${MAX_FRAMING_BYTES} bytes that are not its body`;
+    this.#fail(message, false);
+  }
+
   /** Ends an answer that ended with its connection. */
   #endUnframed(isAlive: boolean): void {
     if (this.#isFinished) return;
--- a/packages/gateway/src/http_pool_test.ts
+++ b/packages/gateway/src/http_pool_test.ts
@@ -233,6 +233,18 @@
     expect(endpoint!.sockets).to.have.length(2);
   });
 
+  // The parser skips empty lines, so an endpoint could send them without an end.
+  it("closes an idle connection that receives empty lines", async () => {
+    const address = await open((socket) => {
+      socket.write(COMPLETE_ANSWER);
+      setTimeout(() => socket.write("\r\n"), SETTLE_MS);
+    });
+    await send(address);
+    await new Promise((resolve) => setTimeout(resolve, 2 * SETTLE_MS));
+    await send(address);
+    expect(endpoint!.sockets).to.have.length(2);
+  });
+
   it("reports a truncated answer as lost", async () => {
     const address = await open((socket) =>
       socket.end("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
