Run no request whose connection closes before its answer

After an answer to a request from before the stop, its connection stayed open.

Cause: the first request announced the close of the connection when it arrived, whatever followed it; requests behind it were run all the same.

Now the close is announced when the head of an answer is written, only by the newest request of its connection; what arrives after that does not run, and is read so that its bytes don't reset the connection (`ConnectionCloses`). Failures of a body, which close the connection at any time, follow the same rule.

--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -58,6 +58,8 @@
    * read only as fast as the caller reads.
    */
   readonly account?: bufferBudget.BufferAccount;
+  /** Called before the head of the answer is written. */
+  readonly handleHead?: () => void;
   /** Called when an answer that has begun is ended before its end. */
   readonly handleTruncation?: (truncation: Truncation) => void;
 }
@@ -68,6 +70,7 @@
   /** Counts what is held for this response; undefined if nothing but bodies is. */
   readonly account: bufferBudget.BufferAccount | undefined;
   readonly #queue: CallerQueue | undefined;
+  readonly #handleHead: () => void;
   readonly #handleTruncation: (truncation: Truncation) => void;
   #isStreaming = false;
   #isTruncated = false;
@@ -76,9 +79,11 @@
 
   /** @param response The response to the caller. @param options Memory and events. */
   constructor(response: ServerResponse, options: AnswerWriterOptions = {}) {
-    const { account, handleTruncation = () => {} } = options;
+    const { account, handleHead = () => {}, handleTruncation = () => {} } =
+      options;
     this.#response = response;
     this.account = account;
+    this.#handleHead = handleHead;
     this.#handleTruncation = handleTruncation;
     if (account !== undefined) {
       this.#queue = new CallerQueue(response, account);
@@ -103,6 +108,7 @@
   /** Writes an endpoint's answer unchanged. */
   writeComplete(answer: CompleteAnswer): void {
     if (this.#response.destroyed) return;
+    this.#handleHead();
     this.#response.writeHead(
       answer.status,
       buildCallerHeaders(answer.headers).flat(),
@@ -131,6 +137,7 @@
       const retryAfter = formatRetryAfter(failure.retryAfterMs);
       this.#response.setHeader("retry-after", retryAfter);
     }
+    this.#handleHead();
     this.#response.writeHead(row.httpStatus);
     this.#response.end(body);
   }
@@ -139,6 +146,7 @@
   startStream(status: number, headers: ReadonlyMap<string, string>): void {
     this.#isStreaming = true;
     if (this.#response.destroyed) return;
+    this.#handleHead();
     this.#response.writeHead(status, buildCallerHeaders(headers).flat());
   }
 
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -15,6 +15,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { AnswerWriter } from "./answer_writer.ts";
+import { ConnectionCloses } from "./connection_closes.ts";
 import { EVENT } from "./events.ts";
 import type { WireAdapter } from "./ports.ts";
 import type { ArrivedRequest } from "./flow_types.ts";
@@ -66,6 +67,7 @@
   readonly #options: IngressOptions;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  readonly #closes = new ConnectionCloses<Socket>();
   /** Requests whose responses are not closed yet, with the writers of these. */
   readonly #scopes = new Map<RequestScope, AnswerWriter>();
   readonly #budget: bufferBudget.BufferBudget;
@@ -173,13 +175,26 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const arrived = this.#closes.addRequest(request.socket);
+    if (arrived === undefined) {
+      // Bytes that stay unread would reset the connection before its last answer.
+      request.resume();
+      return;
+    }
     const scope = new RequestScope();
+    let mustClose = false;
     const account = this.#openAccount(
       request,
       () => writer.abort({ cause: TRUNCATION_CAUSE.unread }),
     );
     const writer = new AnswerWriter(response, {
       account: this.#options.isContended() ? account : undefined,
+      handleHead: () => {
+        mustClose ||= this.#drainingSince !== undefined;
+        if (mustClose && this.#closes.mayAnnounce(arrived)) {
+          response.setHeader("connection", "close");
+        }
+      },
       handleTruncation: (truncation) =>
         this.#recordTruncation(request, { writer, scope, truncation }),
     });
@@ -190,12 +205,9 @@
       if (!response.writableFinished) scope.end(END_REASON.callerDisconnected);
     });
     this.#applyLimits();
-    if (this.#drainingSince !== undefined) {
-      response.setHeader("connection", "close");
-    }
     const body = await this.#readBody(request, account);
     if ("failure" in body) {
-      response.setHeader("connection", "close");
+      mustClose = true;
       writer.writeFailure(body.failure);
       this.#recordRefusal(request, body.failure);
       request.resume();
