--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -60,6 +60,8 @@
   readonly account?: bufferBudget.BufferAccount;
   /** Counts answers that are read before they are passed on, on every site. */
   readonly answerAccount?: bufferBudget.BufferAccount;
+  /** Called before the head of the answer is written. */
+  readonly handleHead?: () => void;
   /** Called when an answer that has begun is ended before its end. */
   readonly handleTruncation?: (truncation: Truncation) => void;
 }
@@ -72,6 +74,7 @@
   /** Counts an answer that is read before it is passed on. */
   readonly answerAccount: bufferBudget.BufferAccount | undefined;
   readonly #queue: CallerQueue | undefined;
+  readonly #handleHead: () => void;
   readonly #handleTruncation: (truncation: Truncation) => void;
   #isStreaming = false;
   #isTruncated = false;
@@ -80,10 +83,12 @@
 
   /** @param response The response to the caller. @param options Memory and events. */
   constructor(response: ServerResponse, options: AnswerWriterOptions = {}) {
-    const { account, answerAccount, handleTruncation = () => {} } = options;
+    const { account, answerAccount } = options;
+    const { handleHead = () => {}, handleTruncation = () => {} } = options;
     this.#response = response;
     this.account = account;
     this.answerAccount = answerAccount;
+    this.#handleHead = handleHead;
     this.#handleTruncation = handleTruncation;
     if (account !== undefined) {
       this.#queue = new CallerQueue(response, account);
@@ -108,6 +113,7 @@
   /** Writes an endpoint's answer unchanged. */
   writeComplete(answer: CompleteAnswer): void {
     if (this.#response.destroyed) return;
+    this.#handleHead();
     this.#response.writeHead(
       answer.status,
       buildCallerHeaders(answer.headers).flat(),
@@ -139,6 +145,7 @@
       const retryAfter = formatRetryAfter(failure.retryAfterMs);
       this.#response.setHeader("retry-after", retryAfter);
     }
+    this.#handleHead();
     this.#response.writeHead(row.httpStatus);
     this.#response.end(body);
   }
@@ -147,6 +154,7 @@
   startStream(status: number, headers: ReadonlyMap<string, string>): void {
     this.#isStreaming = true;
     if (this.#response.destroyed) return;
+    this.#handleHead();
     this.#response.writeHead(status, buildCallerHeaders(headers).flat());
   }
 
