Name the relay in the reasons of broken connections

Operators could not tell a relaying VM that exits from an endpoint that broke off: both read "other side closed" with the cause `endpointFailed` beside `endpoint_lost`.

Cause: the pool passes on undici's message, and the path of a connection is in no line.

The message now ends with the VM that relays the connection, so that `request_repeated`, `stream_resumed`, `response_truncated` and what is made of them have it; `process_stopped` has the number of tunnels that the exit closes. No decision changes.

Evidence: on the code before, both tests of the exit of a relay failed ("expected 'other side closed' to include '(through vm-1)'"). They hold as well that a resumable stream goes on at another endpoint, and that any other is cut.

--- a/packages/gateway/src/endpoint_reach.ts
+++ b/packages/gateway/src/endpoint_reach.ts
@@ -88,12 +88,17 @@
     return this.#connector.connect;
   }
 
+  /** Finds the VM that relays a connection; undefined if it is direct. */
+  findRelay(socket: Socket): string | undefined {
+    return this.#connector.findRelay(socket);
+  }
+
   /**
    * Whether a connection may carry another request. A relay that stops waits until its
    * tunnels are closed, so those without a request are closed at once.
    */
   mayReuse(socket: Socket): boolean {
-    const relay = this.#connector.findRelay(socket);
+    const relay = this.findRelay(socket);
     return relay === undefined || !this.#options.isLeaving(relay);
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -133,6 +133,7 @@
     this.pool = new HttpPool({
       connect: this.reach.connect,
       mayReuse: (socket) => this.reach.mayReuse(socket),
+      findRelay: (socket) => this.reach.findRelay(socket),
     });
     this.#wire = options.createWire(this.pool);
     this.rollouts = new Rollouts({
@@ -293,6 +294,7 @@
       active: this.#ingress.activeRequests,
       tookMs: Math.round(performance.now() - stoppedAt),
       connections: this.pool.openedTotal,
+      tunnels: this.reach.tunnelCount,
     });
     // Other VMs chose this one until they knew that it leaves.
     this.#streamNotes.sendAllNotes();
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -77,6 +77,8 @@
   readonly connect?: endpointPaths.Connector;
   /** Whether a connection may carry another request; each may by default. */
   readonly mayReuse?: (socket: Socket) => boolean;
+  /** Finds the VM that relays a connection; undefined if it is direct. */
+  readonly findRelay?: (socket: Socket) => string | undefined;
 }
 
 /** Statuses without a body, whose answers need no Content-Length. */
@@ -157,6 +159,7 @@
   readonly #idleByAddress = new Map<Address, PoolConnection[]>();
   readonly #connect: endpointPaths.Connector;
   readonly #mayReuse: (socket: Socket) => boolean;
+  readonly #findRelay: (socket: Socket) => string | undefined;
   #openedTotal = 0;
 
   /** @param options How connections are opened. */
@@ -166,6 +169,7 @@
       CONNECT_TIMEOUT_MS,
     );
     this.#mayReuse = options.mayReuse ?? (() => true);
+    this.#findRelay = options.findRelay ?? (() => undefined);
   }
 
   /** Number of connections opened so far. */
@@ -182,6 +186,7 @@
     const { address } = request;
     const exchange = new PoolExchange(connection, sink, {
       mayEndUnframed: request.mayEndUnframed ?? false,
+      findRelay: this.#findRelay,
       release: () => this.#returnConnection(address, connection),
       checkAlive: (handle) => this.#checkAlive(address, handle),
     });
@@ -273,6 +278,7 @@
 /** What an exchange needs of its pool. */
 interface ExchangeOptions {
   readonly mayEndUnframed: boolean;
+  readonly findRelay: (socket: Socket) => string | undefined;
   /** Called when the connection may be used again. */
   readonly release: () => void;
   readonly checkAlive: (handle: (isAlive: boolean) => void) => void;
@@ -368,10 +374,12 @@
 
   #fail(message: string, isDisconnected: boolean): void {
     this.#isFinished = true;
+    const { socket } = this.#connection;
+    const relay = socket && this.#options.findRelay(socket);
     this.#connection.close();
     this.#sink.handleFailure({
       kind: this.#isSent ? "lost" : "notSent",
-      message,
+      message: relay === undefined ? message : `${message} (through ${relay})`,
       isDisconnect: this.#isSent && isDisconnected,
     });
   }
