Report: count a resumed stream by its own first event

Operators saw streams that were resumed within their response as late although their first event had come in time.

Cause: the VM logs `stream_started` for each attempt that sends an event, and the report took the last one.

--- a/packages/report/src/request_report_test.ts
+++ b/packages/report/src/request_report_test.ts
@@ -183,6 +183,23 @@
     expectSnapshot(this, [report.truncations, report.causes]);
   });
 
+  // A stream that was resumed counted as late, by the first event of its resume.
+  it("takes the time to the first event of a resumed stream once", () => {
+    const report = buildReport([
+      buildAdmitted("a"),
+      buildSent("a", 10, { endpointId: "e1" }),
+      buildStarted("a", 90),
+      buildSent("a", 1_700, { endpointId: "e2", lastEventId: "2" }),
+      buildStarted("a", 1_746),
+      buildAnswered("a", { tookMs: 2_500 }),
+    ]);
+    expect(getRoute(report).all).to.include({ inTime: 1, late: 0 });
+    expect(report.routes[0]).to.include({ inTime: 1, late: 0 });
+    expect(report.times[0]!.engine.count).to.equal(1);
+    expect(report.endpoints.map(({ firstEventMs }) => firstEventMs))
+      .to.deep.equal([80, 46]);
+  });
+
   // Guards against figures that don't add up under a mix of ends, in any order of the
   // lines of different requests, and on two VMs that use equal request ids.
   it("counts each request of a generated load once", () => {
--- a/packages/report/src/request_tracker.ts
+++ b/packages/report/src/request_tracker.ts
@@ -143,7 +143,8 @@
 
   #addFirstEvent(open: OpenRequest, line: LogLine): void {
     open.isStarted = true;
-    open.firstEventMs = getNumber(line, "firstEventMs");
+    // A resume has a first event of its own, which its endpoint counts.
+    open.firstEventMs ??= getNumber(line, "firstEventMs");
     if (open.send === undefined) return;
     const tookMs = Math.max(0, Date.parse(line.time) - open.send.atMs);
     this.#handlers.handleFirstEvent(open.request, open.send, tookMs);
--- a/packages/report/src/route_statistics.ts
+++ b/packages/report/src/route_statistics.ts
@@ -107,6 +107,7 @@
   }
 
   #recordStreamStart(request: OpenRequest, line: LogLine): void {
+    if (request.isStarted) return;
     const firstEventMs = Number(line.firstEventMs);
     const objectiveMs = Number(line.objectiveMs);
     request.isStarted = true;
