Resume a stream once full endpoints take it

What callers saw: a stream whose endpoint broke off ended at once when three other endpoints were full, though one of them had capacity a moment later. The same happened to a stream that a takeover had begun to replace when the takeover was refused late.

Cause: refusals of a resume were counted like those of a request that has not begun. That one is told to come back; a stream that has begun only breaks.

Each send takes a retry; without one, the stream waits. Requests that have not begun are given up as before.

--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -57,8 +57,8 @@
   /** Versions of the endpoints `e0`, `e1` and so on. */
   readonly versions?: readonly string[];
   readonly route?: Partial<serving.Route>;
-  /** Retries that the budget allows. */
-  readonly retries?: number;
+  /** Retries of the operator's limit. */
+  readonly retryExtra?: number;
   /** Stage results that the request reads. */
   readonly inputs?: readonly string[];
 }
@@ -311,7 +311,7 @@
       mesh: { countMembers: () => 1 } as Partial<PeerMesh> as PeerMesh,
       retryBudget: new serving.RetryBudget({
         ratio: 0,
-        extra: 2 * (this.#options.retries ?? 100),
+        extra: this.#options.retryExtra ?? 100,
         windowMs: RETRY_WINDOW_MS,
       }),
       rollouts: rollouts as Rollouts,
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -158,7 +158,10 @@
       const refusal = this.#deps.quarantine.check(this.#request);
       if (refusal !== undefined) return this.#giveUp(refusal.message, refusal);
       const first = this.#pickEndpoint(this.#triedIds);
-      if (first === undefined) return this.#giveUpWithoutEndpoint();
+      if (first === undefined) {
+        if (await this.#waitForCapacity()) continue;
+        return this.#giveUpWithoutEndpoint();
+      }
       const { endpoint, outcome } = await this.#runRace(first);
       clearTimeout(this.#inputReleaseTimer);
       const result = await this.#handleOutcome(endpoint, outcome);
@@ -378,14 +381,37 @@
       return await this.#retryWithNewInputs();
     }
     this.#triedIds.add(endpoint.id);
-    if (
-      this.#refusals >= MAX_REFUSALS || !this.#takeRetry(`status ${status}`)
-    ) {
-      return this.#giveUp(
-        `Endpoints refused the request with status ${status}`,
-      );
+    const isLast = this.#refusals >= MAX_REFUSALS ||
+      !this.#takeRetry(`status ${status}`);
+    if (!isLast || await this.#waitForCapacity()) return undefined;
+    return this.#giveUp(`Endpoints refused the request with status ${status}`);
+  }
+
+  /**
+   * Waits until endpoints that refused a stream may be asked again.
+   *
+   * @returns False if the request is given up.
+   */
+  async #waitForCapacity(): Promise<boolean> {
+    const { scope, writer, route } = this.#request;
+    while (scope.endedBy === undefined) {
+      const decision = takeover.decideRefused({
+        hasStarted: writer.hasStarted,
+        isResumable: this.#eventBuffer !== undefined,
+        attempts: this.#attempts,
+        maxAttempts: route.maxAttempts,
+        hasEndpoint: this.#pickEndpoint(this.#ranIds) !== undefined,
+      });
+      if (decision.kind === "giveUp") return false;
+      await scope.wait(decision.pauseMs);
+      if (scope.endedBy === undefined && this.#takeRetry("Stream refused")) {
+        break;
+      }
     }
-    return undefined;
+    this.#refusals = 0;
+    this.#triedIds.clear();
+    for (const id of this.#ranIds) this.#triedIds.add(id);
+    return true;
   }
 
   async #retryWithNewInputs(): Promise<ForwardResult | undefined> {
--- a/packages/gateway/src/request_scope.ts
+++ b/packages/gateway/src/request_scope.ts
@@ -50,6 +50,20 @@
     return () => this.#endListeners.delete(listener);
   }
 
+  /** Waits for some time, or until the request ends. @param ms In milliseconds. */
+  wait(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        removeListener();
+        resolve();
+      }, ms);
+      const removeListener = this.addEndListener(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+
   /** Ends the request; later calls have no effect. */
   end(reason: EndReason): void {
     if (this.#endReason !== undefined) return;
--- a/packages/gateway/src/takeover_test.ts
+++ b/packages/gateway/src/takeover_test.ts
@@ -243,7 +243,7 @@
   });
 
   const obstacles: Record<string, ForwardHarnessOptions> = {
-    budgetUsed: { retries: 0 },
+    budgetUsed: { retryExtra: 0 },
     noEndpoint: { versions: ["v1"] },
   };
   for (const [reason, options] of Object.entries(obstacles)) {
--- a/packages/takeover/src/mod.ts
+++ b/packages/takeover/src/mod.ts
@@ -1,6 +1,7 @@
 /**
- * Takeovers of answers whose endpoints are silent.
+ * Takeovers of answers whose endpoints are silent, and streams that are refused.
  *
  * @module
  */
+export * from "./refused_stream.ts";
 export * from "./takeover.ts";
