--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -238,6 +238,9 @@
     const endpoints = this.#endpoints;
     const tracker: Partial<EndpointTracker> = {
       recordStart: () => {},
+      recordEvidence: ({ id }, evidence) => {
+        this.evidence.push(`${id} ${evidence}`);
+      },
       recordEnd: ({ id }, evidence) => {
         if (evidence !== undefined) this.evidence.push(`${id} ${evidence}`);
       },
--- a/packages/gateway/src/attempt_race.ts
+++ b/packages/gateway/src/attempt_race.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as serving from "@sardinestep/serving";
+import * as takeover from "@sardinestep/takeover";
 import { match } from "ts-pattern";
 import {
   type AttemptOutcome,
@@ -37,7 +38,7 @@
   readonly endpoint: serving.ServingEndpoint;
   /** Endpoints to which takeovers were sent. */
   readonly triedIds: ReadonlySet<string>;
-  /** Takeovers that endpoints refused. */
+  /** Takeovers that endpoints refused since the last progress. */
   readonly refusals: number;
 }
 
@@ -79,6 +80,8 @@
   readonly outcome: AttemptOutcome;
   /** Whether the request was written to a connection. */
   readonly wasSent: boolean;
+  /** Whether its endpoint began a successful answer. */
+  readonly hasBegun: boolean;
 }
 
 /** A takeover that goes on with an answer. */
@@ -93,6 +96,7 @@
   /** Unset while it starts, which may already report that it was sent. */
   attempt?: RunningAttempt;
   wasSent: boolean;
+  hasBegun: boolean;
 }
 
 /**
@@ -130,7 +134,7 @@
   }
 
   run(endpoint: serving.ServingEndpoint): void {
-    this.#lead = { endpoint, wasSent: false };
+    this.#lead = { endpoint, wasSent: false, hasBegun: false };
     this.#start(this.#lead);
   }
 
@@ -152,6 +156,7 @@
   }
 
   #handleBegun(entry: Entry): void {
+    entry.hasBegun = true;
     const { maxOverlapMs } = this.#host;
     if (entry !== this.#takeover || maxOverlapMs === undefined) return;
     this.#overlapTimer = setTimeout(
@@ -162,6 +167,7 @@
 
   #handleDelivery(entry: Entry): void {
     this.#startSpan();
+    this.#refusals = 0;
     if (this.#takeover === undefined) return;
     if (entry === this.#lead) return this.#cancelTakeover();
     const silent = this.#promoteTakeover();
@@ -172,12 +178,13 @@
     const isAlone = entry === this.#lead && this.#takeover === undefined;
     if (!isAlone || this.#rerun !== undefined || this.#isFinished) return;
     this.#startSpan();
+    // One more endpoint is tried; each send takes a retry from other requests.
+    this.#refusals = Math.min(this.#refusals, takeover.MAX_REFUSALS - 1);
     this.#tryTakeover();
   }
 
   #startSpan(): void {
     this.#span += 1;
-    this.#refusals = 0;
     this.#spanTriedIds = new Set();
   }
 
@@ -190,7 +197,7 @@
     match(plan)
       .with({ kind: "takeOver" }, ({ endpoint }) => {
         this.#spanTriedIds.add(endpoint.id);
-        this.#takeover = { endpoint, wasSent: false };
+        this.#takeover = { endpoint, wasSent: false, hasBegun: false };
         this.#start(this.#takeover);
       })
       .with({ kind: "rerunStages" }, () => this.#rerunStages())
@@ -272,8 +279,9 @@
     this.#tryTakeover();
   }
 
-  #drop({ endpoint, wasSent }: Entry, outcome: AttemptOutcome): void {
-    this.#host.recordDropped({ endpoint, outcome, wasSent });
+  #drop(entry: Entry, outcome: AttemptOutcome): void {
+    const { endpoint, wasSent, hasBegun } = entry;
+    this.#host.recordDropped({ endpoint, outcome, wasSent, hasBegun });
   }
 
   #finish({ endpoint }: Entry, outcome: RaceOutcome): void {
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -123,6 +123,8 @@
   #staged: StagedInputs;
   /** Whether the stage results are kept that the request reads. */
   #areInputsKept = true;
+  /** Stage results with which each endpoint was last asked. */
+  readonly #sentInputs = new Map<string, StagedInputs>();
   /** Attempts in which the request may have run. */
   #attempts = 0;
   #connectFailures = 0;
@@ -234,6 +236,7 @@
     const leftMs = Math.max(1, Math.floor(request.timeoutMs - scope.ageMs));
     const eventBuffer = this.#openEventBuffer(isTakeover);
     if (!isTakeover) this.#triedIds.add(endpoint.id);
+    this.#sentInputs.set(endpoint.id, this.#staged);
     this.#deps.events.write(EVENT.requestSent, {
       requestId: request.requestId,
       endpointId: endpoint.id,
@@ -378,7 +381,7 @@
   ): Promise<ForwardResult | undefined> {
     this.#refusals += 1;
     if (this.#isInputsMissing({ kind: "notRun", status })) {
-      return await this.#retryWithNewInputs();
+      return await this.#retryWithNewInputs(endpoint);
     }
     this.#triedIds.add(endpoint.id);
     const isLast = this.#refusals >= MAX_REFUSALS ||
@@ -414,8 +417,12 @@
     return true;
   }
 
-  async #retryWithNewInputs(): Promise<ForwardResult | undefined> {
-    const failure = await this.#rerunStages();
+  /** Sends the request again, with results that are made anew unless they were. */
+  async #retryWithNewInputs(
+    { id }: serving.ServingEndpoint,
+  ): Promise<ForwardResult | undefined> {
+    const isRemade = this.#sentInputs.get(id) !== this.#staged;
+    const failure = isRemade ? undefined : await this.#rerunStages();
     if (failure !== undefined) return this.#giveUp(failure);
     this.#triedIds.clear();
     return this.#takeRetry("stage results were lost")
@@ -487,7 +494,7 @@
       .exhaustive();
   }
 
-  #isInputsMissing(outcome: RaceOutcome): boolean {
+  #isInputsMissing(outcome: AttemptOutcome): boolean {
     return outcome.kind === "notRun" &&
       outcome.status === STATUS_INPUTS_MISSING &&
       this.#staged.inputs.length > 0;
@@ -519,12 +526,19 @@
   }
 
   /** Records an attempt that ended while another one goes on. */
-  #recordDropped({ endpoint, outcome, wasSent }: DroppedAttempt): void {
-    if (outcome.kind === "notRun" && this.#isInputsMissing(outcome)) {
+  #recordDropped(
+    { endpoint, outcome, wasSent, hasBegun }: DroppedAttempt,
+  ): void {
+    const wasSentLatest = this.#sentInputs.get(endpoint.id) === this.#staged;
+    if (wasSentLatest && this.#isInputsMissing(outcome)) {
       this.#areInputsKept = false;
     }
     const isRefused = outcome.kind === "notRun" || outcome.kind === "notSent";
     if (!wasSent || isRefused) return;
+    // An endpoint that waits for capacity has not begun to work on a stream.
+    const isUnused = outcome.kind === "superseded" && !hasBegun &&
+      this.#eventBuffer !== undefined;
+    if (isUnused) return;
     this.#recordRun(endpoint);
     this.#triedIds.add(endpoint.id);
     if (outcome.kind === "answered") this.#lastFailure = outcome.answer;
--- a/packages/gateway/src/staged_takeover_test.ts
+++ b/packages/gateway/src/staged_takeover_test.ts
@@ -97,6 +97,23 @@
     expect(getReruns()).to.equal(1);
   });
 
+  // The first endpoint's late refusal counted as a second loss of results.
+  it("use results that were made anew when the silent endpoint misses its own", async () => {
+    const { harness, endRerun, getReruns } = createHarness();
+    const result = harness.run();
+    const [silent, refusing] = await harness.waitForCalls(2) as SentCall[];
+    refusing!.refuse(STATUS_INPUTS_MISSING);
+    await wait(0);
+    silent!.refuse(STATUS_INPUTS_MISSING);
+    endRerun(NEW_INPUTS);
+    const [, , next] = await harness.waitForCalls(3) as SentCall[];
+    expect(next!.inputs).to.equal("new");
+    next!.begin();
+    finish(next!, 1);
+    expect((await result).kind).to.equal("streamed");
+    expect(getReruns()).to.equal(1);
+  });
+
   it("run the stages again when an endpoint misses their results", async () => {
     const { harness, endRerun } = createHarness();
     const result = harness.run();
