End pipelined requests when their caller leaves

What callers saw: nothing themselves.

Cause: the end of a request follows from the "close" event of its response. Node.js emits it only for the response that is being written, not for those queued behind it.

Evidence, before the fix: a caller sends two requests to a silent endpoint on one connection and leaves; 1 of 2 requests is cancelled within 500 ms.

Now the close of a connection ends all its open responses.

Result: 2 of 2.

--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -66,7 +66,8 @@
 export class Ingress {
   readonly #options: IngressOptions;
   readonly #server: Server;
-  readonly #sockets = new Set<Socket>();
+  /** Open connections, with what closes each of their open responses. */
+  readonly #sockets = new Map<Socket, Set<() => void>>();
   readonly #closes = new ConnectionCloses<Socket>();
   /** Requests whose responses are not closed yet, with the writers of these. */
   readonly #scopes = new Map<RequestScope, AnswerWriter>();
@@ -163,12 +164,31 @@
     for (const writer of this.#scopes.values()) {
       writer.abort({ cause: TRUNCATION_CAUSE.exit });
     }
-    for (const socket of this.#sockets) socket.destroy();
+    for (const socket of this.#sockets.keys()) socket.destroy();
   }
 
   #trackSocket(socket: Socket): void {
-    this.#sockets.add(socket);
-    socket.once("close", () => this.#sockets.delete(socket));
+    const handlers = new Set<() => void>();
+    this.#sockets.set(socket, handlers);
+    socket.once("close", () => {
+      this.#sockets.delete(socket);
+      // Node.js closes only the response that is being written.
+      process.nextTick(() => {
+        for (const handle of [...handlers]) handle();
+      });
+    });
+  }
+
+  /** Calls a function once when a response is closed, or its connection is. */
+  #addCloseHandler(response: ServerResponse, handleClose: () => void): void {
+    const handlers = this.#sockets.get(response.req.socket);
+    const handle = () => {
+      handlers?.delete(handle);
+      response.off("close", handle);
+      handleClose();
+    };
+    handlers?.add(handle);
+    response.once("close", handle);
   }
 
   async #handleRequest(
@@ -199,7 +219,7 @@
         this.#recordTruncation(request, { writer, scope, truncation }),
     });
     this.#scopes.set(scope, writer);
-    response.once("close", () => {
+    this.#addCloseHandler(response, () => {
       this.#scopes.delete(scope);
       account.close();
       if (!response.writableFinished) scope.end(END_REASON.callerDisconnected);
