Receive messages of other processes in linear time, up to 16 MiB

What callers saw: while a VM received a long message from another process, it did nothing else, and bytes without a line end were taken up to 64 MiB.

Cause: the line splitter searched all that it had of a line again for each chunk, so the work grew with the square of its length.

The test of a message without an end fails on the unfixed code with "Silent connection", expected "Received an oversized message".

Why this works: LineBuffer searches only new bytes and keeps an incomplete line in a GrowingBuffer. The limit is 16 MiB, as for answers of the store, from which the configuration comes. The library split2 has no linear mode and is removed.

--- a/packages/rpc/src/connection.ts
+++ b/packages/rpc/src/connection.ts
@@ -5,13 +5,13 @@
  */
 import * as jsonRpc from "json-rpc-2.0";
 import type { Socket } from "node:net";
-import split2 from "split2";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { RpcError } from "./error.ts";
+import { LineBuffer } from "./line_buffer.ts";
 import type { MethodName, Methods, Notifications } from "./methods.ts";
 
-/** Longest accepted message; fits a configuration of 32,000 customers. */
-const MAX_MESSAGE_CHARACTERS = 64 * 1_048_576;
+/** Longest accepted message; a configuration of 32,000 customers takes 5 MB. */
+const MAX_MESSAGE_BYTES = 16 * 1_048_576;
 /** Unsent bytes above which the remote side is too slow; it could not hold them. */
 const MAX_UNSENT_BYTES = 128 * 1_048_576;
 const DEFAULT_PING_INTERVAL_MS = 500;
@@ -143,13 +143,18 @@
   }
 
   #readLines(): void {
-    const lines = split2({ maxLength: MAX_MESSAGE_CHARACTERS });
-    lines.on("data", (line: string) => this.#handleLine(line));
-    lines.on("error", () => this.close("Received an oversized message"));
-    this.#socket.pipe(lines);
+    const buffer = new LineBuffer(MAX_MESSAGE_BYTES);
+    this.#socket.on("data", (chunk) => {
+      const step = buffer.addBytes(chunk);
+      if (step.kind === "tooLong") {
+        return this.close("Received an oversized message");
+      }
+      for (const line of step.lines) this.#handleLine(line);
+    });
   }
 
   #handleLine(line: string): void {
+    if (this.#closed) return;
     this.#lastReceivedAt = performance.now();
     const message = parseMessage(line);
     if (message === undefined) return this.close("Received malformed JSON");
--- a/packages/rpc/src/connection_test.ts
+++ b/packages/rpc/src/connection_test.ts
@@ -105,6 +105,16 @@
     expect(answer.unwrap().instance).to.equal("i-2");
   });
 
+  // The process would spend its time on a message without an end.
+  it("closes a connection whose message has no end", async () => {
+    const server = await openEndlessServer();
+    let handleClosed: (reason: string) => void = () => {};
+    const closed = new Promise<string>((resolve) => handleClosed = resolve);
+    await openConnection(server.address, { onClosed: handleClosed });
+    expect(await closed).to.equal("Received an oversized message");
+    await server.close();
+  });
+
   // An entry received no updates for minutes although control was running: a
   // device between the two had lost the connection's state, so nothing came back,
   // neither FIN nor RST. Without pings, the pending call would hang until its own,
@@ -127,11 +137,26 @@
 });
 
 async function openSilentServer() {
+  return await openRawServer((socket) => socket.resume());
+}
+
+/** Sends bytes without a line end until its peer closes. */
+async function openEndlessServer() {
+  const bytes = Buffer.alloc(65_536, "x");
+  return await openRawServer((socket) => {
+    const send = () => {
+      if (!socket.destroyed) socket.write(bytes, () => setImmediate(send));
+    };
+    send();
+  });
+}
+
+async function openRawServer(handle: (socket: Socket) => void) {
   const sockets: Socket[] = [];
   const server: Server = createServer((socket) => {
     sockets.push(socket);
-    socket.resume();
     socket.on("error", () => {});
+    handle(socket);
   });
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
