--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -8,13 +8,14 @@
 import type { Socket } from "node:net";
 import type { Dispatcher } from "undici";
 import buildConnector from "undici/lib/core/connect.js";
-import Client from "undici/lib/dispatcher/client.js";
 import {
   AnswerMeter,
   isFramingExcessive,
   MAX_FRAMING_BYTES,
-  MAX_HEAD_BYTES,
 } from "./answer_framing.ts";
+import { PoolConnection } from "./pool_connection.ts";
+
+export { IDLE_CONNECTION_TIMEOUT_MS } from "./pool_connection.ts";
 
 /** A request to an endpoint. */
 export interface PoolRequest {
@@ -64,8 +65,6 @@
  * for a caller, while a new connection is established at once.
  */
 export const CONNECT_TIMEOUT_MS = 150;
-/** How long an idle connection stays open, in milliseconds. */
-export const IDLE_CONNECTION_TIMEOUT_MS = 4_000;
 /**
  * Maximum number of idle connections to one address; an endpoint accepts some
  * hundred connections in total.
@@ -100,68 +99,6 @@
   readonly servername: string;
 }
 
-/** A connection with its state in the pool. */
-class PoolConnection {
-  readonly client: Client;
-  idleSince = 0;
-  isClosed = false;
-  /** Called after the parser took bytes. */
-  handleParsed: () => void = () => {};
-  #socket: Socket | undefined;
-  #isDirect = false;
-
-  constructor(address: Address, connect: endpointPaths.Connector) {
-    this.client = new Client(`http://${address}`, {
-      pipelining: 1,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      maxHeaderSize: MAX_HEAD_BYTES,
-      keepAliveTimeout: IDLE_CONNECTION_TIMEOUT_MS,
-      connect: ((options, callback) =>
-        connect(options, (error, socket) => {
-          this.#socket = socket ?? undefined;
-          this.#isDirect = socket !== null && socket !== undefined &&
-            `${socket.remoteAddress}:${socket.remotePort}` === address;
-          // A failure comes without a socket, which the types don't show.
-          callback(error as null, socket as Socket);
-        })) as endpointPaths.Connector,
-    });
-    // The parser has its own listener by then, so that this one is called after it.
-    this.client.once("connect", () => {
-      this.#socket?.on("readable", () => this.handleParsed());
-    });
-    this.client.on("disconnect", () => this.close());
-  }
-
-  /**
-   * Whether the endpoint closed the connection in order. undici hides a reset, and a
-   * VM that relays a connection ends it too when it exits.
-   */
-  get hasEnded(): boolean {
-    return this.#isDirect && this.#socket?.readableEnded === true;
-  }
-
-  /** The connection, once it is open. */
-  get socket(): Socket | undefined {
-    return this.#socket;
-  }
-
-  /** Closes the connection if anything arrives before its next request. */
-  startIdle(): void {
-    this.idleSince = performance.now();
-    if (this.#socket === undefined) return;
-    const meter = new AnswerMeter(this.#socket);
-    this.handleParsed = () => {
-      if (meter.framingBytes > 0) this.close();
-    };
-  }
-
-  close(): void {
-    this.isClosed = true;
-    if (!this.client.destroyed) void this.client.destroy();
-  }
-}
-
 /**
  * Keeps connections to endpoints open for reuse.
  *
