Fail one request, not the process, on an error in a takeover

What callers would see: all requests of a VM end. Silence is reported by a timer, so an error of the gateway in the decision on a takeover was an uncaught exception, which ends the process.

Fix: handlers of a race reject its promise, so that the request ends as an internal error and its attempts are cancelled.

--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -162,6 +162,9 @@
     });
   }
 
+  /** Counts the VMs that share the retry budget. */
+  countMembers = (): number => 1;
+
   /** Runs the stages of the request again. */
   rerunStages = (): Promise<StagedInputs | undefined> =>
     Promise.resolve(undefined);
@@ -285,6 +288,7 @@
         notices: {},
       }),
     };
+    const mesh: Partial<PeerMesh> = { countMembers: () => this.countMembers() };
     const pool: Partial<HttpPool> = {
       send: (request, sink) => {
         const call = new SentCall(request, sink);
@@ -308,7 +312,7 @@
       endpointTracker: tracker as EndpointTracker,
       pool: pool as HttpPool,
       wire: wire as WireAdapter,
-      mesh: { countMembers: () => 1 } as Partial<PeerMesh> as PeerMesh,
+      mesh: mesh as PeerMesh,
       retryBudget: new serving.RetryBudget({
         ratio: 0,
         extra: this.#options.retryExtra ?? 100,
--- a/packages/gateway/src/attempt_race.ts
+++ b/packages/gateway/src/attempt_race.ts
@@ -104,12 +104,15 @@
   host: RaceHost,
   endpoint: serving.ServingEndpoint,
 ): Promise<RaceEnd> {
-  return new Promise((resolve) => new AttemptRace(host, resolve).run(endpoint));
+  return new Promise((resolve, reject) =>
+    new AttemptRace(host, resolve, reject).run(endpoint)
+  );
 }
 
 class AttemptRace {
   readonly #host: RaceHost;
   readonly #resolve: (end: RaceEnd) => void;
+  readonly #reject: (error: unknown) => void;
   /** The attempt that answers; silent while there is a takeover. */
   #lead!: Entry;
   #takeover: Entry | undefined;
@@ -122,9 +125,14 @@
   #refusals = 0;
   #isFinished = false;
 
-  constructor(host: RaceHost, resolve: (end: RaceEnd) => void) {
+  constructor(
+    host: RaceHost,
+    resolve: (end: RaceEnd) => void,
+    reject: (error: unknown) => void,
+  ) {
     this.#host = host;
     this.#resolve = resolve;
+    this.#reject = reject;
   }
 
   run(endpoint: serving.ServingEndpoint): void {
@@ -139,11 +147,22 @@
       listener: {
         handleSent: () => this.#handleSent(entry),
         handleDelivery: () => this.#handleDelivery(entry),
-        handleSilence: () => this.#handleSilence(entry),
+        handleSilence: () => this.#handle(() => this.#handleSilence(entry)),
       },
     });
     entry.attempt = attempt;
-    void attempt.outcome.then((outcome) => this.#handleEnd(entry, outcome));
+    void attempt.outcome.then((outcome) =>
+      this.#handle(() => this.#handleEnd(entry, outcome))
+    );
+  }
+
+  /** Fails the request on an error, which would otherwise end the process. */
+  #handle(handler: () => void): void {
+    try {
+      handler();
+    } catch (error) {
+      this.#reject(error);
+    }
   }
 
   #handleSent(entry: Entry): void {
@@ -151,7 +170,10 @@
     const { maxOverlapMs } = this.#host;
     if (entry !== this.#takeover || maxOverlapMs === undefined) return;
     this.#overlapTimer = setTimeout(
-      () => this.#lead.attempt?.cancel(CANCEL_CAUSE.endpointSilent),
+      () =>
+        this.#handle(() =>
+          this.#lead.attempt?.cancel(CANCEL_CAUSE.endpointSilent)
+        ),
       maxOverlapMs,
     );
   }
@@ -201,6 +223,7 @@
       const isNeeded = span === this.#span && !this.#isFinished;
       if (isRerun && isNeeded) this.#tryTakeover();
     });
+    this.#rerun.catch(this.#reject);
   }
 
   /** Makes the takeover the attempt that answers; returns the one before. */
--- a/packages/gateway/src/staged_takeover_test.ts
+++ b/packages/gateway/src/staged_takeover_test.ts
@@ -7,6 +7,7 @@
   STATUS_INPUTS_MISSING,
 } from "./_forward_harness.ts";
 import type { StagedInputs } from "./forward.ts";
+import { END_REASON } from "./request_scope.ts";
 
 const NEW_INPUTS: StagedInputs = { inputs: ["new"], inputBytes: {} };
 
@@ -97,6 +98,19 @@
     expect(getReruns()).to.equal(1);
   });
 
+  // An error in a timer would end the process, and with it all its requests.
+  it("fail their request only when the gateway has an error", async () => {
+    const harness = new ForwardHarness({ inputs: ["old"] });
+    harness.rerunStages = () => Promise.reject(new Error("no stages"));
+    const result = harness.run().catch(String);
+    const [silent] = await harness.waitForCalls(1) as [SentCall];
+    silent.begin();
+    silent.writeEvent(1);
+    expect(await result).to.equal("Error: no stages");
+    harness.scope.end(END_REASON.done);
+    expect(silent.isCancelled).to.equal(true);
+  });
+
   it("run the stages again when an endpoint misses their results", async () => {
     const { harness, endRerun } = createHarness();
     const result = harness.run();
--- a/packages/gateway/src/takeover_test.ts
+++ b/packages/gateway/src/takeover_test.ts
@@ -257,6 +257,19 @@
     });
   }
 
+  // An error in a timer would end the process, and with it all its requests.
+  it("fail their request only when the gateway has an error", async () => {
+    const harness = new ForwardHarness();
+    const result = harness.run().catch(String);
+    await harness.waitForCalls(1);
+    harness.countMembers = () => {
+      throw new Error("no members");
+    };
+    expect(await result).to.equal("Error: no members");
+    harness.scope.end(END_REASON.done);
+    expect(harness.calls[0]!.isCancelled).to.equal(true);
+  });
+
   const onceRoutes: Record<string, Partial<serving.Route>> = {
     "may run once": { kind: serving.ROUTE_KIND.atMostOnce },
     "can't be resumed": { isResumable: false },
