Keep growing bytes in blocks, with no garbage

What was seen: endless_memory_test on a contended site peaked at 187.9 MB in one run and 223.7 MB in another one, near its bound of 250 MB.

Cause: GrowingBuffer doubled its capacity, so that it took up to twice its bytes, and each buffer before was garbage until a collection.

Why this works: bytes are kept in blocks of 64 KiB at most that never move. At most one block is counted beyond the bytes, and each byte is copied once. The test that counted moved bytes now holds the capacity to the bytes and 64 KiB; before, a buffer of 1 MiB could take 2 MiB.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -216,7 +216,7 @@
       answer: {
         status: this.#status,
         headers: this.#headers,
-        body: Buffer.from(this.#body.getBytes()),
+        body: this.#body.getBytes(),
       },
     }, evidence);
   }
--- a/packages/gateway/src/event_buffer.ts
+++ b/packages/gateway/src/event_buffer.ts
@@ -50,7 +50,7 @@
    * an event that is too long.
    */
   takeCompleteEvents(chunk: Uint8Array): EventStep {
-    const overlap = this.#partial.getBytes(1 - EVENT_END_BYTES);
+    const overlap = this.#partial.getLast(EVENT_END_BYTES - 1);
     const end = findLastEventEnd(Buffer.concat([overlap, chunk])) -
       overlap.length;
     const isEnd = end > 0;
