--- a/packages/report/src/request_report.ts
+++ b/packages/report/src/request_report.ts
@@ -53,7 +53,7 @@
   /** A cause of the event `response_truncated`, see docs/LOGS.md. */
   readonly cause: string;
   readonly count: number;
-  /** Of these, answers of VMs that were stopping; undefined if lines don't tell. */
+  /** Of these, answers of VMs that were stopping; undefined if no line shows it. */
   readonly whileStopping: number | undefined;
 }
 
--- a/packages/report/src/truncation_statistics.ts
+++ b/packages/report/src/truncation_statistics.ts
@@ -14,7 +14,7 @@
 export interface TruncationEnd {
   /** A cause of the event `response_truncated`, see docs/LOGS.md. */
   readonly cause: string;
-  /** Whether the VM was stopping; undefined if the line doesn't tell. */
+  /** Whether the VM was stopping; undefined if the line doesn't show it. */
   readonly isStopping: boolean | undefined;
   /** Cause and reason without figures. */
   readonly text: string;
--- a/packages/takeover/src/takeover.ts
+++ b/packages/takeover/src/takeover.ts
@@ -10,7 +10,7 @@
  * another endpoint.
  */
 export const MAX_OVERLAP_MS = 250;
-/** Takeovers that endpoints may refuse in one span of silence. */
+/** Takeovers that endpoints may refuse before silence lasts for another timeout. */
 export const MAX_REFUSALS = 3;
 
 /** Why a silent endpoint is waited for. */
@@ -21,7 +21,7 @@
   attemptsUsed: "attemptsUsed",
   /** Endpoints are suspected to crash on the request. */
   suspect: "suspect",
-  /** Endpoints refused it too often in this span of silence. */
+  /** Endpoints refused it too often since the last progress. */
   refused: "refused",
   /** No other endpoint may be used. */
   noEndpoint: "noEndpoint",
@@ -43,7 +43,7 @@
   readonly maxAttempts: number;
   /** Whether endpoints may crash on the request. */
   readonly isSuspect: boolean;
-  /** Takeovers that endpoints refused in this span of silence. */
+  /** Takeovers that endpoints refused since the last progress. */
   readonly refusals: number;
   /** Whether another endpoint may be used. */
   readonly hasEndpoint: boolean;
