Log what the retry budget counts

A line request_repeated said whether a retry was allowed, not what the VM had counted: requests and retries in the window, the members that share it, retries allowed. On-call could not add up the VMs for the window of a report, nor tell a share divided by too few members from a window that a restart emptied. New: the field budget, and retry_decisions_total.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -571,16 +571,21 @@
   /** Takes one retry from the service's budget, if it has one left. */
   #takeRetry(reason: string, sends = this.#attempts): boolean {
     const { service, requestId } = this.#request;
-    const { retryBudget, mesh, events } = this.#deps;
+    const { retryBudget, mesh, events, metrics } = this.#deps;
     const now = performance.now();
-    const isAllowed = retryBudget.mayRetry(service, now, mesh.countMembers());
+    const members = mesh.countMembers();
+    const isAllowed = retryBudget.mayRetry(service, now, members);
     if (isAllowed) retryBudget.recordRetry(service, now);
+    const decision = isAllowed ? "allowed" : "refused";
+    metrics.count("retry_decisions_total", { service, decision });
+    const usage = retryBudget.getUsage(service, now, members);
     events.write(EVENT.requestRepeated, {
       requestId,
       service,
       reason,
       isAllowed,
       sends,
+      budget: { ...usage, allowed: Math.round(usage.allowed * 10) / 10 },
     });
     return isAllowed;
   }
--- a/packages/serving/src/retry_budget.ts
+++ b/packages/serving/src/retry_budget.ts
@@ -14,6 +14,16 @@
   readonly windowMs: number;
 }
 
+/** What a VM has counted in the window, and its share of the budget. */
+export interface RetryUsage {
+  readonly requests: number;
+  readonly retries: number;
+  /** VMs by which the additional retries are divided. */
+  readonly members: number;
+  /** Retries that this VM may send in the window. */
+  readonly allowed: number;
+}
+
 /**
  * Share of the VM's budget that it uses: the platform counts requests where they
  * are sent and retries where they arrive, so its window can differ from this one by
@@ -62,10 +72,21 @@
 
   /** Whether another retry stays within this VM's budget. */
   mayRetry(service: ServiceId, now: number, members: number): boolean {
-    const window = this.#getWindow(service, now);
+    const { retries, allowed } = this.getUsage(service, now, members);
+    return retries + 1 <= allowed;
+  }
+
+  /** Returns what is counted in the window that ends now. */
+  getUsage(service: ServiceId, now: number, members: number): RetryUsage {
+    const { requests, retries } = this.#getWindow(service, now);
     const extra = this.#options.extra / Math.max(1, members);
-    const base = this.#options.ratio * window.requests.length;
-    return window.retries.length + 1 <= (extra + base) * USED_SHARE;
+    const base = this.#options.ratio * requests.length;
+    return {
+      requests: requests.length,
+      retries: retries.length,
+      members,
+      allowed: (extra + base) * USED_SHARE,
+    };
   }
 
   #getWindow(service: ServiceId, now: number) {
