--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -163,7 +163,7 @@
   }
 
   /** Counts the VMs that share the retry budget. */
-  countMembers = (): number => 1;
+  countSenders = (): number => 1;
 
   /** Runs the stages of the request again. */
   rerunStages = (): Promise<StagedInputs | undefined> =>
@@ -291,7 +291,7 @@
         notices: {},
       }),
     };
-    const mesh: Partial<PeerMesh> = { countMembers: () => this.countMembers() };
+    const mesh: Partial<PeerMesh> = { countSenders: () => this.countSenders() };
     const pool: Partial<HttpPool> = {
       send: (request, sink) => {
         const call = new SentCall(request, sink);
--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -334,7 +334,7 @@
     const requests = serving.planColdShare({
       endpointId: endpoint.id,
       vmId,
-      members: site.members.map((member) => member.vmId),
+      members: site.senders,
       perSecond: service.coldPerSecond,
       bound: this.#coldLimit,
     });
@@ -352,7 +352,7 @@
     }
     return inFlight < serving.planBrittleShare({
       slots: endpoint.slots,
-      senders: this.#options.site.members.length,
+      senders: this.#options.site.senders.length,
       wasRejected,
     });
   }
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -263,7 +263,7 @@
       inputs: this.#staged.inputs,
       leftMs,
       maxIdleMs: this.#isRetryable ? RETRYABLE_IDLE_MS : ONE_SHOT_IDLE_MS,
-      senders: this.#deps.mesh.countMembers(),
+      senders: this.#deps.mesh.countSenders(),
       inactivityTimeoutMs: this.#getInactivityTimeoutMs(),
       isStream: route.kind === serving.ROUTE_KIND.stream,
       eventBuffer,
@@ -573,12 +573,12 @@
     const { service, requestId } = this.#request;
     const { retryBudget, mesh, events, metrics } = this.#deps;
     const now = performance.now();
-    const members = mesh.countMembers();
-    const isAllowed = retryBudget.mayRetry(service, now, members);
+    const senders = mesh.countSenders();
+    const isAllowed = retryBudget.mayRetry(service, now, senders);
     if (isAllowed) retryBudget.recordRetry(service, now);
     const decision = isAllowed ? "allowed" : "refused";
     metrics.count("retry_decisions_total", { service, decision });
-    const usage = retryBudget.getUsage(service, now, members);
+    const usage = retryBudget.getUsage(service, now, senders);
     events.write(EVENT.requestRepeated, {
       requestId,
       service,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -118,7 +118,7 @@
       bounds.registryDeadlineMs,
     );
     this.#retryBudget = new serving.RetryBudget(getRetryBudgetOptions(bounds));
-    this.site = new SiteState(events, this.metrics);
+    this.site = new SiteState(events, this.metrics, bounds.graceMs);
     this.reach = new EndpointReach({
       connect: options.connect,
       site: this.site,
@@ -216,6 +216,7 @@
     this.#registryIntervals = serving.planRegistryIntervals(
       bounds.registryDeadlineMs,
     );
+    this.site.departed.setGraceMs(bounds.graceMs);
     this.#retryBudget.setOptions(getRetryBudgetOptions(bounds));
     this.endpointTracker.setColdLimit(bounds.cold);
     this.rollouts.setSettings(bounds.rollout);
@@ -521,6 +522,7 @@
       tunnels_opened_total: this.reach.tunnelTotal,
       log_lines_dropped_total: this.#options.events.droppedTotal,
       members: this.site.members.length,
+      senders: this.mesh.countSenders(),
       facts_age_seconds: (now - this.site.syncedAt) / 1_000,
       quarantined_requests: this.site.quarantined.getRefused(Date.now()).size,
       reads_registry: Number(this.mesh.mayReadRegistry()),
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -194,9 +194,10 @@
     });
   }
 
-  /** Number of known members, alive or not; at least one. */
-  countMembers(): number {
-    return Math.max(1, this.#options.site.members.length);
+  /** Number of VMs that may send requests, alive or not, with this one. */
+  countSenders(): number {
+    const { site, member } = this.#options;
+    return new Set([...site.senders, member.vmId]).size;
   }
 
   /** Whether this VM should read the registry itself now. */
@@ -243,6 +244,9 @@
       limits: endpointTracker.limits.getUpdates({ isForStart }),
       configurationVersion: site.table?.version,
       leaving: site.leaving.getUpdates(performance.now(), { isForStart }),
+      departed: isForStart
+        ? site.departed.getUpdates(performance.now())
+        : undefined,
       isStarting: this.#isStarting ? true : undefined,
       isCutOff: this.#options.isCutOff() ? true : undefined,
     };
@@ -395,7 +399,9 @@
     for (const leaving of view.leaving ?? []) {
       site.recordLeaving(leaving, "peer");
     }
-    if (!view.isLeaving) site.updateMember(view.member);
+    site.departed.mergeUpdates(view.departed ?? [], performance.now());
+    if (view.isLeaving) this.#recordLeaving(view.member.vmId);
+    else site.updateMember(view.member);
     const previous = this.#views.get(view.member.vmId);
     if (previous?.view.isLeaving !== view.isLeaving) {
       events.write(EVENT.memberChanged, {
@@ -408,6 +414,14 @@
     this.leaders.recordLoads(view, receivedAt);
   }
 
+  /** A VM that starts may learn of a stop after the record is gone. */
+  #recordLeaving(vmId: string): void {
+    const { site } = this.#options;
+    const isMember = site.members.some((known) => known.vmId === vmId);
+    if (isMember) return;
+    site.departed.mergeUpdates([{ vmId, ageMs: 0 }], performance.now());
+  }
+
   /**
    * Whether a calling VM has state that this VM would not read itself soon.
    * Endpoints write all the time, so being a few of their records behind is normal.
--- a/packages/gateway/src/rate_limits.ts
+++ b/packages/gateway/src/rate_limits.ts
@@ -195,8 +195,12 @@
     const perSecond = this.#limits.get(endpoint);
     if (perSecond === undefined) return undefined;
     const { site, vmId } = this.#options;
-    const members = site.members.map((member) => member.vmId);
-    return { endpointId: endpoint.id, vmId, members, perSecond };
+    return {
+      endpointId: endpoint.id,
+      vmId,
+      members: site.senders,
+      perSecond,
+    };
   }
 
   #askForLoan(id: EndpointId, left: number, now: number): void {
--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -28,6 +28,9 @@
 } from "./state_positions.ts";
 import { ZonesOut } from "./zones_out.ts";
 
+/** Grace period of VMs that stop where none is set, in milliseconds. */
+const DEFAULT_GRACE_MS = 8_000;
+
 /** A VM, by the version of its configuration. */
 interface ConfigurationHolder {
   /** Unset if it is unknown or the VM has none. */
@@ -55,6 +58,8 @@
   readonly quarantined = new quarantine.QuarantineList();
   /** Endpoints that announced their shutdown. */
   readonly leaving = new serving.LeavingEndpoints();
+  /** VMs that are no longer members and may still send requests. */
+  readonly departed: serving.DepartedMembers;
   readonly #events: logger.EventLog;
   readonly #endpoints = new serving.EndpointDirectory();
   readonly #members = new Map<string, serving.ServingMember>();
@@ -70,9 +75,18 @@
   #configuredAt = -Infinity;
   #restoredAt = -Infinity;
 
-  /** @param events Log of state changes. @param metrics Counts what arrives. */
-  constructor(events: logger.EventLog, metrics?: metrics.Metrics) {
+  /**
+   * @param events Log of state changes.
+   * @param metrics Counts what arrives.
+   * @param graceMs Longest time for which a VM that stops sends requests, in ms.
+   */
+  constructor(
+    events: logger.EventLog,
+    metrics?: metrics.Metrics,
+    graceMs = DEFAULT_GRACE_MS,
+  ) {
     this.#events = events;
+    this.departed = new serving.DepartedMembers(graceMs);
     this.#positions = new StatePositions(metrics);
     this.orders = new RolloutOrders(events);
     this.#zonesOut = new ZonesOut(events);
@@ -132,6 +146,13 @@
     return this.#memberList;
   }
 
+  /** Ids of all VMs that may send requests: members, and VMs that stop. */
+  get senders(): readonly string[] {
+    const departed = this.departed.getIds(performance.now())
+      .filter((vmId) => !this.#members.has(vmId));
+    return [...this.#members.keys(), ...departed];
+  }
+
   /** Grows by one with each change of the members. */
   get memberVersion(): number {
     return this.#memberVersion;
@@ -362,6 +383,7 @@
 
   /** Adds or replaces a member. */
   updateMember(member: serving.ServingMember): void {
+    this.departed.remove(member.vmId);
     const before = this.#members.get(member.vmId);
     if (before !== undefined && serving.isSameMember(before, member)) return;
     this.#members.set(member.vmId, member);
@@ -372,6 +394,7 @@
   /** Removes a member that has left. */
   removeMember(vmId: string): void {
     if (!this.#members.delete(vmId)) return;
+    this.departed.record(vmId, performance.now());
     this.#handleMembersChanged();
     this.#events.write(EVENT.memberChanged, { vmId, kind: "left" });
   }
--- a/packages/gateway/src/site_state_test.ts
+++ b/packages/gateway/src/site_state_test.ts
@@ -71,3 +71,35 @@
       .to.deep.equal(["vm-0", "vm-1"]);
   });
 });
+
+describe("VMs that may send", () => {
+  // What all VMs share was divided by too few while a VM that stops still sent.
+  it("include one that was removed, for its grace period", () => {
+    const site = createSite();
+    site.mergeUpdate(buildUpdate(3), 0);
+    site.removeMember("vm-1");
+    expect(site.members.map(({ vmId }) => vmId))
+      .to.deep.equal(["vm-0", "vm-2"]);
+    expect(site.senders).to.have.members(["vm-0", "vm-1", "vm-2"]);
+    site.departed.setGraceMs(0);
+    expect(site.senders).to.have.members(["vm-0", "vm-2"]);
+  });
+
+  // A listing that lacks live VMs left each of them alone with the whole limit.
+  it("include those that a listing lacks", () => {
+    const site = createSite();
+    site.mergeUpdate(buildUpdate(3), 0);
+    site.removeMissingMembers(new Set(["vm-0"]));
+    expect(site.senders).to.have.length(3);
+  });
+
+  it("include a VM once that has started again", () => {
+    const site = createSite();
+    const { members } = buildUpdate(1);
+    site.mergeUpdate(buildUpdate(1), 0);
+    site.removeMember("vm-0");
+    site.updateMember(members![0]!);
+    expect(site.senders).to.deep.equal(["vm-0"]);
+    expect(site.departed.getIds(performance.now())).to.deep.equal([]);
+  });
+});
--- a/packages/gateway/src/takeover_plan.ts
+++ b/packages/gateway/src/takeover_plan.ts
@@ -47,7 +47,7 @@
     isSuspect: quarantine.hasSuspectPart(request) ||
       quarantine.check(request) !== undefined,
     refusals: span.refusals,
-    isBudgetLeft: retryBudget.mayRetry(service, now, mesh.countMembers()),
+    isBudgetLeft: retryBudget.mayRetry(service, now, mesh.countSenders()),
   });
   const reason = decision.kind === "wait" ? decision.reason : undefined;
   metrics.count("takeover_decisions_total", {
--- a/packages/gateway/src/takeover_test.ts
+++ b/packages/gateway/src/takeover_test.ts
@@ -308,7 +308,7 @@
     const harness = new ForwardHarness();
     const result = harness.run().catch(String);
     await harness.waitForCalls(1);
-    harness.countMembers = () => {
+    harness.countSenders = () => {
       throw new Error("no members");
     };
     expect(await result).to.equal("Error: no members");
--- a/packages/serving/src/messages.ts
+++ b/packages/serving/src/messages.ts
@@ -7,6 +7,7 @@
 import type * as quarantine from "@sardinestep/quarantine";
 import type * as rollout from "@sardinestep/rollout";
 import type { EndpointId, ServiceId, ZoneId } from "@sardinestep/types";
+import type { DepartedMember } from "./departed_members.ts";
 import type { LimitUpdate } from "./endpoint_limits.ts";
 import type { LeavingEndpoint } from "./leaving_endpoints.ts";
 import type { ShardId } from "./leaders.ts";
@@ -108,6 +109,8 @@
   readonly configurationVersion?: number;
   /** Endpoints that announced their shutdown. */
   readonly leaving?: readonly LeavingEndpoint[];
+  /** VMs that stop or may have stopped; set only towards a VM that starts. */
+  readonly departed?: readonly DepartedMember[];
   /** Whether it started recently and needs all that others know of endpoints. */
   readonly isStarting?: boolean;
   /** Whether it lost its links to several endpoints. */
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./admission.ts";
 export * from "./call_plan.ts";
 export * from "./cold_rate.ts";
+export * from "./departed_members.ts";
 export * from "./endpoint_directory.ts";
 export * from "./endpoint_health.ts";
 export * from "./brittle_services.ts";
--- a/packages/serving/src/retry_budget.ts
+++ b/packages/serving/src/retry_budget.ts
@@ -18,8 +18,8 @@
 export interface RetryUsage {
   readonly requests: number;
   readonly retries: number;
-  /** VMs by which the additional retries are divided. */
-  readonly members: number;
+  /** VMs that share the additional retries. */
+  readonly senders: number;
   /** Retries that this VM may send in the window. */
   readonly allowed: number;
 }
@@ -35,12 +35,12 @@
  * Limits retries to prevent retry storms: failing endpoints get the failed requests
  * again and degrade further. The symptom is far more requests at endpoints than
  * callers sent. No coordination is needed, since each VM counts its own requests
- * and divides the additional retries by the number of members, alive or not.
+ * and divides the additional retries by the number of VMs that may send, alive or not.
  *
  * @example
  * ```ts
  * budget.recordRequest("bookings", now);
- * if (budget.mayRetry("bookings", now, members)) budget.recordRetry("bookings", now);
+ * if (budget.mayRetry("bookings", now, senders)) budget.recordRetry("bookings", now);
  * ```
  */
 export class RetryBudget {
@@ -71,20 +71,20 @@
   }
 
   /** Whether another retry stays within this VM's budget. */
-  mayRetry(service: ServiceId, now: number, members: number): boolean {
-    const { retries, allowed } = this.getUsage(service, now, members);
+  mayRetry(service: ServiceId, now: number, senders: number): boolean {
+    const { retries, allowed } = this.getUsage(service, now, senders);
     return retries + 1 <= allowed;
   }
 
   /** Returns what is counted in the window that ends now. */
-  getUsage(service: ServiceId, now: number, members: number): RetryUsage {
+  getUsage(service: ServiceId, now: number, senders: number): RetryUsage {
     const { requests, retries } = this.#getWindow(service, now);
-    const extra = this.#options.extra / Math.max(1, members);
+    const extra = this.#options.extra / Math.max(1, senders);
     const base = this.#options.ratio * requests.length;
     return {
       requests: requests.length,
       retries: retries.length,
-      members,
+      senders,
       allowed: (extra + base) * USED_SHARE,
     };
   }
