--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -345,6 +345,7 @@
   /** Whether a request would not have to wait at a brittle endpoint. */
   #hasBrittleRoom(endpoint: serving.ServingEndpoint, now: number): boolean {
     if (this.limits.getBrittleBound(endpoint) === undefined) return true;
+    const { site, vmId } = this.#options;
     const { inFlight, load, loadAt, wasRejected } = this.#getRuntime(endpoint);
     const isFresh = now - loadAt < MAX_LOAD_REPORT_AGE_MS;
     if (isFresh && load !== undefined && load.slots > 0) {
@@ -352,7 +353,7 @@
     }
     return inFlight < serving.planBrittleShare({
       slots: endpoint.slots,
-      senders: this.#options.site.senders.length,
+      senders: site.countSenders(vmId),
       wasRejected,
     });
   }
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -197,7 +197,7 @@
   /** Number of VMs that may send requests, alive or not, with this one. */
   countSenders(): number {
     const { site, member } = this.#options;
-    return new Set([...site.senders, member.vmId]).size;
+    return site.countSenders(member.vmId);
   }
 
   /** Whether this VM should read the registry itself now. */
--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -153,6 +153,14 @@
     return [...this.#members.keys(), ...departed];
   }
 
+  /** Counts the VMs that may send requests, with this one. */
+  countSenders(ownId: string): number {
+    const departed = this.departed.getIds(performance.now())
+      .filter((vmId) => !this.#members.has(vmId));
+    const isKnown = this.#members.has(ownId) || departed.includes(ownId);
+    return this.#members.size + departed.length + (isKnown ? 0 : 1);
+  }
+
   /** Grows by one with each change of the members. */
   get memberVersion(): number {
     return this.#memberVersion;
--- a/packages/gateway/src/site_state_test.ts
+++ b/packages/gateway/src/site_state_test.ts
@@ -81,6 +81,10 @@
     expect(site.members.map(({ vmId }) => vmId))
       .to.deep.equal(["vm-0", "vm-2"]);
     expect(site.senders).to.have.members(["vm-0", "vm-1", "vm-2"]);
+    const counts = ["vm-0", "vm-1", "vm-new"].map((id) =>
+      site.countSenders(id)
+    );
+    expect(counts).to.deep.equal([3, 3, 4]);
     site.departed.setGraceMs(0);
     expect(site.senders).to.have.members(["vm-0", "vm-2"]);
   });
