Keep to the cold limit across a restart (FAILBACK)

What callers would see: a cold endpoint crashes under more requests than it takes, and cuts off what it had accepted.

A VM counts its sends to a cold endpoint of the last 1.1 s in memory; a process that starts within that time used the VM's share once more: 32 requests in a second of 23 allowed.

Now a process takes the share of a window that began before its start as used: it sends nothing to cold endpoints until it has run for 1.1 s. The new test failed before (32) and passes. The other tests of the tracker stand for a process that has run for longer.

--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -56,6 +56,8 @@
   readonly callLender: RateLimitsOptions["callLender"];
   /** Called when a request broke. */
   readonly checkPath: (endpoint: serving.ServingEndpoint) => void;
+  /** Monotonic time of the process's start; now if unset. */
+  readonly startedAt?: number;
 }
 
 /** Tracks endpoints and selects those that may receive requests now. */
@@ -66,7 +68,7 @@
   readonly speeds = new EndpointSpeeds();
   readonly #options: EndpointTrackerOptions;
   readonly #runtimes = new Map<EndpointId, EndpointRuntime>();
-  readonly #recentSends = new serving.SendRate(serving.COLD_WINDOW_MS);
+  readonly #recentSends: serving.SendRate;
   #coldLimit: serving.ColdLimit;
 
   /** @param options Site state, roll-outs, log and limits. */
@@ -74,6 +76,10 @@
     this.#options = options;
     this.#coldLimit = options.coldLimit;
     this.limits = new RateLimits(options);
+    this.#recentSends = new serving.SendRate(
+      serving.COLD_WINDOW_MS,
+      options.startedAt ?? performance.now(),
+    );
   }
 
   /** Whether any endpoint has reported the speed of its host. */
--- a/packages/gateway/src/endpoint_tracker_test.ts
+++ b/packages/gateway/src/endpoint_tracker_test.ts
@@ -1,6 +1,7 @@
 import * as logger from "@sardinestep/logger";
-import type * as serving from "@sardinestep/serving";
+import * as serving from "@sardinestep/serving";
 import { expect } from "chai";
+import { setTimeout as wait } from "node:timers/promises";
 import { EndpointTracker } from "./endpoint_tracker.ts";
 import type { Rollouts } from "./rollouts.ts";
 import { SiteState } from "./site_state.ts";
@@ -25,6 +26,7 @@
 describe("EndpointTracker", () => {
   let site: SiteState;
   let tracker: EndpointTracker;
+  let createTracker: (startedAt?: number) => EndpointTracker;
 
   beforeEach(() => {
     const output = { writableLength: 0, write: () => true };
@@ -34,16 +36,19 @@
       output,
     });
     site = new SiteState(events);
-    tracker = new EndpointTracker({
-      site,
-      rollouts: {} as Rollouts,
-      events,
-      vmId: "vm-1",
-      coldLimit: COLD_LIMIT,
-      isRelayed: () => false,
-      checkPath: () => {},
-      callLender: () => Promise.resolve(undefined),
-    });
+    createTracker = (startedAt) =>
+      new EndpointTracker({
+        site,
+        rollouts: {} as Rollouts,
+        events,
+        vmId: "vm-1",
+        coldLimit: COLD_LIMIT,
+        isRelayed: () => false,
+        checkPath: () => {},
+        callLender: () => Promise.resolve(undefined),
+        startedAt,
+      });
+    tracker = createTracker(-Infinity);
   });
 
   function sendAll(requests: number): number {
@@ -56,6 +61,17 @@
     return sent;
   }
 
+  // The process before had used the VM's share of the same second.
+  it("limits requests to cold endpoints across a restart", async () => {
+    tracker.recordCold(ENDPOINT, 3_000);
+    const before = sendAll(50);
+    tracker = createTracker();
+    tracker.recordCold(ENDPOINT, 3_000);
+    expect(before + sendAll(50)).to.be.within(1, 23);
+    await wait(serving.COLD_WINDOW_MS);
+    expect(sendAll(50)).to.be.within(1, 23);
+  });
+
   // Requests counted only once the endpoint was known to be cold.
   it("limits requests to endpoints of a zone that has just returned", () => {
     site.setZoneOut("zone-a", true, "registry");
--- a/packages/serving/src/vm_share.ts
+++ b/packages/serving/src/vm_share.ts
@@ -64,10 +64,16 @@
 export class SendRate {
   readonly #sent = new Map<EndpointId, number[]>();
   readonly #keepMs: number;
+  readonly #startedAt: number;
 
-  /** @param keepMs Longest window that is queried, in milliseconds. */
-  constructor(keepMs: number) {
+  /**
+   * @param keepMs Longest window that is queried, in milliseconds.
+   * @param startedAt Monotonic time of the process's start, if the process before may
+   * have used the share of a window that began earlier.
+   */
+  constructor(keepMs: number, startedAt = -Infinity) {
     this.#keepMs = keepMs;
+    this.#startedAt = startedAt;
   }
 
   /** Records a request. */
@@ -92,6 +98,8 @@
     now: number,
     { requests, windowMs }: SendShare,
   ): number {
+    const unknownMs = this.#startedAt + windowMs - now;
+    if (unknownMs > 0) return unknownMs;
     const recent = this.#getRecent(endpointId, now, windowMs);
     if (recent.length < requests) return 0;
     const oldest = recent[recent.length - requests];
