Apply a changed retry limit to requests of before (BUDGET)

Now an account keeps which part of each request's credit is unused, and the limit in force says what that is worth. The new test failed before and passes.

--- a/packages/serving/src/retry_budget.ts
+++ b/packages/serving/src/retry_budget.ts
@@ -47,9 +47,10 @@
  */
 const CREDIT_LIFETIME = 0.4;
 
-/** A credit of a request, of which a part may be used. */
+/** The credit of a request. */
 interface Deposit {
   readonly at: number;
+  /** Part of it that isn't used, from 0 to 1. */
   left: number;
 }
 
@@ -93,15 +94,14 @@
     this.#random = context.random ?? Math.random;
   }
 
-  /** Replaces the limit; credits are kept. */
+  /** Replaces the limit, also for requests that were recorded before. */
   setOptions(options: RetryBudgetOptions): void {
     this.#options = options;
   }
 
   /** Records a caller's request for a service. */
   recordRequest(service: ServiceId, now: number): void {
-    const left = CREDITED_SHARE * this.#options.ratio;
-    this.#getAccount(service).deposits.push({ at: now, left });
+    this.#getAccount(service).deposits.push({ at: now, left: 1 });
   }
 
   /** Decides on a retry, and uses the credit for it. */
@@ -109,7 +109,7 @@
     const credit = this.getCredit(service, now, senders);
     const isAllowed = this.#random() < credit.earned + credit.extra;
     // A credit below one is also used up by a refusal.
-    useCredit(this.#getAccount(service));
+    useCredit(this.#getAccount(service), this.#creditPerRequest);
     return { isAllowed, credit };
   }
 
@@ -122,8 +122,12 @@
   /** Returns the credits that may be used now. */
   getCredit(service: ServiceId, now: number, senders: number): RetryCredit {
     const { deposits, extra } = this.#updateAccount(service, now, senders);
-    const earned = deposits.reduce((sum, { left }) => sum + left, 0);
-    return { earned, extra, senders };
+    const left = deposits.reduce((sum, deposit) => sum + deposit.left, 0);
+    return { earned: left * this.#creditPerRequest, extra, senders };
+  }
+
+  get #creditPerRequest(): number {
+    return CREDITED_SHARE * this.#options.ratio;
   }
 
   #getAccount(service: ServiceId): Account {
@@ -149,11 +153,12 @@
 }
 
 /** Uses up to one retry, first of the credits that end first. */
-function useCredit(account: Account): void {
+function useCredit(account: Account, creditPerRequest: number): void {
   let due = 1;
   for (const deposit of account.deposits) {
-    const used = Math.min(due, deposit.left);
-    deposit.left -= used;
+    const credit = deposit.left * creditPerRequest;
+    const used = Math.min(due, credit);
+    if (used > 0) deposit.left *= 1 - used / credit;
     due -= used;
   }
   account.extra = Math.max(0, account.extra - due);
--- a/packages/serving/src/retry_budget_test.ts
+++ b/packages/serving/src/retry_budget_test.ts
@@ -208,6 +208,17 @@
     expect(budget.mayRetry("desk", 4_000, 1)).to.equal(false);
   });
 
+  // A retry was sent after the operator had allowed none.
+  it("applies a changed limit to requests of before", () => {
+    const budget = createBudget();
+    for (let i = 0; i < 10; i++) budget.recordRequest("desk", 1_000);
+    expect(budget.mayRetry("desk", 1_000, 1)).to.equal(true);
+    budget.setOptions({ ...OPTIONS, ratio: 0, extra: 0 });
+    expect(budget.mayRetry("desk", 1_000, 1)).to.equal(false);
+    budget.setOptions({ ...OPTIONS, ratio: 0.4, extra: 0 });
+    expect(budget.getCredit("desk", 1_000, 1).earned).to.be.closeTo(2.6, 1e-6);
+  });
+
   it("counts each service separately", () => {
     const budget = createBudget({ extra: 4 });
     expect(budget.takeRetry("a", 4_000, 1).isAllowed).to.equal(true);
