Send a request again on a new connection only (REFUSED)

What callers saw: a stream that may run once was answered 503 "not run", and ran.

Cause: a worker answers 409 since results are gone; the VM makes them again and sends the request on the kept connection, with the same X-Attempt-Id. A late copy of the 409 comes in place of the answer and bears the right id, so it passed for the answer to the second send.

Ruled out: a 409 that the worker sent for a run. It runs the request, once.

Now each send to a worker that got the request before opens a connection of its own, on which nothing older can arrive: after a 409, 421, 429, 503, a silence or a takeover alike.

--- a/packages/gateway/src/_slow_reader_harness.ts
+++ b/packages/gateway/src/_slow_reader_harness.ts
@@ -124,6 +124,7 @@
       leftMs: 60_000,
       senders: 1,
       maxIdleMs: 0,
+      isSentBefore: false,
       isStream: arrived.path.startsWith("/stream"),
       handleSent: () => {},
       handleAnswerStart: () => {},
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -86,6 +86,8 @@
   readonly leftMs: number;
   /** Longest idle time of a pooled connection that may be reused, in ms. */
   readonly maxIdleMs: number;
+  /** Whether the endpoint got this request before, so that ids don't tell answers apart. */
+  readonly isSentBefore: boolean;
   /** VMs that send requests to the endpoint. */
   readonly senders: number;
   /** Time without progress after which an endpoint is silent, in milliseconds. */
@@ -197,6 +199,7 @@
       }),
       body: request.body,
       maxIdleMs: this.#options.maxIdleMs,
+      needsNewConnection: this.#options.isSentBefore,
       mayEndUnframed: this.#options.isStream,
     }, this);
     if (this.#isFinished) return;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -236,6 +236,7 @@
     const leftMs = Math.max(1, Math.floor(request.timeoutMs - scope.ageMs));
     const eventBuffer = this.#openEventBuffer(isTakeover);
     if (!isTakeover) this.#triedIds.add(endpoint.id);
+    const isSentBefore = this.#sentInputs.has(endpoint.id);
     this.#sentInputs.set(endpoint.id, this.#staged);
     this.#deps.events.write(EVENT.requestSent, {
       requestId: request.requestId,
@@ -263,6 +264,7 @@
       inputs: this.#staged.inputs,
       leftMs,
       maxIdleMs: this.#isRetryable ? RETRYABLE_IDLE_MS : ONE_SHOT_IDLE_MS,
+      isSentBefore,
       senders: this.#deps.mesh.countSenders(),
       inactivityTimeoutMs: this.#getInactivityTimeoutMs(),
       isStream: route.kind === serving.ROUTE_KIND.stream,
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -27,6 +27,8 @@
   readonly body?: Uint8Array;
   /** Connections that were idle for longer are not reused, in milliseconds. */
   readonly maxIdleMs: number;
+  /** Opens a connection on which no answer to an earlier request can arrive. */
+  readonly needsNewConnection?: boolean;
   /** Whether the answer may end with its connection; the sink checks its end. */
   readonly mayEndUnframed?: boolean;
 }
@@ -113,7 +115,7 @@
  * at a time, and is closed after anything unexpected (bytes without a request, a
  * truncated answer, a reset). A duplicate answer that arrives in place of the next
  * one can only be detected by the request id that it echoes; the caller of this
- * class compares it.
+ * class compares it, and sends a request again on a new connection only.
  *
  * An answer that is delimited only by the end of its connection counts as complete
  * only if its content shows its end, as events do, and its endpoint still accepts
@@ -211,7 +213,9 @@
   }
 
   #acquireConnection(request: PoolRequest): PoolConnection {
-    const idle = this.#idleByAddress.get(request.address) ?? [];
+    const idle = request.needsNewConnection === true
+      ? []
+      : this.#idleByAddress.get(request.address) ?? [];
     const now = performance.now();
     while (idle.length > 0) {
       const newest = idle.at(-1)!;
