Take an answer without a length as whole only from a process that still runs (ORDER)

What callers saw: a stream ended as complete, signed, after 23 to 41 of 93 events.

Cause: a worker crashed in a stream without a length, and its kernel ended the connection in order. The VM stood still meanwhile. When it woke, it asked whether the address accepts connections, and it did: the worker had started again.

Ruled out as proofs: the time between the end and the check, which a VM that stood still or was cut off doesn't know; the worker's id and address, which it keeps; the registry, which may lag behind the start; a second connection, which may reach the process of after the crash as well.

Now the VM asks for the worker's report, on a new connection, and compares `born` with what was registered when the request was sent. Answers other than streams were never taken without a length, and aren't now. The check replaces a connection that was opened and closed.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -200,7 +200,9 @@
       body: request.body,
       maxIdleMs: this.#options.maxIdleMs,
       needsNewConnection: this.#options.isSentBefore,
-      mayEndUnframed: this.#options.isStream,
+      checkProcess: this.#options.isStream
+        ? () => wire.checkProcess(endpoint)
+        : undefined,
     }, this);
     if (this.#isFinished) return;
     this.#removeEndListener = scope.addEndListener(() =>
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -17,6 +17,15 @@
 
 export { IDLE_CONNECTION_TIMEOUT_MS } from "./pool_connection.ts";
 
+/** What is known of the process that sent an answer. */
+export const PROCESS_STATE = {
+  running: "running",
+  ended: "ended",
+  unknown: "unknown",
+} as const;
+/** A value of {@link PROCESS_STATE}. */
+export type ProcessState = typeof PROCESS_STATE[keyof typeof PROCESS_STATE];
+
 /** A request to an endpoint. */
 export interface PoolRequest {
   readonly address: Address;
@@ -29,8 +38,11 @@
   readonly maxIdleMs: number;
   /** Opens a connection on which no answer to an earlier request can arrive. */
   readonly needsNewConnection?: boolean;
-  /** Whether the answer may end with its connection; the sink checks its end. */
-  readonly mayEndUnframed?: boolean;
+  /**
+   * Finds out whether the process that answered still runs. Set if the answer may end
+   * with its connection; the sink checks its end.
+   */
+  readonly checkProcess?: () => Promise<ProcessState>;
 }
 
 /** Why there is no complete answer. */
@@ -118,9 +130,10 @@
  * class compares it, and sends a request again on a new connection only.
  *
  * An answer that is delimited only by the end of its connection counts as complete
- * only if its content shows its end, as events do, and its endpoint still accepts
- * connections: the kernel closes the connections of a crashed process in the same
- * way, so a truncated answer would look complete.
+ * only if its content shows its end, as events do, and the process that sent it still
+ * runs: the kernel closes the connections of a crashed process in the same way, so a
+ * truncated answer would look complete. That its address accepts connections shows
+ * nothing, since the endpoint may have started again by then.
  */
 export class HttpPool {
   readonly #idleByAddress = new Map<Address, PoolConnection[]>();
@@ -152,10 +165,10 @@
     const connection = this.#acquireConnection(request);
     const { address } = request;
     const exchange = new PoolExchange(connection, sink, {
-      mayEndUnframed: request.mayEndUnframed ?? false,
       findRelay: this.#findRelay,
       release: () => this.#returnConnection(address, connection),
-      checkAlive: (handle) => this.#checkAlive(address, handle),
+      checkProcess: request.checkProcess ??
+        (() => this.#checkListening(address)),
     });
     try {
       const options: DispatchOptionsWithServername = {
@@ -201,15 +214,17 @@
     }
   }
 
-  /** Calls a function with whether an endpoint accepts connections. */
-  #checkAlive(address: Address, handle: (isAlive: boolean) => void): void {
+  /** Tells that a process has ended if its address accepts no connection. */
+  #checkListening(address: Address): Promise<ProcessState> {
     this.#openedTotal += 1;
     const { hostname, port } = new URL(`http://${address}`);
     const target = { hostname, host: address, port, protocol: "http:" };
-    this.#connect(target, (error, socket) => {
-      socket?.destroy();
-      handle(error === null);
-    });
+    return new Promise((resolve) =>
+      this.#connect(target, (error, socket) => {
+        socket?.destroy();
+        resolve(error === null ? PROCESS_STATE.unknown : PROCESS_STATE.ended);
+      })
+    );
   }
 
   #acquireConnection(request: PoolRequest): PoolConnection {
@@ -246,11 +261,10 @@
 
 /** What an exchange needs of its pool. */
 interface ExchangeOptions {
-  readonly mayEndUnframed: boolean;
   readonly findRelay: (socket: Socket) => string | undefined;
   /** Called when the connection may be used again. */
   readonly release: () => void;
-  readonly checkAlive: (handle: (isAlive: boolean) => void) => void;
+  readonly checkProcess: () => Promise<ProcessState>;
 }
 
 /** Passes one answer from undici to a sink. */
@@ -318,9 +332,7 @@
 
   onComplete(): void {
     if (this.#isFinished) return;
-    if (!this.#hasExplicitEnd) {
-      return this.#options.checkAlive((isAlive) => this.#endUnframed(isAlive));
-    }
+    if (!this.#hasExplicitEnd) return void this.#endUnframed();
     this.#isFinished = true;
     if (this.#sink.mayReuse?.() ?? true) this.#options.release();
     else this.#connection.close();
@@ -341,14 +353,15 @@
   }
 
   /** Ends an answer that ended with its connection. */
-  #endUnframed(isAlive: boolean): void {
+  async #endUnframed(): Promise<void> {
+    const state = await this.#options.checkProcess();
     if (this.#isFinished) return;
-    const isWhole = isAlive && this.#connection.hasEnded &&
-      this.#options.mayEndUnframed;
+    const isWhole = state === PROCESS_STATE.running &&
+      this.#connection.hasEnded;
     if (!isWhole) {
       const message =
-        "Answer has neither a Content-Length nor a Transfer-Encoding";
-      return this.#fail(message, !isAlive);
+        `Answer has no length, and the state of its process is ${state}`;
+      return this.#fail(message, state === PROCESS_STATE.ended);
     }
     this.#isFinished = true;
     this.#connection.close();
--- a/packages/gateway/src/http_pool_test.ts
+++ b/packages/gateway/src/http_pool_test.ts
@@ -8,6 +8,7 @@
   IDLE_CONNECTION_TIMEOUT_MS,
   type PoolFailure,
   type PoolRequest,
+  PROCESS_STATE,
 } from "./http_pool.ts";
 
 interface SendResult {
@@ -69,8 +70,10 @@
 
 const MS_PER_JIFFY = 10;
 const COMPLETE_ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-/** A request whose answer shows its end by itself. */
-const UNFRAMED = { mayEndUnframed: true };
+/** A request whose answer shows its end by itself, at a process that runs. */
+const UNFRAMED = {
+  checkProcess: () => Promise.resolve(PROCESS_STATE.running),
+};
 /** Enough time for bytes to cross loopback, in milliseconds. */
 const SETTLE_MS = 30;
 
@@ -184,10 +187,26 @@
       endpoint!.stopListening();
       socket.end("HTTP/1.1 200 OK\r\n\r\nhalf of it");
     });
-    const { failure } = await send(address, UNFRAMED);
+    const { failure } = await send(address);
     expect(failure).to.include({ kind: "lost", isDisconnect: true });
   });
 
+  for (
+    const [state, isDisconnect] of [["ended", true], [
+      "unknown",
+      false,
+    ]] as const
+  ) {
+    it(`rejects an answer without length if the state of its process is ${state}`, async () => {
+      const address = await open((socket) =>
+        socket.end("HTTP/1.1 200 OK\r\n\r\nhalf of it")
+      );
+      const checkProcess = () => Promise.resolve(state);
+      const { failure } = await send(address, { checkProcess });
+      expect(failure).to.include({ kind: "lost", isDisconnect });
+    });
+  }
+
   // A VM that relays a connection ends it when it exits.
   it("rejects an answer without length that came through another VM", async () => {
     const address = await open((socket) =>
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -6,6 +6,7 @@
 import type * as serving from "@sardinestep/serving";
 import type { Address, CustomerId, EndpointId } from "@sardinestep/types";
 import type { IncomingHttpHeaders } from "node:http";
+import type { ProcessState } from "./http_pool.ts";
 
 /** Contents of a caller's request headers. */
 export interface CallerMetadata {
@@ -138,6 +139,13 @@
     status: number,
     headers: ReadonlyMap<string, string>,
   ): AnswerMetadata;
+  /**
+   * Asks the address of an endpoint whether the process that was registered there
+   * still runs.
+   */
+  checkProcess(
+    endpoint: Pick<serving.ServingEndpoint, "address" | "bornMs">,
+  ): Promise<ProcessState>;
   /** Runs pieces at an endpoint. */
   runPieces(call: PieceCall): Promise<PieceCallResult>;
   /**
