--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -70,12 +70,15 @@
   readonly endpointId: string;
   readonly lastEventId: string | undefined;
   readonly inputs: string;
+  readonly needsNewConnection: boolean;
   isCancelled = false;
   isPaused = false;
   readonly #sink: AnswerSink;
 
-  constructor({ address, headers }: PoolRequest, sink: AnswerSink) {
+  constructor(request: PoolRequest, sink: AnswerSink) {
+    const { address, headers } = request;
     this.endpointId = address;
+    this.needsNewConnection = request.needsNewConnection ?? false;
     this.lastEventId = headers[0] || undefined;
     this.inputs = headers[1] ?? "";
     this.#sink = sink;
--- a/packages/gateway/src/refused_stream_test.ts
+++ b/packages/gateway/src/refused_stream_test.ts
@@ -28,6 +28,9 @@
     const { harness, result } = await startRefusedStream();
     const next = (await harness.waitForCalls(5)).at(-1)!;
     expect(next).to.include({ endpointId: "e1", lastEventId: "1" });
+    // A late copy of the refusal would pass for the answer.
+    expect(harness.calls.map(({ needsNewConnection }) => needsNewConnection))
+      .to.deep.equal([false, false, false, false, true]);
     next.begin();
     for (const id of [2, 3]) next.writeEvent(id);
     next.end();
