Test: expect a second retry to be refused, and allowed again later

"counts each service separately" took a second retry without an expectation, and no longer expected one to be allowed after the window, as the test that it replaced in did. Both are expected now; it passes.

--- a/packages/serving/src/retry_budget_test.ts
+++ b/packages/serving/src/retry_budget_test.ts
@@ -222,9 +222,10 @@
   it("counts each service separately", () => {
     const budget = createBudget({ extra: 4 });
     expect(budget.takeRetry("a", 4_000, 1).isAllowed).to.equal(true);
-    budget.takeRetry("a", 4_000, 1);
+    expect(budget.takeRetry("a", 4_000, 1).isAllowed).to.equal(false);
     expect(budget.mayRetry("a", 4_000, 1)).to.equal(false);
     expect(budget.takeRetry("b", 4_000, 1).isAllowed).to.equal(true);
+    expect(budget.takeRetry("a", 8_000, 1).isAllowed).to.equal(true);
   });
 
   // A brief view of fewer VMs must not turn into their shares.
