--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -86,7 +86,7 @@
   readonly leftMs: number;
   /** Longest idle time of a pooled connection that may be reused, in ms. */
   readonly maxIdleMs: number;
-  /** Whether the endpoint got this request before, so that ids don't tell answers apart. */
+  /** Whether the endpoint got this request before; answers to both have the same id. */
   readonly isSentBefore: boolean;
   /** VMs that send requests to the endpoint. */
   readonly senders: number;
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -214,7 +214,7 @@
     }
   }
 
-  /** Tells that a process has ended if its address accepts no connection. */
+  /** Resolves to `ended` if an address accepts no connection. */
   #checkListening(address: Address): Promise<ProcessState> {
     this.#openedTotal += 1;
     const { hostname, port } = new URL(`http://${address}`);
--- a/packages/gateway/src/http_pool_test.ts
+++ b/packages/gateway/src/http_pool_test.ts
@@ -191,12 +191,8 @@
     expect(failure).to.include({ kind: "lost", isDisconnect: true });
   });
 
-  for (
-    const [state, isDisconnect] of [["ended", true], [
-      "unknown",
-      false,
-    ]] as const
-  ) {
+  const NOT_RUNNING = [["ended", true], ["unknown", false]] as const;
+  for (const [state, isDisconnect] of NOT_RUNNING) {
     it(`rejects an answer without length if the state of its process is ${state}`, async () => {
       const address = await open((socket) =>
         socket.end("HTTP/1.1 200 OK\r\n\r\nhalf of it")
