Resume streams only at the registered process (ORDER)

Callers saw: a stream answered 200, whole and signed, with events of two versions. Cause: the version at which a stream goes on is read from the endpoint's record, and the record may be of a process before: an endpoint that restarts keeps its id and address, and a VM learns of it later (late listing, store away, a VM that stood still).

The VM asks for the endpoint's report when it sends a resume, its own or a caller's, and reads no event before the report names the registered born. A report that was asked for after a connection was opened covers all connections of before, since one process has its address from its birth on; requests share reports, so that any number of answers that end together ask twice. Checks of answers without a length use the same reports. An endpoint that reports another born gets no resumes until its record changes.

Calm streams ask for nothing.

--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -16,9 +16,15 @@
   RoutedRequest,
 } from "./flow_types.ts";
 import { sendRequest, type StagedInputs } from "./forward.ts";
-import type { AnswerSink, HttpPool, PoolRequest } from "./http_pool.ts";
+import {
+  type AnswerSink,
+  type HttpPool,
+  type PoolRequest,
+  PROCESS_STATE,
+} from "./http_pool.ts";
 import type { PeerMesh } from "./peer_mesh.ts";
 import type { WireAdapter } from "./ports.ts";
+import type { ProcessReports } from "./process_reports.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import { RequestScope } from "./request_scope.ts";
 import type { Rollouts } from "./rollouts.ts";
@@ -244,7 +250,12 @@
 
   #createDependencies(): FlowDependencies {
     const endpoints = this.#endpoints;
+    const processes: Partial<ProcessReports> = {
+      hasRun: () => true,
+      check: () => Promise.resolve(PROCESS_STATE.running),
+    };
     const tracker: Partial<EndpointTracker> = {
+      processes: processes as ProcessReports,
       recordStart: () => {},
       recordEvidence: ({ id }, evidence) => {
         this.evidence.push(`${id} ${evidence}`);
@@ -301,7 +312,7 @@
       send: (request, sink) => {
         const call = new SentCall(request, sink);
         this.calls.push(call);
-        sink.handleSent?.();
+        sink.handleSent?.(performance.now());
         return {
           cancel: () => {
             call.isCancelled = true;
--- a/packages/gateway/src/_slow_reader_harness.ts
+++ b/packages/gateway/src/_slow_reader_harness.ts
@@ -126,6 +126,7 @@
       maxIdleMs: 0,
       isSentBefore: false,
       isStream: arrived.path.startsWith("/stream"),
+      isResume: false,
       handleSent: () => {},
       handleAnswerStart: () => {},
       handleFirstEvent: () => {},
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -11,11 +11,13 @@
 import type { EndpointTracker } from "./endpoint_tracker.ts";
 import { type EventBuffer, type EventStep, EventTail } from "./event_buffer.ts";
 import { HeldAnswer } from "./held_answer.ts";
-import type {
-  AnswerSink,
-  HttpPool,
-  PoolCall,
-  PoolFailure,
+import {
+  type AnswerSink,
+  type HttpPool,
+  type PoolCall,
+  type PoolFailure,
+  PROCESS_STATE,
+  type ProcessState,
 } from "./http_pool.ts";
 import type { AnswerMetadata, CallerMetadata, WireAdapter } from "./ports.ts";
 import type { RequestScope } from "./request_scope.ts";
@@ -93,6 +95,8 @@
   /** Time without progress after which an endpoint is silent, in milliseconds. */
   readonly inactivityTimeoutMs?: number;
   readonly isStream: boolean;
+  /** Whether its events go on with those of another run. */
+  readonly isResume: boolean;
   /** Set for resumable streams: passes on complete events only. */
   readonly eventBuffer?: EventBuffer;
   /** Called when a connection is open and the request is written to it. */
@@ -155,6 +159,8 @@
   #call: PoolCall | undefined;
   #removeEndListener: () => void = () => {};
   #inactivityTimeout: endpointPaths.IoTimeout | undefined;
+  /** Monotonic time at which its connection was open. */
+  #openedAt = Infinity;
   #status = 0;
   #headers: ReadonlyMap<string, string> = new Map();
   #answerMetadata: AnswerMetadata = { isNotRun: false, notices: {} };
@@ -179,6 +185,7 @@
   start(): void {
     const { request, endpoint, wire, pool, endpointTracker, scope } =
       this.#options;
+    const { processes } = endpointTracker;
     if (!this.#holdBody()) {
       this.#isFinished = true;
       const message = "The endpoint holds too many bytes of request bodies";
@@ -201,7 +208,7 @@
       maxIdleMs: this.#options.maxIdleMs,
       needsNewConnection: this.#options.isSentBefore,
       checkProcess: this.#options.isStream
-        ? () => wire.checkProcess(endpoint)
+        ? () => processes.check(endpoint, performance.now())
         : undefined,
     }, this);
     if (this.#isFinished) return;
@@ -224,8 +231,10 @@
       .exhaustive();
   }
 
-  handleSent(): void {
+  handleSent(openedAt: number): void {
+    this.#openedAt = openedAt;
     this.#options.handleSent();
+    if (this.#options.isResume) void this.#checkProcess();
   }
 
   handleHead(status: number, headers: ReadonlyMap<string, string>): void {
@@ -250,7 +259,10 @@
     if (isSuccess(status) && this.#answerMetadata.signature === undefined) {
       return this.#fail("Successful answer has no signature");
     }
-    if (isSuccess(status)) this.#options.handleBegun?.();
+    if (isSuccess(status)) {
+      this.#options.handleBegun?.();
+      this.#holdResume();
+    }
     this.#restartInactivityTimeout();
   }
 
@@ -293,12 +305,33 @@
   }
 
   /** Whether the stream begins after an event that the caller has. */
-  get #isResume(): boolean {
+  get #hasEarlierEvents(): boolean {
     const { eventBuffer, request } = this.#options;
     return eventBuffer?.lastEventId !== undefined ||
       request.caller?.lastEventId !== undefined;
   }
 
+  /** Reads no event of a resumed stream until its process is the registered one. */
+  #holdResume(): void {
+    const { isResume, endpoint, endpointTracker } = this.#options;
+    const isHeld = isResume &&
+      !endpointTracker.processes.hasRun(endpoint, this.#openedAt);
+    if (!isHeld) return;
+    this.#call?.pause();
+    void this.#checkProcess().then((state) => {
+      if (state === PROCESS_STATE.running) return this.#call?.resume();
+      const message =
+        `The state of the process at which the stream goes on is ${state}`;
+      this.#finish({ kind: "lost", message, isDisconnect: false }, undefined);
+    });
+  }
+
+  /** Finds out whether the registered process has the connection. */
+  #checkProcess(): Promise<ProcessState> {
+    const { endpoint, endpointTracker } = this.#options;
+    return endpointTracker.processes.check(endpoint, this.#openedAt);
+  }
+
   /** Counts the body toward the endpoint; false if the endpoint has no room. */
   #holdBody(): boolean {
     const { writer, request, endpoint } = this.#options;
@@ -360,7 +393,7 @@
     const { hasPartial } = eventBuffer ?? this.#tail;
     if (hasPartial) return this.#fail("Stream ended inside an event");
     // Nothing may be left after the last event that the caller has.
-    if (!this.#isStreaming && !this.#isResume) {
+    if (!this.#isStreaming && !this.#hasEarlierEvents) {
       return this.#fail("Stream ended without an event");
     }
     handleDelivery?.();
--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as logger from "@sardinestep/logger";
+import type * as metrics from "@sardinestep/metrics";
 import * as rollout from "@sardinestep/rollout";
 import * as serving from "@sardinestep/serving";
 import type {
@@ -13,8 +14,9 @@
   ZoneId,
 } from "@sardinestep/types";
 import { EVENT } from "./events.ts";
-import type { EndpointLoad, EndpointNotices } from "./ports.ts";
+import type { EndpointLoad, EndpointNotices, WireAdapter } from "./ports.ts";
 import { EndpointSpeeds } from "./endpoint_speeds.ts";
+import { ProcessReports } from "./process_reports.ts";
 import { RateLimits, type RateLimitsOptions } from "./rate_limits.ts";
 import type { Rollouts } from "./rollouts.ts";
 import type { SiteState } from "./site_state.ts";
@@ -54,6 +56,8 @@
   readonly isRelayed: (endpoint: serving.ServingEndpoint) => boolean;
   /** Asks another VM for parts of its shares of rate limits. */
   readonly callLender: RateLimitsOptions["callLender"];
+  readonly checkProcess: WireAdapter["checkProcess"];
+  readonly metrics: metrics.Metrics;
   /** Called when a request broke. */
   readonly checkPath: (endpoint: serving.ServingEndpoint) => void;
   /** Monotonic time of the process's start; now if unset. */
@@ -66,6 +70,8 @@
   readonly limits: RateLimits;
   /** How long work takes at each endpoint now. */
   readonly speeds = new EndpointSpeeds();
+  /** Which processes run at the addresses of endpoints. */
+  readonly processes: ProcessReports;
   readonly #options: EndpointTrackerOptions;
   readonly #runtimes = new Map<EndpointId, EndpointRuntime>();
   readonly #recentSends: serving.SendRate;
@@ -76,6 +82,7 @@
     this.#options = options;
     this.#coldLimit = options.coldLimit;
     this.limits = new RateLimits(options);
+    this.processes = new ProcessReports(options);
     this.#recentSends = new serving.SendRate(
       serving.COLD_WINDOW_MS,
       options.startedAt ?? performance.now(),
@@ -109,7 +116,9 @@
   getResumeEndpoints(service: ServiceId): serving.ServingEndpoint[] {
     const { site, rollouts } = this.#options;
     return site.getUsableServiceEndpoints(service)
-      .filter((endpoint) => rollouts.mayResume(endpoint));
+      .filter((endpoint) =>
+        rollouts.mayResume(endpoint) && !this.processes.isReplaced(endpoint)
+      );
   }
 
   /** Returns the endpoints that may run pieces of stages now. */
@@ -307,6 +316,7 @@
     }
     this.limits.keep(ids);
     this.speeds.keep(ids);
+    this.processes.keep(ids);
     this.#options.site.leaving.keep(ids, performance.now());
     this.#recentSends.keep(ids);
     for (const { endpoint, ageMs } of registered) {
--- a/packages/gateway/src/endpoint_tracker_test.ts
+++ b/packages/gateway/src/endpoint_tracker_test.ts
@@ -1,8 +1,10 @@
 import * as logger from "@sardinestep/logger";
+import * as metrics from "@sardinestep/metrics";
 import * as serving from "@sardinestep/serving";
 import { expect } from "chai";
 import { setTimeout as wait } from "node:timers/promises";
 import { EndpointTracker } from "./endpoint_tracker.ts";
+import { PROCESS_STATE } from "./http_pool.ts";
 import type { Rollouts } from "./rollouts.ts";
 import { SiteState } from "./site_state.ts";
 
@@ -46,6 +48,8 @@
         isRelayed: () => false,
         checkPath: () => {},
         callLender: () => Promise.resolve(undefined),
+        checkProcess: () => Promise.resolve(PROCESS_STATE.running),
+        metrics: new metrics.Metrics({ prefix: "test" }),
         startedAt,
       });
     tracker = createTracker(-Infinity);
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -25,6 +25,7 @@
   endpointPaused: "endpoint_paused",
   serviceBrittle: "service_brittle",
   endpointLost: "endpoint_lost",
+  endpointReplaced: "endpoint_replaced",
   pathLost: "path_lost",
   pathFound: "path_found",
   memberChanged: "member_changed",
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -268,6 +268,7 @@
       senders: this.#deps.mesh.countSenders(),
       inactivityTimeoutMs: this.#getInactivityTimeoutMs(),
       isStream: route.kind === serving.ROUTE_KIND.stream,
+      isResume: this.#streamVersion !== undefined,
       eventBuffer,
       ...listener,
       handleSent: () => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -155,6 +155,8 @@
       coldLimit: bounds.cold,
       isRelayed: (endpoint) => this.reach.isRelayed(endpoint),
       checkPath: (endpoint) => this.reach.checkPath(endpoint),
+      checkProcess: (endpoint) => this.#wire.checkProcess(endpoint),
+      metrics: this.metrics,
       callLender: async (lender, asks) => {
         const timeoutMs = limitLoans.LOAN_MS;
         const answer = await rpc.callOnce(lender, "lendSends", { asks }, {
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -20,7 +20,10 @@
 /** What is known of the process that sent an answer. */
 export const PROCESS_STATE = {
   running: "running",
+  /** Nothing accepts connections at its address, or they break. */
   ended: "ended",
+  /** Another process reports at its address. */
+  replaced: "replaced",
   unknown: "unknown",
 } as const;
 /** A value of {@link PROCESS_STATE}. */
@@ -56,8 +59,12 @@
 
 /** Receives an answer as it arrives. */
 export interface AnswerSink {
-  /** The request is being written to an open connection. */
-  handleSent?(): void;
+  /**
+   * The request is being written to an open connection.
+   *
+   * @param openedAt Monotonic time at which the connection was open, in milliseconds.
+   */
+  handleSent?(openedAt: number): void;
   handleHead(status: number, headers: ReadonlyMap<string, string>): void;
   handleData(chunk: Uint8Array): void;
   /**
@@ -311,7 +318,7 @@
     const { socket } = this.#connection;
     if (socket !== undefined) this.#meter = new AnswerMeter(socket);
     this.#connection.handleParsed = () => this.#checkFraming();
-    this.#sink.handleSent?.();
+    this.#sink.handleSent?.(this.#connection.openedAt);
   }
 
   onHeaders(status: number, raw: Buffer[], resume: () => void): boolean {
@@ -361,7 +368,9 @@
     if (!isWhole) {
       const message =
         `Answer has no length, and the state of its process is ${state}`;
-      return this.#fail(message, state === PROCESS_STATE.ended);
+      const isDisconnected = state === PROCESS_STATE.ended ||
+        state === PROCESS_STATE.replaced;
+      return this.#fail(message, isDisconnected);
     }
     this.#isFinished = true;
     this.#connection.close();
--- a/packages/gateway/src/pool_connection.ts
+++ b/packages/gateway/src/pool_connection.ts
@@ -18,6 +18,8 @@
   readonly client: Client;
   /** Monotonic time at which the last request ended. */
   idleSince = 0;
+  /** Monotonic time at which it was open, in milliseconds. */
+  openedAt = Infinity;
   isClosed = false;
   /** Called after the parser took bytes. */
   handleParsed: () => void = () => {};
@@ -35,6 +37,7 @@
       connect: ((options, callback) =>
         connect(options, (error, socket) => {
           this.#socket = socket ?? undefined;
+          this.openedAt = performance.now();
           this.#isDirect = socket !== null && socket !== undefined &&
             `${socket.remoteAddress}:${socket.remotePort}` === address;
           // A failure comes without a socket, which the types don't show.
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -141,7 +141,7 @@
   ): AnswerMetadata;
   /**
    * Asks the address of an endpoint whether the process that was registered there
-   * still runs.
+   * still runs; never rejects.
    */
   checkProcess(
     endpoint: Pick<serving.ServingEndpoint, "address" | "bornMs">,
