--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -282,9 +282,10 @@
   #isSent = false;
   #isFinished = false;
   #isPaused = false;
+  /** What was parsed since the sink paused. */
+  #pending: (() => void)[] = [];
   #hasExplicitEnd = false;
   #meter: AnswerMeter | undefined;
-  #resume: () => void = () => {};
 
   constructor(
     connection: PoolConnection,
@@ -304,12 +305,16 @@
 
   pause(): void {
     this.#isPaused = true;
+    this.#connection.pauseReading();
   }
 
   resume(): void {
     if (!this.#isPaused) return;
     this.#isPaused = false;
-    this.#resume();
+    const pending = this.#pending;
+    this.#pending = [];
+    for (const passOn of pending) this.#handle(passOn);
+    if (!this.#isPaused) this.#connection.resumeReading();
   }
 
   onConnect(abort: (error?: Error) => void): void {
@@ -321,24 +326,32 @@
     this.#sink.handleSent?.(this.#connection.openedAt);
   }
 
-  onHeaders(status: number, raw: Buffer[], resume: () => void): boolean {
+  onHeaders(status: number, raw: Buffer[]): boolean {
     if (this.#isFinished || status < 200) return true;
-    this.#resume = resume;
     const headers = buildHeaderMap(raw);
     this.#hasExplicitEnd = headers.has("content-length") ||
       headers.has("transfer-encoding") || BODYLESS_STATUSES.has(status);
     this.#sink.handleHead(status, headers);
-    return !this.#isPaused;
+    return true;
   }
 
   onData(chunk: Buffer): boolean {
     this.#meter?.addBody(chunk.length);
-    if (!this.#isFinished) this.#sink.handleData(chunk);
-    return !this.#isPaused;
+    this.#handle(() => this.#sink.handleData(chunk));
+    return true;
   }
 
   onComplete(): void {
-    if (this.#isFinished) return;
+    this.#handle(() => this.#complete());
+  }
+
+  /** Passes on a part of the answer, once the sink takes it. */
+  #handle(passOn: () => void): void {
+    if (this.#isPaused) this.#pending.push(passOn);
+    else if (!this.#isFinished) passOn();
+  }
+
+  #complete(): void {
     if (!this.#hasExplicitEnd) return void this.#endUnframed();
     this.#isFinished = true;
     if (this.#sink.mayReuse?.() ?? true) this.#options.release();
--- a/packages/gateway/src/http_pool_test.ts
+++ b/packages/gateway/src/http_pool_test.ts
@@ -289,6 +289,64 @@
     expect(probeMs).to.be.greaterThan(IDLE_CONNECTION_TIMEOUT_MS);
   });
 
+  // A connection that ended while its answer was not read ended the process.
+  for (const end of ["ends", "is reset"] as const) {
+    for (const framing of ["Content-Length: 6", "X-Framing: none"]) {
+      for (const pausedAt of ["head", "body"] as const) {
+        it(`survives a paused answer whose connection ${end} (${framing}, at its ${pausedAt})`, async () => {
+          const address = await open((socket) => {
+            socket.write(
+              `HTTP/1.1 200 OK\r\nConnection: close\r\n${framing}\r\n\r\nall`,
+            );
+            if (end === "ends") return socket.end(" of");
+            setTimeout(() => socket.resetAndDestroy(), SETTLE_MS);
+          });
+          const received: string[] = [];
+          let isPaused = false;
+          await new Promise<void>((resolve) => {
+            const pause = () => {
+              call.pause();
+              isPaused = true;
+              setTimeout(() => {
+                isPaused = false;
+                call.resume();
+              }, 3 * SETTLE_MS);
+            };
+            const call = pool.send({
+              address,
+              method: "GET",
+              path: "/",
+              headers: [],
+              maxIdleMs: 0,
+              ...UNFRAMED,
+            }, {
+              handleHead: () => pausedAt === "head" ? pause() : undefined,
+              handleData: (chunk) => {
+                expect(isPaused).to.equal(false);
+                received.push(Buffer.from(chunk).toString());
+                if (pausedAt === "body" && received.length === 1) pause();
+              },
+              handleEnd: () => {
+                expect(isPaused).to.equal(false);
+                received.push("end");
+                resolve();
+              },
+              handleFailure: () => {
+                received.push("failure");
+                resolve();
+              },
+            });
+          });
+          const last = end === "ends" ? "end" : "failure";
+          expect(received.at(-1)).to.equal(last);
+          if (end === "ends") {
+            expect(received.slice(0, -1).join("")).to.equal("all of");
+          }
+        });
+      }
+    }
+  }
+
   it("closes the connection of a cancelled request", async () => {
     const address = await open(() => {});
     const call = pool.send({
--- a/packages/gateway/src/pool_connection.ts
+++ b/packages/gateway/src/pool_connection.ts
@@ -25,6 +25,7 @@
   handleParsed: () => void = () => {};
   #socket: Socket | undefined;
   #isDirect = false;
+  #isPaused = false;
 
   /** @param address The endpoint. @param connect Opens the connection. */
   constructor(address: Address, connect: endpointPaths.Connector) {
@@ -38,6 +39,7 @@
         connect(options, (error, socket) => {
           this.#socket = socket ?? undefined;
           this.openedAt = performance.now();
+          if (this.#socket !== undefined) this.#controlReading(this.#socket);
           this.#isDirect = socket !== null && socket !== undefined &&
             `${socket.remoteAddress}:${socket.remotePort}` === address;
           // A failure comes without a socket, which the types don't show.
@@ -59,6 +61,27 @@
     return this.#isDirect && this.#socket?.readableEnded === true;
   }
 
+  /** Reads nothing more until {@link resumeReading}. */
+  pauseReading(): void {
+    this.#isPaused = true;
+  }
+
+  /** Reads what has arrived meanwhile, and goes on. */
+  resumeReading(): void {
+    if (!this.#isPaused) return;
+    this.#isPaused = false;
+    this.#socket?.emit("readable");
+  }
+
+  /**
+   * Lets undici find nothing to read while this connection is paused. Its own pause
+   * ends the process with an assertion if the connection ends or is reset meanwhile.
+   */
+  #controlReading(socket: Socket): void {
+    const read = socket.read.bind(socket);
+    socket.read = (size) => this.#isPaused ? null : read(size);
+  }
+
   /** The connection, once it is open. */
   get socket(): Socket | undefined {
     return this.#socket;
