Refuse take-ups on routes that resume no streams (ORDER)

Callers saw: a stream taken up after a configuration had withdrawn 'resumable' of its route, answered 200, with the rest of any version. Cause: such a request counted as a new one, and Last-Event-Id went to the endpoint with the caller's other headers, so that it went on after that event.

Requests without these headers, and other kinds of routes, are as before.

--- a/packages/gateway/src/resumed_stream.ts
+++ b/packages/gateway/src/resumed_stream.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as codes from "@sardinestep/codes";
-import type * as serving from "@sardinestep/serving";
+import * as serving from "@sardinestep/serving";
 import * as streamVersions from "@sardinestep/stream_versions";
 import { match } from "ts-pattern";
 import type { FlowDependencies, RoutedRequest } from "./flow_types.ts";
@@ -19,9 +19,14 @@
 ): Promise<{ request: RoutedRequest } | { failure: codes.Failure }> {
   const { route, caller, service, customer } = request;
   const { streamOrigin: attemptId, lastEventId } = caller;
-  const isResume = route.isResumable &&
+  const isResume = route.kind === serving.ROUTE_KIND.stream &&
     streamVersions.isResume({ attemptId, lastEventId });
   if (!isResume) return { request };
+  if (!route.isResumable) {
+    const reason = streamVersions.RESUME_REFUSAL.notResumable;
+    deps.metrics.count("resumed_streams_total", { decision: reason });
+    return { failure: buildResumeRefusal(reason) };
+  }
   const lookup: streamVersions.LookupResult = attemptId === undefined
     ? { kind: "unknown", isPartial: false }
     : await deps.streamNotes.find(
@@ -89,5 +94,10 @@
         "STREAM_VERSION_GONE",
         "No endpoint runs the version that began the stream; begin it anew",
       ))
+    .with("notResumable", () =>
+      codes.createFailure(
+        "STREAM_VERSION_UNKNOWN",
+        "The route resumes no streams; begin the stream anew",
+      ))
     .exhaustive();
 }
--- a/packages/stream_versions/src/resume.ts
+++ b/packages/stream_versions/src/resume.ts
@@ -32,6 +32,8 @@
   unreachable: "unreachable",
   /** No endpoint of its version is left. */
   gone: "gone",
+  /** Its route resumes no streams. */
+  notResumable: "notResumable",
 } as const;
 /** A value of {@link RESUME_REFUSAL}. */
 export type ResumeRefusal = typeof RESUME_REFUSAL[keyof typeof RESUME_REFUSAL];
