--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -82,7 +82,11 @@
     this.#options = options;
     this.#coldLimit = options.coldLimit;
     this.limits = new RateLimits(options);
-    this.processes = new ProcessReports(options);
+    this.processes = new ProcessReports({
+      ...options,
+      handleReplaced: (endpoint) =>
+        this.#assumeCold(endpoint, performance.now()),
+    });
     this.#recentSends = new serving.SendRate(
       serving.COLD_WINDOW_MS,
       options.startedAt ?? performance.now(),
@@ -326,8 +330,9 @@
   }
 
   /**
-   * Treats an endpoint as cold for the usual time after a broken request: it may have
-   * crashed and restart cold before any record of the crash arrives.
+   * Treats an endpoint as cold for the usual time after a broken request, or the report
+   * of another process: it may have crashed and restart cold before any record of the
+   * crash arrives.
    */
   #assumeCold(endpoint: serving.ServingEndpoint, now: number): void {
     const spec = this.#options.site.table?.services.get(endpoint.service);
--- a/packages/gateway/src/process_reports.ts
+++ b/packages/gateway/src/process_reports.ts
@@ -16,6 +16,8 @@
   readonly checkProcess: WireAdapter["checkProcess"];
   readonly events: logger.EventLog;
   readonly metrics: metrics.Metrics;
+  /** Called once for each process that has the place of a registered one. */
+  readonly handleReplaced: (endpoint: serving.ServingEndpoint) => void;
 }
 
 /** Most reports of one endpoint that are asked for at a time. */
@@ -131,11 +133,12 @@
   }
 
   #record(
-    { id, service, version }: serving.ServingEndpoint,
+    endpoint: serving.ServingEndpoint,
     known: KnownProcess,
     { askedAt, state }: { askedAt: number; state: ProcessState },
   ): void {
-    const { events, metrics } = this.#options;
+    const { id, service, version } = endpoint;
+    const { events, metrics, handleReplaced } = this.#options;
     metrics.count("process_reports_total", { service, state });
     if (state === PROCESS_STATE.running) {
       known.ranAt = Math.max(known.ranAt, askedAt);
@@ -148,6 +151,7 @@
       version,
       bornMs: known.bornMs,
     });
+    handleReplaced(endpoint);
   }
 
   #find(endpoint: serving.ServingEndpoint): KnownProcess | undefined {
--- a/packages/gateway/src/process_reports_test.ts
+++ b/packages/gateway/src/process_reports_test.ts
@@ -20,11 +20,13 @@
 describe("ProcessReports", () => {
   let answers: ((state: ProcessState) => void)[];
   let lines: Record<string, unknown>[];
+  let replaced: string[];
   let reports: ProcessReports;
 
   beforeEach(() => {
     answers = [];
     lines = [];
+    replaced = [];
     reports = new ProcessReports({
       checkProcess: () => new Promise((resolve) => answers.push(resolve)),
       events: new logger.EventLog({
@@ -36,6 +38,7 @@
         },
       }),
       metrics: new metrics.Metrics({ prefix: "test" }),
+      handleReplaced: ({ id }) => replaced.push(id),
     });
   });
 
@@ -91,6 +94,7 @@
     expect(reports.isReplaced({ ...ENDPOINT, bornMs: 8 })).to.equal(false);
     expect(lines.map(({ event, endpointId }) => [event, endpointId]))
       .to.deep.equal([["endpoint_replaced", "e1"]]);
+    expect(replaced).to.deep.equal(["e1"]);
   });
 
   // One report that is lost must not end streams of an endpoint for good.
