Limit requests to all endpoints after a freeze (FAILBACK)

Workers saw: 60 streams within a second at a worker that restarted while a VM stood still, 23 allowed while it is cold. Cause: requests that waited for the VM are handled as soon as it wakes, with the records of before the freeze.

A VM that did not run for a second takes all endpoints for cold ones for 2 s; it notices at the first request, since the event loop handles what has arrived before its timers.

--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -23,6 +23,10 @@
 
 /** Load reports older than this are ignored, in milliseconds. */
 const MAX_LOAD_REPORT_AGE_MS = 400;
+/** Time between two updates from which the process did not run, in milliseconds. */
+const MIN_PAUSE_MS = 1_000;
+/** Time in which a VM that did not run gets the records of meanwhile, in ms. */
+const CATCH_UP_MS = 2_000;
 
 interface EndpointRuntime {
   health: serving.EndpointHealth;
@@ -76,6 +80,10 @@
   readonly #runtimes = new Map<EndpointId, EndpointRuntime>();
   readonly #recentSends: serving.SendRate;
   #coldLimit: serving.ColdLimit;
+  /** Monotonic time of the last update. */
+  #updatedAt = Infinity;
+  /** Until when any endpoint may have restarted unnoticed. */
+  #catchUpUntil = -Infinity;
 
   /** @param options Site state, roll-outs, log and limits. */
   constructor(options: EndpointTrackerOptions) {
@@ -313,6 +321,8 @@
 
   /** Removes endpoints that are gone and records cold starts. */
   update(): void {
+    this.#checkPause(performance.now());
+    this.#updatedAt = performance.now();
     const registered = this.#options.site.getEndpoints();
     const ids = new Set(registered.map(({ endpoint }) => endpoint.id));
     for (const [id, runtime] of this.#runtimes) {
@@ -341,6 +351,17 @@
     runtime.maybeColdUntil = now + spec.coldStartMs;
   }
 
+  /**
+   * Whether the process did not run until just now: an endpoint may have restarted
+   * meanwhile. Requests that waited are handled before the timers of the next update.
+   */
+  #checkPause(now: number): boolean {
+    if (now - this.#updatedAt > MIN_PAUSE_MS) {
+      this.#catchUpUntil = now + CATCH_UP_MS;
+    }
+    return now < this.#catchUpUntil;
+  }
+
   #maySendCold(
     endpoint: serving.ServingEndpoint,
     service: serving.ServiceSpec | undefined,
@@ -349,7 +370,7 @@
     if (service === undefined || service.coldPerSecond <= 0) return true;
     const { site, vmId } = this.#options;
     const runtime = this.#getRuntime(endpoint);
-    const isLimited = isCold(runtime, now) ||
+    const isLimited = isCold(runtime, now) || this.#checkPause(now) ||
       site.isZoneRecentlyReturned(endpoint.zone, now);
     if (!isLimited) return true;
     const requests = serving.planColdShare({
