Follow a stream's version in a module of its own

forward.ts and resumed_stream.ts shared it; StreamVersion has where a stream began, what shows its version and where it may go on. No change of behaviour: 68 tests of streams, takeovers, refused streams, reports and cold restarts passed.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -28,7 +28,6 @@
 import { pickAttemptEndpoint } from "./endpoint_choice.ts";
 import { EventBuffer } from "./event_buffer.ts";
 import { EVENT } from "./events.ts";
-import { PROCESS_STATE } from "./http_pool.ts";
 import {
   buildStoppingRefusal,
   UNAVAILABLE_RETRY_AFTER_MS,
@@ -39,11 +38,8 @@
   RoutedRequest,
 } from "./flow_types.ts";
 import { END_REASON } from "./request_scope.ts";
-import {
-  buildResumeRefusal,
-  getStreamEndpoints,
-  recordStreamVersion,
-} from "./resumed_stream.ts";
+import { buildResumeRefusal } from "./resumed_stream.ts";
+import { type StreamOrigin, StreamVersion } from "./stream_version.ts";
 import { planTakeover } from "./takeover_plan.ts";
 import { TRUNCATION_CAUSE } from "./truncation.ts";
 
@@ -110,13 +106,6 @@
   return await new RequestForwarder(deps, request, options).run();
 }
 
-/** The endpoint that began a stream, and its connection. */
-interface StreamOrigin {
-  readonly endpoint: serving.ServingEndpoint;
-  /** Monotonic time at which the connection was open. */
-  readonly openedAt: number;
-}
-
 class RequestForwarder {
   readonly #deps: FlowDependencies;
   readonly #request: RoutedRequest;
@@ -143,10 +132,8 @@
   #inputReleaseTimer: NodeJS.Timeout | undefined;
   /** Whether an event was passed on. */
   #hasBegun = false;
-  /** Where a resumable stream began; unset before its first event. */
-  #origin: StreamOrigin | undefined;
   /** Version that began the stream; it may go on at no other one. */
-  #streamVersion: streamVersions.VersionTag | undefined;
+  readonly #streamVersion: StreamVersion;
 
   constructor(
     deps: FlowDependencies,
@@ -157,7 +144,7 @@
     this.#request = request;
     this.#options = options;
     this.#staged = options.staged;
-    this.#streamVersion = request.streamVersion;
+    this.#streamVersion = new StreamVersion(deps, request);
     const isStream = request.route.kind === serving.ROUTE_KIND.stream;
     const isResumable = isStream && request.route.isResumable;
     this.#eventBuffer = isResumable ? new EventBuffer() : undefined;
@@ -195,20 +182,12 @@
     tried: ReadonlySet<string>,
   ): serving.ServingEndpoint | undefined {
     return pickAttemptEndpoint(this.#deps, this.#request, {
-      endpoints: this.#getStreamEndpoints(),
+      endpoints: this.#streamVersion.getEndpoints(),
       inputBytes: this.#staged.inputBytes,
       tried,
     });
   }
 
-  /** Endpoints of the version that began the stream, once it has begun. */
-  #getStreamEndpoints(): readonly serving.ServingEndpoint[] | undefined {
-    const { service } = this.#request;
-    const streamVersion = this.#streamVersion;
-    if (this.#origin !== undefined && streamVersion === undefined) return [];
-    return getStreamEndpoints(this.#deps, { service, streamVersion });
-  }
-
   #runRace(endpoint: serving.ServingEndpoint) {
     const isStream = this.#request.route.kind === serving.ROUTE_KIND.stream;
     return runRace({
@@ -279,7 +258,7 @@
       senders: this.#deps.mesh.countSenders(),
       inactivityTimeoutMs: this.#getInactivityTimeoutMs(),
       isStream: route.kind === serving.ROUTE_KIND.stream,
-      isResume: this.#streamVersion !== undefined,
+      isResume: this.#streamVersion.isKnown,
       eventBuffer,
       ...listener,
       handleSent: () => {
@@ -313,26 +292,7 @@
     if (this.#hasBegun) return;
     this.#hasBegun = true;
     this.#options.handleFirstEvent();
-    if (this.#eventBuffer === undefined) return;
-    this.#origin = origin;
-    if (this.#streamVersion === undefined) {
-      void this.#confirmVersion(origin);
-    } else {
-      recordStreamVersion(this.#deps, this.#request, this.#streamVersion);
-    }
-  }
-
-  /** Finds out and records the version that began the stream; false if it can't. */
-  async #confirmVersion(
-    { endpoint, openedAt }: StreamOrigin,
-  ): Promise<boolean> {
-    const { processes } = this.#deps.endpointTracker;
-    const hasRun = processes.hasRun(endpoint, openedAt) ||
-      await processes.check(endpoint, openedAt) === PROCESS_STATE.running;
-    if (!hasRun || this.#streamVersion !== undefined) return hasRun;
-    this.#streamVersion = streamVersions.buildVersionTag(endpoint);
-    recordStreamVersion(this.#deps, this.#request, this.#streamVersion);
-    return true;
+    if (this.#eventBuffer !== undefined) this.#streamVersion.begin(origin);
   }
 
   /**
@@ -485,7 +445,7 @@
   ): Promise<ForwardResult | undefined> {
     this.#recordRun(endpoint);
     this.#eventBuffer?.dropPartial();
-    if (!await this.#mayGoOn()) {
+    if (!await this.#streamVersion.confirm()) {
       const cause = TRUNCATION_CAUSE.resumeFailed;
       const reason = "The version that began the stream is not known";
       return { kind: "brokenOff", cause, reason };
@@ -505,14 +465,6 @@
     return this.#giveUp(message);
   }
 
-  /** Whether the version is known that began a resumable stream. */
-  async #mayGoOn(): Promise<boolean> {
-    if (this.#origin === undefined || this.#streamVersion !== undefined) {
-      return true;
-    }
-    return await this.#confirmVersion(this.#origin);
-  }
-
   /** Records that the request may have run at an endpoint. */
   #recordRun({ id }: serving.ServingEndpoint): void {
     this.#mayHaveRun = true;
@@ -547,7 +499,7 @@
   /** Decides what is done about a silent endpoint; takes a retry for a takeover. */
   #planTakeover(span: SilentSpan): TakeoverPlan {
     // The next span of silence may know the version.
-    void this.#mayGoOn();
+    void this.#streamVersion.confirm();
     const endpoint = this.#pickEndpoint(
       new Set([span.endpoint.id, ...span.triedIds, ...this.#ranIds]),
     );
@@ -639,7 +591,7 @@
   }
 
   #giveUpWithoutEndpoint(): ForwardResult {
-    const isGone = this.#getStreamEndpoints()?.length === 0;
+    const isGone = this.#streamVersion.getEndpoints()?.length === 0;
     const refusal = isGone
       ? buildResumeRefusal(streamVersions.RESUME_REFUSAL.gone)
       : undefined;
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -32,8 +32,9 @@
 } from "./request_loads.ts";
 import { END_REASON } from "./request_scope.ts";
 import { StageForecast } from "./stage_forecast.ts";
-import { findResumedStream, getStreamEndpoints } from "./resumed_stream.ts";
+import { findResumedStream } from "./resumed_stream.ts";
 import { StageRun, type StageRunOutcome } from "./stage_run.ts";
+import { StreamVersion } from "./stream_version.ts";
 
 /**
  * Expected time from the last stage result to the first event, in milliseconds.
@@ -201,7 +202,7 @@
   const { route, session, table, service, caller } = request;
   const candidates = deps.endpointTracker.getCandidates(
     table.services.get(service),
-    getStreamEndpoints(deps, request) ??
+    new StreamVersion(deps, request).getEndpoints() ??
       deps.endpointTracker.getUsableEndpoints(service),
   );
   const readerZone = session === undefined
--- a/packages/gateway/src/resumed_stream.ts
+++ b/packages/gateway/src/resumed_stream.ts
@@ -47,32 +47,6 @@
     .exhaustive();
 }
 
-/** Endpoints at which a resumed stream may go on; undefined for all other requests. */
-export function getStreamEndpoints(
-  deps: Pick<FlowDependencies, "endpointTracker">,
-  { service, streamVersion }: Pick<RoutedRequest, "service" | "streamVersion">,
-): readonly serving.ServingEndpoint[] | undefined {
-  if (streamVersion === undefined) return undefined;
-  return deps.endpointTracker.getResumeEndpoints(service)
-    .filter((endpoint) => streamVersions.isOfVersion(endpoint, streamVersion));
-}
-
-/** Records the version that writes the first event of a request. */
-export function recordStreamVersion(
-  { streamNotes }: FlowDependencies,
-  { requestId, caller, customer }: RoutedRequest,
-  version: streamVersions.VersionTag,
-): void {
-  const { streamOrigin } = caller;
-  const attemptIds = streamOrigin === undefined
-    ? [requestId]
-    : [requestId, streamOrigin];
-  streamNotes.record(attemptIds.map((attemptId) => ({
-    key: streamVersions.buildStreamKey({ attemptId, customer }),
-    version,
-  })));
-}
-
 /** Builds the refusal of a stream that can't go on. */
 export function buildResumeRefusal(
   reason: streamVersions.ResumeRefusal,
