--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -21,6 +21,7 @@
   type HttpPool,
   type PoolRequest,
   PROCESS_STATE,
+  type ProcessState,
 } from "./http_pool.ts";
 import type { PeerMesh } from "./peer_mesh.ts";
 import type { WireAdapter } from "./ports.ts";
@@ -43,7 +44,12 @@
 const STATUS_FULL = 503;
 /** Status of an endpoint that could not read stage results. */
 export const STATUS_INPUTS_MISSING = 409;
-const NOT_RUN_STATUSES = new Set([STATUS_FULL, STATUS_INPUTS_MISSING]);
+const NOT_RUN_STATUSES = new Set([
+  421,
+  429,
+  STATUS_FULL,
+  STATUS_INPUTS_MISSING,
+]);
 
 const ROUTE: serving.Route = {
   name: "chat",
@@ -69,6 +75,8 @@
   readonly retries?: number;
   /** Stage results that the request reads. */
   readonly inputs?: readonly string[];
+  /** Finds out which process runs at an endpoint; the registered one if unset. */
+  readonly checkProcess?: (endpointId: string) => Promise<ProcessState>;
 }
 
 /** A request that an endpoint received. */
@@ -251,8 +259,10 @@
   #createDependencies(): FlowDependencies {
     const endpoints = this.#endpoints;
     const processes: Partial<ProcessReports> = {
-      hasRun: () => true,
-      check: () => Promise.resolve(PROCESS_STATE.running),
+      hasRun: () => this.#options.checkProcess === undefined,
+      check: ({ id }) =>
+        this.#options.checkProcess?.(id) ??
+          Promise.resolve(PROCESS_STATE.running),
     };
     const tracker: Partial<EndpointTracker> = {
       processes: processes as ProcessReports,
--- a/packages/gateway/src/refused_stream_test.ts
+++ b/packages/gateway/src/refused_stream_test.ts
@@ -9,7 +9,10 @@
 import { END_REASON } from "./request_scope.ts";
 
 /** Starts a stream that breaks off and that all other endpoints refuse. */
-async function startRefusedStream(options: ForwardHarnessOptions = {}) {
+async function startRefusedStream(
+  options: ForwardHarnessOptions = {},
+  status = 503,
+) {
   const harness = new ForwardHarness(options);
   const result = harness.run();
   const [lost] = await harness.waitForCalls(1) as [SentCall];
@@ -17,7 +20,7 @@
   lost.writeEvent(1);
   lost.breakOff();
   for (let i = 1; i <= takeover.MAX_REFUSALS; i++) {
-    (await harness.waitForCalls(i + 1))[i]!.refuse();
+    (await harness.waitForCalls(i + 1))[i]!.refuse(status);
   }
   return { harness, result };
 }
@@ -38,6 +41,17 @@
     expect(harness.events).to.deep.equal(["1 e0", "2 e1", "3 e1"]);
   });
 
+  // The refusals are due on the same connection, with the same request id.
+  for (const status of [421, 429]) {
+    it(`are sent again on a new connection after status ${status}`, async () => {
+      const { harness } = await startRefusedStream({}, status);
+      const calls = await harness.waitForCalls(5);
+      expect(calls.map(({ needsNewConnection }) => needsNewConnection))
+        .to.deep.equal([false, false, false, false, true]);
+      harness.scope.end(END_REASON.callerDisconnected);
+    });
+  }
+
   for (const reason of Object.values(END_REASON)) {
     if (reason === END_REASON.done) continue;
     it(`are not sent again after their end: ${reason}`, async () => {
--- a/packages/gateway/src/takeover_test.ts
+++ b/packages/gateway/src/takeover_test.ts
@@ -55,6 +55,31 @@
     expect(harness.firstEvents).to.equal(1);
   });
 
+  // The record of an endpoint may be of a process before, at another version.
+  it("pass on no event of a process that is not the registered one", async () => {
+    const { harness, result, silent, next } = await startTakeover({
+      checkProcess: (id) =>
+        Promise.resolve(id === "e1" ? "replaced" : "running"),
+    });
+    next.begin();
+    expect(next.isPaused).to.equal(true);
+    await wait(0);
+    expect(next.isCancelled).to.equal(true);
+    finish(silent, 2);
+    expect((await result).kind).to.equal("streamed");
+    expect(harness.events).to.deep.equal(["1 e0", "2 e0", "3 e0"]);
+  });
+
+  it("are not sent while the version that began the stream is not known", async () => {
+    const { harness, result, silent } = await startSilentStream({
+      checkProcess: () => Promise.resolve("unknown"),
+    });
+    await wait(3 * SILENCE_MS);
+    expect(harness.calls).to.have.length(1);
+    finish(silent, 2);
+    expect((await result).kind).to.equal("streamed");
+  });
+
   it("are cancelled when the silent endpoint goes on", async () => {
     const { harness, result, silent, next } = await startTakeover();
     next.begin();
