--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -173,7 +173,7 @@
     const { address } = request;
     const exchange = new PoolExchange(connection, sink, {
       findRelay: this.#findRelay,
-      release: () => this.#returnConnection(address, connection),
+      release: () => this.#returnConnection(request, connection),
       checkProcess: request.checkProcess ??
         (() => this.#checkListening(address)),
     });
@@ -254,8 +254,15 @@
     return !isClosed && (socket === undefined || this.#mayReuse(socket));
   }
 
-  #returnConnection(address: Address, connection: PoolConnection): void {
-    if (!this.#isReusable(connection)) return connection.close();
+  #returnConnection(
+    { address, needsNewConnection }: PoolRequest,
+    connection: PoolConnection,
+  ): void {
+    const { socket } = connection;
+    // Another VM would hold a tunnel for a connection that served one call.
+    const isSpare = needsNewConnection === true && socket !== undefined &&
+      this.#findRelay(socket) !== undefined;
+    if (isSpare || !this.#isReusable(connection)) return connection.close();
     const idle = (this.#idleByAddress.get(address) ?? []).filter((entry) =>
       !entry.isClosed
     );
--- a/packages/gateway/src/resumed_stream.ts
+++ b/packages/gateway/src/resumed_stream.ts
@@ -71,7 +71,7 @@
     .with("notResumable", () =>
       codes.createFailure(
         "STREAM_VERSION_UNKNOWN",
-        "The route resumes no streams; begin the stream anew",
+        "Streams of the route can't be taken up again; begin the stream anew",
       ))
     .exhaustive();
 }
