Read-through: one threshold of pauses, one check of a stream's version

The gateway logged a pause from the same second from which the endpoint tracker takes its records for old; both use one constant. StreamVersion asked twice whether the process had run, since the check answers that itself.

--- a/packages/gateway/src/endpoint_tracker.ts
+++ b/packages/gateway/src/endpoint_tracker.ts
@@ -24,7 +24,7 @@
 /** Load reports older than this are ignored, in milliseconds. */
 const MAX_LOAD_REPORT_AGE_MS = 400;
 /** Time between two updates from which the process did not run, in milliseconds. */
-const MIN_PAUSE_MS = 1_000;
+export const MIN_PAUSE_MS = 1_000;
 /** Time in which a VM that did not run gets the records of meanwhile, in ms. */
 const CATCH_UP_MS = 2_000;
 
@@ -321,8 +321,9 @@
 
   /** Removes endpoints that are gone and records cold starts. */
   update(): void {
-    this.#checkPause(performance.now());
-    this.#updatedAt = performance.now();
+    const now = performance.now();
+    this.#checkPause(now);
+    this.#updatedAt = now;
     const registered = this.#options.site.getEndpoints();
     const ids = new Set(registered.map(({ endpoint }) => endpoint.id));
     for (const [id, runtime] of this.#runtimes) {
@@ -331,7 +332,7 @@
     this.limits.keep(ids);
     this.speeds.keep(ids);
     this.processes.keep(ids);
-    this.#options.site.leaving.keep(ids, performance.now());
+    this.#options.site.leaving.keep(ids, now);
     this.#recentSends.keep(ids);
     for (const { endpoint, ageMs } of registered) {
       // Not only after a restart: an endpoint may become cold at any time.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,7 +17,7 @@
   setTimeout as wait,
 } from "node:timers/promises";
 import { EndpointReach } from "./endpoint_reach.ts";
-import { EndpointTracker } from "./endpoint_tracker.ts";
+import { EndpointTracker, MIN_PAUSE_MS } from "./endpoint_tracker.ts";
 import { EVENT } from "./events.ts";
 import { HttpPool } from "./http_pool.ts";
 import type { FlowDependencies } from "./flow_types.ts";
@@ -74,8 +74,6 @@
 const ANNOUNCED_SETTLE_MS = 200;
 /** Interval of checks for the end of the last requests, in milliseconds. */
 const DRAIN_POLL_MS = 50;
-/** Gap between two updates from which a process pause is logged, in ms. */
-const PAUSE_THRESHOLD_MS = 1_000;
 
 /** The gateway of one VM. */
 export class Gateway {
@@ -473,7 +471,7 @@
     setImmediate(() => {
       this.#signalsHandledAt = now;
     });
-    if (gapMs > PAUSE_THRESHOLD_MS) {
+    if (gapMs > MIN_PAUSE_MS) {
       this.#options.events.write(EVENT.clockPaused, {
         gapMs: Math.round(gapMs),
       });
--- a/packages/gateway/src/http_pool_test.ts
+++ b/packages/gateway/src/http_pool_test.ts
@@ -70,6 +70,8 @@
 
 const MS_PER_JIFFY = 10;
 const COMPLETE_ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+/** A request that reuses no connection. */
+const REQUEST = { method: "GET", path: "/", headers: [], maxIdleMs: 0 };
 /** A request whose answer shows its end by itself, at a process that runs. */
 const UNFRAMED = {
   checkProcess: () => Promise.resolve(PROCESS_STATE.running),
@@ -97,10 +99,8 @@
       let status = 0;
       let body = "";
       usedPool.send({
+        ...REQUEST,
         address,
-        method: "GET",
-        path: "/",
-        headers: [],
         maxIdleMs: 1_000,
         ...overrides,
       }, {
@@ -312,14 +312,7 @@
                 call.resume();
               }, 3 * SETTLE_MS);
             };
-            const call = pool.send({
-              address,
-              method: "GET",
-              path: "/",
-              headers: [],
-              maxIdleMs: 0,
-              ...UNFRAMED,
-            }, {
+            const call = pool.send({ ...REQUEST, address, ...UNFRAMED }, {
               handleHead: () => pausedAt === "head" ? pause() : undefined,
               handleData: (chunk) => {
                 expect(isPaused).to.equal(false);
@@ -349,13 +342,7 @@
 
   it("closes the connection of a cancelled request", async () => {
     const address = await open(() => {});
-    const call = pool.send({
-      address,
-      method: "GET",
-      path: "/",
-      headers: [],
-      maxIdleMs: 0,
-    }, {
+    const call = pool.send({ ...REQUEST, address }, {
       handleHead: () => {},
       handleData: () => {},
       handleEnd: () => {},
--- a/packages/gateway/src/stream_version.ts
+++ b/packages/gateway/src/stream_version.ts
@@ -64,9 +64,9 @@
     if (this.#origin === undefined || this.isKnown) return true;
     const { endpoint, openedAt } = this.#origin;
     const { processes } = this.#deps.endpointTracker;
-    const hasRun = processes.hasRun(endpoint, openedAt) ||
-      await processes.check(endpoint, openedAt) === PROCESS_STATE.running;
-    if (!hasRun || this.isKnown) return hasRun;
+    const state = await processes.check(endpoint, openedAt);
+    if (state !== PROCESS_STATE.running) return false;
+    if (this.isKnown) return true;
     this.#version = streamVersions.buildVersionTag(endpoint);
     this.#note(this.#version);
     return true;
