Log what shows that a request did not run at an endpoint

The log could not tell a refusal with the request's own id from an answer without one, nor whether its connection had carried other requests; a request that was not sent left no line at all. New event request_not_run with status, hasId and isReused, or the reason. No logic changes.

--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -322,7 +322,7 @@
       send: (request, sink) => {
         const call = new SentCall(request, sink);
         this.calls.push(call);
-        sink.handleSent?.(performance.now());
+        sink.handleSent?.({ openedAt: performance.now(), isReused: false });
         return {
           cancel: () => {
             call.isCancelled = true;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -18,6 +18,7 @@
   type PoolFailure,
   PROCESS_STATE,
   type ProcessState,
+  type SendConnection,
 } from "./http_pool.ts";
 import type { AnswerMetadata, CallerMetadata, WireAdapter } from "./ports.ts";
 import type { RequestScope } from "./request_scope.ts";
@@ -29,7 +30,11 @@
   /** The stream was written to the caller to its end. */
   | { readonly kind: "streamed" }
   /** The endpoint reports that it did not run the request. */
-  | { readonly kind: "notRun"; readonly status: number }
+  | {
+    readonly kind: "notRun";
+    readonly status: number;
+    readonly proof: NotRunProof;
+  }
   /** Nothing was sent on any connection, so the request did not run. */
   | { readonly kind: "notSent"; readonly message: string }
   /** The request may have run; its answer is missing or incomplete. */
@@ -44,6 +49,14 @@
   /** The request was ended first: the caller disconnected or the time ran out. */
   | { readonly kind: "ended" };
 
+/** What shows that an answer which says "not run" is the one to this request. */
+export interface NotRunProof {
+  /** It has the id of the request. */
+  readonly hasId: boolean;
+  /** Its connection carried another request before. */
+  readonly isReused: boolean;
+}
+
 /** Why a running attempt is cancelled. */
 export const CANCEL_CAUSE = {
   /** Its endpoint is silent, and another one goes on. */
@@ -164,6 +177,7 @@
   #inactivityTimeout: endpointPaths.IoTimeout | undefined;
   /** Monotonic time at which its connection was open. */
   #openedAt = Infinity;
+  #isReused = false;
   #status = 0;
   #headers: ReadonlyMap<string, string> = new Map();
   #answerMetadata: AnswerMetadata = { isNotRun: false, notices: {} };
@@ -234,8 +248,9 @@
       .exhaustive();
   }
 
-  handleSent(openedAt: number): void {
+  handleSent({ openedAt, isReused }: SendConnection): void {
     this.#openedAt = openedAt;
+    this.#isReused = isReused;
     this.#options.handleSent();
     // Once the process has crashed, nothing shows any more which version it was.
     if (this.#options.eventBuffer !== undefined) void this.#checkProcess();
@@ -285,8 +300,14 @@
   }
 
   handleEnd(): void {
-    if (this.#answerMetadata.isNotRun) {
-      return this.#finish({ kind: "notRun", status: this.#status }, undefined);
+    const { isNotRun, requestId } = this.#answerMetadata;
+    if (isNotRun) {
+      const proof = {
+        hasId: requestId !== undefined,
+        isReused: this.#isReused,
+      };
+      const status = this.#status;
+      return this.#finish({ kind: "notRun", status, proof }, undefined);
     }
     if (this.#options.isStream && isSuccess(this.#status)) {
       return this.#endStream();
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -39,6 +39,7 @@
   requestAdmitted: "request_admitted",
   requestRefused: "request_refused",
   requestSent: "request_sent",
+  requestNotRun: "request_not_run",
   requestRepeated: "request_repeated",
   takeoverDecided: "takeover_decided",
   streamResumed: "stream_resumed",
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -212,11 +212,25 @@
     const attempt = this.#startAttempt(options, record);
     const outcome = attempt.outcome.then((ended) => {
       record.recordEnd(ended);
+      this.#recordNotRun(options.endpoint, ended);
       return ended;
     });
     return { ...attempt, outcome };
   }
 
+  /** Logs what shows that an attempt did not run the request. */
+  #recordNotRun({ id }: serving.ServingEndpoint, ended: AttemptOutcome): void {
+    if (ended.kind !== "notRun" && ended.kind !== "notSent") return;
+    this.#deps.events.write(EVENT.requestNotRun, {
+      requestId: this.#request.requestId,
+      endpointId: id,
+      ...match(ended)
+        .with({ kind: "notRun" }, ({ status, proof }) => ({ status, ...proof }))
+        .with({ kind: "notSent" }, ({ message }) => ({ reason: message }))
+        .exhaustive(),
+    });
+  }
+
   #startAttempt(
     { endpoint, isTakeover, listener }: RaceStart,
     record: AttemptRecord,
@@ -337,7 +351,7 @@
       )
       .with(
         { kind: "notRun" },
-        ({ status }) => this.#handleNotRun(endpoint, status),
+        (refusal) => this.#handleNotRun(endpoint, refusal),
       )
       .with({ kind: "notSent" }, ({ message }) => this.#handleNotSent(message))
       .with(
@@ -368,10 +382,11 @@
 
   async #handleNotRun(
     endpoint: serving.ServingEndpoint,
-    status: number,
+    refusal: Extract<AttemptOutcome, { kind: "notRun" }>,
   ): Promise<ForwardResult | undefined> {
+    const { status } = refusal;
     this.#refusals += 1;
-    if (this.#isInputsMissing({ kind: "notRun", status })) {
+    if (this.#isInputsMissing(refusal)) {
       return await this.#retryWithNewInputs(endpoint);
     }
     this.#triedIds.add(endpoint.id);
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -57,14 +57,18 @@
   readonly isDisconnect: boolean;
 }
 
+/** An open connection to which a request is written. */
+export interface SendConnection {
+  /** Monotonic time at which it was open, in milliseconds. */
+  readonly openedAt: number;
+  /** Whether it carried another request before. */
+  readonly isReused: boolean;
+}
+
 /** Receives an answer as it arrives. */
 export interface AnswerSink {
-  /**
-   * The request is being written to an open connection.
-   *
-   * @param openedAt Monotonic time at which the connection was open, in milliseconds.
-   */
-  handleSent?(openedAt: number): void;
+  /** The request is being written to an open connection. */
+  handleSent?(connection: SendConnection): void;
   handleHead(status: number, headers: ReadonlyMap<string, string>): void;
   handleData(chunk: Uint8Array): void;
   /**
@@ -330,7 +334,7 @@
     const { socket } = this.#connection;
     if (socket !== undefined) this.#meter = new AnswerMeter(socket);
     this.#connection.handleParsed = () => this.#checkFraming();
-    this.#sink.handleSent?.(this.#connection.openedAt);
+    this.#sink.handleSent?.(this.#connection);
   }
 
   onHeaders(status: number, raw: Buffer[]): boolean {
--- a/packages/gateway/src/pool_connection.ts
+++ b/packages/gateway/src/pool_connection.ts
@@ -82,6 +82,11 @@
     socket.read = (size) => this.#isPaused ? null : read(size);
   }
 
+  /** Whether it carried a request before the current one. */
+  get isReused(): boolean {
+    return this.idleSince > 0;
+  }
+
   /** The connection, once it is open. */
   get socket(): Socket | undefined {
     return this.#socket;
