--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -75,6 +75,10 @@
   readonly retries?: number;
   /** Stage results that the request reads. */
   readonly inputs?: readonly string[];
+  /** Whether answers lack the id of the request. */
+  readonly hasNoIds?: boolean;
+  /** Whether connections carried other requests before. */
+  readonly areConnectionsReused?: boolean;
   /** Finds out which process runs at an endpoint; the registered one if unset. */
   readonly checkProcess?: (endpointId: string) => Promise<ProcessState>;
 }
@@ -117,6 +121,11 @@
     if (!this.isCancelled) this.#sink.handleEnd();
   }
 
+  /** Whether the connection may carry another request, by what was answered. */
+  mayReuse(): boolean {
+    return this.#sink.mayReuse?.() ?? true;
+  }
+
   refuse(status = STATUS_FULL): void {
     this.begin(status);
     this.end();
@@ -311,7 +320,7 @@
         inputs.join(),
       ],
       readAnswer: (status) => ({
-        requestId: REQUEST_ID,
+        requestId: this.#options.hasNoIds ? undefined : REQUEST_ID,
         signature: "s",
         isNotRun: NOT_RUN_STATUSES.has(status),
         notices: {},
@@ -322,7 +331,8 @@
       send: (request, sink) => {
         const call = new SentCall(request, sink);
         this.calls.push(call);
-        sink.handleSent?.({ openedAt: performance.now(), isReused: false });
+        const { areConnectionsReused: isReused = false } = this.#options;
+        sink.handleSent?.({ openedAt: performance.now(), isReused });
         return {
           cancel: () => {
             call.isCancelled = true;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -262,11 +262,16 @@
     this.#headers = headers;
     this.#answerMetadata = wire.readAnswer(status, headers);
     const { requestId, isNotRun, notices } = this.#answerMetadata;
-    const isMismatch = requestId === undefined
-      ? !isNotRun
-      : requestId !== request.requestId;
-    if (isMismatch) {
-      return this.#fail(`Answer has wrong request id "${requestId}"`);
+    // Without an id, only a connection that carried nothing else shows whose it is.
+    const isOwn = requestId === undefined
+      ? isNotRun && !this.#isReused
+      : requestId === request.requestId;
+    if (!isOwn) {
+      return this.#fail(
+        requestId === undefined
+          ? "Answer has no request id"
+          : `Answer has wrong request id "${requestId}"`,
+      );
     }
     if (!isNotRun) this.#options.handleAnswerStart();
     const isRejected = isNotRun && status === STATUS_REJECTED;
@@ -299,6 +304,11 @@
     this.#holdAnswer(this.#body.capacity);
   }
 
+  /** After an answer without an id, nothing would tell a second copy from the next one. */
+  mayReuse(): boolean {
+    return this.#answerMetadata.requestId !== undefined;
+  }
+
   handleEnd(): void {
     const { isNotRun, requestId } = this.#answerMetadata;
     if (isNotRun) {
