Answer no refusal for a request that its worker ran (REFUSED)

Callers saw: a request that may run once ran, failed at its worker with 408, 429 or 503, and the caller got that status, which promises that it did not run and never will.

Cause: a worker's failure was passed on with its status, whatever that promises from a VM.

Change: such an answer to a request that may run once becomes 502, outcome unknown. Others are passed on as before.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -97,6 +97,9 @@
 /** Status of an endpoint that could not fetch its inputs. */
 const STATUS_INPUTS_MISSING = 409;
 
+/** Statuses that tell callers that a request did not run and never will. */
+const REFUSAL_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** Sends a request to endpoints in turn until one answers or retries run out. */
 export async function sendRequest(
   deps: FlowDependencies,
@@ -374,6 +377,9 @@
         reason: `Resuming the stream failed with status ${answer.status}`,
       };
     }
+    if (!this.#isRetryable && REFUSAL_STATUSES.has(answer.status)) {
+      return this.#giveUp(`Endpoint failed with status ${answer.status}`);
+    }
     if (!isFailure) return { kind: "answered", answer };
     this.#lastFailure = answer;
     if (this.#tryRetry(`status ${answer.status}`)) return undefined;
