--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -43,6 +43,13 @@
 /** Connections that the kernel queues until they are accepted. */
 const LISTEN_BACKLOG = 1_024;
 
+/** Answers to bytes that are no request, by the error of Node.js. */
+const CLIENT_ERROR_STATUSES: ReadonlyMap<string, string> = new Map([
+  ["ERR_HTTP_REQUEST_TIMEOUT", "408 Request Timeout"],
+  ["HPE_HEADER_OVERFLOW", "431 Request Header Fields Too Large"],
+  ["HPE_CHUNK_EXTENSIONS_OVERFLOW", "413 Payload Too Large"],
+]);
+
 /** Options of {@link Ingress}. */
 export interface IngressOptions {
   readonly wire: WireAdapter;
@@ -69,6 +76,8 @@
   /** Open connections, with what closes each of their open responses. */
   readonly #sockets = new Map<Socket, Set<() => void>>();
   readonly #closes = new ConnectionCloses<Socket>();
+  /** Connections that are closed after the answers that are due. */
+  readonly #broken = new WeakSet<Socket>();
   /** Requests whose responses are not closed yet, with the writers of these. */
   readonly #scopes = new Map<RequestScope, AnswerWriter>();
   readonly #budget: bufferBudget.BufferBudget;
@@ -92,6 +101,11 @@
       void this.#handleRequest(request, response);
     });
     this.#server.on("connection", (socket) => this.#trackSocket(socket));
+    this.#server.on(
+      "clientError",
+      (error: NodeJS.ErrnoException, socket) =>
+        this.#handleClientError(error, socket as Socket),
+    );
     // Tunnels (CONNECT) and protocol upgrades are not supported.
     this.#server.on("connect", (_request, socket) => socket.destroy());
     this.#server.on("upgrade", (_request, socket) => socket.destroy());
@@ -179,6 +193,22 @@
     });
   }
 
+  /**
+   * Closes a connection whose bytes are no request, after the answers to those before:
+   * Node.js would answer in the place of one that runs.
+   */
+  #handleClientError({ code }: NodeJS.ErrnoException, socket: Socket): void {
+    const isOpen = socket.writable && code !== "ECONNRESET";
+    if (!isOpen) return void socket.destroy();
+    const responses = this.#sockets.get(socket);
+    if (responses === undefined || responses.size === 0) {
+      const status = CLIENT_ERROR_STATUSES.get(code ?? "") ?? "400 Bad Request";
+      socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+      return void socket.destroySoon();
+    }
+    this.#broken.add(socket);
+  }
+
   /** Calls a function once when a response is closed, or its connection is. */
   #addCloseHandler(response: ServerResponse, handleClose: () => void): void {
     const handlers = this.#sockets.get(response.req.socket);
@@ -186,6 +216,10 @@
       handlers?.delete(handle);
       response.off("close", handle);
       handleClose();
+      const { socket } = response.req;
+      if (handlers?.size === 0 && this.#broken.has(socket)) {
+        socket.destroySoon();
+      }
     };
     handlers?.add(handle);
     response.once("close", handle);
