--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -169,12 +169,17 @@
   }
 
   /**
-   * Sends a request. Unless it is cancelled, the sink gets exactly one `handleEnd`
-   * or `handleFailure` call.
+   * Sends a request; never throws. Unless it is cancelled, the sink gets exactly one
+   * `handleEnd` or `handleFailure` call.
    */
   send(request: PoolRequest, sink: AnswerSink): PoolCall {
-    const connection = this.#acquireConnection(request);
     const { address } = request;
+    if (!URL.canParse(`http://${address}`)) {
+      const message = `Cannot connect to "${address}": expected IP:port`;
+      sink.handleFailure({ kind: "notSent", message, isDisconnect: false });
+      return NO_CALL;
+    }
+    const connection = this.#acquireConnection(request);
     const exchange = new PoolExchange(connection, sink, {
       findRelay: this.#findRelay,
       release: () => this.#returnConnection(request, connection),
@@ -277,6 +282,13 @@
   }
 }
 
+/** A request that was not sent. */
+const NO_CALL: PoolCall = {
+  cancel: () => {},
+  pause: () => {},
+  resume: () => {},
+};
+
 /** What an exchange needs of its pool. */
 interface ExchangeOptions {
   readonly findRelay: (socket: Socket) => string | undefined;
--- a/packages/gateway/src/http_pool_test.ts
+++ b/packages/gateway/src/http_pool_test.ts
@@ -139,6 +139,14 @@
     expect(result.failure?.kind).to.equal("notSent");
   });
 
+  // The error ended whatever the request was part of.
+  it("reports an address to which nothing can be sent as not sent", async () => {
+    for (const address of ["127.0.0.1:99999", "127.0.0.1:80\0", ""]) {
+      const { failure } = await send(address);
+      expect(failure?.kind).to.equal("notSent");
+    }
+  });
+
   // An endpoint answers without a length and its connection is reset. undici
   // reports the reset as the end, so the caller got a truncated answer as complete.
   it("reports an answer without length as lost after a reset", async () => {
--- a/packages/gateway/src/site_state.ts
+++ b/packages/gateway/src/site_state.ts
@@ -170,8 +170,8 @@
   ): void {
     const before = this.#configuration?.version;
     if (before !== undefined && configuration.version <= before) return;
-    this.#configuration = configuration;
     this.#table = new serving.RouteTable(configuration);
+    this.#configuration = configuration;
     this.#configuredAt = performance.now();
     this.#events.write(EVENT.configurationApplied, {
       version: configuration.version,
--- a/packages/rpc/src/address.ts
+++ b/packages/rpc/src/address.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Address } from "@sardinestep/types";
+import { isIP } from "node:net";
 
 /** Host and port as accepted by the `node:net` functions. */
 export interface HostAndPort {
@@ -31,3 +32,28 @@
   const host = address.slice(0, colonIndex).replace(/^\[|\]$/g, "");
   return { host, port };
 }
+
+const MAX_PORT = 65_535;
+
+/**
+ * Whether a connection can be opened to an address: an IP address and a port, both in
+ * the form in which they are used, so that no other address is reached.
+ *
+ * @param text A text from outside of the process.
+ * @example
+ * ```ts
+ * isAddress("10.0.0.1:7000"); // true
+ * isAddress("10.0.0.01:70000"); // false
+ * ```
+ */
+export function isAddress(text: string): boolean {
+  const colonIndex = text.lastIndexOf(":");
+  const host = text.slice(0, Math.max(0, colonIndex));
+  const portText = text.slice(colonIndex + 1);
+  const port = Number(portText);
+  const isPort = Number.isInteger(port) && port > 0 && port <= MAX_PORT &&
+    String(port) === portText;
+  const isBracketed = host.startsWith("[") && host.endsWith("]");
+  return isPort &&
+    (isBracketed ? isIP(host.slice(1, -1)) === 6 : isIP(host) === 4);
+}
--- a/packages/rpc/src/client.ts
+++ b/packages/rpc/src/client.ts
@@ -7,7 +7,7 @@
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { Err, Ok, type Result } from "ts-results-es";
-import { parseAddress } from "./address.ts";
+import { isAddress, parseAddress } from "./address.ts";
 import {
   type CallOptions,
   Connection,
@@ -40,7 +40,10 @@
   options: OpenOptions = {},
 ): Promise<Result<Connection, RpcError>> {
   // The address of a VM stays empty until it is known.
-  if (address === "") return Err({ kind: "not_sent", message: "No address" });
+  if (!isAddress(address)) {
+    const message = `Cannot connect to "${address}": expected IP:port`;
+    return Err({ kind: "not_sent", message });
+  }
   const socket = connect(parseAddress(address));
   const timeoutMs = options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
   const failure = await waitForConnect(socket, timeoutMs);
--- a/packages/stream_versions/src/note_exchange.ts
+++ b/packages/stream_versions/src/note_exchange.ts
@@ -219,6 +219,10 @@
   }
 
   #send(address: Address, datagram: Datagram): void {
+    if (!rpc.isAddress(address)) {
+      const message = `Cannot send to "${address}": expected IP:port`;
+      return this.#options.handleError(message);
+    }
     const { host, port } = rpc.parseAddress(address);
     this.#socket?.send(formatDatagram(datagram), port, host, (error) => {
       if (error !== null) this.#options.handleError(error.message);
--- a/packages/stream_versions/src/note_exchange_test.ts
+++ b/packages/stream_versions/src/note_exchange_test.ts
@@ -102,6 +102,20 @@
       .to.deep.equal({ kind: "unknown", isPartial: true });
   });
 
+  // The error ended what recorded the note.
+  it("reports VMs that have no usable address", async () => {
+    const [first] = await startAll(1);
+    for (const rpc of ["127.0.0.1:99999", "127.0.0.1:-1", "odd"]) {
+      holders = [holders[0]!, { vmId: "odd", zone: "z0", rpc }];
+      first!.record([{ key: KEY, version: VERSION }]);
+      expect((await first!.find(`${rpc}`.padEnd(32, "0"))).kind)
+        .to.equal("unknown");
+    }
+    expect(errors.length).to.be.at.least(3);
+    expect(errors.every((error) => /expected IP:port/.test(error)))
+      .to.equal(true);
+  });
+
   it("reports bytes that are no datagram of a VM", async () => {
     await startAll(1);
     const socket = createSocket("udp4");
