--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -198,7 +198,8 @@
    * Node.js would answer in the place of one that runs.
    */
   #handleClientError({ code }: NodeJS.ErrnoException, socket: Socket): void {
-    const isOpen = socket.writable && code !== "ECONNRESET";
+    const isOpen = socket.writable && !socket.readableEnded &&
+      code !== "ECONNRESET";
     if (!isOpen) return void socket.destroy();
     const responses = this.#sockets.get(socket);
     if (responses === undefined || responses.size === 0) {
