--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -304,7 +304,7 @@
     this.#holdAnswer(this.#body.capacity);
   }
 
-  /** After an answer without an id, nothing would tell a second copy from the next one. */
+  /** A second copy of an answer without an id would pass for the next answer. */
   mayReuse(): boolean {
     return this.#answerMetadata.requestId !== undefined;
   }
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -97,7 +97,7 @@
 /** Status of an endpoint that could not fetch its inputs. */
 const STATUS_INPUTS_MISSING = 409;
 
-/** Statuses that tell callers that a request did not run and never will. */
+/** Statuses that promise callers that a request did not run and never will. */
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /** Sends a request to endpoints in turn until one answers or retries run out. */
