Test: bound a takeover's refusals by its span of silence, not by a late timer

Traced: the fifth call is that of the next span of silence, 40 ms after the first, as the test after this one expects; the test's own wait of 20 ms ended later than that.

As strict as before: no call beside the four within 20 ms of the first takeover; the decision after the third refusal is still "refused" and now holds whatever the machine does; each further call needs a decision of its own.

--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -85,6 +85,8 @@
 
 /** A request that an endpoint received. */
 export class SentCall {
+  /** Monotonic time at which it was sent. */
+  readonly at = performance.now();
   readonly endpointId: string;
   readonly lastEventId: string | undefined;
   readonly inputs: string;
--- a/packages/gateway/src/takeover_test.ts
+++ b/packages/gateway/src/takeover_test.ts
@@ -182,13 +182,22 @@
       (await harness.waitForCalls(i + 1))[i]!.refuse();
     }
     await wait(SILENCE_MS / 2);
-    expect(harness.calls.map(({ endpointId }) => endpointId))
+    const [, first] = harness.calls;
+    // On a busy machine the next time of silence may be over by now.
+    const inTime = harness.calls.filter(({ at }, i) =>
+      i <= takeover.MAX_REFUSALS || at < first!.at + SILENCE_MS / 2
+    );
+    expect(inTime.map(({ endpointId }) => endpointId))
       .to.deep.equal(["e0", "e1", "e2", "e3"]);
     expect(silent.isCancelled).to.equal(false);
     finish(silent, 2);
     expect((await result).kind).to.equal("streamed");
-    expect(harness.getDecisions())
+    const decisions = harness.getDecisions();
+    expect(decisions.slice(0, takeover.MAX_REFUSALS + 1))
       .to.deep.equal(["takeOver", "takeOver", "takeOver", "refused"]);
+    expect(harness.calls).to.have.length(
+      1 + decisions.filter((decision) => decision === "takeOver").length,
+    );
   });
 
   it("are tried again after the same time of silence", async () => {
