Log the connection and the address of an endpoint's refusal

Two sends of one request to two endpoint ids looked alike whether or not they shared an address or a connection. request_not_run now has the address and the number of the connection. No logic changes.

--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -334,7 +334,11 @@
         const call = new SentCall(request, sink);
         this.calls.push(call);
         const { areConnectionsReused: isReused = false } = this.#options;
-        sink.handleSent?.({ openedAt: performance.now(), isReused });
+        sink.handleSent?.({
+          openedAt: performance.now(),
+          isReused,
+          number: this.calls.length,
+        });
         return {
           cancel: () => {
             call.isCancelled = true;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -6,6 +6,7 @@
 import * as bufferBudget from "@sardinestep/buffer_budget";
 import * as endpointPaths from "@sardinestep/endpoint_paths";
 import * as serving from "@sardinestep/serving";
+import type { Address } from "@sardinestep/types";
 import { match } from "ts-pattern";
 import type { AnswerWriter, CompleteAnswer } from "./answer_writer.ts";
 import type { EndpointTracker } from "./endpoint_tracker.ts";
@@ -55,6 +56,10 @@
   readonly hasId: boolean;
   /** Its connection carried another request before. */
   readonly isReused: boolean;
+  /** Address of the endpoint when the request was sent. */
+  readonly address: Address;
+  /** Number of the connection among those that this VM opened. */
+  readonly connection: number;
 }
 
 /** Why a running attempt is cancelled. */
@@ -178,6 +183,7 @@
   /** Monotonic time at which its connection was open. */
   #openedAt = Infinity;
   #isReused = false;
+  #connectionNumber = 0;
   #status = 0;
   #headers: ReadonlyMap<string, string> = new Map();
   #answerMetadata: AnswerMetadata = { isNotRun: false, notices: {} };
@@ -248,9 +254,10 @@
       .exhaustive();
   }
 
-  handleSent({ openedAt, isReused }: SendConnection): void {
+  handleSent({ openedAt, isReused, number }: SendConnection): void {
     this.#openedAt = openedAt;
     this.#isReused = isReused;
+    this.#connectionNumber = number;
     this.#options.handleSent();
     // Once the process has crashed, nothing shows any more which version it was.
     if (this.#options.eventBuffer !== undefined) void this.#checkProcess();
@@ -315,6 +322,8 @@
       const proof = {
         hasId: requestId !== undefined,
         isReused: this.#isReused,
+        address: this.#options.endpoint.address,
+        connection: this.#connectionNumber,
       };
       const status = this.#status;
       return this.#finish({ kind: "notRun", status, proof }, undefined);
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -63,6 +63,8 @@
   readonly openedAt: number;
   /** Whether it carried another request before. */
   readonly isReused: boolean;
+  /** Its place in the order in which this VM opened connections. */
+  readonly number: number;
 }
 
 /** Receives an answer as it arrives. */
@@ -256,7 +258,11 @@
       newest.close();
     }
     this.#openedTotal += 1;
-    return new PoolConnection(request.address, this.#connect);
+    return new PoolConnection(
+      request.address,
+      this.#connect,
+      this.#openedTotal,
+    );
   }
 
   #isReusable({ isClosed, socket }: PoolConnection): boolean {
--- a/packages/gateway/src/pool_connection.ts
+++ b/packages/gateway/src/pool_connection.ts
@@ -14,6 +14,8 @@
 
 /** A connection with its state in the pool. */
 export class PoolConnection {
+  /** Its place in the order in which the pool opened connections, from 1. */
+  readonly number: number;
   /** The client of undici that has this connection alone. */
   readonly client: Client;
   /** Monotonic time at which the last request ended. */
@@ -27,8 +29,17 @@
   #isDirect = false;
   #isPaused = false;
 
-  /** @param address The endpoint. @param connect Opens the connection. */
-  constructor(address: Address, connect: endpointPaths.Connector) {
+  /**
+   * @param address The endpoint.
+   * @param connect Opens the connection.
+   * @param number Its place in the order of connections.
+   */
+  constructor(
+    address: Address,
+    connect: endpointPaths.Connector,
+    number: number,
+  ) {
+    this.number = number;
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
