Send a request again only on connections that have not carried it (REFUSED, TWICE)

Callers saw: a stream that may run once was answered 503 as not run, and ran; others ran twice and were answered 200.

Cause: a worker that starts again at its address mostly has a new id, and the entry before is listed until it lapses. The request for the old id got 421, and its connection was kept by address. The retry for the new id took that connection, since the guard of repeated sends asked for a new one by endpoint id. A late copy of the 421 has the id of the request, so it passed for the refusal of the second send.

Change: a request remembers the connections that have carried it; the pool gives none of these to its next send. A copy can only arrive on such a connection, whatever the endpoint's id, address or path.

The unit tests of repeated sends check each earlier connection in place of the flag for a new one: as strict, since no connection of an earlier send may be used.

--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -22,6 +22,7 @@
   type PoolRequest,
   PROCESS_STATE,
   type ProcessState,
+  type SendConnection,
 } from "./http_pool.ts";
 import type { PeerMesh } from "./peer_mesh.ts";
 import type { WireAdapter } from "./ports.ts";
@@ -90,15 +91,26 @@
   readonly endpointId: string;
   readonly lastEventId: string | undefined;
   readonly inputs: string;
-  readonly needsNewConnection: boolean;
+  /** The connection that carries it. */
+  readonly connection: SendConnection;
+  /** Whether that of an earlier call might have carried it. */
+  readonly mayUseEarlier: boolean;
   isCancelled = false;
   isPaused = false;
   readonly #sink: AnswerSink;
 
-  constructor(request: PoolRequest, sink: AnswerSink) {
-    const { address, headers } = request;
+  constructor(
+    request: PoolRequest,
+    sink: AnswerSink,
+    { connection, earlier }: {
+      readonly connection: SendConnection;
+      readonly earlier: readonly SentCall[];
+    },
+  ) {
+    const { address, headers, mayUse = () => true } = request;
     this.endpointId = address;
-    this.needsNewConnection = request.needsNewConnection ?? false;
+    this.connection = connection;
+    this.mayUseEarlier = earlier.some((call) => mayUse(call.connection));
     this.lastEventId = headers[0] || undefined;
     this.inputs = headers[1] ?? "";
     this.#sink = sink;
@@ -331,14 +343,16 @@
     const mesh: Partial<PeerMesh> = { countSenders: () => this.countSenders() };
     const pool: Partial<HttpPool> = {
       send: (request, sink) => {
-        const call = new SentCall(request, sink);
-        this.calls.push(call);
         const { areConnectionsReused: isReused = false } = this.#options;
-        sink.handleSent?.({
+        const connection = {
           openedAt: performance.now(),
           isReused,
-          number: this.calls.length,
-        });
+          number: this.calls.length + 1,
+        };
+        const earlier = [...this.calls];
+        const call = new SentCall(request, sink, { connection, earlier });
+        this.calls.push(call);
+        sink.handleSent?.(connection);
         return {
           cancel: () => {
             call.isCancelled = true;
--- a/packages/gateway/src/_slow_reader_harness.ts
+++ b/packages/gateway/src/_slow_reader_harness.ts
@@ -124,7 +124,7 @@
       leftMs: 60_000,
       senders: 1,
       maxIdleMs: 0,
-      isSentBefore: false,
+      usedConnections: new WeakSet(),
       isStream: arrived.path.startsWith("/stream"),
       isResume: false,
       handleSent: () => {},
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -106,8 +106,8 @@
   readonly leftMs: number;
   /** Longest idle time of a pooled connection that may be reused, in ms. */
   readonly maxIdleMs: number;
-  /** Whether the endpoint got this request before; answers to both have the same id. */
-  readonly isSentBefore: boolean;
+  /** Connections that have carried this request; answers to all its sends have one id. */
+  readonly usedConnections: WeakSet<SendConnection>;
   /** VMs that send requests to the endpoint. */
   readonly senders: number;
   /** Time without progress after which an endpoint is silent, in milliseconds. */
@@ -229,7 +229,7 @@
       }),
       body: request.body,
       maxIdleMs: this.#options.maxIdleMs,
-      needsNewConnection: this.#options.isSentBefore,
+      mayUse: (connection) => !this.#options.usedConnections.has(connection),
       checkProcess: this.#options.isStream
         ? () => processes.check(endpoint, performance.now())
         : undefined,
@@ -254,7 +254,9 @@
       .exhaustive();
   }
 
-  handleSent({ openedAt, isReused, number }: SendConnection): void {
+  handleSent(connection: SendConnection): void {
+    const { openedAt, isReused, number } = connection;
+    this.#options.usedConnections.add(connection);
     this.#openedAt = openedAt;
     this.#isReused = isReused;
     this.#connectionNumber = number;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -28,6 +28,7 @@
 import { pickAttemptEndpoint } from "./endpoint_choice.ts";
 import { EventBuffer } from "./event_buffer.ts";
 import { EVENT } from "./events.ts";
+import type { SendConnection } from "./http_pool.ts";
 import {
   buildStoppingRefusal,
   UNAVAILABLE_RETRY_AFTER_MS,
@@ -125,6 +126,7 @@
   #areInputsKept = true;
   /** Stage results with which each endpoint was last asked. */
   readonly #sentInputs = new Map<string, StagedInputs>();
+  readonly #usedConnections = new WeakSet<SendConnection>();
   /** Attempts in which the request may have run. */
   #attempts = 0;
   #connectFailures = 0;
@@ -243,7 +245,6 @@
     const leftMs = Math.max(1, Math.floor(request.timeoutMs - scope.ageMs));
     const eventBuffer = this.#openEventBuffer(isTakeover);
     if (!isTakeover) this.#triedIds.add(endpoint.id);
-    const isSentBefore = this.#sentInputs.has(endpoint.id);
     this.#sentInputs.set(endpoint.id, this.#staged);
     this.#deps.events.write(EVENT.requestSent, {
       requestId: request.requestId,
@@ -271,7 +272,7 @@
       inputs: this.#staged.inputs,
       leftMs,
       maxIdleMs: this.#isRetryable ? RETRYABLE_IDLE_MS : ONE_SHOT_IDLE_MS,
-      isSentBefore,
+      usedConnections: this.#usedConnections,
       senders: this.#deps.mesh.countSenders(),
       inactivityTimeoutMs: this.#getInactivityTimeoutMs(),
       isStream: route.kind === serving.ROUTE_KIND.stream,
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -41,6 +41,8 @@
   readonly maxIdleMs: number;
   /** Opens a connection on which no answer to an earlier request can arrive. */
   readonly needsNewConnection?: boolean;
+  /** Whether an idle connection may carry it; each may if unset. */
+  readonly mayUse?: (connection: SendConnection) => boolean;
   /**
    * Finds out whether the process that answered still runs. Set if the answer may end
    * with its connection; the sink checks its end.
@@ -140,7 +142,9 @@
  * at a time, and is closed after anything unexpected (bytes without a request, a
  * truncated answer, a reset). A duplicate answer that arrives in place of the next
  * one can only be detected by the request id that it echoes; the caller of this
- * class compares it, and sends a request again on a new connection only.
+ * class compares it, and sends a request again only on connections that have not
+ * carried it: neither the endpoint nor its address shows that, since a process that
+ * starts again at its address may have another id.
  *
  * An answer that is delimited only by the end of its connection counts as complete
  * only if its content shows its end, as events do, and the process that sent it still
@@ -246,17 +250,8 @@
   }
 
   #acquireConnection(request: PoolRequest): PoolConnection {
-    const idle = request.needsNewConnection === true
-      ? []
-      : this.#idleByAddress.get(request.address) ?? [];
-    const now = performance.now();
-    while (idle.length > 0) {
-      const newest = idle.at(-1)!;
-      if (!newest.isClosed && now - newest.idleSince > request.maxIdleMs) break;
-      idle.pop();
-      if (this.#isReusable(newest)) return newest;
-      newest.close();
-    }
+    const idle = this.#takeIdle(request);
+    if (idle !== undefined) return idle;
     this.#openedTotal += 1;
     return new PoolConnection(
       request.address,
@@ -265,6 +260,24 @@
     );
   }
 
+  /** Takes the newest idle connection that may carry a request. */
+  #takeIdle(request: PoolRequest): PoolConnection | undefined {
+    if (request.needsNewConnection === true) return undefined;
+    const idle = this.#idleByAddress.get(request.address) ?? [];
+    const idleSince = performance.now() - request.maxIdleMs;
+    for (let i = idle.length - 1; i >= 0; i--) {
+      const connection = idle[i]!;
+      const isTooOld = connection.idleSince < idleSince;
+      if (isTooOld && !connection.isClosed) return undefined;
+      const isReusable = this.#isReusable(connection);
+      if (isReusable && request.mayUse?.(connection) === false) continue;
+      idle.splice(i, 1);
+      if (isReusable) return connection;
+      connection.close();
+    }
+    return undefined;
+  }
+
   #isReusable({ isClosed, socket }: PoolConnection): boolean {
     return !isClosed && (socket === undefined || this.#mayReuse(socket));
   }
--- a/packages/gateway/src/http_pool_test.ts
+++ b/packages/gateway/src/http_pool_test.ts
@@ -9,6 +9,7 @@
   type PoolFailure,
   type PoolRequest,
   PROCESS_STATE,
+  type SendConnection,
 } from "./http_pool.ts";
 
 interface SendResult {
@@ -130,6 +131,25 @@
     expect(endpoint!.sockets).to.have.length(1);
   });
 
+  it("uses an older connection where the newest may not be used", async () => {
+    const address = await open((socket) =>
+      setTimeout(() => socket.write(COMPLETE_ANSWER), SETTLE_MS)
+    );
+    await Promise.all([send(address), send(address)]);
+    expect(endpoint!.sockets).to.have.length(2);
+    let newest: SendConnection | undefined;
+    await send(address, {
+      mayUse: (connection) => {
+        newest ??= connection;
+        return connection !== newest;
+      },
+    });
+    await send(address, { mayUse: (connection) => connection === newest });
+    expect(endpoint!.sockets).to.have.length(2);
+    await send(address, { mayUse: () => false });
+    expect(endpoint!.sockets).to.have.length(3);
+  });
+
   // An endpoint has crashed and its port is closed. undici then calls back without
   // a socket; accessing it crashed every VM that had a request for the endpoint.
   it("reports a refused connection as not sent", async () => {
