--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -135,11 +135,6 @@
     if (!this.isCancelled) this.#sink.handleEnd();
   }
 
-  /** Whether the connection may carry another request, by what was answered. */
-  mayReuse(): boolean {
-    return this.#sink.mayReuse?.() ?? true;
-  }
-
   refuse(status = STATUS_FULL): void {
     this.begin(status);
     this.end();
@@ -337,6 +332,7 @@
         requestId: this.#options.hasNoIds ? undefined : REQUEST_ID,
         signature: "s",
         isNotRun: NOT_RUN_STATUSES.has(status),
+        isMarkedNotRun: NOT_RUN_STATUSES.has(status),
         notices: {},
       }),
     };
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -50,10 +50,8 @@
   /** The request was ended first: the caller disconnected or the time ran out. */
   | { readonly kind: "ended" };
 
-/** What shows that an answer which says "not run" is the one to this request. */
+/** Where an answer arrived which says that the request did not run. */
 export interface NotRunProof {
-  /** It has the id of the request. */
-  readonly hasId: boolean;
   /** Its connection carried another request before. */
   readonly isReused: boolean;
   /** Address of the endpoint when the request was sent. */
@@ -186,7 +184,11 @@
   #connectionNumber = 0;
   #status = 0;
   #headers: ReadonlyMap<string, string> = new Map();
-  #answerMetadata: AnswerMetadata = { isNotRun: false, notices: {} };
+  #answerMetadata: AnswerMetadata = {
+    isNotRun: false,
+    isMarkedNotRun: false,
+    notices: {},
+  };
   readonly #body = new bufferBudget.GrowingBuffer();
   readonly #held: HeldAnswer;
   #releaseBody: (() => void) | undefined;
@@ -271,11 +273,7 @@
     this.#headers = headers;
     this.#answerMetadata = wire.readAnswer(status, headers);
     const { requestId, isNotRun, notices } = this.#answerMetadata;
-    // Without an id, only a connection that carried nothing else shows whose it is.
-    const isOwn = requestId === undefined
-      ? isNotRun && !this.#isReused
-      : requestId === request.requestId;
-    if (!isOwn) {
+    if (requestId !== request.requestId) {
       return this.#fail(
         requestId === undefined
           ? "Answer has no request id"
@@ -292,6 +290,9 @@
     if (isSuccess(status) && this.#answerMetadata.signature === undefined) {
       return this.#fail("Successful answer has no signature");
     }
+    if (isSuccess(status) && this.#answerMetadata.isMarkedNotRun) {
+      return this.#fail("Successful answer says that the request did not run");
+    }
     if (isSuccess(status)) {
       this.#options.handleBegun?.();
       this.#holdResume();
@@ -313,16 +314,9 @@
     this.#holdAnswer(this.#body.capacity);
   }
 
-  /** A second copy of an answer without an id would pass for the next answer. */
-  mayReuse(): boolean {
-    return this.#answerMetadata.requestId !== undefined;
-  }
-
   handleEnd(): void {
-    const { isNotRun, requestId } = this.#answerMetadata;
-    if (isNotRun) {
+    if (this.#answerMetadata.isNotRun) {
       const proof = {
-        hasId: requestId !== undefined,
         isReused: this.#isReused,
         address: this.#options.endpoint.address,
         connection: this.#connectionNumber,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -48,8 +48,10 @@
   readonly requestId?: string;
   /** Signature that proves the body to be the endpoint's own. */
   readonly signature?: string;
-  /** The endpoint states that the request did not run. */
+  /** The endpoint states that the request did not run, with a status that may say so. */
   readonly isNotRun: boolean;
+  /** It states so, with any status. */
+  readonly isMarkedNotRun: boolean;
   readonly notices: EndpointNotices;
 }
 
