Find the endpoint that started last at an address

Rate limits of releases, notices in their answers, tunnels and lost paths find an endpoint by its address.

--- a/packages/serving/src/endpoint_directory.ts
+++ b/packages/serving/src/endpoint_directory.ts
@@ -178,11 +178,16 @@
     return this.#endpoints.get(id)?.endpoint;
   }
 
-  /** Finds an endpoint by its address. */
+  /**
+   * Finds the endpoint that started last at an address; the record of one before it may
+   * not have lapsed yet.
+   */
   findByAddress(address: Address): ServingEndpoint | undefined {
     this.#byAddress ??= new Map(
       [...this.#endpoints.values()]
-        .map(({ endpoint }) => [endpoint.address, endpoint]),
+        .map(({ endpoint }) => endpoint)
+        .sort((a, b) => (a.bornMs ?? 0) - (b.bornMs ?? 0))
+        .map((endpoint) => [endpoint.address, endpoint]),
     );
     return this.#byAddress.get(address);
   }
--- a/packages/serving/src/endpoint_directory_test.ts
+++ b/packages/serving/src/endpoint_directory_test.ts
@@ -90,6 +90,22 @@
   });
 });
 
+describe("two endpoints at one address", () => {
+  // Limits and notices of a worker were counted to the process before it.
+  for (const order of [["before", "after"], ["after", "before"]]) {
+    it(`are the newer one by their address (${order})`, () => {
+      const directory = new EndpointDirectory();
+      for (const id of order) {
+        const bornMs = id === "after" ? 2 : 1;
+        directory.update(buildEndpoint(id, { address: "a:1", bornMs }), 0);
+      }
+      expect(directory.findByAddress("a:1")?.id).to.equal("after");
+      directory.remove("before", 10);
+      expect(directory.findByAddress("a:1")?.id).to.equal("after");
+    });
+  }
+});
+
 describe("an endpoint directory after a restore of the registry", () => {
   const build = (sequence: number, more: Partial<ServingEndpoint> = {}) =>
     buildEndpoint("e1", { sequence, ...more });
