--- a/packages/gateway/src/staged_takeover_test.ts
+++ b/packages/gateway/src/staged_takeover_test.ts
@@ -136,7 +136,11 @@
     await wait(0);
     endRerun(NEW_INPUTS);
     const [, , next] = await harness.waitForCalls(3) as SentCall[];
-    expect(next!.inputs).to.equal("new");
+    expect(next).to.include({
+      inputs: "new",
+      endpointId: refusing!.endpointId,
+      mayUseEarlier: false,
+    });
     next!.begin();
     finish(next!, 1);
     expect((await result).kind).to.equal("streamed");
