Avoid an endpoint whose address another process has

Callers saw: 503 "Endpoints refused the request" and retries used up while a worker was back at its address under another id. The entry of the process before refuses at once with 421, so it has no requests in flight and is the first choice of each request until it lapses.

Change: a 421 is evidence against the endpoint that was named; it is avoided for 1 to 3 s, as one that breaks is, but isn't taken for cold and its path isn't checked.

--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -45,8 +45,9 @@
 const STATUS_FULL = 503;
 /** Status of an endpoint that could not read stage results. */
 export const STATUS_INPUTS_MISSING = 409;
+const STATUS_MISDIRECTED = 421;
 const NOT_RUN_STATUSES = new Set([
-  421,
+  STATUS_MISDIRECTED,
   429,
   STATUS_FULL,
   STATUS_INPUTS_MISSING,
@@ -333,6 +334,7 @@
         signature: "s",
         isNotRun: NOT_RUN_STATUSES.has(status),
         isMarkedNotRun: NOT_RUN_STATUSES.has(status),
+        isMisdirected: status === STATUS_MISDIRECTED,
         notices: {},
       }),
     };
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -187,6 +187,7 @@
   #answerMetadata: AnswerMetadata = {
     isNotRun: false,
     isMarkedNotRun: false,
+    isMisdirected: false,
     notices: {},
   };
   readonly #body = new bufferBudget.GrowingBuffer();
@@ -315,14 +316,17 @@
   }
 
   handleEnd(): void {
-    if (this.#answerMetadata.isNotRun) {
+    const { isNotRun, isMisdirected } = this.#answerMetadata;
+    if (isNotRun) {
       const proof = {
         isReused: this.#isReused,
         address: this.#options.endpoint.address,
         connection: this.#connectionNumber,
       };
       const status = this.#status;
-      return this.#finish({ kind: "notRun", status, proof }, undefined);
+      // Idle as it is, a stale endpoint would be the first choice of each request.
+      const evidence = isMisdirected ? serving.EVIDENCE.misdirected : undefined;
+      return this.#finish({ kind: "notRun", status, proof }, evidence);
     }
     if (this.#options.isStream && isSuccess(this.#status)) {
       return this.#endStream();
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -52,6 +52,8 @@
   readonly isNotRun: boolean;
   /** It states so, with any status. */
   readonly isMarkedNotRun: boolean;
+  /** Another process than the endpoint's answered. */
+  readonly isMisdirected: boolean;
   readonly notices: EndpointNotices;
 }
 
--- a/packages/serving/src/endpoint_health.ts
+++ b/packages/serving/src/endpoint_health.ts
@@ -15,6 +15,8 @@
   failed: "failed",
   /** No answer, a truncated or invalid one, or no connection. */
   broken: "broken",
+  /** Another process has its address. */
+  misdirected: "misdirected",
 } as const;
 /** A value of {@link EVIDENCE}. */
 export type Evidence = typeof EVIDENCE[keyof typeof EVIDENCE];
@@ -51,12 +53,13 @@
   /** Records how a request ended. */
   record(evidence: Evidence, now: number): void {
     const isGood = evidence === EVIDENCE.good;
+    const isBroken = evidence === EVIDENCE.broken ||
+      evidence === EVIDENCE.misdirected;
     const value = isGood ? 0 : 1;
     this.#failedShare += NEWEST_ANSWER_WEIGHT * (value - this.#failedShare);
     if (isGood) this.#consecutiveBroken = 0;
-    if (evidence === EVIDENCE.broken) this.#consecutiveBroken += 1;
-    const isUnhealthy = evidence === EVIDENCE.broken ||
-      this.#failedShare >= AVOID_SHARE;
+    if (isBroken) this.#consecutiveBroken += 1;
+    const isUnhealthy = isBroken || this.#failedShare >= AVOID_SHARE;
     if (!isGood && isUnhealthy) this.#avoid(now);
   }
 
