Copy the parts of a body, and take turns where they are small

Callers saw a VM end under their requests: one body inside the limits, 4 MB in chunks of 1 byte, was enough, or 150 left open of 10 KB.

Cause: each part of a body was kept as an object of its own, some hundred bytes for a byte of body, and the budget counted its length. The parts of one read also kept the thread for as long as they took.

BodyReader copies parts into a GrowingBuffer and counts its blocks. A connection that has delivered 1,000 parts pauses until all other events are handled, and one connection at a time goes on.

--- a/packages/buffer_budget/src/buffer_budget.ts
+++ b/packages/buffer_budget/src/buffer_budget.ts
@@ -56,6 +56,13 @@
   readonly unreadMs: number;
 }
 
+/** What has arrived of a body. */
+export interface BodyProgress {
+  /** Memory that the body takes, which may exceed its length. */
+  readonly heldBytes: number;
+  readonly receivedBytes: number;
+}
+
 /** Whether a response is read on, after room was made if that was needed. */
 export type RelayStep = Exclude<RelayDecision, { kind: "makeRoom" }>;
 
@@ -205,6 +212,16 @@
     return this.unreadBytes === 0 ? 0 : this.#budget.now - this.#readAt;
   }
 
+  /** Counts what has arrived of the body that is being read. */
+  recordBody({ heldBytes }: BodyProgress): void {
+    this.add(BUFFER_KIND.body, heldBytes - this.#heldBytes.body);
+  }
+
+  /** Ends the body. @param heldBytes Memory that it takes from now on, in bytes. */
+  endBody(heldBytes: number): void {
+    this.add(BUFFER_KIND.body, heldBytes - this.#heldBytes.body);
+  }
+
   /** Counts bytes as held; has no effect once the account is closed. */
   add(kind: BufferKind, bytes: number): void {
     if (this.#isClosed) return;
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -15,10 +15,16 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { AnswerWriter } from "./answer_writer.ts";
+import {
+  BodyReader,
+  type BodyResult,
+  createSizeFailure,
+} from "./body_reader.ts";
 import { ConnectionCloses } from "./connection_closes.ts";
 import { EVENT } from "./events.ts";
 import type { WireAdapter } from "./ports.ts";
 import type { ArrivedRequest } from "./flow_types.ts";
+import { ReadTurns } from "./read_turns.ts";
 import { END_REASON, type EndReason, RequestScope } from "./request_scope.ts";
 import type { SiteState } from "./site_state.ts";
 import { type Truncation, TRUNCATION_CAUSE } from "./truncation.ts";
@@ -38,8 +44,6 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 /** Timeout for receiving a complete request with its body, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 30_000;
-/** Retry delay for callers when the body buffers are full, in milliseconds. */
-const BODY_MEMORY_RETRY_AFTER_MS = 500;
 /** Connections that the kernel queues until they are accepted. */
 const LISTEN_BACKLOG = 1_024;
 
@@ -78,6 +82,7 @@
   readonly #closes = new ConnectionCloses<Socket>();
   /** Connections that are closed after the answers that are due. */
   readonly #broken = new WeakSet<Socket>();
+  readonly #turns = new ReadTurns();
   /** Requests whose responses are not closed yet, with the writers of these. */
   readonly #scopes = new Map<RequestScope, AnswerWriter>();
   readonly #budget: bufferBudget.BufferBudget;
@@ -262,7 +267,7 @@
     });
     this.#applyLimits();
     const body = await this.#readBody(request, account);
-    if ("failure" in body) {
+    if (body.kind === "failed") {
       mustClose = true;
       writer.writeFailure(body.failure);
       this.#recordRefusal(request, body.failure);
@@ -336,37 +341,20 @@
   }
 
   /** Reads the body into memory, unless it exceeds a limit. */
-  async #readBody(
+  #readBody(
     request: IncomingMessage,
     account: bufferBudget.BufferAccount,
-  ): Promise<{ bytes: Uint8Array } | { failure: codes.Failure }> {
+  ): Promise<BodyResult> {
+    const reader = new BodyReader(request, {
+      budget: this.#budget,
+      account,
+      turns: this.#turns,
+      maxBytes: this.#options.site.table?.limits.maxBodyBytes,
+    });
+    const reading = reader.read();
     const refusal = this.#checkRequestHead(request);
-    if (refusal !== undefined) return { failure: refusal };
-    const limit = this.#options.site.table?.limits.maxBodyBytes;
-    const chunks: Uint8Array[] = [];
-    let bytes = 0;
-    try {
-      for await (const chunk of request) {
-        bytes += chunk.length;
-        account.add(bufferBudget.BUFFER_KIND.body, chunk.length);
-        const failure = this.#checkBodySize(bytes, limit);
-        if (failure !== undefined) {
-          account.release(bufferBudget.BUFFER_KIND.body, bytes);
-          return { failure };
-        }
-        chunks.push(chunk);
-      }
-    } catch {
-      // The caller disconnected, so nobody will read this failure.
-      account.release(bufferBudget.BUFFER_KIND.body, bytes);
-      return {
-        failure: codes.createFailure(
-          "INVALID_REQUEST",
-          "The connection closed before the body was complete",
-        ),
-      };
-    }
-    return { bytes: Buffer.concat(chunks) };
+    if (refusal !== undefined) reader.fail(refusal);
+    return reading;
   }
 
   #checkRequestHead(request: IncomingMessage): codes.Failure | undefined {
@@ -378,8 +366,7 @@
     }
     const limits = this.#options.site.table?.limits;
     if (limits === undefined) return undefined;
-    const headerBytes = request.rawHeaders
-      .reduce((sum, text) => sum + text.length + HEADER_SEPARATOR_BYTES, 0);
+    const headerBytes = countHeadBytes(request.rawHeaders);
     if (headerBytes > limits.maxHeaderBytes) {
       return codes.createFailure(
         "HEADERS_TOO_LARGE",
@@ -387,29 +374,9 @@
       );
     }
     const length = Number(request.headers["content-length"] ?? 0);
-    return this.#checkBodySize(length, limits.maxBodyBytes);
-  }
-
-  /**
-   * Checks a body against the configured limit and the memory for all bodies.
-   *
-   * Callers may send many large bodies at once, and each stays in memory until its
-   * response is closed; without this limit the process could run out of memory.
-   */
-  #checkBodySize(
-    bytes: number,
-    limit: number | undefined,
-  ): codes.Failure | undefined {
-    if (limit !== undefined && bytes > limit) {
-      return codes.createFailure(
-        "BODY_TOO_LARGE",
-        `Body of ${bytes} bytes exceeds the limit of ${limit} bytes`,
-      );
-    }
-    if (this.#budget.hasRoom()) return undefined;
-    return codes.createFailure("QUEUE_FULL", "Request body memory is full", {
-      retryAfterMs: BODY_MEMORY_RETRY_AFTER_MS,
-    });
+    return length > limits.maxBodyBytes
+      ? createSizeFailure(length, limits.maxBodyBytes)
+      : undefined;
   }
 
   #handleInternalError(
@@ -454,6 +421,12 @@
 /** Added to each name and value: a colon, a space and CR LF for every pair. */
 const HEADER_SEPARATOR_BYTES = 2;
 
+/** Returns the bytes of a head as its caller sent it, without the first line. */
+function countHeadBytes(rawHeaders: readonly string[]): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length, 0) +
+    rawHeaders.length * HEADER_SEPARATOR_BYTES;
+}
+
 function hasBody(request: IncomingMessage): boolean {
   return request.headers["content-length"] !== undefined ||
     request.headers["transfer-encoding"] !== undefined;
