Let bodies that stall give way to others

Callers got "Request body memory is full" for as long as twelve connections held bodies that stop just short of their end.

Cause: a full budget refuses whoever asks last; who holds the memory and stands still is never asked to go.

planBodyEvictions picks incomplete bodies, the largest that stalls longest first, until the body in need has room; that one is refused if it would be first itself. A step of progress is 4 KB, so that a byte now and then is none. The caller gets 503 with Retry-After, which is true: a body that is incomplete was never sent.

--- a/packages/buffer_budget/src/buffer_budget.ts
+++ b/packages/buffer_budget/src/buffer_budget.ts
@@ -6,6 +6,7 @@
 import { type AnswerDecision, decideAnswer } from "./decide_answer.ts";
 import { decideRelay, type RelayDecision } from "./decide_relay.ts";
 import { EndpointBytes } from "./endpoint_bytes.ts";
+import { planBodyEvictions } from "./plan_body_evictions.ts";
 import { planEvictions } from "./plan_evictions.ts";
 
 /** What bytes are held for. */
@@ -25,6 +26,8 @@
  * stops reading must leave most of it to requests for others.
  */
 const ENDPOINT_SHARE = 0.25;
+/** Bytes of a body that count as a step of progress. */
+const BODY_PROGRESS_BYTES = 4_096;
 /** Interval of checks for room that no response could be ended for, in ms. */
 const NO_ROOM_CHECK_MS = 250;
 
@@ -77,6 +80,7 @@
   #nextId = 1;
   #evictedTotal = 0;
   #pausedTotal = 0;
+  #cancelledBodiesTotal = 0;
   #tickAt: number | undefined;
   #processPausedMs = 0;
 
@@ -119,6 +123,16 @@
     return this.#pausedTotal;
   }
 
+  /** Bodies that gave way to others before their end. */
+  get cancelledBodiesTotal(): number {
+    return this.#cancelledBodiesTotal;
+  }
+
+  /** Bodies that are being read. */
+  get incompleteBodies(): number {
+    return this.#findIncompleteBodies().length;
+  }
+
   /** Bytes held of all kinds. */
   get heldBytes(): number {
     const { body, answer, unread } = this.#heldBytes;
@@ -153,11 +167,32 @@
 
   /**
    * Whether what is held is within the limit, if need be after responses to callers
-   * that don't read were ended.
+   * that don't read were ended, or incomplete bodies that stall.
+   *
+   * @param needing Account of the body that needs room; without it no body gives way.
    */
-  hasRoom(): boolean {
+  hasRoom(needing?: BufferAccount): boolean {
     const excessBytes = this.heldBytes - this.limitBytes;
-    return excessBytes <= 0 || this.releaseUnread(excessBytes);
+    if (excessBytes <= 0 || this.releaseUnread(excessBytes)) return true;
+    return needing !== undefined && this.#cancelBodies(needing, excessBytes);
+  }
+
+  #cancelBodies(needing: BufferAccount, neededBytes: number): boolean {
+    const bodies = this.#findIncompleteBodies()
+      .map(({ id, bodyBytes, stalledMs }) => ({
+        id,
+        heldBytes: bodyBytes,
+        stalledMs,
+      }));
+    const ids = planBodyEvictions(bodies, { id: needing.id, neededBytes });
+    this.#cancelledBodiesTotal += ids.length;
+    for (const id of ids) this.#accounts.get(id)?.cancelBody();
+    return ids.length > 0;
+  }
+
+  #findIncompleteBodies(): BufferAccount[] {
+    return [...this.#accounts.values()]
+      .filter((account) => account.isReadingBody);
   }
 
   /** Ends responses to callers that don't read; false if that can't free enough. */
@@ -185,6 +220,11 @@
   #allowanceBytes = 0;
   #pausedAt: number | undefined;
   #isClosed = false;
+  /** Ends the body that is being read; undefined if none is. */
+  #cancelBody: (() => void) | undefined;
+  /** Bytes of the body at its last step of progress, and when that was. */
+  #progressBytes = 0;
+  #progressAt = 0;
 
   /** @param budget The budget. @param handlers Callbacks of the budget. */
   constructor(budget: BufferBudget, handlers: AccountHandlers) {
@@ -212,16 +252,46 @@
     return this.unreadBytes === 0 ? 0 : this.#budget.now - this.#readAt;
   }
 
+  /** Whether a body is being read. */
+  get isReadingBody(): boolean {
+    return this.#cancelBody !== undefined;
+  }
+
+  /** Memory that the body takes, in bytes. */
+  get bodyBytes(): number {
+    return this.#heldBytes.body;
+  }
+
+  /** Time since the last progress of the body that is being read, in ms. */
+  get stalledMs(): number {
+    return this.isReadingBody ? this.#budget.now - this.#progressAt : 0;
+  }
+
+  /** Begins a body. @param cancel Ends it to free its memory. */
+  startBody(cancel: () => void): void {
+    this.#cancelBody = cancel;
+    this.#progressAt = this.#budget.now;
+  }
+
   /** Counts what has arrived of the body that is being read. */
-  recordBody({ heldBytes }: BodyProgress): void {
+  recordBody({ heldBytes, receivedBytes }: BodyProgress): void {
     this.add(BUFFER_KIND.body, heldBytes - this.#heldBytes.body);
+    if (receivedBytes - this.#progressBytes < BODY_PROGRESS_BYTES) return;
+    this.#progressBytes = receivedBytes;
+    this.#progressAt = this.#budget.now;
   }
 
   /** Ends the body. @param heldBytes Memory that it takes from now on, in bytes. */
   endBody(heldBytes: number): void {
+    this.#cancelBody = undefined;
     this.add(BUFFER_KIND.body, heldBytes - this.#heldBytes.body);
   }
 
+  /** Ends the body that is being read to free its memory. */
+  cancelBody(): void {
+    this.#cancelBody?.();
+  }
+
   /** Counts bytes as held; has no effect once the account is closed. */
   add(kind: BufferKind, bytes: number): void {
     if (this.#isClosed) return;
--- a/packages/buffer_budget/src/mod.ts
+++ b/packages/buffer_budget/src/mod.ts
@@ -9,4 +9,5 @@
 export * from "./decide_relay.ts";
 export * from "./endpoint_bytes.ts";
 export * from "./growing_buffer.ts";
+export * from "./plan_body_evictions.ts";
 export * from "./plan_evictions.ts";
--- a/packages/gateway/src/body_reader.ts
+++ b/packages/gateway/src/body_reader.ts
@@ -27,7 +27,7 @@
 }
 
 /**
- * Reads one body, until it is complete, or too large.
+ * Reads one body, until it is complete, too large, or gives way to others.
  *
  * Parts are copied: a part that is kept takes some hundred bytes, however short.
  */
@@ -53,7 +53,8 @@
   /** Reads to the end. */
   read(): Promise<BodyResult> {
     const request = this.#request;
-    const { budget } = this.#options;
+    const { account, budget } = this.#options;
+    account.startBody(() => this.fail(createMemoryFailure()));
     return new Promise((resolve) => {
       this.#resolve = resolve;
       request.on("data", this.#handlePart);
@@ -61,7 +62,7 @@
       // A connection that ends early is no fault of the process.
       request.on("error", this.#handleBroken);
       request.once("close", this.#handleBroken);
-      if (!budget.hasRoom()) this.fail(createMemoryFailure());
+      if (!budget.hasRoom(account)) this.fail(createMemoryFailure());
     });
   }
 
@@ -80,7 +81,7 @@
     this.#bytes.append(part);
     const heldBytes = this.#bytes.capacity;
     account.recordBody({ heldBytes, receivedBytes });
-    if (heldBytes > capacity && !budget.hasRoom()) {
+    if (heldBytes > capacity && !budget.hasRoom(account)) {
       return this.fail(createMemoryFailure());
     }
     this.#turn.countPart();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -507,6 +507,8 @@
     const { budget } = this.#ingress;
     const gauges: Record<string, number> = {
       requests_active: this.#ingress.activeRequests,
+      bodies_in_progress: budget.incompleteBodies,
+      bodies_cancelled_total: budget.cancelledBodiesTotal,
       held_body_bytes: budget.getHeldBytes("body"),
       held_answer_bytes: budget.getHeldBytes("answer"),
       held_unread_bytes: budget.getHeldBytes("unread"),
