End requests whose bodies can't be parsed, and keep the answers before them

Callers that sent trailers without end, or a chunk without a size, got no answer and no close, and were read on (40 of 40 connections open, at the thread's cost). Behind a request that ran, such bytes cost it its answer: 4 of 4 were reset.

Cause: errors of the parser, and the request timeout, put the connection into a list that waits for its open responses; the one that waits for the broken body never came. And a close with unread bytes resets a connection, so that its caller loses what was written before.

The error ends the reading of the body now, with the status that names it. What follows a broken request is read up to 64 KB and then left in the kernel. Such a connection, and one whose request was refused before its body had arrived, closes a second after the end of its answer. CallerConnections holds what Ingress held of connections.

--- a/packages/gateway/src/body_reader.ts
+++ b/packages/gateway/src/body_reader.ts
@@ -50,6 +50,11 @@
     };
   }
 
+  /** Whether bytes are missing and none have made up a step of progress lately. */
+  get stalledMs(): number {
+    return this.#options.account.stalledMs;
+  }
+
   /** Reads to the end. */
   read(): Promise<BodyResult> {
     const request = this.#request;
@@ -66,6 +71,11 @@
     });
   }
 
+  /** The same as {@link fail}, unless the whole body has arrived. */
+  failIncomplete(failure: codes.Failure): void {
+    if (!this.#request.complete) this.fail(failure);
+  }
+
   /** Ends the reading; the caller gets the failure. */
   fail(failure: codes.Failure): void {
     this.#settle({ kind: "failed", failure }, 0);
--- /dev/null
+++ b/packages/gateway/src/caller_connections.ts
@@ -0,0 +1,191 @@
+/**
+ * The connections of callers, from their accept to their close.
+ *
+ * @module
+ */
+import * as codes from "@sardinestep/codes";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { BodyReader } from "./body_reader.ts";
+
+/** Bytes that are read behind a broken request; a close is seen until then. */
+const MAX_BROKEN_BYTES = 65_536;
+/** Time for a caller to read its refusal while it still sends a body, in ms. */
+const LINGER_MS = 1_000;
+/** The same in bytes, of what it sends. */
+const MAX_LINGER_BYTES = 8 * 1_048_576;
+
+/** Why a connection was closed before or instead of a request. */
+export const CLOSE_CAUSE = {
+  /** Its bytes can't be parsed, or exceed a limit. */
+  invalid: "invalid",
+  /** A head or a body took too long. */
+  slow: "slow",
+} as const;
+/** A value of {@link CLOSE_CAUSE}. */
+export type CloseCause = typeof CLOSE_CAUSE[keyof typeof CLOSE_CAUSE];
+
+/** Options of {@link CallerConnections}. */
+export interface CallerConnectionsOptions {
+  readonly handleClosed: (cause: CloseCause) => void;
+}
+
+/** Answers to bytes that are no request, by the error of Node.js. */
+const CLIENT_ERROR_STATUSES: ReadonlyMap<string, string> = new Map([
+  ["ERR_HTTP_REQUEST_TIMEOUT", "408 Request Timeout"],
+  ["HPE_HEADER_OVERFLOW", "431 Request Header Fields Too Large"],
+  ["HPE_CHUNK_EXTENSIONS_OVERFLOW", "413 Payload Too Large"],
+]);
+
+interface TrackedConnection {
+  /** Closes each of its open responses. */
+  readonly closeHandlers: Set<() => void>;
+  /** Reads the body of the newest request; undefined if none is incomplete. */
+  reader?: BodyReader;
+  /** Bytes received up to the error behind which no request follows. */
+  brokenBytes?: number;
+}
+
+/** Keeps the connections of callers within their limits. */
+export class CallerConnections {
+  readonly #options: CallerConnectionsOptions;
+  readonly #connections = new Map<Socket, TrackedConnection>();
+
+  /** @param options Limits, and what is called when a connection is closed. */
+  constructor(options: CallerConnectionsOptions) {
+    this.#options = options;
+  }
+
+  /** Number of open connections. */
+  get size(): number {
+    return this.#connections.size;
+  }
+
+  /** Closes every connection at once. */
+  destroy(): void {
+    for (const socket of this.#connections.keys()) socket.destroy();
+  }
+
+  /** Adds a connection that was accepted; another may close for it. */
+  add(socket: Socket): void {
+    const closeHandlers = new Set<() => void>();
+    this.#connections.set(socket, { closeHandlers });
+    socket.once("close", () => {
+      this.#connections.delete(socket);
+      // Node.js closes only the response that is being written.
+      process.nextTick(() => {
+        for (const handle of [...closeHandlers]) handle();
+      });
+    });
+  }
+
+  /** Calls a function once when a response is closed, or its connection is. */
+  addResponse(response: ServerResponse, handleClose: () => void): void {
+    const { socket } = response.req;
+    const connection = this.#connections.get(socket);
+    const handle = () => {
+      connection?.closeHandlers.delete(handle);
+      response.off("close", handle);
+      handleClose();
+      if (connection?.closeHandlers.size !== 0) return;
+      if (connection.brokenBytes !== undefined) closeGently(socket);
+    };
+    connection?.closeHandlers.add(handle);
+    response.once("close", handle);
+  }
+
+  /** Reads a body; bytes that break the request end the reading. */
+  async readBody(
+    request: IncomingMessage,
+    reader: BodyReader,
+  ): ReturnType<BodyReader["read"]> {
+    const { socket } = request;
+    const connection = this.#connections.get(socket);
+    if (connection !== undefined) connection.reader = reader;
+    const result = await reader.read();
+    if (connection !== undefined) connection.reader = undefined;
+    if (result.kind === "failed") {
+      if (connection !== undefined) connection.brokenBytes ??= socket.bytesRead;
+      dropRest(request);
+    }
+    return result;
+  }
+
+  /**
+   * Closes a connection whose bytes are no request, after the answers to those before:
+   * Node.js would answer in the place of one that runs.
+   */
+  handleClientError({ code }: NodeJS.ErrnoException, socket: Socket): void {
+    const isOpen = socket.writable && !socket.readableEnded &&
+      code !== "ECONNRESET";
+    if (!isOpen) return void socket.destroy();
+    const connection = this.#connections.get(socket);
+    if (connection?.brokenBytes !== undefined) {
+      // Bytes that stay in the kernel cost nothing.
+      const bytes = socket.bytesRead - connection.brokenBytes;
+      if (bytes > MAX_BROKEN_BYTES) socket.pause();
+      return;
+    }
+    const isSlow = code === "ERR_HTTP_REQUEST_TIMEOUT";
+    this.#options.handleClosed(isSlow ? CLOSE_CAUSE.slow : CLOSE_CAUSE.invalid);
+    if (connection === undefined || connection.closeHandlers.size === 0) {
+      return closeWith(
+        socket,
+        CLIENT_ERROR_STATUSES.get(code ?? "") ?? "400 Bad Request",
+      );
+    }
+    connection.brokenBytes = socket.bytesRead;
+    connection.reader?.failIncomplete(createBrokenFailure(code));
+  }
+}
+
+/** Reads on behind a request that is refused, so that its caller gets the refusal. */
+function dropRest(request: IncomingMessage): void {
+  const { socket } = request;
+  const maxBytes = socket.bytesRead + MAX_LINGER_BYTES;
+  socket.destroySoon = () => closeGently(socket);
+  request.on("data", () => {
+    if (socket.bytesRead > maxBytes) request.pause();
+  });
+}
+
+/**
+ * Closes a connection once its caller has had time to read the last answer: a close
+ * with unread bytes resets the connection.
+ */
+function closeGently(socket: Socket): void {
+  socket.end();
+  const timer = setTimeout(() => socket.destroy(), LINGER_MS);
+  socket.once("close", () => clearTimeout(timer));
+}
+
+/** Writes a status in place of an answer, and closes the connection. */
+function closeWith(socket: Socket, status: string): void {
+  socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+  socket.destroySoon();
+}
+
+function createBrokenFailure(code: string | undefined): codes.Failure {
+  switch (code) {
+    case "ERR_HTTP_REQUEST_TIMEOUT":
+      return codes.createFailure(
+        "CALLER_TOO_SLOW",
+        "The body did not arrive in time",
+      );
+    case "HPE_HEADER_OVERFLOW":
+      return codes.createFailure(
+        "HEADERS_TOO_LARGE",
+        "The trailers exceed the limit of a head",
+      );
+    case "HPE_CHUNK_EXTENSIONS_OVERFLOW":
+      return codes.createFailure(
+        "BODY_TOO_LARGE",
+        "The extensions of a chunk exceed the limit",
+      );
+    default:
+      return codes.createFailure(
+        "INVALID_REQUEST",
+        `The body can't be parsed: ${code}`,
+      );
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -507,6 +507,7 @@
     const { budget } = this.#ingress;
     const gauges: Record<string, number> = {
       requests_active: this.#ingress.activeRequests,
+      caller_connections_open: this.#ingress.connectionCount,
       bodies_in_progress: budget.incompleteBodies,
       bodies_cancelled_total: budget.cancelledBodiesTotal,
       held_body_bytes: budget.getHeldBytes("body"),
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -20,6 +20,7 @@
   type BodyResult,
   createSizeFailure,
 } from "./body_reader.ts";
+import { CallerConnections } from "./caller_connections.ts";
 import { ConnectionCloses } from "./connection_closes.ts";
 import { EVENT } from "./events.ts";
 import type { WireAdapter } from "./ports.ts";
@@ -47,13 +48,6 @@
 /** Connections that the kernel queues until they are accepted. */
 const LISTEN_BACKLOG = 1_024;
 
-/** Answers to bytes that are no request, by the error of Node.js. */
-const CLIENT_ERROR_STATUSES: ReadonlyMap<string, string> = new Map([
-  ["ERR_HTTP_REQUEST_TIMEOUT", "408 Request Timeout"],
-  ["HPE_HEADER_OVERFLOW", "431 Request Header Fields Too Large"],
-  ["HPE_CHUNK_EXTENSIONS_OVERFLOW", "413 Payload Too Large"],
-]);
-
 /** Options of {@link Ingress}. */
 export interface IngressOptions {
   readonly wire: WireAdapter;
@@ -77,11 +71,8 @@
 export class Ingress {
   readonly #options: IngressOptions;
   readonly #server: Server;
-  /** Open connections, with what closes each of their open responses. */
-  readonly #sockets = new Map<Socket, Set<() => void>>();
+  readonly #connections: CallerConnections;
   readonly #closes = new ConnectionCloses<Socket>();
-  /** Connections that are closed after the answers that are due. */
-  readonly #broken = new WeakSet<Socket>();
   readonly #turns = new ReadTurns();
   /** Requests whose responses are not closed yet, with the writers of these. */
   readonly #scopes = new Map<RequestScope, AnswerWriter>();
@@ -95,6 +86,10 @@
     this.#budget = new bufferBudget.BufferBudget(
       options.budget ?? { limitBytes: MAX_BUFFERED_BODY_BYTES },
     );
+    this.#connections = new CallerConnections({
+      handleClosed: (cause) =>
+        options.metrics.count("caller_connections_closed_total", { cause }),
+    });
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_MS,
@@ -105,11 +100,11 @@
     }, (request, response) => {
       void this.#handleRequest(request, response);
     });
-    this.#server.on("connection", (socket) => this.#trackSocket(socket));
+    this.#server.on("connection", (socket) => this.#connections.add(socket));
     this.#server.on(
       "clientError",
       (error: NodeJS.ErrnoException, socket) =>
-        this.#handleClientError(error, socket as Socket),
+        this.#connections.handleClientError(error, socket as Socket),
     );
     // Tunnels (CONNECT) and protocol upgrades are not supported.
     this.#server.on("connect", (_request, socket) => socket.destroy());
@@ -121,6 +116,11 @@
     return this.#scopes.size;
   }
 
+  /** Number of open connections. */
+  get connectionCount(): number {
+    return this.#connections.size;
+  }
+
   /** What is held for callers and endpoints. */
   get budget(): bufferBudget.BufferBudget {
     return this.#budget;
@@ -183,52 +183,7 @@
     for (const writer of this.#scopes.values()) {
       writer.abort({ cause: TRUNCATION_CAUSE.exit });
     }
-    for (const socket of this.#sockets.keys()) socket.destroy();
-  }
-
-  #trackSocket(socket: Socket): void {
-    const handlers = new Set<() => void>();
-    this.#sockets.set(socket, handlers);
-    socket.once("close", () => {
-      this.#sockets.delete(socket);
-      // Node.js closes only the response that is being written.
-      process.nextTick(() => {
-        for (const handle of [...handlers]) handle();
-      });
-    });
-  }
-
-  /**
-   * Closes a connection whose bytes are no request, after the answers to those before:
-   * Node.js would answer in the place of one that runs.
-   */
-  #handleClientError({ code }: NodeJS.ErrnoException, socket: Socket): void {
-    const isOpen = socket.writable && !socket.readableEnded &&
-      code !== "ECONNRESET";
-    if (!isOpen) return void socket.destroy();
-    const responses = this.#sockets.get(socket);
-    if (responses === undefined || responses.size === 0) {
-      const status = CLIENT_ERROR_STATUSES.get(code ?? "") ?? "400 Bad Request";
-      socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
-      return void socket.destroySoon();
-    }
-    this.#broken.add(socket);
-  }
-
-  /** Calls a function once when a response is closed, or its connection is. */
-  #addCloseHandler(response: ServerResponse, handleClose: () => void): void {
-    const handlers = this.#sockets.get(response.req.socket);
-    const handle = () => {
-      handlers?.delete(handle);
-      response.off("close", handle);
-      handleClose();
-      const { socket } = response.req;
-      if (handlers?.size === 0 && this.#broken.has(socket)) {
-        socket.destroySoon();
-      }
-    };
-    handlers?.add(handle);
-    response.once("close", handle);
+    this.#connections.destroy();
   }
 
   async #handleRequest(
@@ -260,7 +215,7 @@
         this.#recordTruncation(request, { writer, scope, truncation }),
     });
     this.#scopes.set(scope, writer);
-    this.#addCloseHandler(response, () => {
+    this.#connections.addResponse(response, () => {
       this.#scopes.delete(scope);
       account.close();
       if (!response.writableFinished) scope.end(END_REASON.callerDisconnected);
@@ -351,7 +306,7 @@
       turns: this.#turns,
       maxBytes: this.#options.site.table?.limits.maxBodyBytes,
     });
-    const reading = reader.read();
+    const reading = this.#connections.readBody(request, reader);
     const refusal = this.#checkRequestHead(request);
     if (refusal !== undefined) reader.fail(refusal);
     return reading;
