Don't wait for bodies that stall when a VM stops

Cause: a request whose body is incomplete counted as work, and the end of the requests didn't end the reading of bodies.

A body without progress for a second isn't waited for, and the stop ends it with "shutting down", which is true: nothing of it has run.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -345,7 +345,7 @@
     const pieces = [...this.#leaders.values()]
       .reduce((sum, leader) => sum + leader.size, 0);
     return !this.#hasAnnouncedStop ||
-      this.#ingress.activeRequests > 0 || pieces > 0 ||
+      this.#ingress.progressingRequests > 0 || pieces > 0 ||
       this.reach.tunnelCount > 0;
   }
 
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -23,6 +23,7 @@
 import { CallerConnections } from "./caller_connections.ts";
 import { ConnectionCloses } from "./connection_closes.ts";
 import { EVENT } from "./events.ts";
+import { buildStoppingRefusal } from "./final_answer.ts";
 import type { WireAdapter } from "./ports.ts";
 import type { ArrivedRequest } from "./flow_types.ts";
 import { ReadTurns } from "./read_turns.ts";
@@ -45,6 +46,8 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 /** Timeout for receiving a complete request with its body, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 30_000;
+/** Time without progress after which a stop doesn't wait for a body, in ms. */
+const MIN_STALLED_MS = 1_000;
 /** Connections that the kernel queues until they are accepted. */
 const LISTEN_BACKLOG = 1_024;
 
@@ -61,6 +64,12 @@
   readonly budget?: bufferBudget.BufferBudgetOptions;
 }
 
+/** A request whose response is not closed. */
+interface OpenRequest {
+  readonly writer: AnswerWriter;
+  readonly account: bufferBudget.BufferAccount;
+}
+
 /**
  * Accepts connections of callers and reads their requests.
  *
@@ -74,8 +83,8 @@
   readonly #connections: CallerConnections;
   readonly #closes = new ConnectionCloses<Socket>();
   readonly #turns = new ReadTurns();
-  /** Requests whose responses are not closed yet, with the writers of these. */
-  readonly #scopes = new Map<RequestScope, AnswerWriter>();
+  /** Requests whose responses are not closed yet. */
+  readonly #requests = new Map<RequestScope, OpenRequest>();
   readonly #budget: bufferBudget.BufferBudget;
   /** Monotonic time at which the VM began to stop; undefined before. */
   #drainingSince: number | undefined;
@@ -113,7 +122,13 @@
 
   /** Number of requests that have no final answer yet. */
   get activeRequests(): number {
-    return this.#scopes.size;
+    return this.#requests.size;
+  }
+
+  /** The same without those whose bodies stall, of which nothing has run. */
+  get progressingRequests(): number {
+    return [...this.#requests.values()]
+      .filter(({ account }) => account.stalledMs < MIN_STALLED_MS).length;
   }
 
   /** Number of open connections. */
@@ -155,7 +170,7 @@
    * @returns Number of requests that were ended.
    */
   endUnanswered(reason: EndReason): number {
-    const unanswered = [...this.#scopes].filter(([, writer]) =>
+    const unanswered = [...this.#requests].filter(([, { writer }]) =>
       !writer.hasStarted
     );
     return endScopes(unanswered.map(([scope]) => scope), reason);
@@ -168,7 +183,7 @@
    * @returns Number of requests that were ended.
    */
   endRequests(reason: EndReason): number {
-    return endScopes([...this.#scopes.keys()], reason);
+    return endScopes([...this.#requests.keys()], reason);
   }
 
   /** Stops listening and closes idle connections. */
@@ -180,7 +195,7 @@
   /** Stops listening and closes every connection at once. */
   destroy(): void {
     this.#server.close();
-    for (const writer of this.#scopes.values()) {
+    for (const { writer } of this.#requests.values()) {
       writer.abort({ cause: TRUNCATION_CAUSE.exit });
     }
     this.#connections.destroy();
@@ -214,14 +229,14 @@
       handleTruncation: (truncation) =>
         this.#recordTruncation(request, { writer, scope, truncation }),
     });
-    this.#scopes.set(scope, writer);
+    this.#requests.set(scope, { writer, account });
     this.#connections.addResponse(response, () => {
-      this.#scopes.delete(scope);
+      this.#requests.delete(scope);
       account.close();
       if (!response.writableFinished) scope.end(END_REASON.callerDisconnected);
     });
     this.#applyLimits();
-    const body = await this.#readBody(request, account);
+    const body = await this.#readBody(request, { account, scope });
     if (body.kind === "failed") {
       mustClose = true;
       writer.writeFailure(body.failure);
@@ -298,7 +313,10 @@
   /** Reads the body into memory, unless it exceeds a limit. */
   #readBody(
     request: IncomingMessage,
-    account: bufferBudget.BufferAccount,
+    { account, scope }: {
+      readonly account: bufferBudget.BufferAccount;
+      readonly scope: RequestScope;
+    },
   ): Promise<BodyResult> {
     const reader = new BodyReader(request, {
       budget: this.#budget,
@@ -309,6 +327,9 @@
     const reading = this.#connections.readBody(request, reader);
     const refusal = this.#checkRequestHead(request);
     if (refusal !== undefined) reader.fail(refusal);
+    scope.addEndListener((reason) => {
+      if (reason === END_REASON.stopping) reader.fail(buildStoppingRefusal());
+    });
     return reading;
   }
 
