Close connections that send bytes without a request

Cause: the parser skips empty lines before a head, so that the timeouts of the HTTP server don't begin, and any byte resets its idle timeout.

Twice a second, decideFate compares what has arrived behind the last request with what a head may be in size and time. Above that the connection closes, with 400 or 408, or after the answers that are due.

--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -3,11 +3,14 @@
  *
  * @module
  */
+import * as callerConnections from "@sardinestep/caller_connections";
 import * as codes from "@sardinestep/codes";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { BodyReader } from "./body_reader.ts";
 
+/** Interval of checks for bytes without a request, in milliseconds. */
+const CHECK_INTERVAL_MS = 500;
 /** Bytes that are read behind a broken request; a close is seen until then. */
 const MAX_BROKEN_BYTES = 65_536;
 /** Time for a caller to read its refusal while it still sends a body, in ms. */
@@ -17,6 +20,8 @@
 
 /** Why a connection was closed before or instead of a request. */
 export const CLOSE_CAUSE = {
+  /** Bytes behind its last request are none. */
+  stray: "stray",
   /** Its bytes can't be parsed, or exceed a limit. */
   invalid: "invalid",
   /** A head or a body took too long. */
@@ -27,6 +32,8 @@
 
 /** Options of {@link CallerConnections}. */
 export interface CallerConnectionsOptions {
+  /** Limits of the configuration in force, or of the time before it. */
+  readonly getLimits: () => callerConnections.StrayLimits;
   readonly handleClosed: (cause: CloseCause) => void;
 }
 
@@ -40,6 +47,12 @@
 interface TrackedConnection {
   /** Closes each of its open responses. */
   readonly closeHandlers: Set<() => void>;
+  /** Monotonic time since which it has no request. */
+  idleSince: number;
+  /** Whether a request has arrived on it. */
+  isUsed: boolean;
+  /** Bytes received up to the end of the last request. */
+  requestBytes: number;
   /** Reads the body of the newest request; undefined if none is incomplete. */
   reader?: BodyReader;
   /** Bytes received up to the error behind which no request follows. */
@@ -50,6 +63,7 @@
 export class CallerConnections {
   readonly #options: CallerConnectionsOptions;
   readonly #connections = new Map<Socket, TrackedConnection>();
+  #checkTimer: NodeJS.Timeout | undefined;
 
   /** @param options Limits, and what is called when a connection is closed. */
   constructor(options: CallerConnectionsOptions) {
@@ -61,15 +75,27 @@
     return this.#connections.size;
   }
 
+  /** Starts the checks for bytes without a request. */
+  start(): void {
+    this.#checkTimer = setInterval(() => this.#check(), CHECK_INTERVAL_MS);
+    this.#checkTimer.unref();
+  }
+
   /** Closes every connection at once. */
   destroy(): void {
+    clearInterval(this.#checkTimer);
     for (const socket of this.#connections.keys()) socket.destroy();
   }
 
   /** Adds a connection that was accepted; another may close for it. */
   add(socket: Socket): void {
     const closeHandlers = new Set<() => void>();
-    this.#connections.set(socket, { closeHandlers });
+    this.#connections.set(socket, {
+      closeHandlers,
+      idleSince: performance.now(),
+      isUsed: false,
+      requestBytes: 0,
+    });
     socket.once("close", () => {
       this.#connections.delete(socket);
       // Node.js closes only the response that is being written.
@@ -88,8 +114,10 @@
       response.off("close", handle);
       handleClose();
       if (connection?.closeHandlers.size !== 0) return;
+      connection.idleSince = performance.now();
       if (connection.brokenBytes !== undefined) closeGently(socket);
     };
+    if (connection !== undefined) connection.isUsed = true;
     connection?.closeHandlers.add(handle);
     response.once("close", handle);
   }
@@ -103,7 +131,10 @@
     const connection = this.#connections.get(socket);
     if (connection !== undefined) connection.reader = reader;
     const result = await reader.read();
-    if (connection !== undefined) connection.reader = undefined;
+    if (connection !== undefined) {
+      connection.reader = undefined;
+      connection.requestBytes = socket.bytesRead;
+    }
     if (result.kind === "failed") {
       if (connection !== undefined) connection.brokenBytes ??= socket.bytesRead;
       dropRest(request);
@@ -137,6 +168,35 @@
     connection.brokenBytes = socket.bytesRead;
     connection.reader?.failIncomplete(createBrokenFailure(code));
   }
+
+  #check(): void {
+    const limits = this.#options.getLimits();
+    const now = performance.now();
+    for (const [socket, tracked] of [...this.#connections]) {
+      if (tracked.brokenBytes !== undefined) continue;
+      const fate = callerConnections.decideFate({
+        use: getUse(tracked),
+        strayBytes: socket.bytesRead - tracked.requestBytes,
+      }, { limits, now });
+      switch (fate.kind) {
+        case "open":
+          break;
+        case "refuse":
+          this.#options.handleClosed(CLOSE_CAUSE.stray);
+          closeWith(socket, "400 Bad Request");
+          break;
+        case "timeOut":
+          this.#options.handleClosed(CLOSE_CAUSE.slow);
+          closeWith(socket, "408 Request Timeout");
+          break;
+        case "closeAfterAnswers":
+          this.#options.handleClosed(CLOSE_CAUSE.stray);
+          tracked.brokenBytes = socket.bytesRead;
+          socket.pause();
+          break;
+      }
+    }
+  }
 }
 
 /** Reads on behind a request that is refused, so that its caller gets the refusal. */
@@ -165,6 +225,15 @@
   socket.destroySoon();
 }
 
+function getUse(tracked: TrackedConnection): callerConnections.ConnectionUse {
+  const { reader, closeHandlers, isUsed, idleSince: since } = tracked;
+  if (reader !== undefined) {
+    return { kind: "reading", stalledMs: reader.stalledMs };
+  }
+  if (closeHandlers.size > 0) return { kind: "running" };
+  return { kind: isUsed ? "idle" : "unused", since };
+}
+
 function createBrokenFailure(code: string | undefined): codes.Failure {
   switch (code) {
     case "ERR_HTTP_REQUEST_TIMEOUT":
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as bufferBudget from "@sardinestep/buffer_budget";
+import type * as callerConnections from "@sardinestep/caller_connections";
 import * as codes from "@sardinestep/codes";
 import type * as logger from "@sardinestep/logger";
 import type * as metrics from "@sardinestep/metrics";
@@ -96,6 +97,7 @@
       options.budget ?? { limitBytes: MAX_BUFFERED_BODY_BYTES },
     );
     this.#connections = new CallerConnections({
+      getLimits: () => this.#getStrayLimits(),
       handleClosed: (cause) =>
         options.metrics.count("caller_connections_closed_total", { cause }),
     });
@@ -143,6 +145,7 @@
 
   /** Starts listening. */
   start(host: string, port: number): Promise<void> {
+    this.#connections.start();
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
       this.#server.listen({ host, port, backlog: LISTEN_BACKLOG }, () => {
@@ -310,6 +313,15 @@
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
+  #getStrayLimits(): callerConnections.StrayLimits {
+    const { headersTimeout, keepAliveTimeout } = this.#server;
+    return {
+      maxHeaderBytes: MAX_HEADER_BYTES,
+      headerTimeoutMs: headersTimeout,
+      idleTimeoutMs: keepAliveTimeout,
+    };
+  }
+
   /** Reads the body into memory, unless it exceeds a limit. */
   #readBody(
     request: IncomingMessage,
