Bound the connections of callers

300 connections that sent nothing took all of 150 descriptors: connections to workers found none, and ordinary requests were reset.

Cause: no number bounded connections.

Callers may hold half of the descriptors that are left besides 200 for files; each request that runs needs one for its worker as well. Above that the connection that is unused for longest closes, then the one whose body stalls for longest, with 503; never one whose request runs, nor one that is idle between two requests. If there is none to close, the newest is refused.

On VMs of 250 MB or more bodies and answers keep their 48 MB, on those of 160 MB they have 32. With 4,100 descriptors the limit is 1,950 connections.

--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -17,9 +17,13 @@
 const LINGER_MS = 1_000;
 /** The same in bytes, of what it sends. */
 const MAX_LINGER_BYTES = 8 * 1_048_576;
+/** Retry delay for callers of a VM that has no descriptors left, in seconds. */
+const REFUSED_RETRY_AFTER_S = 0.5;
 
 /** Why a connection was closed before or instead of a request. */
 export const CLOSE_CAUSE = {
+  /** Callers hold as many connections as they may. */
+  excess: "excess",
   /** Bytes behind its last request are none. */
   stray: "stray",
   /** Its bytes can't be parsed, or exceed a limit. */
@@ -32,6 +36,7 @@
 
 /** Options of {@link CallerConnections}. */
 export interface CallerConnectionsOptions {
+  readonly maxConnections: number;
   /** Limits of the configuration in force, or of the time before it. */
   readonly getLimits: () => callerConnections.StrayLimits;
   readonly handleClosed: (cause: CloseCause) => void;
@@ -97,12 +102,13 @@
       requestBytes: 0,
     });
     socket.once("close", () => {
-      this.#connections.delete(socket);
+      this.#drop(socket);
       // Node.js closes only the response that is being written.
       process.nextTick(() => {
         for (const handle of [...closeHandlers]) handle();
       });
     });
+    if (this.size > this.#options.maxConnections) this.#closeExcess(socket);
   }
 
   /** Calls a function once when a response is closed, or its connection is. */
@@ -169,6 +175,25 @@
     connection.reader?.failIncomplete(createBrokenFailure(code));
   }
 
+  #closeExcess(newest: Socket): void {
+    const others = [...this.#connections]
+      .filter(([socket]) => socket !== newest)
+      .map(([socket, tracked]) => ({
+        connection: socket,
+        use: getUse(tracked),
+      }));
+    const picked = callerConnections.pickExcess(others, performance.now());
+    this.#options.handleClosed(CLOSE_CAUSE.excess);
+    const closed = picked ?? newest;
+    // It counts no more, though its close comes later.
+    this.#drop(closed);
+    closeWith(closed, REFUSED_STATUS);
+  }
+
+  #drop(socket: Socket): void {
+    this.#connections.delete(socket);
+  }
+
   #check(): void {
     const limits = this.#options.getLimits();
     const now = performance.now();
@@ -199,6 +224,9 @@
   }
 }
 
+const REFUSED_STATUS =
+  `503 Service Unavailable\r\nRetry-After: ${REFUSED_RETRY_AFTER_S}`;
+
 /** Reads on behind a request that is refused, so that its caller gets the refusal. */
 function dropRest(request: IncomingMessage): void {
   const { socket } = request;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type * as callerConnections from "@sardinestep/caller_connections";
 import type * as endpointPaths from "@sardinestep/endpoint_paths";
 import * as forecast from "@sardinestep/forecast";
 import * as limitLoans from "@sardinestep/limit_loans";
@@ -52,6 +53,8 @@
   readonly zone: string;
   /** Number of processor cores of this VM. */
   readonly cores: number;
+  /** Memory and descriptors of this VM; those of a small one if unset. */
+  readonly vmLimits?: callerConnections.VmLimits;
   readonly listen: GatewayListen;
   /** JSON-RPC addresses of VMs that may be members. */
   readonly seeds: readonly Address[];
@@ -202,6 +205,7 @@
       metrics: this.metrics,
       runRequest: (request) => runRequest(deps, request),
       isContended: () => this.isContended,
+      vmLimits: options.vmLimits,
     });
   }
 
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as bufferBudget from "@sardinestep/buffer_budget";
-import type * as callerConnections from "@sardinestep/caller_connections";
+import * as callerConnections from "@sardinestep/caller_connections";
 import * as codes from "@sardinestep/codes";
 import type * as logger from "@sardinestep/logger";
 import type * as metrics from "@sardinestep/metrics";
@@ -34,12 +34,6 @@
 
 /** Hard limit of the header size, in bytes; the configured limit is lower. */
 const MAX_HEADER_BYTES = 65_536;
-/**
- * Limit of all buffered request bodies and answers, and on a contended site of
- * unread responses too, in bytes: a fifth of the smallest VM's memory, next to
- * about 120 MB of the runtime and the socket buffers.
- */
-export const MAX_BUFFERED_BODY_BYTES = 48 * 1_048_576;
 /** How often connections are checked for header timeouts, in milliseconds. */
 const HEADER_TIMEOUT_CHECK_MS = 500;
 /** Timeouts until a configuration is known, in milliseconds. */
@@ -61,7 +55,9 @@
   readonly runRequest: (request: ArrivedRequest) => Promise<void>;
   /** Whether unread responses share the budget of bodies and answers. */
   readonly isContended: () => boolean;
-  /** By default {@link MAX_BUFFERED_BODY_BYTES} are held at most; for tests. */
+  /** Resources of the VM; those of a small one if unset. */
+  readonly vmLimits?: callerConnections.VmLimits;
+  /** Planned from the resources of the VM if unset; for tests. */
   readonly budget?: bufferBudget.BufferBudgetOptions;
 }
 
@@ -93,10 +89,14 @@
   /** @param options Handler, configuration and log. */
   constructor(options: IngressOptions) {
     this.#options = options;
+    const capacity = callerConnections.planCallerCapacity(
+      options.vmLimits ?? callerConnections.DEFAULT_VM_LIMITS,
+    );
     this.#budget = new bufferBudget.BufferBudget(
-      options.budget ?? { limitBytes: MAX_BUFFERED_BODY_BYTES },
+      options.budget ?? { limitBytes: capacity.maxBufferedBytes },
     );
     this.#connections = new CallerConnections({
+      maxConnections: capacity.maxConnections,
       getLimits: () => this.#getStrayLimits(),
       handleClosed: (cause) =>
         options.metrics.count("caller_connections_closed_total", { cause }),
