Count the heads of requests

1,500 header lines of 60,000 bytes without end took a VM to 161 MB, 600 running requests of 990 short header lines each to 172 MB; a VM may have 160.

Cause: heads were counted by nobody. The parser keeps up to 64 KB of each connection, and makes strings of header lines, many times their bytes.

They are counted as they arrive, since one turn of the event loop reads more than a VM has. The head of a request that runs counts toward the budget of bodies and answers, at the size of its strings.

--- a/packages/buffer_budget/src/buffer_budget.ts
+++ b/packages/buffer_budget/src/buffer_budget.ts
@@ -11,6 +11,8 @@
 
 /** What bytes are held for. */
 export const BUFFER_KIND = {
+  /** The head of a caller's request. */
+  head: "head",
   /** The body of a caller's request. */
   body: "body",
   /** An answer that is read to its end before it is passed on. */
@@ -76,7 +78,7 @@
   readonly endpoints: EndpointBytes;
   readonly #getNow: () => number;
   readonly #accounts = new Map<number, BufferAccount>();
-  readonly #heldBytes = { body: 0, answer: 0, unread: 0 };
+  readonly #heldBytes = { head: 0, body: 0, answer: 0, unread: 0 };
   #nextId = 1;
   #evictedTotal = 0;
   #pausedTotal = 0;
@@ -135,8 +137,8 @@
 
   /** Bytes held of all kinds. */
   get heldBytes(): number {
-    const { body, answer, unread } = this.#heldBytes;
-    return body + answer + unread;
+    const { head, body, answer, unread } = this.#heldBytes;
+    return head + body + answer + unread;
   }
 
   /** Bytes held of one kind. */
@@ -215,7 +217,7 @@
 export class BufferAccount {
   readonly #budget: BufferBudget;
   readonly #handlers: AccountHandlers;
-  readonly #heldBytes = { body: 0, answer: 0, unread: 0 };
+  readonly #heldBytes = { head: 0, body: 0, answer: 0, unread: 0 };
   #readAt = 0;
   #allowanceBytes = 0;
   #pausedAt: number | undefined;
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -37,6 +37,8 @@
 /** Options of {@link CallerConnections}. */
 export interface CallerConnectionsOptions {
   readonly maxConnections: number;
+  /** Most bytes of incomplete heads, of all connections. */
+  readonly maxHeadBytes: number;
   /** Limits of the configuration in force, or of the time before it. */
   readonly getLimits: () => callerConnections.StrayLimits;
   readonly handleClosed: (cause: CloseCause) => void;
@@ -68,6 +70,9 @@
 export class CallerConnections {
   readonly #options: CallerConnectionsOptions;
   readonly #connections = new Map<Socket, TrackedConnection>();
+  /** Bytes of incomplete heads, the one that began first in front. */
+  readonly #heads = new Map<Socket, number>();
+  #headBytes = 0;
   #checkTimer: NodeJS.Timeout | undefined;
 
   /** @param options Limits, and what is called when a connection is closed. */
@@ -101,6 +106,8 @@
       isUsed: false,
       requestBytes: 0,
     });
+    // Heads have to be counted as they arrive, before a timer could.
+    socket.on("data", () => this.#countHead(socket));
     socket.once("close", () => {
       this.#drop(socket);
       // Node.js closes only the response that is being written.
@@ -192,6 +199,32 @@
 
   #drop(socket: Socket): void {
     this.#connections.delete(socket);
+    this.#setHeadBytes(socket, 0);
+  }
+
+  /** Counts what has arrived of a head; the oldest ones close if all are too large. */
+  #countHead(socket: Socket): void {
+    const tracked = this.#connections.get(socket);
+    if (tracked === undefined) return;
+    const isHead = tracked.reader === undefined &&
+      tracked.brokenBytes === undefined;
+    this.#setHeadBytes(
+      socket,
+      isHead ? socket.bytesRead - tracked.requestBytes : 0,
+    );
+    while (this.#headBytes > this.#options.maxHeadBytes) {
+      const [oldest] = this.#heads.keys();
+      if (oldest === undefined) return;
+      this.#options.handleClosed(CLOSE_CAUSE.excess);
+      this.#drop(oldest);
+      closeWith(oldest, REFUSED_STATUS);
+    }
+  }
+
+  #setHeadBytes(socket: Socket, bytes: number): void {
+    this.#headBytes += bytes - (this.#heads.get(socket) ?? 0);
+    if (bytes === 0) this.#heads.delete(socket);
+    else this.#heads.set(socket, bytes);
   }
 
   #check(): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -514,6 +514,7 @@
       caller_connections_open: this.#ingress.connectionCount,
       bodies_in_progress: budget.incompleteBodies,
       bodies_cancelled_total: budget.cancelledBodiesTotal,
+      held_head_bytes: budget.getHeldBytes("head"),
       held_body_bytes: budget.getHeldBytes("body"),
       held_answer_bytes: budget.getHeldBytes("answer"),
       held_unread_bytes: budget.getHeldBytes("unread"),
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -97,6 +97,7 @@
     );
     this.#connections = new CallerConnections({
       maxConnections: capacity.maxConnections,
+      maxHeadBytes: capacity.maxHeadBytes,
       getLimits: () => this.#getStrayLimits(),
       handleClosed: (cause) =>
         options.metrics.count("caller_connections_closed_total", { cause }),
@@ -232,6 +233,11 @@
       handleTruncation: (truncation) =>
         this.#recordTruncation(request, { writer, scope, truncation }),
     });
+    const { rawHeaders } = request;
+    account.add(
+      bufferBudget.BUFFER_KIND.head,
+      countHeadBytes(rawHeaders) + rawHeaders.length * HEADER_STRING_BYTES,
+    );
     this.#requests.set(scope, { writer, account });
     this.#connections.addResponse(response, () => {
       this.#requests.delete(scope);
@@ -408,6 +414,8 @@
 
 /** Added to each name and value: a colon, a space and CR LF for every pair. */
 const HEADER_SEPARATOR_BYTES = 2;
+/** Memory that a name or value takes beside its text, copies included, in bytes. */
+const HEADER_STRING_BYTES = 128;
 
 /** Returns the bytes of a head as its caller sent it, without the first line. */
 function countHeadBytes(rawHeaders: readonly string[]): number {
