Carry every line of a head within the limit

A request with 1,100 short header lines, 10 KB of the 16 KB allowed, lost all lines after the first 1,000: 401, as its key was among them; a deadline, an id or a priority would be lost without a word.

Cause: Node.js keeps 1,000 header lines by default and drops the rest.

The limit of a head is its size; no number bounds its lines. The test failed before and passes now.

--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -112,6 +112,8 @@
     }, (request, response) => {
       void this.#handleRequest(request, response);
     });
+    // By default Node.js drops header lines after the first 1,000.
+    this.#server.maxHeadersCount = 0;
     this.#server.on("connection", (socket) => this.#connections.add(socket));
     this.#server.on(
       "clientError",
