Log and count connections that are closed before a request

Operators saw nothing of connections that were refused or cut before a request, nor of bodies in progress or bytes of heads.

--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -34,6 +34,9 @@
 /** A value of {@link CLOSE_CAUSE}. */
 export type CloseCause = typeof CLOSE_CAUSE[keyof typeof CLOSE_CAUSE];
 
+/** Numbers of connections by the cause of their close. */
+export type CloseCounts = Readonly<Partial<Record<CloseCause, number>>>;
+
 /** Options of {@link CallerConnections}. */
 export interface CallerConnectionsOptions {
   readonly maxConnections: number;
@@ -41,7 +44,8 @@
   readonly maxHeadBytes: number;
   /** Limits of the configuration in force, or of the time before it. */
   readonly getLimits: () => callerConnections.StrayLimits;
-  readonly handleClosed: (cause: CloseCause) => void;
+  /** Called at intervals with the connections that were closed since. */
+  readonly handleClosed: (counts: CloseCounts) => void;
 }
 
 /** Answers to bytes that are no request, by the error of Node.js. */
@@ -74,6 +78,7 @@
   readonly #heads = new Map<Socket, number>();
   #headBytes = 0;
   #checkTimer: NodeJS.Timeout | undefined;
+  #closeCounts: Partial<Record<CloseCause, number>> = {};
 
   /** @param options Limits, and what is called when a connection is closed. */
   constructor(options: CallerConnectionsOptions) {
@@ -171,7 +176,7 @@
       return;
     }
     const isSlow = code === "ERR_HTTP_REQUEST_TIMEOUT";
-    this.#options.handleClosed(isSlow ? CLOSE_CAUSE.slow : CLOSE_CAUSE.invalid);
+    this.#countClose(isSlow ? CLOSE_CAUSE.slow : CLOSE_CAUSE.invalid);
     if (connection === undefined || connection.closeHandlers.size === 0) {
       return closeWith(
         socket,
@@ -190,7 +195,7 @@
         use: getUse(tracked),
       }));
     const picked = callerConnections.pickExcess(others, performance.now());
-    this.#options.handleClosed(CLOSE_CAUSE.excess);
+    this.#countClose(CLOSE_CAUSE.excess);
     const closed = picked ?? newest;
     // It counts no more, though its close comes later.
     this.#drop(closed);
@@ -215,7 +220,7 @@
     while (this.#headBytes > this.#options.maxHeadBytes) {
       const [oldest] = this.#heads.keys();
       if (oldest === undefined) return;
-      this.#options.handleClosed(CLOSE_CAUSE.excess);
+      this.#countClose(CLOSE_CAUSE.excess);
       this.#drop(oldest);
       closeWith(oldest, REFUSED_STATUS);
     }
@@ -227,7 +232,18 @@
     else this.#heads.set(socket, bytes);
   }
 
+  #countClose(cause: CloseCause): void {
+    this.#closeCounts[cause] = (this.#closeCounts[cause] ?? 0) + 1;
+  }
+
   #check(): void {
+    this.#closeStray();
+    if (Object.keys(this.#closeCounts).length === 0) return;
+    this.#options.handleClosed(this.#closeCounts);
+    this.#closeCounts = {};
+  }
+
+  #closeStray(): void {
     const limits = this.#options.getLimits();
     const now = performance.now();
     for (const [socket, tracked] of [...this.#connections]) {
@@ -240,15 +256,15 @@
         case "open":
           break;
         case "refuse":
-          this.#options.handleClosed(CLOSE_CAUSE.stray);
+          this.#countClose(CLOSE_CAUSE.stray);
           closeWith(socket, "400 Bad Request");
           break;
         case "timeOut":
-          this.#options.handleClosed(CLOSE_CAUSE.slow);
+          this.#countClose(CLOSE_CAUSE.slow);
           closeWith(socket, "408 Request Timeout");
           break;
         case "closeAfterAnswers":
-          this.#options.handleClosed(CLOSE_CAUSE.stray);
+          this.#countClose(CLOSE_CAUSE.stray);
           tracked.brokenBytes = socket.bytesRead;
           socket.pause();
           break;
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -46,6 +46,7 @@
   streamStarted: "stream_started",
   requestAnswered: "request_answered",
   requestCancelled: "request_cancelled",
+  connectionsClosed: "connections_closed",
   responseEvicted: "response_evicted",
   responseTruncated: "response_truncated",
   stageQueued: "stage_queued",
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -21,7 +21,7 @@
   type BodyResult,
   createSizeFailure,
 } from "./body_reader.ts";
-import { CallerConnections } from "./caller_connections.ts";
+import { CallerConnections, type CloseCounts } from "./caller_connections.ts";
 import { ConnectionCloses } from "./connection_closes.ts";
 import { EVENT } from "./events.ts";
 import { buildStoppingRefusal } from "./final_answer.ts";
@@ -99,8 +99,7 @@
       maxConnections: capacity.maxConnections,
       maxHeadBytes: capacity.maxHeadBytes,
       getLimits: () => this.#getStrayLimits(),
-      handleClosed: (cause) =>
-        options.metrics.count("caller_connections_closed_total", { cause }),
+      handleClosed: (counts) => this.#recordClosed(counts),
     });
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -272,6 +271,19 @@
     }
   }
 
+  /** Records connections that were closed before or instead of a request. */
+  #recordClosed(counts: CloseCounts): void {
+    const { events, metrics } = this.#options;
+    for (const [cause, count] of Object.entries(counts)) {
+      metrics.count("caller_connections_closed_total", { cause }, count);
+    }
+    events.write(EVENT.connectionsClosed, {
+      ...counts,
+      open: this.#connections.size,
+      heldBytes: this.#budget.heldBytes,
+    });
+  }
+
   /** Opens the account of a request; it closes with the response. */
   #openAccount(
     request: IncomingMessage,
