Count trailers, and read connections without a whole request in turns

1,000 requests with 60 KB of short trailer lines, left open, ended a VM.

Cause: since every line of a head is kept, so is every line of a trailer, and only heads were counted. What the parser holds for a connection is freed between two turns of the event loop only, so that closes in the same turn come too late, however exact the count.

Bytes behind the last part of a body count like an incomplete head. Connections without a whole request wait for their turn after each read: 32 new ones in a turn of the loop, one of those that send bytes behind a part. The parser keeps as many lines as a head within its limit can have (a quarter of its bytes); a head with more is refused for its size. Trailers that are complete are dropped, as they are not passed on.

--- a/packages/gateway/src/body_reader.ts
+++ b/packages/gateway/src/body_reader.ts
@@ -11,6 +11,9 @@
 /** Retry delay for callers when the body buffers are full, in milliseconds. */
 const BODY_MEMORY_RETRY_AFTER_MS = 500;
 
+/** Bytes of a chunk beside its size and its part: two line ends. */
+const CHUNK_FRAMING_BYTES = 4;
+
 /** What became of a body. */
 export type BodyResult =
   | { readonly kind: "complete"; readonly bytes: Uint8Array }
@@ -36,6 +39,9 @@
   readonly #options: BodyReaderOptions;
   readonly #bytes = new bufferBudget.GrowingBuffer();
   readonly #turn: ReadTurn;
+  /** Bytes of parts since the last arrival, with the least that frames them. */
+  #partBytes = 0;
+  #strayBytes = 0;
   #resolve: ((result: BodyResult) => void) | undefined;
 
   /** @param request The request. @param options Limits and accounts. */
@@ -55,6 +61,21 @@
     return this.#options.account.stalledMs;
   }
 
+  /** Bytes behind the last part, as of a trailer: the parser may hold them. */
+  get strayBytes(): number {
+    return this.#strayBytes;
+  }
+
+  /** Records that so many bytes have arrived on the connection and been parsed. */
+  recordArrival(bytes: number): void {
+    const hasParts = this.#partBytes > 0;
+    this.#strayBytes = hasParts
+      ? Math.max(0, bytes - this.#partBytes)
+      : this.#strayBytes + bytes;
+    this.#partBytes = 0;
+    if (this.#strayBytes > 0) this.#turn.pause();
+  }
+
   /** Reads to the end. */
   read(): Promise<BodyResult> {
     const request = this.#request;
@@ -87,6 +108,8 @@
     if (maxBytes !== undefined && receivedBytes > maxBytes) {
       return this.fail(createSizeFailure(receivedBytes, maxBytes));
     }
+    this.#partBytes += part.length + part.length.toString(16).length +
+      CHUNK_FRAMING_BYTES;
     const { capacity } = this.#bytes;
     this.#bytes.append(part);
     const heldBytes = this.#bytes.capacity;
@@ -98,6 +121,8 @@
   };
 
   readonly #handleEnd = (): void => {
+    // Trailers are not passed on.
+    this.#request.rawTrailers.length = 0;
     const bytes = this.#bytes.getBytes();
     this.#settle({ kind: "complete", bytes }, bytes.length);
   };
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { BodyReader } from "./body_reader.ts";
+import type { ReadTurns } from "./read_turns.ts";
 
 /** Interval of checks for bytes without a request, in milliseconds. */
 const CHECK_INTERVAL_MS = 500;
@@ -22,7 +23,7 @@
 
 /** Why a connection was closed before or instead of a request. */
 export const CLOSE_CAUSE = {
-  /** Callers hold as many connections as they may. */
+  /** Callers hold as many connections or heads as they may. */
   excess: "excess",
   /** Bytes behind its last request are none. */
   stray: "stray",
@@ -40,6 +41,7 @@
 /** Options of {@link CallerConnections}. */
 export interface CallerConnectionsOptions {
   readonly maxConnections: number;
+  readonly turns: ReadTurns;
   /** Most bytes of incomplete heads, of all connections. */
   readonly maxHeadBytes: number;
   /** Limits of the configuration in force, or of the time before it. */
@@ -112,7 +114,7 @@
       requestBytes: 0,
     });
     // Heads have to be counted as they arrive, before a timer could.
-    socket.on("data", () => this.#countHead(socket));
+    socket.on("data", ({ length }) => this.#countHead(socket, length));
     socket.once("close", () => {
       this.#drop(socket);
       // Node.js closes only the response that is being written.
@@ -121,6 +123,7 @@
       });
     });
     if (this.size > this.#options.maxConnections) this.#closeExcess(socket);
+    this.#options.turns.addUnproven(socket);
   }
 
   /** Calls a function once when a response is closed, or its connection is. */
@@ -207,16 +210,21 @@
     this.#setHeadBytes(socket, 0);
   }
 
-  /** Counts what has arrived of a head; the oldest ones close if all are too large. */
-  #countHead(socket: Socket): void {
+  /**
+   * Counts what has arrived of a head, or of trailers; the oldest ones close if all are
+   * too large.
+   */
+  #countHead(socket: Socket, arrivedBytes: number): void {
     const tracked = this.#connections.get(socket);
     if (tracked === undefined) return;
-    const isHead = tracked.reader === undefined &&
-      tracked.brokenBytes === undefined;
-    this.#setHeadBytes(
-      socket,
-      isHead ? socket.bytesRead - tracked.requestBytes : 0,
-    );
+    const { reader, brokenBytes, requestBytes } = tracked;
+    reader?.recordArrival(arrivedBytes);
+    const strayBytes = reader?.strayBytes ?? socket.bytesRead - requestBytes;
+    if (brokenBytes !== undefined) return this.#setHeadBytes(socket, 0);
+    this.#setHeadBytes(socket, strayBytes);
+    if (reader === undefined && strayBytes > 0) {
+      this.#options.turns.addUnproven(socket);
+    }
     while (this.#headBytes > this.#options.maxHeadBytes) {
       const [oldest] = this.#heads.keys();
       if (oldest === undefined) return;
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -34,6 +34,8 @@
 
 /** Hard limit of the header size, in bytes; the configured limit is lower. */
 const MAX_HEADER_BYTES = 65_536;
+/** Shortest header line: a name of one character, a colon, CR and LF. */
+const MIN_LINE_BYTES = 4;
 /** How often connections are checked for header timeouts, in milliseconds. */
 const HEADER_TIMEOUT_CHECK_MS = 500;
 /** Timeouts until a configuration is known, in milliseconds. */
@@ -98,6 +100,7 @@
     this.#connections = new CallerConnections({
       maxConnections: capacity.maxConnections,
       maxHeadBytes: capacity.maxHeadBytes,
+      turns: this.#turns,
       getLimits: () => this.#getStrayLimits(),
       handleClosed: (counts) => this.#recordClosed(counts),
     });
@@ -111,8 +114,9 @@
     }, (request, response) => {
       void this.#handleRequest(request, response);
     });
-    // By default Node.js drops header lines after the first 1,000.
-    this.#server.maxHeadersCount = 0;
+    this.#server.maxHeadersCount = MAX_HEADER_BYTES / MIN_LINE_BYTES;
+    // Node.js reads its limits when it handles the event.
+    this.#server.prependListener("connection", () => this.#applyLimits());
     this.#server.on("connection", (socket) => this.#connections.add(socket));
     this.#server.on(
       "clientError",
@@ -210,7 +214,8 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const arrived = this.#closes.addRequest(request.socket);
+    const { socket } = request;
+    const arrived = this.#closes.addRequest(socket);
     if (arrived === undefined) {
       // Bytes that stay unread would reset the connection before its last answer.
       request.resume();
@@ -331,9 +336,14 @@
     if (limits === undefined) return;
     this.#server.headersTimeout = limits.headerTimeoutMs;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+    // Node.js drops further lines without a word; a head with more is refused.
+    this.#server.maxHeadersCount = Math.ceil(
+      limits.maxHeaderBytes / MIN_LINE_BYTES,
+    );
   }
 
   #getStrayLimits(): callerConnections.StrayLimits {
+    this.#applyLimits();
     const { headersTimeout, keepAliveTimeout } = this.#server;
     return {
       maxHeaderBytes: MAX_HEADER_BYTES,
--- a/packages/gateway/src/read_turns.ts
+++ b/packages/gateway/src/read_turns.ts
@@ -6,6 +6,8 @@
 
 /** Parts that a connection may deliver before others get their turn. */
 const MAX_PARTS = 1_000;
+/** Connections without a whole request that are read in one turn of the event loop. */
+const MAX_UNPROVEN = 32;
 
 /** A connection whose reads can be interrupted. */
 export interface TurnTaker {
@@ -30,12 +32,28 @@
  */
 export class ReadTurns {
   readonly #waiting: ReadTurn[] = [];
+  readonly #unproven: TurnTaker[] = [];
 
   /** Opens the turns of a connection; its owner closes them. */
   openTurn(taker: TurnTaker): ReadTurn {
     return new ReadTurn(taker, (turn) => this.#add(turn));
   }
 
+  /**
+   * Interrupts a connection without a whole request until its turn. What the parser
+   * holds for it is freed only between two turns of the event loop.
+   */
+  addUnproven(taker: TurnTaker): void {
+    taker.pause();
+    this.#unproven.push(taker);
+    if (this.#unproven.length === 1) setImmediate(() => this.#resumeUnproven());
+  }
+
+  #resumeUnproven(): void {
+    for (const taker of this.#unproven.splice(0, MAX_UNPROVEN)) taker.resume();
+    if (this.#unproven.length > 0) setImmediate(() => this.#resumeUnproven());
+  }
+
   #add(turn: ReadTurn): void {
     this.#waiting.push(turn);
     if (this.#waiting.length === 1) setImmediate(() => this.#resumeNext());
@@ -69,7 +87,12 @@
   /** Counts a part, and interrupts the connection after many. */
   countPart(): void {
     this.#parts += 1;
-    if (this.#parts < MAX_PARTS || this.#isPaused || this.#isClosed) return;
+    if (this.#parts >= MAX_PARTS) this.pause();
+  }
+
+  /** Interrupts the connection until its next turn. */
+  pause(): void {
+    if (this.#isPaused || this.#isClosed) return;
     this.#isPaused = true;
     this.#taker.pause();
     this.#handlePaused(this);
