Leave part of the memory budget to small requests

Large requests that run, as those of 600 callers with heads of many lines at a worker that is silent, fill the budget, and ordinary callers get 503 until they end: nothing of them may be ended, since they were sent.

Requests of over 16 KB may fill seven eighths of the budget, so that smaller ones have the rest.

--- a/packages/buffer_budget/src/buffer_budget.ts
+++ b/packages/buffer_budget/src/buffer_budget.ts
@@ -28,6 +28,10 @@
  * stops reading must leave most of it to requests for others.
  */
 const ENDPOINT_SHARE = 0.25;
+/** Most bytes of the head and body of a small request. */
+const SMALL_REQUEST_BYTES = 16_384;
+/** Part of the budget that larger requests may fill. */
+const LARGE_REQUEST_SHARE = 7 / 8;
 /** Bytes of a body that count as a step of progress. */
 const BODY_PROGRESS_BYTES = 4_096;
 /** Interval of checks for room that no response could be ended for, in ms. */
@@ -169,12 +173,16 @@
 
   /**
    * Whether what is held is within the limit, if need be after responses to callers
-   * that don't read were ended, or incomplete bodies that stall.
+   * that don't read were ended, or incomplete bodies that stall. Part of the limit is
+   * left to small requests.
    *
    * @param needing Account of the body that needs room; without it no body gives way.
    */
   hasRoom(needing?: BufferAccount): boolean {
-    const excessBytes = this.heldBytes - this.limitBytes;
+    const isSmall = needing === undefined ||
+      needing.requestBytes <= SMALL_REQUEST_BYTES;
+    const limitBytes = this.limitBytes * (isSmall ? 1 : LARGE_REQUEST_SHARE);
+    const excessBytes = Math.ceil(this.heldBytes - limitBytes);
     if (excessBytes <= 0 || this.releaseUnread(excessBytes)) return true;
     return needing !== undefined && this.#cancelBodies(needing, excessBytes);
   }
@@ -264,6 +272,11 @@
     return this.#heldBytes.body;
   }
 
+  /** Memory that the head and the body take, in bytes. */
+  get requestBytes(): number {
+    return this.#heldBytes.head + this.#heldBytes.body;
+  }
+
   /** Time since the last progress of the body that is being read, in ms. */
   get stalledMs(): number {
     return this.isReadingBody ? this.#budget.now - this.#progressAt : 0;
--- a/packages/buffer_budget/src/plan_body_evictions_test.ts
+++ b/packages/buffer_budget/src/plan_body_evictions_test.ts
@@ -76,4 +76,18 @@
     arriving.recordBody({ heldBytes: 8_000, receivedBytes: 8_000 });
     expect(budget.hasRoom(arriving)).to.equal(false);
   });
+
+  // Large requests that run filled the budget, and none of them can give way.
+  it("leave part of the budget to small requests", () => {
+    const budget = new BufferBudget({ limitBytes: 80_000, getNow: () => now });
+    const running = budget.openAccount(() => {});
+    running.add("body", 69_000);
+    const large = openBody(budget, "large");
+    large.recordBody({ heldBytes: 16_385, receivedBytes: 16_385 });
+    expect(budget.hasRoom(large)).to.equal(false);
+    large.close();
+    const small = openBody(budget, "small");
+    small.recordBody({ heldBytes: 9_000, receivedBytes: 9_000 });
+    expect(budget.hasRoom(small)).to.equal(true);
+  });
 });
