Bound the requests in a row on a connection

40 connections that sent 2,000 requests at once each, at a worker that is silent, reset the ordinary request of another caller: the VM ended.

Cause: Node.js holds a request and a response for each, and nothing counted them; one that is refused is held until those before it are answered.

A request counts 8 KB beside its head and body. A connection with 64 requests that have no answer yet closes; where memory is short, so does one whose second request is refused for it. A caller that sends a request after each answer never meets this.

--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -12,6 +12,8 @@
 
 /** Interval of checks for bytes without a request, in milliseconds. */
 const CHECK_INTERVAL_MS = 500;
+/** Most requests of a connection that have no answer yet. */
+const MAX_PIPELINED = 64;
 /** Bytes that are read behind a broken request; a close is seen until then. */
 const MAX_BROKEN_BYTES = 65_536;
 /** Time for a caller to read its refusal while it still sends a body, in ms. */
@@ -23,7 +25,7 @@
 
 /** Why a connection was closed before or instead of a request. */
 export const CLOSE_CAUSE = {
-  /** Callers hold as many connections or heads as they may. */
+  /** Callers hold as many connections, heads or requests in a row as they may. */
   excess: "excess",
   /** Bytes behind its last request are none. */
   stray: "stray",
@@ -126,6 +128,30 @@
     this.#options.turns.addUnproven(socket);
   }
 
+  /** Whether another request of a connection is read; if not, the connection closes. */
+  mayAddRequest(socket: Socket): boolean {
+    const tracked = this.#connections.get(socket);
+    if (tracked === undefined) return false;
+    if (tracked.closeHandlers.size < MAX_PIPELINED) return true;
+    this.closePipelined(socket);
+    return false;
+  }
+
+  /** Whether requests before the newest one of a connection have no answer yet. */
+  isPipelined(socket: Socket): boolean {
+    return (this.#connections.get(socket)?.closeHandlers.size ?? 0) > 1;
+  }
+
+  /**
+   * Closes a connection with requests in a row: one that is refused would be held until
+   * those before it are answered.
+   */
+  closePipelined(socket: Socket): void {
+    this.#countClose(CLOSE_CAUSE.excess);
+    this.#drop(socket);
+    socket.destroy();
+  }
+
   /** Calls a function once when a response is closed, or its connection is. */
   addResponse(response: ServerResponse, handleClose: () => void): void {
     const { socket } = response.req;
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -215,7 +215,9 @@
     response: ServerResponse,
   ): Promise<void> {
     const { socket } = request;
-    const arrived = this.#closes.addRequest(socket);
+    const arrived = this.#connections.mayAddRequest(socket)
+      ? this.#closes.addRequest(socket)
+      : undefined;
     if (arrived === undefined) {
       // Bytes that stay unread would reset the connection before its last answer.
       request.resume();
@@ -242,7 +244,8 @@
     const { rawHeaders } = request;
     account.add(
       bufferBudget.BUFFER_KIND.head,
-      countHeadBytes(rawHeaders) + rawHeaders.length * HEADER_STRING_BYTES,
+      REQUEST_BYTES + countHeadBytes(rawHeaders) +
+        rawHeaders.length * HEADER_STRING_BYTES,
     );
     this.#requests.set(scope, { writer, account });
     this.#connections.addResponse(response, () => {
@@ -253,6 +256,10 @@
     this.#applyLimits();
     const body = await this.#readBody(request, { account, scope });
     if (body.kind === "failed") {
+      const isFull = body.failure.code === "QUEUE_FULL";
+      if (isFull && this.#connections.isPipelined(socket)) {
+        return this.#connections.closePipelined(socket);
+      }
       mustClose = true;
       writer.writeFailure(body.failure);
       this.#recordRefusal(request, body.failure);
@@ -438,6 +445,8 @@
 
 /** Added to each name and value: a colon, a space and CR LF for every pair. */
 const HEADER_SEPARATOR_BYTES = 2;
+/** Memory that a request takes beside its head and body, in bytes. */
+const REQUEST_BYTES = 8_192;
 /** Memory that a name or value takes beside its text, copies included, in bytes. */
 const HEADER_STRING_BYTES = 128;
 
