Refuse no connection whose request runs

A caller whose connection closed for the head behind a running request got 503 in the place of that request's answer, though it ran: 66 refusals and runs for 50 requests. The same held for a connection that closes for its descriptor while a body is read behind a running request, and for a request that came on after its connection had got 400 or 408.

Cause: what closes a connection wrote a status whatever its requests did, and still read what followed.

A status is written only where no request is open, and none is read afterwards. A request that is incomplete gets the failure in its own answer; a connection whose request runs closes without a status, which promises nothing.

--- a/packages/gateway/src/body_reader.ts
+++ b/packages/gateway/src/body_reader.ts
@@ -92,9 +92,15 @@
     });
   }
 
-  /** The same as {@link fail}, unless the whole body has arrived. */
-  failIncomplete(failure: codes.Failure): void {
-    if (!this.#request.complete) this.fail(failure);
+  /**
+   * The same as {@link fail}, unless the whole body has arrived.
+   *
+   * @returns Whether the body was incomplete.
+   */
+  failIncomplete(failure: codes.Failure): boolean {
+    if (this.#request.complete) return false;
+    this.fail(failure);
+    return true;
   }
 
   /** Ends the reading; the caller gets the failure. */
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -22,6 +22,7 @@
 const MAX_LINGER_BYTES = 8 * 1_048_576;
 /** Retry delay for callers of a VM that has no descriptors left, in seconds. */
 const REFUSED_RETRY_AFTER_S = 0.5;
+const MS_PER_SECOND = 1_000;
 
 /** Why a connection was closed before or instead of a request. */
 export const CLOSE_CAUSE = {
@@ -72,6 +73,10 @@
   reader?: BodyReader;
   /** Bytes received up to the error behind which no request follows. */
   brokenBytes?: number;
+  /** Whether it is read no more. */
+  isMuted?: boolean;
+  /** Whether what it holds is needed, so that it closes without a wait. */
+  mustFree?: boolean;
 }
 
 /** Keeps the connections of callers within their limits. */
@@ -162,7 +167,9 @@
       handleClose();
       if (connection?.closeHandlers.size !== 0) return;
       connection.idleSince = performance.now();
-      if (connection.brokenBytes !== undefined) closeGently(socket);
+      if (connection.brokenBytes === undefined) return;
+      if (connection.mustFree) socket.destroySoon();
+      else closeGently(socket);
     };
     if (connection !== undefined) connection.isUsed = true;
     connection?.closeHandlers.add(handle);
@@ -184,7 +191,7 @@
     }
     if (result.kind === "failed") {
       if (connection !== undefined) connection.brokenBytes ??= socket.bytesRead;
-      dropRest(request);
+      if (connection?.mustFree !== true) dropRest(request);
     }
     return result;
   }
@@ -201,7 +208,10 @@
     if (connection?.brokenBytes !== undefined) {
       // Bytes that stay in the kernel cost nothing.
       const bytes = socket.bytesRead - connection.brokenBytes;
-      if (bytes > MAX_BROKEN_BYTES) socket.pause();
+      if (bytes > MAX_BROKEN_BYTES) {
+        connection.isMuted = true;
+        socket.pause();
+      }
       return;
     }
     const isSlow = code === "ERR_HTTP_REQUEST_TIMEOUT";
@@ -216,6 +226,44 @@
     connection.reader?.failIncomplete(createBrokenFailure(code));
   }
 
+  /** Closes a connection that has no request, with a status; none is read any more. */
+  #refuse(socket: Socket, status: string): void {
+    this.#drop(socket);
+    closeWith(socket, status);
+  }
+
+  /**
+   * Closes a connection to free what it holds. A status would stand in the place of the
+   * answer to a request that runs.
+   */
+  #release(socket: Socket): void {
+    this.#countClose(CLOSE_CAUSE.excess);
+    const tracked = this.#connections.get(socket);
+    const use = tracked === undefined ? undefined : getUse(tracked);
+    switch (use?.kind) {
+      case "reading":
+        return this.#releaseReading(socket);
+      case "running":
+        this.#drop(socket);
+        return void socket.destroy();
+      case "unused":
+      case "idle":
+      case undefined:
+        return this.#refuse(socket, REFUSED_STATUS);
+    }
+  }
+
+  /** Ends a request that is incomplete; its connection closes without a wait. */
+  #releaseReading(socket: Socket): void {
+    this.#setHeadBytes(socket, 0);
+    const tracked = this.#connections.get(socket);
+    if (tracked?.reader?.failIncomplete(createExcessFailure()) !== true) return;
+    tracked.brokenBytes = socket.bytesRead;
+    tracked.isMuted = true;
+    tracked.mustFree = true;
+    socket.pause();
+  }
+
   #closeExcess(newest: Socket): void {
     const others = [...this.#connections]
       .filter(([socket]) => socket !== newest)
@@ -224,11 +272,7 @@
         use: getUse(tracked),
       }));
     const picked = callerConnections.pickExcess(others, performance.now());
-    this.#countClose(CLOSE_CAUSE.excess);
-    const closed = picked ?? newest;
-    // It counts no more, though its close comes later.
-    this.#drop(closed);
-    closeWith(closed, REFUSED_STATUS);
+    this.#release(picked ?? newest);
   }
 
   #drop(socket: Socket): void {
@@ -244,6 +288,7 @@
     const tracked = this.#connections.get(socket);
     if (tracked === undefined) return;
     const { reader, brokenBytes, requestBytes } = tracked;
+    if (tracked.isMuted) return void socket.pause();
     reader?.recordArrival(arrivedBytes);
     const strayBytes = reader?.strayBytes ?? socket.bytesRead - requestBytes;
     if (brokenBytes !== undefined) return this.#setHeadBytes(socket, 0);
@@ -254,9 +299,7 @@
     while (this.#headBytes > this.#options.maxHeadBytes) {
       const [oldest] = this.#heads.keys();
       if (oldest === undefined) return;
-      this.#countClose(CLOSE_CAUSE.excess);
-      this.#drop(oldest);
-      closeWith(oldest, REFUSED_STATUS);
+      this.#release(oldest);
     }
   }
 
@@ -291,15 +334,16 @@
           break;
         case "refuse":
           this.#countClose(CLOSE_CAUSE.stray);
-          closeWith(socket, "400 Bad Request");
+          this.#refuse(socket, "400 Bad Request");
           break;
         case "timeOut":
           this.#countClose(CLOSE_CAUSE.slow);
-          closeWith(socket, "408 Request Timeout");
+          this.#refuse(socket, "408 Request Timeout");
           break;
         case "closeAfterAnswers":
           this.#countClose(CLOSE_CAUSE.stray);
           tracked.brokenBytes = socket.bytesRead;
+          tracked.isMuted = true;
           socket.pause();
           break;
       }
@@ -338,13 +382,20 @@
 
 function getUse(tracked: TrackedConnection): callerConnections.ConnectionUse {
   const { reader, closeHandlers, isUsed, idleSince: since } = tracked;
-  if (reader !== undefined) {
+  // Requests before the one that is read may run.
+  if (reader !== undefined && closeHandlers.size === 1) {
     return { kind: "reading", stalledMs: reader.stalledMs };
   }
   if (closeHandlers.size > 0) return { kind: "running" };
   return { kind: isUsed ? "idle" : "unused", since };
 }
 
+function createExcessFailure(): codes.Failure {
+  return codes.createFailure("QUEUE_FULL", "Callers hold too much", {
+    retryAfterMs: REFUSED_RETRY_AFTER_S * MS_PER_SECOND,
+  });
+}
+
 function createBrokenFailure(code: string | undefined): codes.Failure {
   switch (code) {
     case "ERR_HTTP_REQUEST_TIMEOUT":
