Read no request of a connection that was answered 408 or 400

A caller whose head took too long could get 408, and its request ran all the same: the rest of the head may arrive before the connection is closed.

Cause: a status for bytes that are no request left the connection in the table, where the next request on it is read.

Such a connection leaves the table now, as one that is refused does. The unit test failed before and passes now.

--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -217,7 +217,7 @@
     const isSlow = code === "ERR_HTTP_REQUEST_TIMEOUT";
     this.#countClose(isSlow ? CLOSE_CAUSE.slow : CLOSE_CAUSE.invalid);
     if (connection === undefined || connection.closeHandlers.size === 0) {
-      return closeWith(
+      return this.#refuse(
         socket,
         CLIENT_ERROR_STATUSES.get(code ?? "") ?? "400 Bad Request",
       );
