Take a head with a broken line for no answer

What callers saw: a worker in trouble sent a head with a blank in the name of a header, or no name. A plain request got 500 INTERNAL, though another worker could have answered it; the connection of a stream was reset without an answer, though nothing had been passed on, also where it may be resumed. The worker counted as good and answered fastest, so it drew the traffic. Calls of pieces, reports, releases and reads of the store used such answers. A folded line passed as well.

Cause: undici takes blanks in names, and nothing checked a head between it and the head that is written to the caller. writeHead threw: for a complete answer after the attempt had ended as answered, for a stream inside the parser.

Change: HeadChecker (packages/answer_heads) checks the lines of each head by the grammar of RFC 9112 as its bytes are read, before the parser gets them and before anything acts on a field. The exchange fails as lost, its connection closes, the endpoint counts as broken, and the next attempt follows. All readers of the pool get this in one place. A folded line is refused too: its sender must not send it, and RFC 9112 lets a gateway discard the answer.

--- /dev/null
+++ b/packages/answer_heads/src/head_checker_test.ts
@@ -0,0 +1,110 @@
+import { expectSnapshot } from "@sardinestep/testing";
+import { expect } from "chai";
+import * as fc from "fast-check";
+import { validateHeaderName, validateHeaderValue } from "node:http";
+import { HeadChecker } from "./head_checker.ts";
+import { formatFault, type HeadFault } from "./head_fault.ts";
+
+const START = "HTTP/1.1 200 OK\r\n";
+
+function checkText(...parts: string[]): HeadFault | undefined {
+  const checker = new HeadChecker();
+  checker.start();
+  for (const part of parts) {
+    const fault = checker.check(Buffer.from(part, "latin1"));
+    if (fault !== undefined) return fault;
+  }
+  return undefined;
+}
+
+function describeFault(fault: HeadFault | undefined): string {
+  return fault === undefined ? "none" : formatFault(fault);
+}
+
+describe("HeadChecker", () => {
+  it("says what is wrong with a head", function () {
+    const heads = [
+      `${START}x-a: 1\r\n\r\nbody\0`,
+      "HTTP/1.0 204\r\n\r\n",
+      "HTTP/1.1 103 Early Hints\r\nx-a: 1\r\n\r\nHTTP/1.1 200 OK\r\n\r\n\0",
+      `${START}x bad: 1\r\n`,
+      `${START}x-bad : 1\r\n`,
+      `${START}: 1\r\n`,
+      `${START}x-bad\r\n`,
+      `${START}x-a: 1\r\n 2\r\n`,
+      `${START}x-a: 1\x7f\r\n`,
+      `${START}x-a: 1\r2\r\n`,
+      `${START}x-a: 1\n`,
+      `${START}\rx`,
+    ];
+    const faults = heads.map((
+      head,
+    ) => [JSON.stringify(head), describeFault(checkText(head))]);
+    expectSnapshot(this, Object.fromEntries(faults));
+  });
+
+  it("checks nothing before an answer starts", () => {
+    const checker = new HeadChecker();
+    expect(checker.check(Buffer.from("garbled"))).to.equal(undefined);
+  });
+
+  it("checks each answer of a connection", () => {
+    const checker = new HeadChecker();
+    for (const text of [`${START}\r\nbody`, "HTTP/1.0 200 OK\r\n\r\n"]) {
+      checker.start();
+      expect(checker.check(Buffer.from(text))).to.equal(undefined);
+    }
+    checker.start();
+    expect(checker.check(Buffer.from(`${START}x bad: 1`)))
+      .not.to.equal(undefined);
+  });
+
+  /** Lines of a head in which any byte may stand. */
+  const text = fc.array(
+    fc.oneof(
+      fc.constantFrom(
+        "\r\n",
+        ": ",
+        " ",
+        "\t",
+        "x-a",
+        "1",
+        "\0",
+        "\x7f",
+        "\xff",
+      ),
+      fc.integer({ min: 0, max: 255 }).map((byte) => String.fromCharCode(byte)),
+    ),
+    { maxLength: 12 },
+  ).map((parts) => parts.join(""));
+
+  it("finds the same however the bytes are split", () => {
+    fc.assert(
+      fc.property(text, fc.nat(40), (lines, at) => {
+        const head = `${START}${lines}\r\n\r\n`;
+        const whole = checkText(head);
+        expect(checkText(head.slice(0, at), head.slice(at)))
+          .to.deep.equal(whole);
+        expect(checkText(...head)).to.deep.equal(whole);
+      }),
+      { seed: 90, numRuns: 500 },
+    );
+  });
+
+  // Node.js threw while it wrote the head of an answer to a caller.
+  it("lets nothing pass that can't be sent to a caller", () => {
+    fc.assert(
+      fc.property(text, (lines) => {
+        const head = `x-first: 1\r\n${lines}`;
+        if (checkText(`${START}${head}\r\n\r\n`) !== undefined) return;
+        for (const line of head.split("\r\n")) {
+          if (line === "") return;
+          const colon = line.indexOf(":");
+          validateHeaderName(line.slice(0, colon));
+          validateHeaderValue("x-a", line.slice(colon + 1));
+        }
+      }),
+      { seed: 90, numRuns: 2_000 },
+    );
+  });
+});
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import * as answerHeads from "@sardinestep/answer_heads";
 import * as endpointPaths from "@sardinestep/endpoint_paths";
 import type { Address } from "@sardinestep/types";
 import type { Socket } from "node:net";
@@ -365,6 +366,8 @@
     const { socket } = this.#connection;
     if (socket !== undefined) this.#meter = new AnswerMeter(socket);
     this.#connection.handleParsed = () => this.#checkFraming();
+    this.#connection.handleFault = (fault) => this.#failHead(fault);
+    this.#connection.startAnswer();
     this.#sink.handleSent?.(this.#connection);
   }
 
@@ -406,6 +409,11 @@
     this.#fail(error.message, isDisconnect(error));
   }
 
+  #failHead(fault: answerHeads.HeadFault): void {
+    if (this.#isFinished) return;
+    this.#fail(answerHeads.formatFault(fault), false);
+  }
+
   #checkFraming(): void {
     if (this.#isFinished || this.#meter === undefined) return;
     if (!isFramingExcessive(this.#meter)) return;
--- a/packages/gateway/src/pool_connection.ts
+++ b/packages/gateway/src/pool_connection.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import * as answerHeads from "@sardinestep/answer_heads";
 import type * as endpointPaths from "@sardinestep/endpoint_paths";
 import type { Address } from "@sardinestep/types";
 import type { Socket } from "node:net";
@@ -25,7 +26,10 @@
   isClosed = false;
   /** Called after the parser took bytes. */
   handleParsed: () => void = () => {};
+  /** Called if the head of an answer is none, before the parser takes it. */
+  handleFault: (fault: answerHeads.HeadFault) => void = () => {};
   #socket: Socket | undefined;
+  readonly #heads = new answerHeads.HeadChecker();
   #isDirect = false;
   #isPaused = false;
 
@@ -72,6 +76,11 @@
     return this.#isDirect && this.#socket?.readableEnded === true;
   }
 
+  /** Takes what is read next for the start of an answer. */
+  startAnswer(): void {
+    this.#heads.start();
+  }
+
   /** Reads nothing more until {@link resumeReading}. */
   pauseReading(): void {
     this.#isPaused = true;
@@ -85,12 +94,20 @@
   }
 
   /**
-   * Lets undici find nothing to read while this connection is paused. Its own pause
-   * ends the process with an assertion if the connection ends or is reset meanwhile.
+   * Lets undici find nothing to read while this connection is paused, or after a head
+   * that is none. Its own pause ends the process with an assertion if the connection
+   * ends or is reset meanwhile.
    */
   #controlReading(socket: Socket): void {
     const read = socket.read.bind(socket);
-    socket.read = (size) => this.#isPaused ? null : read(size);
+    socket.read = (size) => this.#isPaused ? null : this.#check(read(size));
+  }
+
+  #check(bytes: Uint8Array | null): Uint8Array | null {
+    const fault = bytes === null ? undefined : this.#heads.check(bytes);
+    if (fault === undefined) return bytes;
+    this.handleFault(fault);
+    return null;
   }
 
   /** Whether it carried a request before the current one. */
