Take only HTTP/1.0 and 1.1 with a status from 100 to 599 for an answer

What callers saw: answers with status 600 or 999 as they were, and answers in HTTP/2.0, HTTP/0.9 or with the status "0200" as whole ones. A status below 100 was refused only by an assertion inside undici, whose text ("assert(statusCode >= 100)") reached the caller.

Cause: nothing checked the first line of a head but the parser, which takes any of four versions and as many digits as give a number below 1,000.

Change: HeadChecker checks the version, exactly three digits, the range, and the reason phrase. An answer that switches to another protocol is refused, since no request asks for one. A control byte in the reason phrase is refused as well: the phrase isn't passed on, but a worker that sends such a byte may have lost more. Empty lines before the answer are no start of one.

--- a/packages/answer_heads/src/head_checker.ts
+++ b/packages/answer_heads/src/head_checker.ts
@@ -1,15 +1,26 @@
 /**
- * Checks the lines of a head against the grammar of RFC 9112.
+ * Checks the bytes of a head against the grammar of RFC 9112.
  *
  * @module
  */
-import { HEAD_PART, type HeadFault, type HeadPart } from "./head_fault.ts";
+import {
+  HEAD_PART,
+  type HeadFault,
+  type HeadPart,
+  STATUS_MAX,
+  STATUS_MIN,
+} from "./head_fault.ts";
 
 const CR = 0x0d;
 const LF = 0x0a;
 const SPACE = 0x20;
 const COLON = 0x3a;
 const DIGIT_ZERO = 0x30;
+const DIGIT_ONE = 0x31;
+const DIGIT_NINE = 0x39;
+const VERSION_START = Buffer.from("HTTP/1.");
+const STATUS_DIGITS = 3;
+const STATUS_SWITCHING_PROTOCOLS = 101;
 /** Lowest status of an answer that no other one follows. */
 const STATUS_FINAL_MIN = 200;
 
@@ -17,7 +28,7 @@
 const NAME_BYTES = buildByteSet((byte) =>
   /[!#$%&'*+\-.^_`|~0-9A-Za-z]/.test(String.fromCharCode(byte))
 );
-/** Bytes of header values. */
+/** Bytes of header values and reason phrases. */
 const TEXT_BYTES = buildByteSet((byte) =>
   byte === 0x09 || (byte >= SPACE && byte !== 0x7f)
 );
@@ -30,7 +41,7 @@
  * Checks the heads of one answer as they arrive, interim ones first. It keeps no
  * bytes, and ignores what follows the last head.
  *
- * Parsers take more than this: blanks in names, folded lines. Whatever
+ * Parsers take more than this: blanks in names, folded lines, any version. Whatever
  * sends such a head may have lost more of its answer, and callers can't be sent it.
  *
  * @example
@@ -43,11 +54,14 @@
  */
 export class HeadChecker {
   #part: HeadPart = HEAD_PART.body;
+  /** Bytes of the version or the status so far. */
+  #offset = 0;
   #status = 0;
 
   /** Takes the next bytes for the start of an answer. */
   start(): void {
     this.#part = HEAD_PART.version;
+    this.#offset = 0;
     this.#status = 0;
   }
 
@@ -64,11 +78,10 @@
   #checkByte(byte: number): HeadFault | undefined {
     switch (this.#part) {
       case HEAD_PART.version:
-        return byte === SPACE ? this.#enter(HEAD_PART.status) : undefined;
+        return this.#checkVersion(byte);
       case HEAD_PART.status:
-        return this.#readStatus(byte);
+        return this.#checkStatus(byte);
       case HEAD_PART.reason:
-        return byte === CR ? this.#enter(HEAD_PART.lineEnd) : undefined;
       case HEAD_PART.value:
         if (byte === CR) return this.#enter(HEAD_PART.lineEnd);
         return TEXT_BYTES[byte] ? undefined : this.#buildFault(byte);
@@ -94,12 +107,33 @@
     }
   }
 
-  /** Reads the status, which shows whether another head follows. */
-  #readStatus(byte: number): HeadFault | undefined {
+  #checkVersion(byte: number): HeadFault | undefined {
+    const offset = this.#offset++;
+    if (offset < VERSION_START.length) {
+      return byte === VERSION_START[offset]
+        ? undefined
+        : this.#buildFault(byte);
+    }
+    if (offset > VERSION_START.length) {
+      if (byte !== SPACE) return this.#buildFault(byte);
+      this.#offset = 0;
+      return this.#enter(HEAD_PART.status);
+    }
+    const isKnown = byte === DIGIT_ZERO || byte === DIGIT_ONE;
+    return isKnown ? undefined : this.#buildFault(byte);
+  }
+
+  #checkStatus(byte: number): HeadFault | undefined {
+    if (this.#offset++ < STATUS_DIGITS) {
+      if (byte < DIGIT_ZERO || byte > DIGIT_NINE) return this.#buildFault(byte);
+      this.#status = this.#status * 10 + byte - DIGIT_ZERO;
+      return this.#offset === STATUS_DIGITS
+        ? checkStatus(this.#status)
+        : undefined;
+    }
     if (byte === SPACE) return this.#enter(HEAD_PART.reason);
     if (byte === CR) return this.#enter(HEAD_PART.lineEnd);
-    this.#status = this.#status * 10 + byte - DIGIT_ZERO;
-    return undefined;
+    return this.#buildFault(byte);
   }
 
   #enter(part: HeadPart): undefined {
@@ -108,6 +142,15 @@
   }
 
   #buildFault(byte: number): HeadFault {
-    return { part: this.#part, byte };
+    return { kind: "byte", part: this.#part, byte };
   }
 }
+
+/** Checks a status; nothing here asks for another protocol. */
+function checkStatus(status: number): HeadFault | undefined {
+  const isKnown = status >= STATUS_MIN && status <= STATUS_MAX;
+  if (!isKnown) return { kind: "status", status };
+  return status === STATUS_SWITCHING_PROTOCOLS
+    ? { kind: "unasked", status }
+    : undefined;
+}
--- a/packages/answer_heads/src/head_checker_test.ts
+++ b/packages/answer_heads/src/head_checker_test.ts
@@ -27,6 +27,21 @@
       `${START}x-a: 1\r\n\r\nbody\0`,
       "HTTP/1.0 204\r\n\r\n",
       "HTTP/1.1 103 Early Hints\r\nx-a: 1\r\n\r\nHTTP/1.1 200 OK\r\n\r\n\0",
+      "HTTP/1.1 103 Early Hints\r\n\r\nx-a: 1\r\n",
+      "HTTP/2.0 200 OK\r\n",
+      "HTTP/1.2 200 OK\r\n",
+      "HTTP/1.1  200 OK\r\n",
+      "http/1.1 200 OK\r\n",
+      "\r\nHTTP/1.1 200 OK\r\n",
+      "HTTP/1.1 000 OK\r\n",
+      "HTTP/1.1 099 OK\r\n",
+      "HTTP/1.1 0200 OK\r\n",
+      "HTTP/1.1 2000 OK\r\n",
+      "HTTP/1.1 20\r\n",
+      "HTTP/1.1 600 OK\r\n",
+      "HTTP/1.1 101 Switching\r\n",
+      "HTTP/1.1 200 O\x01K\r\n",
+      "HTTP/1.1 200 OK\n",
       `${START}x bad: 1\r\n`,
       `${START}x-bad : 1\r\n`,
       `${START}: 1\r\n`,
@@ -55,8 +70,7 @@
       expect(checker.check(Buffer.from(text))).to.equal(undefined);
     }
     checker.start();
-    expect(checker.check(Buffer.from(`${START}x bad: 1`)))
-      .not.to.equal(undefined);
+    expect(checker.check(Buffer.from("x"))).not.to.equal(undefined);
   });
 
   /** Lines of a head in which any byte may stand. */
--- a/packages/answer_heads/src/head_fault.ts
+++ b/packages/answer_heads/src/head_fault.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import { match } from "ts-pattern";
+
 /** Parts of a head. */
 export const HEAD_PART = {
   version: "version",
@@ -21,22 +23,48 @@
 /** A value of {@link HEAD_PART}. */
 export type HeadPart = typeof HEAD_PART[keyof typeof HEAD_PART];
 
-/** A byte that its part of the head may not have. */
-export interface HeadFault {
-  readonly part: HeadPart;
-  readonly byte: number;
-}
+/** Lowest status of HTTP. */
+export const STATUS_MIN = 100;
+/** Highest status of HTTP. */
+export const STATUS_MAX = 599;
+
+/** What is wrong with the head of an answer. */
+export type HeadFault =
+  /** A byte that its part may not have. */
+  | { readonly kind: "byte"; readonly part: HeadPart; readonly byte: number }
+  /** A status that is none, or that needs another request. */
+  | { readonly kind: "status"; readonly status: number }
+  | { readonly kind: "unasked"; readonly status: number };
 
 /**
  * Says what is wrong with a head.
  *
  * @example
  * ```ts
- * formatFault({ part: HEAD_PART.name, byte: 0x20 });
- * // "Answer has byte 0x20 in its header name"
+ * formatFault({ kind: "byte", part: HEAD_PART.name, byte: 0x20 });
+ * // "Answer has byte 0x20 in a header name"
  * ```
  */
-export function formatFault({ part, byte }: HeadFault): string {
-  const hex = byte.toString(16).padStart(2, "0");
-  return `Answer has byte 0x${hex} in its ${part}`;
+export function formatFault(fault: HeadFault): string {
+  return match(fault)
+    .with(
+      { kind: "byte" },
+      ({ part, byte }) =>
+        `Answer has byte 0x${
+          byte.toString(16).padStart(2, "0")
+        } in its ${part}`,
+    )
+    .with(
+      { kind: "status" },
+      ({ status }) =>
+        `Answer has status "${
+          String(status).padStart(3, "0")
+        }", expected ${STATUS_MIN} to ${STATUS_MAX}`,
+    )
+    .with(
+      { kind: "unasked" },
+      ({ status }) =>
+        `Answer has status ${status}, which its request did not ask for`,
+    )
+    .exhaustive();
 }
