Refuse transfer codings that nothing here decodes

What callers saw: 200 with a complete body for an answer in a coding that the product doesn't know ("xchunked", "identity", "gzip, chunked", "chunked, gzip", chunked twice), and for chunked in HTTP/1.0. Transfer-Encoding is not forwarded, so a caller couldn't know that the body was not what it looked like. Pieces, reports, releases and the store used such answers.

Cause: framing was left to the parser. A coding that it doesn't know reads as "until the connection ends", and HttpPool took any Transfer-Encoding for an explicit end.

Change: checkFraming accepts "chunked" alone, without a length and not in HTTP/1.0, and lengths of digits; all else is a failure of the worker. The header map and the question whether an answer is framed move there too.

--- /dev/null
+++ b/packages/answer_heads/src/framing.ts
@@ -0,0 +1,79 @@
+/**
+ * Whether a head frames its body in a way that every reader understands alike.
+ *
+ * @module
+ */
+import type { HeadFault } from "./head_fault.ts";
+
+/** The parsed head of a final answer. */
+export interface AnswerHead {
+  readonly status: number;
+  /** Values by lower-case names; those of repeated headers joined with commas. */
+  readonly headers: ReadonlyMap<string, string>;
+  /** Whether its version is HTTP/1.0; not if unset. */
+  readonly isHttp10?: boolean;
+}
+
+const STATUS_NO_CONTENT = 204;
+const STATUS_NOT_MODIFIED = 304;
+/** Statuses without a body. */
+const BODYLESS_STATUSES: ReadonlySet<number> = new Set([
+  STATUS_NO_CONTENT,
+  STATUS_NOT_MODIFIED,
+]);
+
+/**
+ * Lowercases names and joins the values of repeated headers with commas.
+ *
+ * @param raw Alternating names and values.
+ * @example
+ * ```ts
+ * buildHeaderMap([Buffer.from("X-A"), Buffer.from("1")]).get("x-a"); // "1"
+ * ```
+ */
+export function buildHeaderMap(raw: readonly Buffer[]): Map<string, string> {
+  const headers = new Map<string, string>();
+  for (let i = 0; i + 1 < raw.length; i += 2) {
+    const name = raw[i]!.toString("latin1").toLowerCase();
+    const value = raw[i + 1]!.toString("latin1");
+    const existing = headers.get(name);
+    headers.set(name, existing === undefined ? value : `${existing}, ${value}`);
+  }
+  return headers;
+}
+
+/** Whether the head shows where the body ends; otherwise its connection does. */
+export function isFramed({ status, headers }: AnswerHead): boolean {
+  return headers.has("content-length") || headers.has("transfer-encoding") ||
+    BODYLESS_STATUSES.has(status);
+}
+
+/**
+ * Checks where the body of an answer ends.
+ *
+ * A parser that doesn't know a transfer coding reads up to the end of the connection.
+ * The header is not forwarded, so a caller would take the coded bytes for the body.
+ *
+ * @example
+ * ```ts
+ * const headers = new Map([["transfer-encoding", "gzip"]]);
+ * checkFraming({ status: 200, headers });
+ * // { kind: "coding", value: "gzip" }
+ * ```
+ */
+export function checkFraming(
+  { headers, isHttp10 = false }: AnswerHead,
+): HeadFault | undefined {
+  const length = headers.get("content-length")?.trim();
+  const coding = headers.get("transfer-encoding")?.trim();
+  if (length !== undefined && !/^\d+$/.test(length)) {
+    return { kind: "length", value: length };
+  }
+  if (coding !== undefined && coding.toLowerCase() !== "chunked") {
+    return { kind: "coding", value: coding };
+  }
+  if (coding !== undefined && (length !== undefined || isHttp10)) {
+    return { kind: "ambiguous" };
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/answer_heads/src/framing_test.ts
@@ -0,0 +1,53 @@
+import { expectSnapshot } from "@sardinestep/testing";
+import { expect } from "chai";
+import { buildHeaderMap, checkFraming, isFramed } from "./framing.ts";
+import { formatFault } from "./head_fault.ts";
+
+function describeFraming(
+  status: number,
+  headers: Readonly<Record<string, string>>,
+  isHttp10 = false,
+): string {
+  const head = { status, headers: new Map(Object.entries(headers)), isHttp10 };
+  const fault = checkFraming(head);
+  return fault === undefined ? "none" : formatFault(fault);
+}
+
+describe("checkFraming", () => {
+  it("says what is wrong with a length or a coding", function () {
+    const chunked = { "transfer-encoding": "chunked" };
+    expectSnapshot(this, {
+      neither: describeFraming(200, {}),
+      length: describeFraming(200, { "content-length": "5" }),
+      lengthWithBlanks: describeFraming(200, { "content-length": " 5 " }),
+      list: describeFraming(200, { "content-length": "5, 5" }),
+      sign: describeFraming(200, { "content-length": "+5" }),
+      hex: describeFraming(200, { "content-length": "0x5" }),
+      empty: describeFraming(200, { "content-length": "" }),
+      chunked: describeFraming(200, { "transfer-encoding": " Chunked " }),
+      unknown: describeFraming(200, { "transfer-encoding": "xchunked" }),
+      twice: describeFraming(200, { "transfer-encoding": "chunked, chunked" }),
+      both: describeFraming(200, { ...chunked, "content-length": "5" }),
+      chunkedInHttp10: describeFraming(200, chunked, true),
+    });
+  });
+});
+
+describe("isFramed", () => {
+  it("is false where only the connection shows the end", () => {
+    const isFramedBy = (status: number, name = "x-a") =>
+      isFramed({ status, headers: new Map([[name, "1"]]) });
+    expect(isFramedBy(200)).to.equal(false);
+    expect(isFramedBy(200, "content-length")).to.equal(true);
+    expect(isFramedBy(200, "transfer-encoding")).to.equal(true);
+    expect(isFramedBy(204)).to.equal(true);
+    expect(isFramedBy(304)).to.equal(true);
+  });
+});
+
+describe("buildHeaderMap", () => {
+  it("joins the values of repeated headers", () => {
+    const raw = ["X-A", "1", "x-a", "2"].map((text) => Buffer.from(text));
+    expect([...buildHeaderMap(raw)]).to.deep.equal([["x-a", "1, 2"]]);
+  });
+});
--- a/packages/answer_heads/src/head_checker.ts
+++ b/packages/answer_heads/src/head_checker.ts
@@ -16,7 +16,6 @@
 const SPACE = 0x20;
 const COLON = 0x3a;
 const DIGIT_ZERO = 0x30;
-const DIGIT_ONE = 0x31;
 const DIGIT_NINE = 0x39;
 const VERSION_START = Buffer.from("HTTP/1.");
 const STATUS_DIGITS = 3;
@@ -57,6 +56,12 @@
   /** Bytes of the version or the status so far. */
   #offset = 0;
   #status = 0;
+  #isHttp10 = false;
+
+  /** Whether the version is HTTP/1.0, which knows no transfer codings. */
+  get isHttp10(): boolean {
+    return this.#isHttp10;
+  }
 
   /** Takes the next bytes for the start of an answer. */
   start(): void {
@@ -119,7 +124,8 @@
       this.#offset = 0;
       return this.#enter(HEAD_PART.status);
     }
-    const isKnown = byte === DIGIT_ZERO || byte === DIGIT_ONE;
+    this.#isHttp10 = byte === DIGIT_ZERO;
+    const isKnown = this.#isHttp10 || byte === DIGIT_ZERO + 1;
     return isKnown ? undefined : this.#buildFault(byte);
   }
 
--- a/packages/answer_heads/src/head_checker_test.ts
+++ b/packages/answer_heads/src/head_checker_test.ts
@@ -69,6 +69,7 @@
       checker.start();
       expect(checker.check(Buffer.from(text))).to.equal(undefined);
     }
+    expect(checker.isHttp10).to.equal(true);
     checker.start();
     expect(checker.check(Buffer.from("x"))).not.to.equal(undefined);
   });
--- a/packages/answer_heads/src/head_fault.ts
+++ b/packages/answer_heads/src/head_fault.ts
@@ -28,13 +28,20 @@
 /** Highest status of HTTP. */
 export const STATUS_MAX = 599;
 
+/** Characters of a value that a message quotes. */
+const MAX_QUOTED_LENGTH = 40;
+
 /** What is wrong with the head of an answer. */
 export type HeadFault =
   /** A byte that its part may not have. */
   | { readonly kind: "byte"; readonly part: HeadPart; readonly byte: number }
   /** A status that is none, or that needs another request. */
   | { readonly kind: "status"; readonly status: number }
-  | { readonly kind: "unasked"; readonly status: number };
+  | { readonly kind: "unasked"; readonly status: number }
+  | { readonly kind: "length"; readonly value: string }
+  | { readonly kind: "coding"; readonly value: string }
+  /** A length beside a transfer coding, or a coding in HTTP/1.0. */
+  | { readonly kind: "ambiguous" };
 
 /**
  * Says what is wrong with a head.
@@ -66,5 +73,26 @@
       ({ status }) =>
         `Answer has status ${status}, which its request did not ask for`,
     )
+    .with(
+      { kind: "length" },
+      ({ value }) =>
+        `Answer has content length "${shorten(value)}", expected digits`,
+    )
+    .with(
+      { kind: "coding" },
+      ({ value }) =>
+        `Answer has transfer coding "${shorten(value)}", expected "chunked"`,
+    )
+    .with(
+      { kind: "ambiguous" },
+      () => "Answer has a transfer coding beside a length or HTTP/1.0",
+    )
     .exhaustive();
 }
+
+/** A head may be long; callers get its faults in their answers. */
+function shorten(value: string): string {
+  return value.length > MAX_QUOTED_LENGTH
+    ? `${value.slice(0, MAX_QUOTED_LENGTH)}...`
+    : value;
+}
--- a/packages/answer_heads/src/mod.ts
+++ b/packages/answer_heads/src/mod.ts
@@ -3,5 +3,6 @@
  *
  * @module
  */
+export * from "./framing.ts";
 export * from "./head_checker.ts";
 export * from "./head_fault.ts";
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -121,9 +121,6 @@
   readonly findRelay?: (socket: Socket) => string | undefined;
 }
 
-/** Statuses without a body, whose answers need no Content-Length. */
-const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /** Error codes for a connection that the endpoint closed or reset. */
 const DISCONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
   "ECONNRESET",
@@ -327,7 +324,7 @@
   #isPaused = false;
   /** What was parsed since the sink paused. */
   #pending: (() => void)[] = [];
-  #hasExplicitEnd = false;
+  #isFramed = false;
   #meter: AnswerMeter | undefined;
 
   constructor(
@@ -373,9 +370,15 @@
 
   onHeaders(status: number, raw: Buffer[]): boolean {
     if (this.#isFinished || status < 200) return true;
-    const headers = buildHeaderMap(raw);
-    this.#hasExplicitEnd = headers.has("content-length") ||
-      headers.has("transfer-encoding") || BODYLESS_STATUSES.has(status);
+    const headers = answerHeads.buildHeaderMap(raw);
+    const { isHttp10 } = this.#connection;
+    const head = { status, headers, isHttp10 };
+    const fault = answerHeads.checkFraming(head);
+    if (fault !== undefined) {
+      this.#failHead(fault);
+      return true;
+    }
+    this.#isFramed = answerHeads.isFramed(head);
     this.#sink.handleHead(status, headers);
     return true;
   }
@@ -397,7 +400,7 @@
   }
 
   #complete(): void {
-    if (!this.#hasExplicitEnd) return void this.#endUnframed();
+    if (!this.#isFramed) return void this.#endUnframed();
     this.#isFinished = true;
     if (this.#sink.mayReuse?.() ?? true) this.#options.release();
     else this.#connection.close();
@@ -458,15 +461,3 @@
     (error as NodeJS.ErrnoException).code ?? "",
   );
 }
-
-/** Lowercases names and joins the values of repeated headers with commas. */
-function buildHeaderMap(raw: readonly Buffer[]): Map<string, string> {
-  const headers = new Map<string, string>();
-  for (let i = 0; i + 1 < raw.length; i += 2) {
-    const name = raw[i]!.toString("latin1").toLowerCase();
-    const value = raw[i + 1]!.toString("latin1");
-    const existing = headers.get(name);
-    headers.set(name, existing === undefined ? value : `${existing}, ${value}`);
-  }
-  return headers;
-}
--- a/packages/gateway/src/pool_connection.ts
+++ b/packages/gateway/src/pool_connection.ts
@@ -76,6 +76,11 @@
     return this.#isDirect && this.#socket?.readableEnded === true;
   }
 
+  /** Whether the version of the answer is HTTP/1.0. */
+  get isHttp10(): boolean {
+    return this.#heads.isHttp10;
+  }
+
   /** Takes what is read next for the start of an answer. */
   startAnswer(): void {
     this.#heads.start();
