Refuse statuses that a request did not ask for

What callers saw: 304 to a POST without a condition, 206 to a request without a range, and 204 from a head that announces a body, each passed on as a whole answer.

Cause: any status counted as an answer, and the head of a 204 was not compared with what follows it.

Change: checkFraming gets the request. It takes 304 only for GET and HEAD with If-None-Match or If-Modified-Since, 206 only with Range, and 204 only without a coding and without a length over 0. These headers are forwarded, so a caller that asks for such an answer gets it.

--- a/packages/answer_heads/src/framing.ts
+++ b/packages/answer_heads/src/framing.ts
@@ -14,13 +14,27 @@
   readonly isHttp10?: boolean;
 }
 
+/** What a request asks for. */
+export interface AskingRequest {
+  readonly method: string;
+  /** Alternating names and values. */
+  readonly headers: readonly string[];
+}
+
 const STATUS_NO_CONTENT = 204;
+const STATUS_PARTIAL = 206;
 const STATUS_NOT_MODIFIED = 304;
 /** Statuses without a body. */
 const BODYLESS_STATUSES: ReadonlySet<number> = new Set([
   STATUS_NO_CONTENT,
   STATUS_NOT_MODIFIED,
 ]);
+const CONDITIONAL_METHODS: ReadonlySet<string> = new Set(["GET", "HEAD"]);
+const CONDITIONS: ReadonlySet<string> = new Set([
+  "if-modified-since",
+  "if-none-match",
+]);
+const RANGES: ReadonlySet<string> = new Set(["range"]);
 
 /**
  * Lowercases names and joins the values of repeated headers with commas.
@@ -49,7 +63,8 @@
 }
 
 /**
- * Checks where the body of an answer ends.
+ * Checks where the body of an answer ends, and whether its request asked for such an
+ * answer.
  *
  * A parser that doesn't know a transfer coding reads up to the end of the connection.
  * The header is not forwarded, so a caller would take the coded bytes for the body.
@@ -57,12 +72,13 @@
  * @example
  * ```ts
  * const headers = new Map([["transfer-encoding", "gzip"]]);
- * checkFraming({ status: 200, headers });
+ * checkFraming({ status: 200, headers }, { method: "GET", headers: [] });
  * // { kind: "coding", value: "gzip" }
  * ```
  */
 export function checkFraming(
-  { headers, isHttp10 = false }: AnswerHead,
+  { status, headers, isHttp10 = false }: AnswerHead,
+  request: AskingRequest,
 ): HeadFault | undefined {
   const length = headers.get("content-length")?.trim();
   const coding = headers.get("transfer-encoding")?.trim();
@@ -75,5 +91,28 @@
   if (coding !== undefined && (length !== undefined || isHttp10)) {
     return { kind: "ambiguous" };
   }
-  return undefined;
+  const hasBody = coding !== undefined || Number(length ?? 0) > 0;
+  if (status === STATUS_NO_CONTENT && hasBody) {
+    return { kind: "unexpectedBody", status };
+  }
+  return isAskedFor(status, request) ? undefined : { kind: "unasked", status };
+}
+
+function isAskedFor(
+  status: number,
+  { method, headers }: AskingRequest,
+): boolean {
+  if (status === STATUS_PARTIAL) return hasHeader(headers, RANGES);
+  if (status !== STATUS_NOT_MODIFIED) return true;
+  return CONDITIONAL_METHODS.has(method) && hasHeader(headers, CONDITIONS);
+}
+
+/** Whether alternating names and values have one of some names. */
+function hasHeader(
+  headers: readonly string[],
+  names: ReadonlySet<string>,
+): boolean {
+  return headers.some((name, i) =>
+    i % 2 === 0 && names.has(name.toLowerCase())
+  );
 }
--- a/packages/answer_heads/src/framing_test.ts
+++ b/packages/answer_heads/src/framing_test.ts
@@ -3,13 +3,15 @@
 import { buildHeaderMap, checkFraming, isFramed } from "./framing.ts";
 import { formatFault } from "./head_fault.ts";
 
+const REQUEST = { method: "POST", headers: [] };
+
 function describeFraming(
   status: number,
   headers: Readonly<Record<string, string>>,
   isHttp10 = false,
 ): string {
   const head = { status, headers: new Map(Object.entries(headers)), isHttp10 };
-  const fault = checkFraming(head);
+  const fault = checkFraming(head, REQUEST);
   return fault === undefined ? "none" : formatFault(fault);
 }
 
@@ -29,8 +31,30 @@
       twice: describeFraming(200, { "transfer-encoding": "chunked, chunked" }),
       both: describeFraming(200, { ...chunked, "content-length": "5" }),
       chunkedInHttp10: describeFraming(200, chunked, true),
+      noContent: describeFraming(204, { "content-length": "0" }),
+      noContentWithLength: describeFraming(204, { "content-length": "5" }),
+      noContentWithChunks: describeFraming(204, chunked),
     });
   });
+
+  it("takes a status only from requests that asked for it", () => {
+    const requests = [
+      REQUEST,
+      { method: "GET", headers: ["If-None-Match", "e"] },
+      { method: "POST", headers: ["if-none-match", "e"] },
+      { method: "GET", headers: ["x-a", "if-none-match"] },
+      { method: "HEAD", headers: ["if-modified-since", "d"] },
+      { method: "GET", headers: ["Range", "bytes=0-1"] },
+    ];
+    const isTaken = (status: number) =>
+      requests.map((request) =>
+        checkFraming({ status, headers: new Map() }, request) === undefined
+      );
+    expect(isTaken(304))
+      .to.deep.equal([false, true, false, false, true, false]);
+    expect(isTaken(206))
+      .to.deep.equal([false, false, false, false, false, true]);
+  });
 });
 
 describe("isFramed", () => {
--- a/packages/answer_heads/src/head_fault.ts
+++ b/packages/answer_heads/src/head_fault.ts
@@ -38,6 +38,8 @@
   /** A status that is none, or that needs another request. */
   | { readonly kind: "status"; readonly status: number }
   | { readonly kind: "unasked"; readonly status: number }
+  /** A body behind a status that has none. */
+  | { readonly kind: "unexpectedBody"; readonly status: number }
   | { readonly kind: "length"; readonly value: string }
   | { readonly kind: "coding"; readonly value: string }
   /** A length beside a transfer coding, or a coding in HTTP/1.0. */
@@ -73,6 +75,10 @@
       ({ status }) =>
         `Answer has status ${status}, which its request did not ask for`,
     )
+    .with(
+      { kind: "unexpectedBody" },
+      ({ status }) => `Answer has status ${status} and a body`,
+    )
     .with(
       { kind: "length" },
       ({ value }) =>
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -184,7 +184,9 @@
       return NO_CALL;
     }
     const connection = this.#acquireConnection(request);
-    const exchange = new PoolExchange(connection, sink, {
+    const exchange = new PoolExchange(sink, {
+      request,
+      connection,
       findRelay: this.#findRelay,
       release: () => this.#returnConnection(request, connection),
       checkProcess: request.checkProcess ??
@@ -308,6 +310,8 @@
 
 /** What an exchange needs of its pool. */
 interface ExchangeOptions {
+  readonly request: PoolRequest;
+  readonly connection: PoolConnection;
   readonly findRelay: (socket: Socket) => string | undefined;
   /** Called when the connection may be used again. */
   readonly release: () => void;
@@ -316,6 +320,7 @@
 
 /** Passes one answer from undici to a sink. */
 class PoolExchange implements Dispatcher.DispatchHandlers, PoolCall {
+  readonly #request: PoolRequest;
   readonly #connection: PoolConnection;
   readonly #sink: AnswerSink;
   readonly #options: ExchangeOptions;
@@ -327,12 +332,9 @@
   #isFramed = false;
   #meter: AnswerMeter | undefined;
 
-  constructor(
-    connection: PoolConnection,
-    sink: AnswerSink,
-    options: ExchangeOptions,
-  ) {
-    this.#connection = connection;
+  constructor(sink: AnswerSink, options: ExchangeOptions) {
+    this.#request = options.request;
+    this.#connection = options.connection;
     this.#sink = sink;
     this.#options = options;
   }
@@ -373,7 +375,7 @@
     const headers = answerHeads.buildHeaderMap(raw);
     const { isHttp10 } = this.#connection;
     const head = { status, headers, isHttp10 };
-    const fault = answerHeads.checkFraming(head);
+    const fault = answerHeads.checkFraming(head, this.#request);
     if (fault !== undefined) {
       this.#failHead(fault);
       return true;
