Refuse answers whose trailers are broken

What callers saw: 200 with a complete body for an answer whose trailers had a blank in a name, or no name. Where a head like this shows that the worker is in trouble, its end shows it too: nothing says that all of the body came before.

Cause: HttpPool ignored the trailers that the parser gives at the end.

Change: checkFields applies the sets of bytes of HeadChecker to parsed names and values. An answer with broken trailers is lost; a stream that has begun is broken off, or taken up at another worker.

A control byte in a value held before: the parser refuses it.

--- a/packages/answer_heads/src/head_checker.ts
+++ b/packages/answer_heads/src/head_checker.ts
@@ -160,3 +160,37 @@
     ? { kind: "unasked", status }
     : undefined;
 }
+
+/**
+ * Checks headers or trailers after a parser.
+ *
+ * @param raw Alternating names and values.
+ * @example
+ * ```ts
+ * checkFields([Buffer.from("x-a"), Buffer.from("1")]); // undefined
+ * ```
+ */
+export function checkFields(
+  raw: readonly Uint8Array[],
+): HeadFault | undefined {
+  for (let i = 0; i + 1 < raw.length; i += 2) {
+    const name = raw[i]!;
+    // Nothing stands for the colon of a line without a name.
+    if (name.length === 0) {
+      return { kind: "byte", part: HEAD_PART.name, byte: COLON };
+    }
+    const fault = checkBytes(name, HEAD_PART.name, NAME_BYTES) ??
+      checkBytes(raw[i + 1]!, HEAD_PART.value, TEXT_BYTES);
+    if (fault !== undefined) return fault;
+  }
+  return undefined;
+}
+
+function checkBytes(
+  bytes: Uint8Array,
+  part: HeadPart,
+  allowed: readonly boolean[],
+): HeadFault | undefined {
+  const byte = bytes.find((byte) => !allowed[byte]);
+  return byte === undefined ? undefined : { kind: "byte", part, byte };
+}
--- a/packages/answer_heads/src/head_checker_test.ts
+++ b/packages/answer_heads/src/head_checker_test.ts
@@ -2,7 +2,7 @@
 import { expect } from "chai";
 import * as fc from "fast-check";
 import { validateHeaderName, validateHeaderValue } from "node:http";
-import { HeadChecker } from "./head_checker.ts";
+import { checkFields, HeadChecker } from "./head_checker.ts";
 import { formatFault, type HeadFault } from "./head_fault.ts";
 
 const START = "HTTP/1.1 200 OK\r\n";
@@ -123,3 +123,13 @@
     );
   });
 });
+
+describe("checkFields", () => {
+  it("says what is wrong with parsed headers", function () {
+    const fields = [["x-a", "1"], ["x a", "1"], ["", "1"], ["x-a", "1\x01"]];
+    const faults = fields.map((field) =>
+      describeFault(checkFields(field.map((part) => Buffer.from(part))))
+    );
+    expectSnapshot(this, faults);
+  });
+});
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -391,8 +391,12 @@
     return true;
   }
 
-  onComplete(): void {
-    this.#handle(() => this.#complete());
+  onComplete(trailers: unknown): void {
+    // undici passes them unparsed, other than its types say.
+    const fault = answerHeads.checkFields((trailers ?? []) as Buffer[]);
+    this.#handle(() =>
+      fault === undefined ? this.#complete() : this.#failHead(fault)
+    );
   }
 
   /** Passes on a part of the answer, once the sink takes it. */
