Check the answers of VMs that relay connections

What was seen: a VM took an answer in HTTP/2.0 to its CONNECT for a tunnel. No caller saw it: the bytes of the endpoint are checked behind the tunnel.

Cause: the answer of a relay is read by the parser of Node.js, which takes four versions.

Change: openTunnel gives the bytes of the answer to a HeadChecker before the parser gets them; a relay with a broken head counts as silent.

Evidence: the row with HTTP/2.0 fails before this change and passes now.

--- a/packages/endpoint_paths/src/tunnel_client.ts
+++ b/packages/endpoint_paths/src/tunnel_client.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import * as answerHeads from "@sardinestep/answer_heads";
 import * as rpc from "@sardinestep/rpc";
 import type { Address } from "@sardinestep/types";
 import { request as openRequest } from "node:http";
@@ -67,6 +68,11 @@
       agent: false,
       maxHeaderSize: MAX_HEAD_BYTES,
     });
+    const heads = new answerHeads.HeadChecker();
+    heads.start();
+    const checkHead = (bytes: Uint8Array) => {
+      if (heads.check(bytes) !== undefined) giveUp();
+    };
     let headBytes = 0;
     // The parser skips spaces and empty lines without a limit.
     const countHead = ({ length }: Uint8Array) => {
@@ -76,7 +82,7 @@
     const finish = (result: Result<Socket, TunnelFailure>) => {
       timeout.cancel();
       signal?.removeEventListener("abort", giveUp);
-      sent.socket?.off("data", countHead);
+      sent.socket?.off("data", checkHead).off("data", countHead);
       if (result.isErr()) sent.destroy();
       resolve(result);
     };
@@ -85,7 +91,11 @@
     if (signal?.aborted) return giveUp();
     signal?.addEventListener("abort", giveUp);
     sent.on("error", giveUp);
-    sent.once("socket", (socket) => socket.on("data", countHead));
+    sent.once("socket", (socket) => {
+      // The parser acts on a head as soon as its listener gets it.
+      socket.prependListener("data", checkHead);
+      socket.on("data", countHead);
+    });
     sent.once("connect", (response, socket: Socket) => {
       // The bytes that came with the head are not counted.
       headBytes = -Infinity;
