Check the heads that the adapters of the older interface read

What was seen: an adapter used an answer with a blank in the name of a header, no name, status 600 or an unknown transfer coding, as those of the pool did. Its callers get JSON that the product builds, so none of the head reached them.

Cause: HttpExchange has a connection pool of its own and acted on whatever undici gave it.

Change: it checks status, fields and framing of each head with the functions of answer_heads and fails with bad_answer. It sees parsed heads only: a version, a folded line and more than three digits stay unseen there.

--- a/packages/answer_heads/src/head_checker.ts
+++ b/packages/answer_heads/src/head_checker.ts
@@ -153,7 +153,7 @@
 }
 
 /** Checks a status; nothing here asks for another protocol. */
-function checkStatus(status: number): HeadFault | undefined {
+export function checkStatus(status: number): HeadFault | undefined {
   const isKnown = status >= STATUS_MIN && status <= STATUS_MAX;
   if (!isKnown) return { kind: "status", status };
   return status === STATUS_SWITCHING_PROTOCOLS
--- a/packages/answer_heads/src/head_checker_test.ts
+++ b/packages/answer_heads/src/head_checker_test.ts
@@ -2,7 +2,7 @@
 import { expect } from "chai";
 import * as fc from "fast-check";
 import { validateHeaderName, validateHeaderValue } from "node:http";
-import { checkFields, HeadChecker } from "./head_checker.ts";
+import { checkFields, checkStatus, HeadChecker } from "./head_checker.ts";
 import { formatFault, type HeadFault } from "./head_fault.ts";
 
 const START = "HTTP/1.1 200 OK\r\n";
@@ -133,3 +133,12 @@
     expectSnapshot(this, faults);
   });
 });
+
+describe("checkStatus", () => {
+  it("takes three digits from 100 to 599, without a switch of protocols", () => {
+    const statuses = [0, 1, 99, 100, 101, 200, 599, 600, 999];
+    expect(
+      statuses.filter((status) => checkStatus(status) === undefined),
+    ).to.deep.equal([100, 200, 599]);
+  });
+});
--- a/packages/ports/src/http/exchange.ts
+++ b/packages/ports/src/http/exchange.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+import * as answerHeads from "@sardinestep/answer_heads";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { Dispatcher } from "undici";
 import type { PortError, PortErrorKind } from "../error.ts";
@@ -75,6 +76,10 @@
     this.#status = status;
     this.#rawHeaders = rawHeaders;
     this.#recordProgress();
+    const fault = this.#checkHead(status, rawHeaders);
+    if (fault !== undefined) {
+      this.#fail("bad_answer", answerHeads.formatFault(fault));
+    }
     return true;
   }
 
@@ -111,6 +116,18 @@
     }
   }
 
+  #checkHead(
+    status: number,
+    rawHeaders: Buffer[],
+  ): answerHeads.HeadFault | undefined {
+    const { method, headers = {} } = this.#request;
+    const fields = Object.entries(headers).flat();
+    const head = { status, headers: answerHeads.buildHeaderMap(rawHeaders) };
+    return answerHeads.checkStatus(status) ??
+      answerHeads.checkFields(rawHeaders) ??
+      answerHeads.checkFraming(head, { method, headers: fields });
+  }
+
   #recordProgress(): void {
     if (this.#request.timeoutIsProgress) this.#timer.refresh();
   }
