Take no unframed answer for whole while its request is being sent

What callers saw: a worker answered a long upload (8 MB) at once with a 200 that had no length, sent one event of two and ended its side of the connection while the upload was still being written. The caller of a stream got this part as a complete answer.

Cause: a stream without a length is whole if its connection ends in order after an event and the report names the process that was registered. Both hold here; whether the worker could have read the request was not asked.

Change: HttpPool fails such an answer while the socket holds bytes of the request that the kernel has not taken.

Evidence: of 12 rows (half an event or one of two; with and without a length; close, reset, end; four kinds of request each) one fails before this change: "one event of two, no length, end". All 12 passed in three runs after it. The other 11 held before, among them each reset and each close. An upload that the buffers of the kernel hold whole can't be told from one that was read; that stays open.

--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -392,10 +392,12 @@
   }
 
   onComplete(trailers: unknown): void {
-    // undici passes them unparsed, other than its types say.
+    // undici passes alternating names and values, unlike its types say.
     const fault = answerHeads.checkFields((trailers ?? []) as Buffer[]);
+    // A socket that is destroyed no longer counts what it has not written.
+    const isSent = this.#connection.isRequestWritten;
     this.#handle(() =>
-      fault === undefined ? this.#complete() : this.#failHead(fault)
+      fault === undefined ? this.#complete(isSent) : this.#failHead(fault)
     );
   }
 
@@ -405,8 +407,8 @@
     else if (!this.#isFinished) passOn();
   }
 
-  #complete(): void {
-    if (!this.#isFramed) return void this.#endUnframed();
+  #complete(isSent: boolean): void {
+    if (!this.#isFramed) return void this.#endUnframed(isSent);
     this.#isFinished = true;
     if (this.#sink.mayReuse?.() ?? true) this.#options.release();
     else this.#connection.close();
@@ -432,7 +434,11 @@
   }
 
   /** Ends an answer that ended with its connection. */
-  async #endUnframed(): Promise<void> {
+  async #endUnframed(isSent: boolean): Promise<void> {
+    if (!isSent) {
+      const message = "Answer has no length, and its request was not sent to its end";
+      return this.#fail(message, false);
+    }
     const state = await this.#options.checkProcess();
     if (this.#isFinished) return;
     const isWhole = state === PROCESS_STATE.running &&
--- a/packages/gateway/src/pool_connection.ts
+++ b/packages/gateway/src/pool_connection.ts
@@ -86,6 +86,11 @@
     this.#heads.start();
   }
 
+  /** Whether the kernel has taken all that was written. */
+  get isRequestWritten(): boolean {
+    return this.#socket?.writableLength === 0;
+  }
+
   /** Reads nothing more until {@link resumeReading}. */
   pauseReading(): void {
     this.#isPaused = true;
