--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -436,7 +436,8 @@
   /** Ends an answer that ended with its connection. */
   async #endUnframed(isSent: boolean): Promise<void> {
     if (!isSent) {
-      const message = "Answer has no length, and its request was not sent to its end";
+      const message =
+        "Answer has no length, and its request was not sent to its end";
       return this.#fail(message, false);
     }
     const state = await this.#options.checkProcess();
