Keep answers without an end within the memory of a VM of 160 MB

Cause: the budget counts what is held, not what was read and dropped. V8 frees buffers only with a collection of the young generation (16 MB of objects, each of which may have a read of 64 KB) or after some 64 MB of them. Runtime, sockets, these 64 MB and a fifth of 160 MB exceed it.

VMs of 184 MB and more keep their budgets.

--- a/packages/caller_connections/src/caller_capacity.ts
+++ b/packages/caller_connections/src/caller_capacity.ts
@@ -36,6 +36,9 @@
 /** The runtime, sockets and heads take most of the memory. */
 const BUFFER_SHARE = 0.2;
 const MAX_BUFFERED_MB = 48;
+const MIN_BUFFERED_MB = 16;
+/** The runtime with some hundred sockets, and 64 MB of reads that V8 has not freed. */
+const RUNTIME_MB = 136;
 /** The parser makes strings of a head, which take many times its bytes. */
 const HEAD_SHARE = 1 / 80;
 
@@ -48,14 +51,18 @@
  * @example
  * ```ts
  * planCallerCapacity({ memoryMb: 160, descriptors: 4_100 });
- * // { maxConnections: 1_950, maxHeadBytes: 2_097_152, maxBufferedBytes: 33_554_432 }
+ * // { maxConnections: 1_950, maxHeadBytes: 2_097_152, maxBufferedBytes: 25_165_824 }
  * ```
  */
 export function planCallerCapacity(
   { memoryMb, descriptors }: VmLimits,
 ): CallerCapacity {
   const files = Math.min(FILE_DESCRIPTORS, descriptors * MAX_FILE_SHARE);
-  const bufferedMb = Math.min(MAX_BUFFERED_MB, memoryMb * BUFFER_SHARE);
+  const bufferedMb = Math.min(
+    MAX_BUFFERED_MB,
+    memoryMb * BUFFER_SHARE,
+    Math.max(MIN_BUFFERED_MB, memoryMb - RUNTIME_MB),
+  );
   return {
     maxConnections: Math.floor((descriptors - files) * CONNECTION_SHARE),
     maxHeadBytes: Math.floor(memoryMb * HEAD_SHARE * BYTES_PER_MB),
