Check runs of bytes in one loop

HeadChecker decided anew for each byte of a name or a value. These runs are skipped in one loop now. The tests of heads pass unchanged (167).

--- a/packages/answer_heads/src/head_checker.ts
+++ b/packages/answer_heads/src/head_checker.ts
@@ -32,10 +32,17 @@
   byte === 0x09 || (byte >= SPACE && byte !== 0x7f)
 );
 
-function buildByteSet(isMember: (byte: number) => boolean): readonly boolean[] {
-  return Array.from({ length: 256 }, (_, byte) => isMember(byte));
+function buildByteSet(isMember: (byte: number) => boolean): Uint8Array {
+  return Uint8Array.from({ length: 256 }, (_, byte) => isMember(byte) ? 1 : 0);
 }
 
+/** Parts that may have any number of bytes, and these bytes. */
+const RUN_BYTES: Readonly<Partial<Record<HeadPart, Uint8Array>>> = {
+  [HEAD_PART.reason]: TEXT_BYTES,
+  [HEAD_PART.name]: NAME_BYTES,
+  [HEAD_PART.value]: TEXT_BYTES,
+};
+
 /**
  * Checks the heads of one answer as they arrive, interim ones first. It keeps no
  * bytes, and ignores what follows the last head.
@@ -72,14 +79,24 @@
 
   /** Checks the next bytes; gives what is wrong with the head, if anything is. */
   check(bytes: Uint8Array): HeadFault | undefined {
-    for (let i = 0; i < bytes.length; i++) {
-      if (this.#part === HEAD_PART.body) return undefined;
-      const fault = this.#checkByte(bytes[i]!);
+    let at = this.#skipRun(bytes, 0);
+    while (at < bytes.length && this.#part !== HEAD_PART.body) {
+      const fault = this.#checkByte(bytes[at]!);
       if (fault !== undefined) return fault;
+      at = this.#skipRun(bytes, at + 1);
     }
     return undefined;
   }
 
+  /** Skips bytes that leave a name or a text where it is; gives where they end. */
+  #skipRun(bytes: Uint8Array, start: number): number {
+    const allowed = RUN_BYTES[this.#part];
+    if (allowed === undefined) return start;
+    let end = start;
+    while (end < bytes.length && allowed[bytes[end]!] === 1) end++;
+    return end;
+  }
+
   #checkByte(byte: number): HeadFault | undefined {
     switch (this.#part) {
       case HEAD_PART.version:
@@ -89,14 +106,14 @@
       case HEAD_PART.reason:
       case HEAD_PART.value:
         if (byte === CR) return this.#enter(HEAD_PART.lineEnd);
-        return TEXT_BYTES[byte] ? undefined : this.#buildFault(byte);
+        return this.#buildFault(byte);
       case HEAD_PART.lineStart:
         if (byte === CR) return this.#enter(HEAD_PART.headEnd);
         this.#part = HEAD_PART.name;
         return NAME_BYTES[byte] ? undefined : this.#buildFault(byte);
       case HEAD_PART.name:
         if (byte === COLON) return this.#enter(HEAD_PART.value);
-        return NAME_BYTES[byte] ? undefined : this.#buildFault(byte);
+        return this.#buildFault(byte);
       case HEAD_PART.lineEnd:
         if (byte !== LF) return this.#buildFault(byte);
         return this.#enter(HEAD_PART.lineStart);
@@ -189,7 +206,7 @@
 function checkBytes(
   bytes: Uint8Array,
   part: HeadPart,
-  allowed: readonly boolean[],
+  allowed: Uint8Array,
 ): HeadFault | undefined {
   const byte = bytes.find((byte) => !allowed[byte]);
   return byte === undefined ? undefined : { kind: "byte", part, byte };
