Log at the end of an answer what shows it, and where a stream ended

EventScanner follows events however their bytes are divided, also of streams that are passed on unbuffered; EventBuffer takes its last id from it. AnswerSink.handleEnd gets the framing, and findFraming takes the place of isFramed.

--- a/packages/answer_heads/src/framing.ts
+++ b/packages/answer_heads/src/framing.ts
@@ -56,10 +56,37 @@
   return headers;
 }
 
-/** Whether the head shows where the body ends; otherwise its connection does. */
-export function isFramed({ status, headers }: AnswerHead): boolean {
-  return headers.has("content-length") || headers.has("transfer-encoding") ||
-    BODYLESS_STATUSES.has(status);
+/** What shows where the body of an answer ends. */
+export const FRAMING = {
+  /** Its head: there is none. */
+  none: "none",
+  /** Its head, which states the length. */
+  length: "length",
+  /** The last chunk, which the endpoint writes whenever it stops. */
+  chunks: "chunks",
+  /** The end of its connection. */
+  connection: "connection",
+} as const;
+/** A value of {@link FRAMING}. */
+export type Framing = typeof FRAMING[keyof typeof FRAMING];
+
+/**
+ * Finds what shows where the body of an answer ends.
+ *
+ * @param head The head of the answer.
+ * @param method Method of its request.
+ * @example
+ * ```ts
+ * findFraming({ status: 200, headers: new Map() }, "GET"); // "connection"
+ * ```
+ */
+export function findFraming(
+  { status, headers }: AnswerHead,
+  method: string,
+): Framing {
+  if (method === "HEAD" || BODYLESS_STATUSES.has(status)) return FRAMING.none;
+  if (headers.has("transfer-encoding")) return FRAMING.chunks;
+  return headers.has("content-length") ? FRAMING.length : FRAMING.connection;
 }
 
 /**
--- a/packages/answer_heads/src/framing_test.ts
+++ b/packages/answer_heads/src/framing_test.ts
@@ -1,6 +1,6 @@
 import { expectSnapshot } from "@sardinestep/testing";
 import { expect } from "chai";
-import { buildHeaderMap, checkFraming, isFramed } from "./framing.ts";
+import { buildHeaderMap, checkFraming, findFraming } from "./framing.ts";
 import { formatFault } from "./head_fault.ts";
 
 const REQUEST = { method: "POST", headers: [] };
@@ -57,15 +57,16 @@
   });
 });
 
-describe("isFramed", () => {
-  it("is false where only the connection shows the end", () => {
-    const isFramedBy = (status: number, name = "x-a") =>
-      isFramed({ status, headers: new Map([[name, "1"]]) });
-    expect(isFramedBy(200)).to.equal(false);
-    expect(isFramedBy(200, "content-length")).to.equal(true);
-    expect(isFramedBy(200, "transfer-encoding")).to.equal(true);
-    expect(isFramedBy(204)).to.equal(true);
-    expect(isFramedBy(304)).to.equal(true);
+describe("findFraming", () => {
+  it("finds what shows the end of a body", () => {
+    const find = (status: number, name = "x-a", method = "GET") =>
+      findFraming({ status, headers: new Map([[name, "1"]]) }, method);
+    expect(find(200)).to.equal("connection");
+    expect(find(200, "content-length")).to.equal("length");
+    expect(find(200, "transfer-encoding")).to.equal("chunks");
+    expect(find(204)).to.equal("none");
+    expect(find(304)).to.equal("none");
+    expect(find(200, "transfer-encoding", "HEAD")).to.equal("none");
   });
 });
 
--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -133,7 +133,7 @@
   }
 
   end(): void {
-    if (!this.isCancelled) this.#sink.handleEnd();
+    if (!this.isCancelled) this.#sink.handleEnd("chunks");
   }
 
   refuse(status = STATUS_FULL): void {
--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type * as answerHeads from "@sardinestep/answer_heads";
 import * as bufferBudget from "@sardinestep/buffer_budget";
 import * as codes from "@sardinestep/codes";
 import type { ServerResponse } from "node:http";
@@ -49,6 +50,8 @@
   readonly status: number;
   readonly headers: ReadonlyMap<string, string>;
   readonly body: Uint8Array;
+  /** What showed its end. */
+  readonly framing: answerHeads.Framing;
 }
 
 /** Options of {@link AnswerWriter}. */
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type * as answerHeads from "@sardinestep/answer_heads";
 import * as bufferBudget from "@sardinestep/buffer_budget";
 import * as endpointPaths from "@sardinestep/endpoint_paths";
 import * as serving from "@sardinestep/serving";
@@ -11,6 +12,7 @@
 import type { AnswerWriter, CompleteAnswer } from "./answer_writer.ts";
 import type { EndpointTracker } from "./endpoint_tracker.ts";
 import { type EventBuffer, type EventStep, EventTail } from "./event_buffer.ts";
+import type { StreamPosition } from "./event_scanner.ts";
 import { HeldAnswer } from "./held_answer.ts";
 import {
   type AnswerSink,
@@ -29,7 +31,7 @@
   /** The complete answer was received; nothing was written to the caller yet. */
   | { readonly kind: "answered"; readonly answer: CompleteAnswer }
   /** The stream was written to the caller to its end. */
-  | { readonly kind: "streamed" }
+  | { readonly kind: "streamed"; readonly end: StreamEnd }
   /** The endpoint reports that it did not run the request. */
   | {
     readonly kind: "notRun";
@@ -50,6 +52,12 @@
   /** The request was ended first: the caller disconnected or the time ran out. */
   | { readonly kind: "ended" };
 
+/** Where a stream ended. */
+export interface StreamEnd extends StreamPosition {
+  /** What showed its end. */
+  readonly framing: answerHeads.Framing;
+}
+
 /** Where an answer arrived which says that the request did not run. */
 export interface NotRunProof {
   /** Its connection carried another request before. */
@@ -315,7 +323,7 @@
     this.#holdAnswer(this.#body.capacity);
   }
 
-  handleEnd(): void {
+  handleEnd(framing: answerHeads.Framing): void {
     const { isNotRun, isMisdirected } = this.#answerMetadata;
     if (isNotRun) {
       const proof = {
@@ -329,7 +337,7 @@
       return this.#finish({ kind: "notRun", status, proof }, evidence);
     }
     if (this.#options.isStream && isSuccess(this.#status)) {
-      return this.#endStream();
+      return this.#endStream(framing);
     }
     const evidence = this.#status >= STATUS_FAILURE_MIN
       ? serving.EVIDENCE.failed
@@ -340,6 +348,7 @@
         status: this.#status,
         headers: this.#headers,
         body: this.#body.getBytes(),
+        framing,
       },
     }, evidence);
   }
@@ -432,9 +441,9 @@
     if (!writer.hasStarted) writer.startStream(this.#status, this.#headers);
   }
 
-  #endStream(): void {
+  #endStream(framing: answerHeads.Framing): void {
     const { eventBuffer, writer, handleDelivery } = this.#options;
-    const { hasPartial } = eventBuffer ?? this.#tail;
+    const { hasPartial, events, lastEventId } = eventBuffer ?? this.#tail;
     if (hasPartial) return this.#fail("Stream ended inside an event");
     // Nothing may be left after the last event that the caller has.
     if (!this.#isStreaming && !this.#hasEarlierEvents) {
@@ -443,7 +452,8 @@
     handleDelivery?.();
     if (!this.#isStreaming) this.#startStream();
     writer.endStream();
-    this.#finish({ kind: "streamed" }, serving.EVIDENCE.good);
+    const end = { framing, events, lastEventId };
+    this.#finish({ kind: "streamed", end }, serving.EVIDENCE.good);
   }
 
   #restartInactivityTimeout(): void {
--- a/packages/gateway/src/event_buffer.ts
+++ b/packages/gateway/src/event_buffer.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as bufferBudget from "@sardinestep/buffer_budget";
+import { EventScanner, type StreamPosition } from "./event_scanner.ts";
 
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
@@ -26,18 +27,23 @@
  * the middle of an event that was partly passed on, the rest of the stream from
  * another endpoint would reach the caller garbled or with a duplicate.
  */
-export class EventBuffer {
+export class EventBuffer implements StreamPosition {
   readonly #partial = new bufferBudget.GrowingBuffer();
-  #lastEventId: string | undefined;
+  readonly #scanner: EventScanner;
 
-  /** @param lastEventId Id of the event after which the stream begins. */
-  constructor(lastEventId?: string) {
-    this.#lastEventId = lastEventId;
+  /** @param after Where the stream goes on; at its start if unset. */
+  constructor(after?: StreamPosition) {
+    this.#scanner = new EventScanner(after);
   }
 
   /** Id of the last complete event. */
   get lastEventId(): string | undefined {
-    return this.#lastEventId;
+    return this.#scanner.lastEventId;
+  }
+
+  /** Complete events so far. */
+  get events(): number {
+    return this.#scanner.events;
   }
 
   /** Bytes of memory that the incomplete event takes. */
@@ -68,7 +74,7 @@
     }
     const complete = isEnd ? this.#takePartial(chunk.subarray(0, end)) : EMPTY;
     this.#partial.append(isEnd ? chunk.subarray(end) : chunk);
-    this.#lastEventId = findLastId(complete) ?? this.#lastEventId;
+    this.#scanner.add(complete);
     return { kind: "events", bytes: complete };
   }
 
@@ -86,10 +92,21 @@
 }
 
 /** Follows a stream that is passed on as it arrives, up to the end of its events. */
-export class EventTail {
+export class EventTail implements StreamPosition {
+  readonly #scanner = new EventScanner();
   #last = Buffer.alloc(0);
   #partialBytes = 0;
 
+  /** Id of the last complete event. */
+  get lastEventId(): string | undefined {
+    return this.#scanner.lastEventId;
+  }
+
+  /** Complete events so far. */
+  get events(): number {
+    return this.#scanner.events;
+  }
+
   /** Whether the stream ended inside an event. */
   get hasPartial(): boolean {
     return this.#last.length > 0 &&
@@ -103,6 +120,7 @@
 
   /** Appends bytes of the stream. */
   add(chunk: Uint8Array): void {
+    this.#scanner.add(chunk);
     const end = findEventEnd(this.#last, chunk);
     this.#partialBytes = end > 0
       ? chunk.length - end
@@ -141,9 +159,3 @@
   }
   return 0;
 }
-
-function findLastId(complete: Uint8Array): string | undefined {
-  const text = Buffer.from(complete).toString("utf8");
-  const ids = [...text.matchAll(/^id:[ ]?(.*?)\r?$/gm)];
-  return ids.at(-1)?.[1];
-}
--- a/packages/gateway/src/final_answer.ts
+++ b/packages/gateway/src/final_answer.ts
@@ -6,6 +6,7 @@
 import * as codes from "@sardinestep/codes";
 import * as serving from "@sardinestep/serving";
 import { match } from "ts-pattern";
+import type { StreamEnd } from "./attempt.ts";
 import { EVENT } from "./events.ts";
 import type {
   ArrivedRequest,
@@ -82,19 +83,26 @@
   match(result)
     .with({ kind: "answered" }, ({ answer }) => {
       writer.writeComplete(answer);
-      recordAnswer(deps, request, String(answer.status));
+      const { framing } = answer;
+      recordAnswer(deps, request, {
+        outcome: String(answer.status),
+        framing,
+      });
     })
-    .with({ kind: "streamed" }, () => recordAnswer(deps, request, "streamed"))
+    .with(
+      { kind: "streamed" },
+      ({ end }) => recordAnswer(deps, request, { outcome: "streamed", ...end }),
+    )
     .with({ kind: "brokenOff" }, ({ cause, reason }) => {
       writer.abortWhenWritten(
         { cause, reason },
         request.timeoutMs - scope.ageMs,
       );
-      recordAnswer(deps, request, "brokenOff", reason);
+      recordAnswer(deps, request, { outcome: "brokenOff", reason });
     })
     .with({ kind: "failure" }, ({ failure }) => {
       writer.writeFailure(failure);
-      recordAnswer(deps, request, failure.code, failure.message);
+      recordFailure(deps, request, failure);
     })
     .with({ kind: "ended" }, ({ mayHaveRun }) => {
       if (scope.endedBy === END_REASON.callerDisconnected) {
@@ -109,7 +117,7 @@
       }
       const failure = buildEndedFailure(mayHaveRun, scope.endedBy);
       writer.writeFailure(failure);
-      recordAnswer(deps, request, failure.code, failure.message);
+      recordFailure(deps, request, failure);
     })
     .exhaustive();
 }
@@ -143,13 +151,27 @@
   });
 }
 
+/** What the log says of the end of a request. */
+interface RecordedEnd extends Partial<StreamEnd> {
+  readonly outcome: string;
+  readonly reason?: string;
+}
+
+function recordFailure(
+  deps: FlowDependencies,
+  request: RoutedRequest,
+  { code, message }: codes.Failure,
+): void {
+  recordAnswer(deps, request, { outcome: code, reason: message });
+}
+
 function recordAnswer(
   deps: FlowDependencies,
   request: RoutedRequest,
-  outcome: string,
-  reason?: string,
+  end: RecordedEnd,
 ): void {
-  const { route, scope, requestId } = request;
+  const { route, scope, requestId, timeoutMs } = request;
+  const { outcome, ...fields } = end;
   const tookMs = scope.ageMs;
   deps.metrics.count("requests_total", { route: route.name, outcome });
   deps.metrics.recordMs("request_ms", { route: route.name }, tookMs);
@@ -157,8 +179,9 @@
     requestId,
     route: route.name,
     outcome,
-    reason,
+    ...fields,
     tookMs: Math.round(tookMs),
+    leftMs: Math.round(timeoutMs - tookMs),
     objectiveMs: route.objectiveMs,
   });
 }
--- a/packages/gateway/src/flow_types.ts
+++ b/packages/gateway/src/flow_types.ts
@@ -11,6 +11,7 @@
 import type * as streamVersions from "@sardinestep/stream_versions";
 import type { ServiceId } from "@sardinestep/types";
 import type { AnswerWriter, CompleteAnswer } from "./answer_writer.ts";
+import type { StreamEnd } from "./attempt.ts";
 import type { EndpointTracker } from "./endpoint_tracker.ts";
 import type { HttpPool } from "./http_pool.ts";
 import type { PeerMesh } from "./peer_mesh.ts";
@@ -79,7 +80,7 @@
 /** How forwarding ended. */
 export type ForwardResult =
   | { readonly kind: "answered"; readonly answer: CompleteAnswer }
-  | { readonly kind: "streamed" }
+  | { readonly kind: "streamed"; readonly end: StreamEnd }
   /** A stream started, but could not be completed. */
   | {
     readonly kind: "brokenOff";
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -297,7 +297,7 @@
     if (!isTakeover || this.#eventBuffer === undefined) {
       return this.#eventBuffer;
     }
-    this.#takeoverBuffer = new EventBuffer(this.#eventBuffer.lastEventId);
+    this.#takeoverBuffer = new EventBuffer(this.#eventBuffer);
     return this.#takeoverBuffer;
   }
 
@@ -344,7 +344,7 @@
     outcome: RaceOutcome,
   ): Promise<ForwardResult | undefined> {
     return await match(outcome)
-      .with({ kind: "streamed" }, () => ({ kind: "streamed" as const }))
+      .with({ kind: "streamed" }, (streamed) => streamed)
       .with({ kind: "ended" }, () => {
         this.#mayHaveRun = true;
         return this.#buildEnded();
--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -81,7 +81,8 @@
    * complete; it may if unset. Called before {@link handleEnd}.
    */
   mayReuse?(): boolean;
-  handleEnd(): void;
+  /** @param framing What showed where the body ends. */
+  handleEnd(framing: answerHeads.Framing): void;
   handleFailure(failure: PoolFailure): void;
 }
 
@@ -329,7 +330,7 @@
   #isPaused = false;
   /** What was parsed since the sink paused. */
   #pending: (() => void)[] = [];
-  #isFramed = false;
+  #framing: answerHeads.Framing = answerHeads.FRAMING.connection;
   #meter: AnswerMeter | undefined;
 
   constructor(sink: AnswerSink, options: ExchangeOptions) {
@@ -380,7 +381,7 @@
       this.#failHead(fault);
       return true;
     }
-    this.#isFramed = answerHeads.isFramed(head);
+    this.#framing = answerHeads.findFraming(head, this.#request.method);
     this.#sink.handleHead(status, headers);
     return true;
   }
@@ -408,11 +409,13 @@
   }
 
   #complete(isSent: boolean): void {
-    if (!this.#isFramed) return void this.#endUnframed(isSent);
+    if (this.#framing === answerHeads.FRAMING.connection) {
+      return void this.#endUnframed(isSent);
+    }
     this.#isFinished = true;
     if (this.#sink.mayReuse?.() ?? true) this.#options.release();
     else this.#connection.close();
-    this.#sink.handleEnd();
+    this.#sink.handleEnd(this.#framing);
   }
 
   onError(error: Error): void {
@@ -453,7 +456,7 @@
     }
     this.#isFinished = true;
     this.#connection.close();
-    this.#sink.handleEnd();
+    this.#sink.handleEnd(this.#framing);
   }
 
   #fail(message: string, isDisconnected: boolean): void {
