Take no end in order for a whole answer once the endpoint's time is up

Callers saw streams end as complete after a part of their events, and plain answers with a part of their body: an endpoint that stops at the deadline that it was handed ends its answer in order. The VM gave the request up by a timer of its own for the same moment, so whichever the event loop ran first decided; a busy or stopped process reads its sockets before its timers.

The clock decides now. mayBeCutOff says from the time of the send, the time that was handed out and the request's deadline whether an end that only a last chunk or the end of the connection shows may be that of the endpoint's time; such an answer ends the request as timed out. RequestScope has the deadline and judges it by the clock, so that no retry, resume or takeover is sent for a request without time.

--- a/packages/gateway/src/_forward_harness.ts
+++ b/packages/gateway/src/_forward_harness.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type * as answerHeads from "@sardinestep/answer_heads";
 import * as logger from "@sardinestep/logger";
 import * as metrics from "@sardinestep/metrics";
 import * as rollout from "@sardinestep/rollout";
@@ -28,7 +29,7 @@
 import type { WireAdapter } from "./ports.ts";
 import type { ProcessReports } from "./process_reports.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
-import { RequestScope } from "./request_scope.ts";
+import { END_REASON, RequestScope } from "./request_scope.ts";
 import type { Rollouts } from "./rollouts.ts";
 
 const REQUEST_ID = "r1";
@@ -132,8 +133,8 @@
     this.write(`id: ${id}\ndata: ${this.endpointId}\n\n`);
   }
 
-  end(): void {
-    if (!this.isCancelled) this.#sink.handleEnd("chunks");
+  end(framing: answerHeads.Framing = "chunks"): void {
+    if (!this.isCancelled) this.#sink.handleEnd(framing);
   }
 
   refuse(status = STATUS_FULL): void {
@@ -190,14 +191,21 @@
 
   /** Forwards the request until it has a final result. */
   run(): Promise<ForwardResult> {
-    return sendRequest(this.#createDependencies(), this.#createRequest(), {
+    const request = this.#createRequest();
+    this.scope.startDeadline(request.timeoutMs);
+    return sendRequest(this.#createDependencies(), request, {
       staged: { inputs: this.#options.inputs ?? [], inputBytes: {} },
       handleInputsRead: () => {},
       handleFirstEvent: () => {
         this.firstEvents += 1;
       },
       rerunStages: () => this.rerunStages(),
-    });
+    }).finally(() => this.scope.end(END_REASON.done));
+  }
+
+  /** Keeps the event loop busy until the time of the request is up. */
+  passDeadline(): void {
+    while (performance.now() < this.scope.deadlineAt);
   }
 
   /** Counts the VMs that share the retry budget. */
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -9,6 +9,7 @@
 import * as serving from "@sardinestep/serving";
 import type { Address } from "@sardinestep/types";
 import { match } from "ts-pattern";
+import { mayBeCutOff } from "./answer_deadline.ts";
 import type { AnswerWriter, CompleteAnswer } from "./answer_writer.ts";
 import type { EndpointTracker } from "./endpoint_tracker.ts";
 import { type EventBuffer, type EventStep, EventTail } from "./event_buffer.ts";
@@ -24,7 +25,7 @@
   type SendConnection,
 } from "./http_pool.ts";
 import type { AnswerMetadata, CallerMetadata, WireAdapter } from "./ports.ts";
-import type { RequestScope } from "./request_scope.ts";
+import { END_REASON, type RequestScope } from "./request_scope.ts";
 
 /** How an attempt ended. */
 export type AttemptOutcome =
@@ -188,6 +189,8 @@
   #inactivityTimeout: endpointPaths.IoTimeout | undefined;
   /** Monotonic time at which its connection was open. */
   #openedAt = Infinity;
+  /** Monotonic time at which the request was written. */
+  #sentAt = Infinity;
   #isReused = false;
   #connectionNumber = 0;
   #status = 0;
@@ -269,6 +272,7 @@
     const { openedAt, isReused, number } = connection;
     this.#options.usedConnections.add(connection);
     this.#openedAt = openedAt;
+    this.#sentAt = performance.now();
     this.#isReused = isReused;
     this.#connectionNumber = number;
     this.#options.handleSent();
@@ -336,6 +340,7 @@
       const evidence = isMisdirected ? serving.EVIDENCE.misdirected : undefined;
       return this.#finish({ kind: "notRun", status, proof }, evidence);
     }
+    if (this.#mayBeCutOff(framing)) return this.#handleTimeUp();
     if (this.#options.isStream && isSuccess(this.#status)) {
       return this.#endStream(framing);
     }
@@ -354,6 +359,8 @@
   }
 
   handleFailure(failure: PoolFailure): void {
+    const isTimeUp = this.#options.scope.endedBy !== undefined;
+    if (failure.kind === "lost" && isTimeUp) return this.#handleTimeUp();
     this.#finish(failure, serving.EVIDENCE.broken);
   }
 
@@ -456,6 +463,19 @@
     this.#finish({ kind: "streamed", end }, serving.EVIDENCE.good);
   }
 
+  /** Whether the end of the answer may be that of the endpoint's time. */
+  #mayBeCutOff(framing: answerHeads.Framing): boolean {
+    const { leftMs, scope: { deadlineAt } } = this.#options;
+    const endedAt = performance.now();
+    const sentAt = this.#sentAt;
+    return mayBeCutOff({ framing, endedAt, sentAt, leftMs, deadlineAt });
+  }
+
+  /** Ends the request, whose time is up although its timer may not have run. */
+  #handleTimeUp(): void {
+    this.#options.scope.end(END_REASON.timedOut);
+  }
+
   #restartInactivityTimeout(): void {
     const { inactivityTimeoutMs, handleSilence } = this.#options;
     if (inactivityTimeoutMs === undefined || this.#isFinished) return;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -590,7 +590,8 @@
 
   /** Takes one retry from the service's budget, if it has one left. */
   #takeRetry(reason: string, sends = this.#attempts): boolean {
-    const { service, requestId } = this.#request;
+    const { service, requestId, scope } = this.#request;
+    if (scope.endedBy !== undefined) return false;
     const { retryBudget, mesh, events, metrics } = this.#deps;
     const now = performance.now();
     const senders = mesh.countSenders();
--- a/packages/gateway/src/request_flow.ts
+++ b/packages/gateway/src/request_flow.ts
@@ -149,10 +149,7 @@
   const run = createStageRun(deps, request, stageForecast);
   const refusal = checkAdmission(deps, request, run, stageForecast);
   if (refusal !== undefined) return refuseRequest(deps, request, refusal);
-  const timer = setTimeout(
-    () => scope.end(END_REASON.timedOut),
-    Math.max(0, request.timeoutMs - scope.ageMs),
-  );
+  scope.startDeadline(request.timeoutMs);
   const hasStages = route.stages.length > 0;
   const staged: StageRunOutcome = hasStages
     ? await run.run()
@@ -169,7 +166,6 @@
       },
     })
     : buildStageFailure(staged, request.timeoutMs - scope.ageMs);
-  clearTimeout(timer);
   // Routes without events have their first event with the answer.
   if (result.kind === "answered") {
     stageForecast?.recordFirstEvent(scope.ageMs);
--- a/packages/gateway/src/request_scope.ts
+++ b/packages/gateway/src/request_scope.ts
@@ -25,10 +25,22 @@
   readonly startedAt = performance.now();
   readonly #endListeners = new Set<(reason: EndReason) => void>();
   #endReason: EndReason | undefined;
+  #deadlineAt = Infinity;
+  #timer: NodeJS.Timeout | undefined;
 
-  /** Why the request ended; undefined while it runs. */
+  /**
+   * Why the request ended; undefined while it runs. The clock decides whether its time
+   * is up: a process that was busy or stopped reads answers before its timers run.
+   */
   get endedBy(): EndReason | undefined {
-    return this.#endReason;
+    const isTimedOut = this.#endReason === undefined &&
+      performance.now() >= this.#deadlineAt;
+    return isTimedOut ? END_REASON.timedOut : this.#endReason;
+  }
+
+  /** Monotonic time at which its time is up; Infinity if it has no deadline. */
+  get deadlineAt(): number {
+    return this.#deadlineAt;
   }
 
   /** Milliseconds since the request arrived. */
@@ -64,10 +76,21 @@
     });
   }
 
+  /** Ends the request after a time since its arrival. @param ms In milliseconds. */
+  startDeadline(ms: number): void {
+    clearTimeout(this.#timer);
+    this.#deadlineAt = this.startedAt + ms;
+    this.#timer = setTimeout(
+      () => this.end(END_REASON.timedOut),
+      Math.max(0, ms - this.ageMs),
+    );
+  }
+
   /** Ends the request; later calls have no effect. */
   end(reason: EndReason): void {
     if (this.#endReason !== undefined) return;
     this.#endReason = reason;
+    clearTimeout(this.#timer);
     for (const listener of [...this.#endListeners]) listener(reason);
     this.#endListeners.clear();
   }
