Reset the connections of incomplete responses without chunks

Callers of HTTP/1.0 get no chunks: a response that was cut off ended with its connection in order, so a stream looked complete after a part of its events. Found by looking for further ends that prove nothing.

--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -8,6 +8,7 @@
 import * as codes from "@sardinestep/codes";
 import type { ServerResponse } from "node:http";
 import { CallerQueue } from "./caller_queue.ts";
+import { closeIncomplete } from "./cut_response.ts";
 import type { Truncation } from "./truncation.ts";
 
 /** Hop-by-hop headers, and those that are set anew for the caller. */
@@ -193,17 +194,17 @@
       return this.abort(truncation);
     }
     this.#recordTruncation(truncation);
-    const timer = setTimeout(() => response.destroy(), withinMs);
+    const timer = setTimeout(() => closeIncomplete(response), withinMs);
     response.once("close", () => clearTimeout(timer));
     if (this.#queue !== undefined) return this.#queue.abortWhenWritten();
     // Its callback runs when all earlier writes have reached the kernel.
-    response.write("", () => response.destroy());
+    response.write("", () => closeIncomplete(response));
   }
 
   /** Closes the connection, so that the caller sees an incomplete answer. */
   abort(truncation: Truncation): void {
     this.#recordTruncation(truncation);
-    this.#response.destroy();
+    closeIncomplete(this.#response);
   }
 
   #recordTruncation(truncation: Truncation): void {
--- a/packages/gateway/src/caller_queue.ts
+++ b/packages/gateway/src/caller_queue.ts
@@ -5,6 +5,7 @@
  */
 import * as bufferBudget from "@sardinestep/buffer_budget";
 import type { ServerResponse } from "node:http";
+import { closeIncomplete } from "./cut_response.ts";
 
 /**
  * Bytes that are handed to the socket at a time. Each such write shows that the
@@ -81,7 +82,7 @@
     if (!this.#isEnding || this.#queue.length > 0) return;
     if (this.#isAborting && this.#writtenBytes > 0) return;
     this.#isEnding = false;
-    if (this.#isAborting) this.#response.destroy();
+    if (this.#isAborting) closeIncomplete(this.#response);
     else this.#response.end();
   }
 
