Take no stream without a length for whole if its connection was reset

Callers saw parts of streams without a length as complete, signed streams: a reset that reaches the VM together with the last bytes is reported by libuv as an end in order, and the process that sent it still runs.

When a connection ends, a write of no bytes shows whether it was reset: it fails with ECONNRESET then, and succeeds after an end in order. An answer without a length is whole only after the latter.

--- a/packages/gateway/src/http_pool.ts
+++ b/packages/gateway/src/http_pool.ts
@@ -446,7 +446,8 @@
     const state = await this.#options.checkProcess();
     if (this.#isFinished) return;
     const isWhole = state === PROCESS_STATE.running &&
-      this.#connection.hasEnded;
+      await this.#connection.checkEnd();
+    if (this.#isFinished) return;
     if (!isWhole) {
       const message =
         `Answer has no length, and the state of its process is ${state}`;
--- a/packages/gateway/src/pool_connection.ts
+++ b/packages/gateway/src/pool_connection.ts
@@ -31,6 +31,8 @@
   #socket: Socket | undefined;
   readonly #heads = new answerHeads.HeadChecker();
   #isDirect = false;
+  /** Set when the connection ends. */
+  #isResetAtEnd: Promise<boolean> | undefined;
   #isPaused = false;
 
   /**
@@ -69,11 +71,12 @@
   }
 
   /**
-   * Whether the endpoint closed the connection in order. undici hides a reset, and a
-   * VM that relays a connection ends it too when it exits.
+   * Finds out whether the endpoint closed the connection in order. undici hides a reset,
+   * and a VM that relays a connection ends it too when it exits.
    */
-  get hasEnded(): boolean {
-    return this.#isDirect && this.#socket?.readableEnded === true;
+  async checkEnd(): Promise<boolean> {
+    const hasEnded = this.#isDirect && this.#socket?.readableEnded === true;
+    return hasEnded && await this.#isResetAtEnd === false;
   }
 
   /** Whether the version of the answer is HTTP/1.0. */
@@ -111,6 +114,10 @@
   #controlReading(socket: Socket): void {
     const read = socket.read.bind(socket);
     socket.read = (size) => this.#isPaused ? null : this.#check(read(size));
+    // Once its other listeners have run, nothing can be written any more.
+    socket.prependListener("end", () => {
+      this.#isResetAtEnd = checkReset(socket);
+    });
   }
 
   #check(bytes: Uint8Array | null): Uint8Array | null {
@@ -146,3 +153,18 @@
     if (!this.client.destroyed) void this.client.destroy();
   }
 }
+
+const NO_BYTES = new Uint8Array();
+
+/**
+ * Finds out whether a connection that has ended was reset. If a reset arrives together
+ * with the last bytes, libuv reports an end in order, but writes fail.
+ */
+function checkReset(socket: Socket): Promise<boolean> {
+  return new Promise((resolve) => {
+    socket.write(
+      NO_BYTES,
+      (error) => resolve(error !== undefined && error !== null),
+    );
+  });
+}
