Set no timer for a request that has ended before its deadline is set

A request whose caller left while its stream was looked up kept a timer, and with it its memory, until its deadline: since the timer belongs to the scope, and startDeadline set it after the end. A listener that is added when the time is up is called at once, as the doc comment says.

--- a/packages/gateway/src/request_scope.ts
+++ b/packages/gateway/src/request_scope.ts
@@ -54,8 +54,9 @@
    * @returns Removes the listener.
    */
   addEndListener(listener: (reason: EndReason) => void): () => void {
-    if (this.#endReason !== undefined) {
-      listener(this.#endReason);
+    const reason = this.endedBy;
+    if (reason !== undefined) {
+      listener(reason);
       return () => {};
     }
     this.#endListeners.add(listener);
@@ -78,6 +79,7 @@
 
   /** Ends the request after a time since its arrival. @param ms In milliseconds. */
   startDeadline(ms: number): void {
+    if (this.#endReason !== undefined) return;
     clearTimeout(this.#timer);
     this.#deadlineAt = this.startedAt + ms;
     this.#timer = setTimeout(
