Let no takeover without an event end a stream whose endpoint still works

Callers saw a stream as complete after its first events: an endpoint was silent for a while, the endpoint that was to take over answered 200 or 204 without an event and ended in order, and that counted as the end of the whole stream; the silent endpoint, which was at work, was cancelled. No time had to be up.

Such a takeover is dropped without evidence, and the silent endpoint goes on. What speaks against it: if only the end of the stream was missing, the stream now breaks off at its deadline; nothing shows the difference.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -139,6 +139,8 @@
   readonly handleDelivery?: () => void;
   /** Called each time that the endpoint was silent for the inactivity timeout. */
   readonly handleSilence?: () => void;
+  /** Whether it runs beside an attempt that has the answer; it doesn't if unset. */
+  readonly isBeside?: () => boolean;
 }
 
 /** Largest answer that is buffered before it is passed on, in bytes. */
@@ -456,6 +458,12 @@
     if (!this.#isStreaming && !this.#hasEarlierEvents) {
       return this.#fail("Stream ended without an event");
     }
+    if (!this.#isStreaming && this.#options.isBeside?.()) {
+      // The silent endpoint may have more events; nothing shows which one is right.
+      const message = "Takeover ended without an event";
+      const outcome = { kind: "lost", message, isDisconnect: false } as const;
+      return this.#finish(outcome, undefined);
+    }
     handleDelivery?.();
     if (!this.#isStreaming) this.#startStream();
     writer.endStream();
--- a/packages/gateway/src/attempt_race.ts
+++ b/packages/gateway/src/attempt_race.ts
@@ -31,6 +31,8 @@
   readonly handleDelivery: () => void;
   /** The endpoint was silent for the inactivity timeout. */
   readonly handleSilence: () => void;
+  /** Whether it runs beside an attempt that has the answer. */
+  readonly isBeside: () => boolean;
 }
 
 /** A silent attempt and the takeovers that were tried in this span of silence. */
@@ -157,6 +159,7 @@
         handleBegun: () => this.#handleBegun(entry),
         handleDelivery: () => this.#handleDelivery(entry),
         handleSilence: () => this.#handle(() => this.#handleSilence(entry)),
+        isBeside: () => entry === this.#takeover,
       },
     });
     entry.attempt = attempt;
