Judge the end of an answer by the time of day too

Callers could see a part of a stream as complete after their VM's machine was suspended: the steady clock doesn't count that time, the endpoint's clock does, so an end in order at the endpoint's deadline looked early.

judgeEnd compares both clocks between the send and the end. If only the time of day says that the time was up, the end is uncertain: the attempt is lost without evidence, and a resumable stream goes on elsewhere. A jump of the time of day by more than what is left does the same to the few answers that run then; a jump back during a suspension hides it. The uptime of the machine would tell both apart; Node.js reads it from a file that not every place simulates.

--- a/packages/gateway/src/answer_deadline.ts
+++ b/packages/gateway/src/answer_deadline.ts
@@ -11,22 +11,46 @@
 /** How much too early an endpoint's timer may run, in milliseconds. */
 const TIMER_STEP_MS = 2;
 
+/** What the end of an answer shows. */
+export const END_VERDICT = {
+  whole: "whole",
+  /** The time of the endpoint, or of the request, may be up. */
+  timeUp: "timeUp",
+  /** It may be up if the machine was suspended, which only the time of day shows. */
+  uncertain: "uncertain",
+} as const;
+/** A value of {@link END_VERDICT}. */
+export type EndVerdict = typeof END_VERDICT[keyof typeof END_VERDICT];
+
+/** A moment by both clocks, in milliseconds. */
+export interface Moment {
+  /** Stands still while the machine is suspended. */
+  readonly steadyMs: number;
+  /** Time of day; it may jump. */
+  readonly wallMs: number;
+}
+
 /** The end of an answer, and the time that its endpoint had. */
 export interface AnswerEndTimes {
   /** What showed the end. */
   readonly framing: answerHeads.Framing;
-  /** Monotonic time at which the end was read, in milliseconds. */
-  readonly endedAt: number;
-  /** Monotonic time at which the request was written. */
-  readonly sentAt: number;
+  /** When the end is passed on. */
+  readonly endedAt: Moment;
+  /** When the request was written. */
+  readonly sentAt: Moment;
   /** Time that the endpoint was told to have for the request, in milliseconds. */
   readonly leftMs: number;
   /** Monotonic time at which the time of the request is up. */
   readonly deadlineAt: number;
 }
 
+/** Reads both clocks. */
+export function readMoment(): Moment {
+  return { steadyMs: performance.now(), wallMs: Date.now() };
+}
+
 /**
- * Whether the end of an answer may be that of its endpoint's time.
+ * Decides what the end of an answer shows.
  *
  * An endpoint stops its work after the time that it was told, and its server then
  * ends the answer in order. When the end was read decides, not which of a timer and
@@ -34,20 +58,31 @@
  *
  * @example
  * ```ts
- * const times = { endedAt: 5_900, sentAt: 0, leftMs: 6_000, deadlineAt: 6_000 };
- * mayBeCutOff({ framing: "chunks", ...times }); // false
+ * const sentAt = { steadyMs: 0, wallMs: 0 };
+ * const endedAt = { steadyMs: 5_900, wallMs: 5_900 };
+ * const times = { sentAt, endedAt, leftMs: 6_000, deadlineAt: 6_000 };
+ * judgeEnd({ framing: "chunks", ...times }); // "whole"
  * ```
  */
-export function mayBeCutOff(
+export function judgeEnd(
   { framing, endedAt, sentAt, leftMs, deadlineAt }: AnswerEndTimes,
-): boolean {
-  const stopsAt = sentAt + leftMs * (1 - CLOCK_RATE_TOLERANCE) - TIMER_STEP_MS;
+): EndVerdict {
+  const stopsAt = sentAt.steadyMs + leftMs * (1 - CLOCK_RATE_TOLERANCE) -
+    TIMER_STEP_MS;
+  const timeUpAt = Math.min(stopsAt, deadlineAt);
+  const suspendedMs = endedAt.wallMs - sentAt.wallMs -
+    (endedAt.steadyMs - sentAt.steadyMs);
   return match(framing)
-    .with(answerHeads.FRAMING.none, answerHeads.FRAMING.length, () => false)
     .with(
-      answerHeads.FRAMING.chunks,
-      answerHeads.FRAMING.connection,
-      () => endedAt >= Math.min(stopsAt, deadlineAt),
+      answerHeads.FRAMING.none,
+      answerHeads.FRAMING.length,
+      () => END_VERDICT.whole,
     )
+    .with(answerHeads.FRAMING.chunks, answerHeads.FRAMING.connection, () => {
+      if (endedAt.steadyMs >= timeUpAt) return END_VERDICT.timeUp;
+      return endedAt.steadyMs + suspendedMs >= timeUpAt
+        ? END_VERDICT.uncertain
+        : END_VERDICT.whole;
+    })
     .exhaustive();
 }
--- a/packages/gateway/src/answer_deadline_test.ts
+++ b/packages/gateway/src/answer_deadline_test.ts
@@ -1,30 +1,54 @@
 import { expect } from "chai";
 import type * as answerHeads from "@sardinestep/answer_heads";
-import { mayBeCutOff } from "./answer_deadline.ts";
+import { type EndVerdict, judgeEnd, type Moment } from "./answer_deadline.ts";
 
-const TIMES = { sentAt: 1_000, leftMs: 6_000, deadlineAt: 7_000.4 };
+const WALL_MS = 1_700_000_000_000;
+const TIMES = { leftMs: 6_000, deadlineAt: 7_000.4 };
 
-describe("mayBeCutOff", () => {
-  const rows: [answerHeads.Framing, number, boolean][] = [
-    ["chunks", 6_990, false],
-    ["connection", 6_990, false],
+/** The moment at a monotonic time, on a machine that was suspended before. */
+function at(steadyMs: number, suspendedMs = 0): Moment {
+  return { steadyMs, wallMs: WALL_MS + Math.floor(steadyMs) + suspendedMs };
+}
+
+const sentAt = at(1_000);
+
+describe("judgeEnd", () => {
+  const rows: [answerHeads.Framing, number, EndVerdict][] = [
+    ["chunks", 6_990, "whole"],
+    ["connection", 6_990, "whole"],
     // The clock of the endpoint runs faster, or its timer is early.
-    ["chunks", 6_996, true],
-    ["connection", 6_996, true],
-    ["chunks", 9_000, true],
-    ["length", 9_000, false],
-    ["none", 9_000, false],
+    ["chunks", 6_996, "timeUp"],
+    ["connection", 6_996, "timeUp"],
+    ["chunks", 9_000, "timeUp"],
+    ["length", 9_000, "whole"],
+    ["none", 9_000, "whole"],
   ];
-  for (const [framing, endedAt, isCut] of rows) {
-    it(`is ${isCut} for ${framing} at ${endedAt} ms`, () => {
-      expect(mayBeCutOff({ framing, endedAt, ...TIMES })).to.equal(isCut);
+  for (const [framing, endedAt, verdict] of rows) {
+    it(`is ${verdict} for ${framing} at ${endedAt} ms`, () => {
+      const times = { framing, sentAt, endedAt: at(endedAt), ...TIMES };
+      expect(judgeEnd(times)).to.equal(verdict);
     });
   }
 
-  it("is true from the request's deadline on, also if it was sent late", () => {
-    const times = { ...TIMES, sentAt: 1_100, endedAt: 7_000.4 };
-    expect(mayBeCutOff({ framing: "chunks", ...times })).to.equal(true);
-    expect(mayBeCutOff({ framing: "chunks", ...times, endedAt: 7_000 }))
-      .to.equal(false);
+  it("holds the request's deadline, also if it was sent late", () => {
+    const judge = (endedAt: number) =>
+      judgeEnd({
+        framing: "chunks",
+        sentAt: at(1_100),
+        endedAt: at(endedAt),
+        ...TIMES,
+      });
+    expect(judge(7_000.4)).to.equal("timeUp");
+    expect(judge(6_999)).to.equal("whole");
+  });
+
+  // The steady clock doesn't count the time for which a machine is suspended.
+  it("is uncertain if the time of day says that the time was up", () => {
+    const judge = (endedAt: Moment, framing: answerHeads.Framing = "chunks") =>
+      judgeEnd({ framing, sentAt, endedAt, ...TIMES });
+    expect(judge(at(3_000, 4_000))).to.equal("uncertain");
+    expect(judge(at(3_000, 3_000))).to.equal("whole");
+    expect(judge(at(3_000, -60_000))).to.equal("whole");
+    expect(judge(at(3_000, 4_000), "length")).to.equal("whole");
   });
 });
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -9,7 +9,12 @@
 import * as serving from "@sardinestep/serving";
 import type { Address } from "@sardinestep/types";
 import { match } from "ts-pattern";
-import { mayBeCutOff } from "./answer_deadline.ts";
+import {
+  END_VERDICT,
+  judgeEnd,
+  type Moment,
+  readMoment,
+} from "./answer_deadline.ts";
 import type { AnswerWriter, CompleteAnswer } from "./answer_writer.ts";
 import type { EndpointTracker } from "./endpoint_tracker.ts";
 import { type EventBuffer, type EventStep, EventTail } from "./event_buffer.ts";
@@ -191,8 +196,8 @@
   #inactivityTimeout: endpointPaths.IoTimeout | undefined;
   /** Monotonic time at which its connection was open. */
   #openedAt = Infinity;
-  /** Monotonic time at which the request was written. */
-  #sentAt = Infinity;
+  /** When the request was written. */
+  #sentAt: Moment = { steadyMs: Infinity, wallMs: Infinity };
   #isReused = false;
   #connectionNumber = 0;
   #status = 0;
@@ -274,7 +279,7 @@
     const { openedAt, isReused, number } = connection;
     this.#options.usedConnections.add(connection);
     this.#openedAt = openedAt;
-    this.#sentAt = performance.now();
+    this.#sentAt = readMoment();
     this.#isReused = isReused;
     this.#connectionNumber = number;
     this.#options.handleSent();
@@ -342,7 +347,25 @@
       const evidence = isMisdirected ? serving.EVIDENCE.misdirected : undefined;
       return this.#finish({ kind: "notRun", status, proof }, evidence);
     }
-    if (this.#mayBeCutOff(framing)) return this.#handleTimeUp();
+    const { leftMs, scope: { deadlineAt } } = this.#options;
+    const verdict = judgeEnd({
+      framing,
+      endedAt: readMoment(),
+      sentAt: this.#sentAt,
+      leftMs,
+      deadlineAt,
+    });
+    match(verdict)
+      .with(END_VERDICT.whole, () => this.#handleWhole(framing))
+      .with(END_VERDICT.timeUp, () => this.#handleTimeUp())
+      .with(END_VERDICT.uncertain, () => {
+        const message = "The endpoint's time was up if the VM was suspended";
+        this.#finish({ kind: "lost", message, isDisconnect: false }, undefined);
+      })
+      .exhaustive();
+  }
+
+  #handleWhole(framing: answerHeads.Framing): void {
     if (this.#options.isStream && isSuccess(this.#status)) {
       return this.#endStream(framing);
     }
@@ -471,14 +494,6 @@
     this.#finish({ kind: "streamed", end }, serving.EVIDENCE.good);
   }
 
-  /** Whether the end of the answer may be that of the endpoint's time. */
-  #mayBeCutOff(framing: answerHeads.Framing): boolean {
-    const { leftMs, scope: { deadlineAt } } = this.#options;
-    const endedAt = performance.now();
-    const sentAt = this.#sentAt;
-    return mayBeCutOff({ framing, endedAt, sentAt, leftMs, deadlineAt });
-  }
-
   /** Ends the request, whose time is up although its timer may not have run. */
   #handleTimeUp(): void {
     this.#options.scope.end(END_REASON.timedOut);
