Read what has arrived before a stop breaks streams off

Cause: at the time of a stop until which streams go on, the VM broke off each stream that it had not read to its end. After a pause of the process that timer runs before the sockets are read, so streams whose worker had ended them in time were cut for their callers.

Change: the stop waits for one turn of the event loop there, as it already did where unanswered requests end.

Test: the worker writes the end of its stream, then the event loop is blocked in an immediate until 15 ms after that time: due timers run next.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -327,6 +327,7 @@
     await waitForEvents();
     const unanswered = this.#ingress.endUnanswered(END_REASON.stopping);
     await waitWhile(isActive, times.streamUntil);
+    await waitForEvents();
     const begun = this.#ingress.endRequests(END_REASON.stopping);
     await waitWhile(isActive, times.closeAt);
     return unanswered + begun;
