Read what a caller's socket reports before its answer is given up

Cause: a complete answer that its caller doesn't read is given up after a time. After a pause of the process that timer runs before the sockets are polled, so an answer whose caller had read on meanwhile was given up.

Change: IoTimeout takes the place of the plain timer.

Test: a caller in a thread of its own reads on while the event loop is blocked in an immediate until 50 ms after that time.

--- a/packages/gateway/src/caller_queue.ts
+++ b/packages/gateway/src/caller_queue.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as bufferBudget from "@sardinestep/buffer_budget";
+import * as endpointPaths from "@sardinestep/endpoint_paths";
 import type { ServerResponse } from "node:http";
 
 /**
@@ -23,7 +24,7 @@
   #isAborting = false;
   #handleRoom: (() => void) | undefined;
   #checkTimer: NodeJS.Timeout | undefined;
-  #unreadTimer: NodeJS.Timeout | undefined;
+  #unreadTimeout: endpointPaths.IoTimeout | undefined;
 
   /** @param response The response. @param account Counts what is queued. */
   constructor(
@@ -121,7 +122,10 @@
     if (this.#response.destroyed || this.#account.unreadBytes === 0) return;
     const { leftMs } = this.#account;
     if (leftMs === 0) return this.#account.cancelResponse();
-    this.#unreadTimer = setTimeout(() => this.#checkUnread(), leftMs);
+    this.#unreadTimeout = new endpointPaths.IoTimeout(
+      () => this.#checkUnread(),
+      leftMs,
+    );
   }
 
   #handleRoomFound(): void {
@@ -132,7 +136,7 @@
 
   #release(): void {
     clearTimeout(this.#checkTimer);
-    clearTimeout(this.#unreadTimer);
+    this.#unreadTimeout?.cancel();
     this.#queue.drop();
     this.#handleRoom = undefined;
   }
--- a/packages/gateway/src/slow_readers_test.ts
+++ b/packages/gateway/src/slow_readers_test.ts
@@ -1,6 +1,8 @@
 import { expect } from "chai";
+import { once } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as wait } from "node:timers/promises";
+import { Worker } from "node:worker_threads";
 import {
   type Harness,
   type HarnessOptions,
@@ -21,6 +23,24 @@
 /** Longer than the cut-off, so that an endpoint without progress shows. */
 const STALL_MS = 3_500;
 const EVENTS = 40;
+/** How long a caller stops reading a complete answer, in milliseconds. */
+const CALLER_PAUSE_MS = 200;
+/** How long a VM stays paused after a time is up, in milliseconds. */
+const PAUSED_AFTER_MS = 50;
+/** A thread that reads an answer once it gets a message. */
+const CALLER_PROGRAM = `
+  const { parentPort, workerData } = require("node:worker_threads");
+  const host = "127.0.0.1";
+  require("node:http").get({ host, ...workerData }, (response) => {
+    let bytes = 0;
+    response.pause();
+    response.on("error", () => {});
+    response.on("data", (part) => bytes += part.length);
+    response.on("close", () =>
+      parentPort.postMessage({ bytes, isComplete: response.complete }));
+    parentPort.once("message", () => response.resume());
+  });
+`;
 
 function buildPiece(index: number): Buffer {
   const event = Buffer.alloc(PIECE_BYTES, index % 251);
@@ -180,6 +200,33 @@
     expect(site.events).to.deep.equal(["response_evicted"]);
   });
 
+  // The time was up before the VM noticed that its caller had read on.
+  it("keeps a complete answer that its caller reads while the VM is paused", async () => {
+    const maxUnreadMs = 2_000;
+    const site = await open({
+      budget: { limitBytes: 48 * MEBIBYTE, maxUnreadMs },
+    });
+    const caller = new Worker(CALLER_PROGRAM, {
+      eval: true,
+      workerData: { port: site.ingress.port, path: "/stream/large/16" },
+    });
+    await waitUntil(() => site.outcomes.length === 1);
+    const until = performance.now() + maxUnreadMs + PAUSED_AFTER_MS;
+    await wait(CALLER_PAUSE_MS);
+    // Timers that are due run after an immediate and before sockets are polled.
+    setImmediate(() => {
+      caller.postMessage("read");
+      while (performance.now() < until);
+    });
+    const [received] = await once(caller, "message");
+    expect(received).to.deep.equal({
+      bytes: 16 * MEBIBYTE,
+      isComplete: true,
+    });
+    expect(site.events).to.deep.equal([]);
+    await expectReleased(site);
+  });
+
   // A stop of the VM cuts off callers that don't read.
   it("gives the bytes back when the VM closes its connections", async () => {
     const site = await open();
