Read what has arrived before a connection between VMs counts as silent

Cause: a connection on which nothing was received for a time is closed, and its calls are lost. After a pause of the process that check runs before the sockets are read, so answers that had arrived were lost with their connection: among them those of leaders of pieces.

Change: the check is made again after one turn of the event loop.

Test: the answer is written, then the event loop is blocked in an immediate for 100 ms longer than the time of silence.

The timeouts of single calls (json-rpc-2.0) are as before.

--- a/packages/rpc/src/connection.ts
+++ b/packages/rpc/src/connection.ts
@@ -180,13 +180,24 @@
     if (isReaderTooSlow) this.close("Remote side reads too slowly");
   }
 
+  get #idleMs(): number {
+    return performance.now() - this.#lastReceivedAt;
+  }
+
   #checkIdle(): void {
-    const idleMs = performance.now() - this.#lastReceivedAt;
+    const idleMs = this.#idleMs;
     const silenceTimeoutMs = this.#options.silenceTimeoutMs ??
       DEFAULT_SILENCE_TIMEOUT_MS;
     const pingIntervalMs = this.#options.pingIntervalMs ??
       DEFAULT_PING_INTERVAL_MS;
-    if (idleMs > silenceTimeoutMs) return this.close("Silent connection");
+    if (idleMs > silenceTimeoutMs) {
+      // After a pause of the process, what has arrived is read first.
+      setImmediate(() => {
+        const isSilent = !this.#closed && this.#idleMs > silenceTimeoutMs;
+        if (isSilent) this.close("Silent connection");
+      });
+      return;
+    }
     if (idleMs < pingIntervalMs * PING_IDLE_RATIO) return;
     this.#rpc.timeout(silenceTimeoutMs).request("alive", {}).then(
       () => {},
--- a/packages/rpc/src/silence_test.ts
+++ b/packages/rpc/src/silence_test.ts
@@ -89,6 +89,29 @@
     );
   });
 
+  // The pause of a process passed for silence of the other one, whose answer was
+  // there, and calls to a healthy leader were lost.
+  it("keeps a connection whose answer arrived while the process was paused", async () => {
+    const { silenceTimeoutMs } = FAST_TIMEOUTS;
+    const healthy = await openServer("127.0.0.1:0", {
+      handlers: {
+        ping: () => {
+          // Timers that are due run after an immediate and before sockets are read.
+          setImmediate(() => {
+            const until = performance.now() + silenceTimeoutMs + 100;
+            while (performance.now() < until);
+          });
+          return IDENTITY;
+        },
+      },
+      pingIntervalMs: 60_000,
+      silenceTimeoutMs: 120_000,
+    });
+    const answer = await peers.call(healthy.address, "ping", {}, CALL_OPTIONS);
+    await healthy.close();
+    expect(answer.isOk()).to.equal(true);
+  });
+
   it("detects the silent connection while no call is pending", async () => {
     const closed = new Promise<string>((resolve) => reportClosed = resolve);
     await peers.call(relay.address, "ping", {}, CALL_OPTIONS);
