Check that the ids of a stream's events increase

Cause: EventBuffer remembered the last id and compared none; unbuffered streams were passed on unread. Change: EventScanner compares each id that is a whole number with the one before it: the last event's, that of the event at which a resume or a takeover goes on, or, for a caller's own resume, its Last-Event-Id. Good events of the same chunk are passed on, the bad event and what follows are not. The attempt is lost with evidence `broken` and a message that names both ids; a resumable stream goes on elsewhere after the last good event, another one is cut. Ids that are no whole numbers can't be compared.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -213,6 +213,7 @@
   ) {
     this.#options = options;
     this.#held = new HeldAnswer(options.writer.answerAccount);
+    options.eventBuffer?.setStart(options.request.caller?.lastEventId);
     this.#resolve = resolve;
   }
 
@@ -404,10 +405,20 @@
   }
 
   #relayChunk(chunk: Uint8Array): void {
-    const { writer, handleFirstEvent, handleDelivery } = this.#options;
     const step = this.#takeEvents(chunk);
-    if (step.kind === "tooLong") return this.#fail("Event is too long");
-    const { bytes } = step;
+    switch (step.kind) {
+      case "events":
+        return this.#writeEvents(step.bytes);
+      case "badId":
+        this.#writeEvents(step.bytes);
+        return this.#fail(step.message);
+      case "tooLong":
+        return this.#fail("Event is too long");
+    }
+  }
+
+  #writeEvents(bytes: Uint8Array): void {
+    const { writer, handleFirstEvent, handleDelivery } = this.#options;
     if (bytes.length === 0) return;
     this.#restartInactivityTimeout();
     handleDelivery?.();
@@ -428,11 +439,7 @@
   /** Takes what may be passed on: whole events only if the stream can be resumed. */
   #takeEvents(chunk: Uint8Array): EventStep {
     const { eventBuffer } = this.#options;
-    if (eventBuffer !== undefined) return eventBuffer.takeCompleteEvents(chunk);
-    this.#tail.add(chunk);
-    return this.#tail.isTooLong
-      ? { kind: "tooLong" }
-      : { kind: "events", bytes: chunk };
+    return eventBuffer?.takeCompleteEvents(chunk) ?? this.#tail.add(chunk);
   }
 
   #startStream(): void {
--- a/packages/gateway/src/event_buffer.ts
+++ b/packages/gateway/src/event_buffer.ts
@@ -4,7 +4,11 @@
  * @module
  */
 import * as bufferBudget from "@sardinestep/buffer_budget";
-import { EventScanner, type StreamPosition } from "./event_scanner.ts";
+import {
+  EventScanner,
+  type ScanStep,
+  type StreamPosition,
+} from "./event_scanner.ts";
 
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
@@ -17,6 +21,14 @@
 export type EventStep =
   /** All bytes up to the end of the last complete event; they may be none. */
   | { readonly kind: "events"; readonly bytes: Uint8Array }
+  /** An event has an id with which no stream goes on. */
+  | {
+    readonly kind: "badId";
+    /** All bytes up to the end of the event before it; they may be none. */
+    readonly bytes: Uint8Array;
+    /** What is wrong with the id. */
+    readonly message: string;
+  }
   /** An event exceeds {@link MAX_EVENT_BYTES}. */
   | { readonly kind: "tooLong" };
 
@@ -36,6 +48,15 @@
     this.#scanner = new EventScanner(after);
   }
 
+  /**
+   * Sets the id after which the first event has to come.
+   *
+   * @param lastEventId The event that the caller has of an earlier answer, if any.
+   */
+  setStart(lastEventId: string | undefined): void {
+    this.#scanner.setStart(lastEventId);
+  }
+
   /** Id of the last complete event. */
   get lastEventId(): string | undefined {
     return this.#scanner.lastEventId;
@@ -58,7 +79,7 @@
 
   /**
    * Appends bytes and returns all bytes up to the last complete event's end. Drops
-   * an event that is too long.
+   * an event that is too long, and one with a bad id with all that follows it.
    */
   takeCompleteEvents(chunk: Uint8Array): EventStep {
     const overlap = this.#partial.getLast(EVENT_END_BYTES - 1);
@@ -74,8 +95,9 @@
     }
     const complete = isEnd ? this.#takePartial(chunk.subarray(0, end)) : EMPTY;
     this.#partial.append(isEnd ? chunk.subarray(end) : chunk);
-    this.#scanner.add(complete);
-    return { kind: "events", bytes: complete };
+    const step = buildStep(complete, this.#scanner.add(complete));
+    if (step.kind === "badId") this.dropPartial();
+    return step;
   }
 
   /** Drops an incomplete event; the next endpoint sends it from its start. */
@@ -118,9 +140,9 @@
     return this.#partialBytes > MAX_EVENT_BYTES;
   }
 
-  /** Appends bytes of the stream. */
-  add(chunk: Uint8Array): void {
-    this.#scanner.add(chunk);
+  /** Appends bytes of the stream and returns those that may be passed on. */
+  add(chunk: Uint8Array): EventStep {
+    const scan = this.#scanner.add(chunk);
     const end = findEventEnd(this.#last, chunk);
     this.#partialBytes = end > 0
       ? chunk.length - end
@@ -130,6 +152,19 @@
       chunk.subarray(-EVENT_END_BYTES),
     ]);
     this.#last = last.subarray(-EVENT_END_BYTES);
+    const isTooLong = scan.kind === "inOrder" && this.isTooLong;
+    return isTooLong ? { kind: "tooLong" } : buildStep(chunk, scan);
+  }
+}
+
+function buildStep(bytes: Uint8Array, scan: ScanStep): EventStep {
+  switch (scan.kind) {
+    case "inOrder":
+      return { kind: "events", bytes };
+    case "badId": {
+      const { goodBytes, message } = scan;
+      return { kind: "badId", bytes: bytes.subarray(0, goodBytes), message };
+    }
   }
 }
 
--- a/packages/gateway/src/event_buffer_test.ts
+++ b/packages/gateway/src/event_buffer_test.ts
@@ -1,5 +1,10 @@
 import { expect } from "chai";
-import { EventBuffer, EventTail, MAX_EVENT_BYTES } from "./event_buffer.ts";
+import {
+  EventBuffer,
+  type EventStep,
+  EventTail,
+  MAX_EVENT_BYTES,
+} from "./event_buffer.ts";
 
 const PART_BYTES = 65_536;
 
@@ -84,3 +89,83 @@
     expect(tail.isTooLong).to.equal(true);
   });
 });
+
+/** What streams are followed with, by the way in which they are passed on. */
+const FOLLOWERS = {
+  EventBuffer: () => {
+    const buffer = new EventBuffer();
+    return (chunk: Uint8Array) => buffer.takeCompleteEvents(chunk);
+  },
+  EventTail: () => {
+    const tail = new EventTail();
+    return (chunk: Uint8Array) => tail.add(chunk);
+  },
+};
+
+// Events that came twice, went back or were missing reached the caller as in order.
+for (const [name, open] of Object.entries(FOLLOWERS)) {
+  describe(`ids that do not increase, ${name}`, () => {
+    const good = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    const bad = "id: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+    const message = 'Event id "2" does not follow "2"';
+
+    it("pass on the events before them", () => {
+      expect(takeSteps(open(), [good + bad]))
+        .to.deep.equal([{ kind: "badId", bytes: good, message }]);
+    });
+
+    it("pass on nothing of a chunk that begins with them", () => {
+      expect(takeSteps(open(), [good, bad]))
+        .to.deep.equal([
+          { kind: "events", bytes: good },
+          { kind: "badId", bytes: "", message },
+        ]);
+    });
+
+    for (let at = 1; at < "id: 2\n".length; at++) {
+      it(`never complete an event, divided after ${at} bytes`, () => {
+        const parts = [good + bad.slice(0, at), bad.slice(at)];
+        const [first, second] = takeSteps(open(), parts);
+        expect(first).to.include({ kind: "events" });
+        expect(second).to.deep.equal({ kind: "badId", bytes: "", message });
+      });
+    }
+  });
+}
+
+function takeSteps(
+  take: (chunk: Uint8Array) => EventStep,
+  texts: readonly string[],
+) {
+  return texts.map((text) => {
+    const step = take(Buffer.from(text));
+    return step.kind === "tooLong"
+      ? step
+      : { ...step, bytes: Buffer.from(step.bytes).toString() };
+  });
+}
+
+describe("EventBuffer and the ids of events", () => {
+  it("goes on after the last good event before a bad one", () => {
+    const buffer = new EventBuffer();
+    takeTexts(buffer, ["id: 1\n\nid: 1\n\nid: 2"]);
+    expect(buffer).to.include({ events: 1, lastEventId: "1" });
+    expect(buffer.hasPartial).to.equal(false);
+    expect(takeTexts(buffer, ["id: 2\n\n"])).to.deep.equal(["id: 2\n\n"]);
+  });
+
+  it("compares the first event with the one that the caller has", () => {
+    const buffer = new EventBuffer();
+    buffer.setStart("4");
+    expect(buffer.lastEventId).to.equal(undefined);
+    expect(takeTexts(buffer, ["id: 4\n\n"])).to.deep.equal(["badId"]);
+    expect(takeTexts(buffer, ["id: 5\n\n"])).to.deep.equal(["id: 5\n\n"]);
+  });
+
+  it("compares the first event of a takeover with the last one before", () => {
+    const buffer = new EventBuffer();
+    takeTexts(buffer, ["id: 4\n\n"]);
+    expect(takeTexts(new EventBuffer(buffer), ["id: 4\n\n"]))
+      .to.deep.equal(["badId"]);
+  });
+});
