Do not end a stream before an event that had begun

Cause: any end in order of a resume counted, since nothing may be left after the last event, and any bytes counted as the start of a stream. Change: EventBuffer remembers that an event had begun when it drops its start (broken off, too long, or at the endpoint that is taken over), until an event is complete. A resume that ends in order before it is lost, evidence `broken`. A stream needs an event, counted by the scanner, to be whole.

A resume without an event after whole events stays complete: the worker before may have broken off after its last event, and a stream cut there would be cut at each later resume too.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -452,8 +452,11 @@
     const { eventBuffer, writer, handleDelivery } = this.#options;
     const { hasPartial, events, lastEventId } = eventBuffer ?? this.#tail;
     if (hasPartial) return this.#fail("Stream ended inside an event");
+    if (eventBuffer?.isEventDue) {
+      return this.#fail("Stream ended before an event that had begun");
+    }
     // Nothing may be left after the last event that the caller has.
-    if (!this.#isStreaming && !this.#hasEarlierEvents) {
+    if (events === 0 && !this.#hasEarlierEvents) {
       return this.#fail("Stream ended without an event");
     }
     handleDelivery?.();
--- a/packages/gateway/src/event_buffer.ts
+++ b/packages/gateway/src/event_buffer.ts
@@ -12,6 +12,7 @@
 
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
+const COLON = 58;
 const EMPTY = Buffer.alloc(0);
 
 /** Longest event of a stream, in bytes. */
@@ -32,6 +33,12 @@
   /** An event exceeds {@link MAX_EVENT_BYTES}. */
   | { readonly kind: "tooLong" };
 
+/** Where a stream goes on at another endpoint. */
+export interface ResumePosition extends StreamPosition {
+  /** Whether an event after the last complete one had begun. */
+  readonly isEventDue?: boolean;
+}
+
 /**
  * Passes on complete events only and remembers the id of the last one.
  *
@@ -39,13 +46,15 @@
  * the middle of an event that was partly passed on, the rest of the stream from
  * another endpoint would reach the caller garbled or with a duplicate.
  */
-export class EventBuffer implements StreamPosition {
+export class EventBuffer implements ResumePosition {
   readonly #partial = new bufferBudget.GrowingBuffer();
   readonly #scanner: EventScanner;
+  #isEventDue: boolean;
 
   /** @param after Where the stream goes on; at its start if unset. */
-  constructor(after?: StreamPosition) {
+  constructor(after?: ResumePosition) {
     this.#scanner = new EventScanner(after);
+    this.#isEventDue = after?.isEventDue ?? false;
   }
 
   /**
@@ -72,6 +81,11 @@
     return this.#partial.capacity;
   }
 
+  /** Whether an event after the last complete one had begun, here or elsewhere. */
+  get isEventDue(): boolean {
+    return this.#isEventDue || hasEventStart(this.#partial.getBytes());
+  }
+
   /** Whether an incomplete event is buffered. */
   get hasPartial(): boolean {
     return this.#partial.length > 0;
@@ -91,17 +105,21 @@
     const completeBytes = isEnd ? this.#partial.length + end : 0;
     if (Math.max(partialBytes, completeBytes) > MAX_EVENT_BYTES) {
       this.dropPartial();
+      this.#isEventDue = true;
       return { kind: "tooLong" };
     }
     const complete = isEnd ? this.#takePartial(chunk.subarray(0, end)) : EMPTY;
     this.#partial.append(isEnd ? chunk.subarray(end) : chunk);
+    const { events } = this;
     const step = buildStep(complete, this.#scanner.add(complete));
+    if (this.events > events) this.#isEventDue = false;
     if (step.kind === "badId") this.dropPartial();
     return step;
   }
 
   /** Drops an incomplete event; the next endpoint sends it from its start. */
   dropPartial(): void {
+    this.#isEventDue = this.isEventDue;
     this.#partial.drop();
   }
 
@@ -183,6 +201,21 @@
   return Math.max(0, findLastEventEnd(joined) - before.length);
 }
 
+/** Whether a line begins in the bytes that is neither empty nor a comment. */
+function hasEventStart(bytes: Uint8Array): boolean {
+  let start = 0;
+  while (start < bytes.length) {
+    const first = bytes[start];
+    const isField = first !== COLON && first !== LINE_FEED &&
+      first !== CARRIAGE_RETURN;
+    if (isField) return true;
+    const end = bytes.indexOf(LINE_FEED, start);
+    if (end < 0) return false;
+    start = end + 1;
+  }
+  return false;
+}
+
 /** Events end with an empty line; lines end with LF or CR LF. */
 function findLastEventEnd(bytes: Uint8Array): number {
   for (let i = bytes.length - 1; i > 0; i--) {
--- a/packages/gateway/src/event_buffer_test.ts
+++ b/packages/gateway/src/event_buffer_test.ts
@@ -169,3 +169,38 @@
       .to.deep.equal(["badId"]);
   });
 });
+
+describe("EventBuffer and an event that has begun", () => {
+  const rows: Readonly<Record<string, boolean>> = {
+    "": false,
+    "i": true,
+    "id: 2\nda": true,
+    "data: b\n": true,
+    ": idle\ndata": true,
+    ":": false,
+    ": idle": false,
+    ": idle\n": false,
+    "\n": false,
+    "\r\n: idle": false,
+  };
+  for (const [partial, isDue] of Object.entries(rows)) {
+    it(`is due after ${JSON.stringify(partial)}: ${isDue}`, () => {
+      const buffer = new EventBuffer();
+      takeTexts(buffer, ["id: 1\n\n", partial]);
+      expect(new EventBuffer(buffer).isEventDue).to.equal(isDue);
+      buffer.dropPartial();
+      expect(buffer.isEventDue).to.equal(isDue);
+      buffer.dropPartial();
+      takeTexts(buffer, [": idle\n\n"]);
+      expect(buffer.isEventDue).to.equal(isDue);
+      takeTexts(buffer, ["id: 2\n\n"]);
+      expect(buffer.isEventDue).to.equal(false);
+    });
+  }
+
+  it("is due after one that is too long", () => {
+    const buffer = new EventBuffer();
+    takeTexts(buffer, ["x".repeat(MAX_EVENT_BYTES + 1)]);
+    expect(buffer.isEventDue).to.equal(true);
+  });
+});
