--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -223,6 +223,7 @@
   ) {
     this.#options = options;
     this.#held = new HeldAnswer(options.writer.answerAccount);
+    options.eventBuffer?.setStart(options.request.caller?.lastEventId);
     this.#resolve = resolve;
   }
 
@@ -434,10 +435,20 @@
   }
 
   #relayChunk(chunk: Uint8Array): void {
-    const { writer, handleFirstEvent, handleDelivery } = this.#options;
     const step = this.#takeEvents(chunk);
-    if (step.kind === "tooLong") return this.#fail("Event is too long");
-    const { bytes } = step;
+    switch (step.kind) {
+      case "events":
+        return this.#writeEvents(step.bytes);
+      case "badId":
+        this.#writeEvents(step.bytes);
+        return this.#fail(step.message);
+      case "tooLong":
+        return this.#fail("Event is too long");
+    }
+  }
+
+  #writeEvents(bytes: Uint8Array): void {
+    const { writer, handleFirstEvent, handleDelivery } = this.#options;
     if (bytes.length === 0) return;
     this.#restartInactivityTimeout();
     handleDelivery?.();
@@ -458,11 +469,7 @@
   /** Takes what may be passed on: whole events only if the stream can be resumed. */
   #takeEvents(chunk: Uint8Array): EventStep {
     const { eventBuffer } = this.#options;
-    if (eventBuffer !== undefined) return eventBuffer.takeCompleteEvents(chunk);
-    this.#tail.add(chunk);
-    return this.#tail.isTooLong
-      ? { kind: "tooLong" }
-      : { kind: "events", bytes: chunk };
+    return eventBuffer?.takeCompleteEvents(chunk) ?? this.#tail.add(chunk);
   }
 
   #startStream(): void {
@@ -475,8 +482,11 @@
     const { eventBuffer, writer, handleDelivery } = this.#options;
     const { hasPartial, events, lastEventId } = eventBuffer ?? this.#tail;
     if (hasPartial) return this.#fail("Stream ended inside an event");
+    if (eventBuffer?.isEventDue) {
+      return this.#fail("Stream ended before an event that had begun");
+    }
     // Nothing may be left after the last event that the caller has.
-    if (!this.#isStreaming && !this.#hasEarlierEvents) {
+    if (events === 0 && !this.#hasEarlierEvents) {
       return this.#fail("Stream ended without an event");
     }
     if (!this.#isStreaming && this.#options.isBeside?.()) {
