Allow for a tick of a coarse clock, and count ends at the deadline

The allowance is a tick of 10 ms. Answers that are whole in the last 10 ms of their time are not taken as whole either.

answers_ended_at_deadline_total counts, by service, answers whose end was read but proves nothing; request_answered names their framing, of plain ones too.

--- a/packages/gateway/src/answer_deadline.ts
+++ b/packages/gateway/src/answer_deadline.ts
@@ -8,8 +8,8 @@
 
 /** How much faster than this clock that of an endpoint may run, as a share. */
 const CLOCK_RATE_TOLERANCE = 0.0005;
-/** How much too early an endpoint's timer may run, in milliseconds. */
-const TIMER_STEP_MS = 2;
+/** Coarse clocks of kernels tick at least this often, in milliseconds. */
+const CLOCK_TICK_MS = 10;
 
 /** What the end of an answer shows. */
 export const END_VERDICT = {
@@ -68,7 +68,7 @@
   { framing, endedAt, sentAt, leftMs, deadlineAt }: AnswerEndTimes,
 ): EndVerdict {
   const stopsAt = sentAt.steadyMs + leftMs * (1 - CLOCK_RATE_TOLERANCE) -
-    TIMER_STEP_MS;
+    CLOCK_TICK_MS;
   const timeUpAt = Math.min(stopsAt, deadlineAt);
   const suspendedMs = endedAt.wallMs - sentAt.wallMs -
     (endedAt.steadyMs - sentAt.steadyMs);
--- a/packages/gateway/src/answer_deadline_test.ts
+++ b/packages/gateway/src/answer_deadline_test.ts
@@ -14,11 +14,11 @@
 
 describe("judgeEnd", () => {
   const rows: [answerHeads.Framing, number, EndVerdict][] = [
-    ["chunks", 6_990, "whole"],
-    ["connection", 6_990, "whole"],
+    ["chunks", 6_985, "whole"],
+    ["connection", 6_985, "whole"],
     // The clock of the endpoint runs faster, or its timer is early.
-    ["chunks", 6_996, "timeUp"],
-    ["connection", 6_996, "timeUp"],
+    ["chunks", 6_988, "timeUp"],
+    ["connection", 6_988, "timeUp"],
     ["chunks", 9_000, "timeUp"],
     ["length", 9_000, "whole"],
     ["none", 9_000, "whole"],
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -512,7 +512,9 @@
   #handleEnded(framing?: answerHeads.Framing): void {
     const position = this.#options.eventBuffer ?? this.#tail;
     const { events, lastEventId } = position;
-    const end = this.#isStreaming ? { events, lastEventId, framing } : {};
+    const end = this.#isStreaming
+      ? { events, lastEventId, framing }
+      : { framing };
     this.#finish({ kind: "ended", end }, undefined);
   }
 
--- a/packages/gateway/src/deadline_test.ts
+++ b/packages/gateway/src/deadline_test.ts
@@ -41,7 +41,11 @@
     const { result, call } = await startLate({ kind: "atMostOnce" });
     call.end();
     expect(await result)
-      .to.deep.equal({ kind: "ended", mayHaveRun: true, end: {} });
+      .to.deep.equal({
+        kind: "ended",
+        mayHaveRun: true,
+        end: { framing: "chunks" },
+      });
   });
 
   // An endpoint whose timer was early passed for one that was done.
--- a/packages/gateway/src/final_answer.ts
+++ b/packages/gateway/src/final_answer.ts
@@ -112,6 +112,10 @@
         });
         return;
       }
+      if (end?.framing !== undefined) {
+        const { service } = request;
+        deps.metrics.count("answers_ended_at_deadline_total", { service });
+      }
       if (writer.hasStarted) {
         const reason = "The deadline has passed";
         writer.abort({ cause: TRUNCATION_CAUSE.deadline });
@@ -123,7 +127,7 @@
       }
       const failure = buildEndedFailure(mayHaveRun, scope.endedBy);
       writer.writeFailure(failure);
-      recordFailure(deps, request, failure);
+      recordFailure(deps, request, failure, end);
     })
     .exhaustive();
 }
@@ -167,8 +171,9 @@
   deps: FlowDependencies,
   request: RoutedRequest,
   { code, message }: codes.Failure,
+  end: Partial<StreamEnd> = {},
 ): void {
-  recordAnswer(deps, request, { outcome: code, reason: message });
+  recordAnswer(deps, request, { outcome: code, reason: message, ...end });
 }
 
 function recordAnswer(
