Read what has arrived before a stop closes connections

The stop now lets the event loop accept and read what has arrived before it takes nothing to be at work, and once more at the drain's end. libuv accepts one connection a turn, so it waits until a turn accepts none, within the stop's times.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,10 +13,8 @@
 import * as serving from "@sardinestep/serving";
 import * as streamVersions from "@sardinestep/stream_versions";
 import type { Address, ServiceId } from "@sardinestep/types";
-import {
-  setImmediate as waitForEvents,
-  setTimeout as wait,
-} from "node:timers/promises";
+import { setTimeout as wait } from "node:timers/promises";
+import { type ArrivalOptions, waitForArrivals, waitWhile } from "./arrivals.ts";
 import { EndpointReach } from "./endpoint_reach.ts";
 import { EndpointTracker, MIN_PAUSE_MS } from "./endpoint_tracker.ts";
 import { EVENT } from "./events.ts";
@@ -75,8 +73,6 @@
 const CONNECT_DRAIN_MS = 3_000;
 /** Time in which a request that was sent before an announcement arrives, in ms. */
 const ANNOUNCED_SETTLE_MS = 200;
-/** Interval of checks for the end of the last requests, in milliseconds. */
-const DRAIN_POLL_MS = 50;
 
 /** The gateway of one VM. */
 export class Gateway {
@@ -293,7 +289,7 @@
     this.#streamNotes.sendAllNotes();
     this.#ingress.startDraining();
     await wait(Math.min(CONNECT_DRAIN_MS, times.drainUntil - stoppedAt));
-    await waitWhile(() => this.#isBusy(), times.drainUntil);
+    await this.#waitWhile(() => this.#isBusy(), times.drainUntil);
     const ended = await this.#endRequests(times);
     events.write(EVENT.processStopped, {
       ended,
@@ -322,16 +318,23 @@
    */
   async #endRequests(times: StopTimes): Promise<number> {
     const isActive = () => this.#ingress.activeRequests > 0;
+    await waitForArrivals(this.#buildArrivalOptions(times.streamUntil));
     if (!isActive()) return 0;
-    // After a pause of the process, answers that have arrived are read first.
-    await waitForEvents();
     const unanswered = this.#ingress.endUnanswered(END_REASON.stopping);
-    await waitWhile(isActive, times.streamUntil);
+    await this.#waitWhile(isActive, times.streamUntil);
     const begun = this.#ingress.endRequests(END_REASON.stopping);
-    await waitWhile(isActive, times.closeAt);
+    await this.#waitWhile(isActive, times.closeAt);
     return unanswered + begun;
   }
 
+  #waitWhile(isTrue: () => boolean, until: number): Promise<void> {
+    return waitWhile(isTrue, this.#buildArrivalOptions(until));
+  }
+
+  #buildArrivalOptions(until: number): ArrivalOptions {
+    return { countAccepted: () => this.#ingress.acceptedTotal, until };
+  }
+
   /** Closes all connections, listeners and queues at once. */
   close(): void {
     clearInterval(this.#updateTimer);
@@ -547,11 +550,3 @@
   const { vmId, zone, cores, listen: { rpc, relay } } = options;
   return { vmId, zone, rpc, relay, cores };
 }
-
-/** Waits until a condition no longer holds, or a monotonic time has passed. */
-async function waitWhile(isTrue: () => boolean, until: number): Promise<void> {
-  for (let leftMs = until - performance.now(); leftMs > 0 && isTrue();) {
-    await wait(Math.min(DRAIN_POLL_MS, leftMs));
-    leftMs = until - performance.now();
-  }
-}
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -85,6 +85,7 @@
   /** Requests whose responses are not closed yet. */
   readonly #requests = new Map<RequestScope, OpenRequest>();
   readonly #budget: bufferBudget.BufferBudget;
+  #acceptedTotal = 0;
   /** Monotonic time at which the VM began to stop; undefined before. */
   #drainingSince: number | undefined;
 
@@ -117,7 +118,10 @@
     this.#server.maxHeadersCount = MAX_HEADER_BYTES / MIN_LINE_BYTES;
     // Node.js reads its limits when it handles the event.
     this.#server.prependListener("connection", () => this.#applyLimits());
-    this.#server.on("connection", (socket) => this.#connections.add(socket));
+    this.#server.on("connection", (socket) => {
+      this.#acceptedTotal += 1;
+      this.#connections.add(socket);
+    });
     this.#server.on(
       "clientError",
       (error: NodeJS.ErrnoException, socket) =>
@@ -144,6 +148,11 @@
     return this.#connections.size;
   }
 
+  /** Number of connections that were accepted so far. */
+  get acceptedTotal(): number {
+    return this.#acceptedTotal;
+  }
+
   /** What is held for callers and endpoints. */
   get budget(): bufferBudget.BufferBudget {
     return this.#budget;
