--- a/packages/gateway/src/answer_deadline.ts
+++ b/packages/gateway/src/answer_deadline.ts
@@ -38,7 +38,7 @@
   readonly endedAt: Moment;
   /** When the request was written. */
   readonly sentAt: Moment;
-  /** Time that the endpoint was told to have for the request, in milliseconds. */
+  /** Time that the endpoint was handed for the request, in milliseconds. */
   readonly leftMs: number;
   /** Monotonic time at which the time of the request is up. */
   readonly deadlineAt: number;
@@ -52,7 +52,7 @@
 /**
  * Decides what the end of an answer shows.
  *
- * An endpoint stops its work after the time that it was told, and its server then
+ * An endpoint stops its work after the time that it was handed, and its server then
  * ends the answer in order. When the end was read decides, not which of a timer and
  * the end comes first: a process that was busy or stopped reads before its timers run.
  *
--- a/packages/gateway/src/deadline_test.ts
+++ b/packages/gateway/src/deadline_test.ts
@@ -49,7 +49,7 @@
   });
 
   // An endpoint whose timer was early passed for one that was done.
-  it("counts the time that the endpoint was told from its send", async () => {
+  it("counts the time that the endpoint was handed from its send", async () => {
     const harness = new ForwardHarness({ route: { timeoutMs: TIMEOUT_MS } });
     const result = harness.run();
     const [call] = await harness.waitForCalls(1);
